--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/Address.kt
@@ -0,0 +1,35 @@
+/*
+ * Network addresses of our processes and of targets.
+ */
+package fulmarshunt
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.Serializable
+
+private const val MAX_PORT = 65_535
+
+/** An IP number and a port. */
+@Serializable
+public data class Address(
+    /** The IP number. */
+    public val host: String,
+    /** The TCP port, 0 for any free one when listening. */
+    public val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+}
+
+/**
+ * Parses `host:port`.
+ *
+ * @return the address, or a message that says what is wrong with [text].
+ */
+public fun parseAddress(text: String): Either<String, Address> {
+    val colon = text.lastIndexOf(':')
+    if (colon <= 0) return "\"$text\" is not of the form host:port".left()
+    val port = text.substring(colon + 1).toIntOrNull()
+    if (port == null || port !in 0..MAX_PORT) return "\"$text\" has no port between 0 and $MAX_PORT".left()
+    return Address(text.substring(0, colon), port).right()
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -0,0 +1,213 @@
+/*
+ * One authenticated connection between two of our processes. Either side may call the other. A call ends with a reply,
+ * or with a failure that says whether the peer can have received it. A connection on which nothing arrives for a while
+ * is closed, because a device between the two ends may have forgotten it while new connections work.
+ */
+package fulmarshunt.link
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.ktor.network.sockets.Socket
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.channels.Channel as Queue
+
+/** Why a call has no reply. */
+public sealed interface LinkFailure {
+    /** What happened, for logs. */
+    public val reason: String
+
+    /** The call did not leave this process. */
+    public data class NotSent(override val reason: String) : LinkFailure
+
+    /** The peer may have handled the call. */
+    public data class Lost(override val reason: String) : LinkFailure
+
+    /** The peer received the call and could not handle it. */
+    public data class Faulted(override val reason: String) : LinkFailure
+}
+
+/** The process at the other end of a connection. */
+public class LinkPeer internal constructor(
+    /** The id that the peer gave in the handshake. */
+    public val process: String,
+    /** The connection to the peer, for calls in the other direction. */
+    public val connection: LinkConnection,
+)
+
+internal typealias RawHandler = suspend (LinkPeer, ByteArray) -> ByteArray
+
+/** The calls that a process answers. */
+public class LinkHandlers private constructor(internal val byChannel: Map<String, RawHandler>) {
+    public constructor() : this(emptyMap())
+
+    /** Returns these handlers and one more, which answers calls on [channel] with [handle]. */
+    public fun <Q : Any, R : Any> with(channel: Channel<Q, R>, handle: suspend (LinkPeer, Q) -> R): LinkHandlers {
+        val raw: RawHandler = { peer, body ->
+            val request = linkCbor.decodeFromByteArray(channel.request, body)
+            linkCbor.encodeToByteArray(channel.reply, handle(peer, request))
+        }
+        return LinkHandlers(byChannel + (channel.name to raw))
+    }
+}
+
+/** How often a side with nothing to say sends a keep-alive frame. */
+internal const val KEEP_ALIVE_MS: Long = 500
+
+/** The silence after which a connection is closed: three keep-alive frames and some delay. */
+internal const val SILENCE_LIMIT_MS: Long = 2_000
+
+/** A connection between two of our processes. */
+public class LinkConnection internal constructor(
+    private val socket: Socket,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    private val handlers: LinkHandlers,
+    private val scope: CoroutineScope,
+    process: String,
+) {
+    private val log = LogManager.getLogger(LinkConnection::class.java)
+    private val peer = LinkPeer(process, this)
+    private val nextId = AtomicLong(1)
+    private val pending = ConcurrentHashMap<Long, CompletableDeferred<Either<LinkFailure, ByteArray>>>()
+    private val outgoing = Queue<Frame>(OUTGOING_FRAMES)
+    private val jobs = mutableListOf<Job>()
+
+    @Volatile
+    private var closedBecause: String? = null
+
+    /** True until the connection fails or is closed. */
+    public val isOpen: Boolean get() = closedBecause == null
+
+    internal fun start() {
+        jobs += scope.launch(start = CoroutineStart.LAZY) { closeOnFailure { readFrames() } }
+        jobs += scope.launch(start = CoroutineStart.LAZY) { closeOnFailure { writeFrames() } }
+        jobs.forEach { it.start() }
+    }
+
+    /** Suspends until the connection is closed. */
+    internal suspend fun join(): Unit = jobs.first().join()
+
+    /**
+     * Sends [request] on [channel] and waits up to [timeoutMs] for the reply.
+     *
+     * @return the reply, or a failure that says whether the peer can have received the request.
+     */
+    public suspend fun <Q : Any, R : Any> call(
+        channel: Channel<Q, R>,
+        request: Q,
+        timeoutMs: Long,
+    ): Either<LinkFailure, R> {
+        closedBecause?.let { return LinkFailure.NotSent(it).left() }
+        val id = nextId.getAndIncrement()
+        val answer = CompletableDeferred<Either<LinkFailure, ByteArray>>()
+        pending[id] = answer
+        try {
+            val body = linkCbor.encodeToByteArray(channel.request, request)
+            if (outgoing.trySend(Call(id, channel.name, body)).isFailure) {
+                return LinkFailure.NotSent("the connection to ${peer.process} is closed or congested").left()
+            }
+            // A close between the check above and the entry in `pending` would leave the call without an answer.
+            closedBecause?.let { answer.complete(LinkFailure.Lost(it).left()) }
+            val raw = withTimeoutOrNull(timeoutMs) { answer.await() }
+            return raw?.flatMap { decode(channel, it) }
+                ?: LinkFailure.Lost("${peer.process} did not answer on ${channel.name} within $timeoutMs ms").left()
+        } finally {
+            pending.remove(id)
+        }
+    }
+
+    /** Closes the connection; calls without a reply end with [LinkFailure.Lost]. */
+    public fun close(reason: String) {
+        synchronized(this) {
+            if (closedBecause != null) return
+            closedBecause = reason
+        }
+        outgoing.close()
+        socket.close()
+        pending.values.forEach { it.complete(LinkFailure.Lost(reason).left()) }
+        jobs.forEach { it.cancel() }
+    }
+
+    private fun <R : Any> decode(channel: Channel<*, R>, body: ByteArray): Either<LinkFailure, R> = try {
+        linkCbor.decodeFromByteArray(channel.reply, body).right()
+    } catch (e: IllegalArgumentException) {
+        LinkFailure.Faulted("reply on ${channel.name} cannot be decoded: ${e.message}").left()
+    }
+
+    private suspend fun closeOnFailure(block: suspend () -> Unit) {
+        try {
+            block()
+            close("the connection to ${peer.process} ended")
+        } catch (e: CancellationException) {
+            close("the connection to ${peer.process} was cancelled")
+            throw e
+        } catch (e: Exception) {
+            close("the connection to ${peer.process} failed: ${e.message ?: e::class.simpleName}")
+        }
+    }
+
+    private suspend fun readFrames() {
+        while (true) {
+            val frame = withTimeoutOrNull(SILENCE_LIMIT_MS) { input.readFrame() }
+            if (frame == null) {
+                close("${peer.process} was silent for $SILENCE_LIMIT_MS ms")
+                return
+            }
+            when (frame) {
+                is Call -> scope.launch { answer(frame) }
+                is Reply -> pending.remove(frame.id)?.complete(frame.body.right())
+                is Fault -> pending.remove(frame.id)?.complete(LinkFailure.Faulted(frame.reason).left())
+                is KeepAlive -> Unit
+                is Hello, is Proof -> close("${peer.process} repeated the handshake")
+            }
+        }
+    }
+
+    private suspend fun answer(call: Call) {
+        val handler = handlers.byChannel[call.channel]
+        val frame =
+            if (handler == null) {
+                Fault(call.id, "no handler for channel ${call.channel}")
+            } else {
+                try {
+                    Reply(call.id, handler(peer, call.body))
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    log.warn("A call on {} from {} failed", call.channel, peer.process, e)
+                    Fault(call.id, "the call failed: ${e.message ?: e::class.simpleName}")
+                }
+            }
+        outgoing.trySend(frame)
+    }
+
+    private suspend fun writeFrames() {
+        while (true) {
+            val frame = withTimeoutOrNull(KEEP_ALIVE_MS) { outgoing.receiveCatching() }
+            val next = if (frame == null) KeepAlive else frame.getOrNull() ?: return
+            val written = withTimeoutOrNull(SILENCE_LIMIT_MS) { output.writeFrame(next) }
+            if (written == null) {
+                close("${peer.process} took no data for $SILENCE_LIMIT_MS ms")
+                return
+            }
+        }
+    }
+
+    private companion object {
+        /** A peer that lets more frames than this wait is treated as congested. */
+        const val OUTGOING_FRAMES = 4_096
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -0,0 +1,77 @@
+/*
+ * The frames of a link: a four-byte length followed by a CBOR envelope. Frames are bounded, so that a faulty or hostile
+ * peer cannot make a process allocate without limit.
+ */
+package fulmarshunt.link
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.Cbor
+import java.io.IOException
+
+/** The greatest encoded envelope. */
+internal const val MAX_FRAME_BYTES: Int = 4 * 1_024 * 1_024
+
+/** The version of the frames and of the handshake; peers with another one are refused. */
+internal const val LINK_VERSION: Int = 1
+
+/** The CBOR format of everything that our processes exchange or store; unknown fields of newer versions are skipped. */
+public val linkCbor: Cbor =
+    Cbor {
+        ignoreUnknownKeys = true
+        encodeDefaults = false
+    }
+
+@Serializable
+internal sealed interface Frame
+
+/** The first frame of either side. */
+@Serializable
+@SerialName("h")
+internal class Hello(val version: Int, val process: String, @ByteString val nonce: ByteArray) : Frame
+
+/** Proves knowledge of the shared secret over both nonces. */
+@Serializable
+@SerialName("p")
+internal class Proof(@ByteString val mac: ByteArray) : Frame
+
+/** Calls [channel]; the reply carries the same [id]. */
+@Serializable
+@SerialName("c")
+internal class Call(val id: Long, val channel: String, @ByteString val body: ByteArray) : Frame
+
+/** Answers the call [id]. */
+@Serializable
+@SerialName("r")
+internal class Reply(val id: Long, @ByteString val body: ByteArray) : Frame
+
+/** Says that the call [id] could not be handled. */
+@Serializable
+@SerialName("f")
+internal class Fault(val id: Long, val reason: String) : Frame
+
+/** Keeps the connection alive; a side that hears nothing for a while closes the connection. */
+@Serializable
+@SerialName("k")
+internal data object KeepAlive : Frame
+
+internal suspend fun ByteWriteChannel.writeFrame(frame: Frame) {
+    val bytes = linkCbor.encodeToByteArray(Frame.serializer(), frame)
+    if (bytes.size > MAX_FRAME_BYTES) throw IOException("frame of ${bytes.size} bytes exceeds $MAX_FRAME_BYTES")
+    writeInt(bytes.size)
+    writeFully(bytes)
+    flush()
+}
+
+internal suspend fun ByteReadChannel.readFrame(): Frame {
+    val size = readInt()
+    if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame size $size is not in 1..$MAX_FRAME_BYTES")
+    return linkCbor.decodeFromByteArray(Frame.serializer(), readByteArray(size))
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -0,0 +1,138 @@
+/*
+ * Listening for and dialing links. A process keeps at most one dialed connection to each address and opens a new one
+ * when the old one has failed.
+ */
+package fulmarshunt.link
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Address
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ConcurrentHashMap
+
+/** How long dialing and the handshake may take together. */
+private const val DIAL_TIMEOUT_MS = 1_000L
+
+/** The end points of one process: it listens for links and dials others. */
+public class Links internal constructor(
+    private val process: String,
+    private val secret: String,
+    private val handlers: LinkHandlers,
+) : AutoCloseable {
+    private val log = LogManager.getLogger(Links::class.java)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val dialed = ConcurrentHashMap<Address, Dialed>()
+
+    private class Dialed {
+        val mutex = Mutex()
+
+        @Volatile
+        var connection: LinkConnection? = null
+    }
+
+    /**
+     * Accepts links at [address].
+     *
+     * @return the address that is listened at, or why it cannot be.
+     */
+    public suspend fun listen(address: Address): Either<String, Address> {
+        val server =
+            try {
+                aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                return "cannot listen at $address: ${e.message}".left()
+            }
+        scope.launch {
+            while (true) {
+                val socket = server.accept()
+                launch { serve(socket) }
+            }
+        }
+        return Address(address.host, (server.localAddress as InetSocketAddress).port).right()
+    }
+
+    /** Returns an open connection to [address], dialing it if there is none. */
+    public suspend fun connect(address: Address): Either<LinkFailure, LinkConnection> {
+        val entry = dialed.computeIfAbsent(address) { Dialed() }
+        entry.connection?.takeIf { it.isOpen }?.let { return it.right() }
+        return entry.mutex.withLock {
+            entry.connection?.takeIf { it.isOpen }?.right()
+                ?: dial(address).onRight { entry.connection = it }
+        }
+    }
+
+    /** Calls the process at [address]; see [LinkConnection.call]. */
+    public suspend fun <Q : Any, R : Any> call(
+        address: Address,
+        channel: Channel<Q, R>,
+        request: Q,
+        timeoutMs: Long,
+    ): Either<LinkFailure, R> = connect(address).flatMap { it.call(channel, request, timeoutMs) }
+
+    /** Closes every connection and stops listening. */
+    override fun close() {
+        dialed.values.forEach { it.connection?.close("this process is stopping") }
+        scope.cancel()
+        selector.close()
+    }
+
+    private suspend fun dial(address: Address): Either<LinkFailure, LinkConnection> {
+        var socket: Socket? = null
+        return try {
+            withTimeoutOrNull(DIAL_TIMEOUT_MS) {
+                val opened = aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
+                socket = opened
+                openConnection(opened, LinkRole.DIALER).right()
+            } ?: LinkFailure.NotSent("no link to $address within $DIAL_TIMEOUT_MS ms").left().also { socket?.close() }
+        } catch (e: CancellationException) {
+            socket?.close()
+            throw e
+        } catch (e: Exception) {
+            socket?.close()
+            LinkFailure.NotSent("no link to $address: ${e.message ?: e::class.simpleName}").left()
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        try {
+            val connection = withTimeoutOrNull(DIAL_TIMEOUT_MS) { openConnection(socket, LinkRole.LISTENER) }
+            connection?.join() ?: socket.close()
+        } catch (e: CancellationException) {
+            socket.close()
+            throw e
+        } catch (e: Exception) {
+            log.warn("A link from {} was refused: {}", socket.remoteAddress, e.message)
+            socket.close()
+        }
+    }
+
+    private suspend fun openConnection(socket: Socket, role: LinkRole): LinkConnection {
+        val input = socket.openReadChannel()
+        val output = socket.openWriteChannel()
+        val peer = shakeHands(input, output, process, secret, role)
+        return LinkConnection(socket, input, output, handlers, scope, peer).also { it.start() }
+    }
+}
+
+/** Returns the links of a process that is known to others as [process] and answers calls with [handlers]. */
+public fun linksOf(process: String, secret: String, handlers: LinkHandlers): Links = Links(process, secret, handlers)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorMessages.kt
@@ -0,0 +1,179 @@
+/*
+ * What the operators' programs ask the control leader, and its answers.
+ */
+package fulmarshunt.operator
+
+import fulmarshunt.Address
+import fulmarshunt.CommandId
+import fulmarshunt.LogIndex
+import fulmarshunt.OperatorId
+import fulmarshunt.PoolId
+import fulmarshunt.Revision
+import fulmarshunt.VmId
+import fulmarshunt.VoterId
+import fulmarshunt.link.Channel
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A change of the configuration as an operator submits it. */
+@Serializable
+public data class OperatorCommand(
+    public val id: CommandId,
+    public val operator: OperatorId,
+    /** The revision that the operator saw; any other current revision makes the command a conflict. */
+    public val expectedRevision: Revision,
+    public val changes: List<ConfigurationChange>,
+    /** A sentence for the audit trail. */
+    public val reason: String = "",
+)
+
+/** One line of the audit trail. */
+@Serializable
+public data class AuditRecord(
+    public val index: LogIndex,
+    public val commandId: CommandId,
+    public val operator: OperatorId,
+    /** The wall-clock time at which the leader received the command. */
+    public val receivedAtEpochMs: Long,
+    public val revision: Revision,
+    /** The affected parts before the command, without secrets. */
+    public val before: List<String>,
+    /** The affected parts after the command, without secrets. */
+    public val after: List<String>,
+    public val reason: String = "",
+)
+
+/** The state of a voter as the leader sees it. */
+@Serializable
+public data class VoterStatus(
+    public val id: VoterId,
+    public val vm: VmId,
+    public val address: Address,
+    public val isLeader: Boolean,
+    public val isLearner: Boolean,
+    public val matchIndex: LogIndex,
+    public val lastHeardMs: Long,
+)
+
+/** The state of an entry VM as the leader sees it. */
+@Serializable
+public data class EntryVmStatus(
+    public val vm: VmId,
+    public val address: Address,
+    public val hasLease: Boolean,
+    public val appliedIndex: LogIndex,
+    public val pools: List<PoolId>,
+)
+
+/** A call of an operator's program. Each carries the operator's key, which the leader hashes before it proposes. */
+@Serializable
+public sealed interface OperatorCall {
+    public val operator: OperatorId
+    public val key: String
+}
+
+/** Submits a command and waits up to [waitInEffectMs] until it is in effect. */
+@Serializable
+@SerialName("submit")
+public data class SubmitCommand(
+    override val operator: OperatorId,
+    override val key: String,
+    public val command: OperatorCommand,
+    public val waitInEffectMs: Long,
+) : OperatorCall
+
+/** Reads the configuration. */
+@Serializable
+@SerialName("read")
+public data class ReadConfiguration(override val operator: OperatorId, override val key: String) : OperatorCall
+
+/** Reads the state of voters and entry VMs. */
+@Serializable
+@SerialName("status")
+public data class ReadStatus(override val operator: OperatorId, override val key: String) : OperatorCall
+
+/** Reads at most [limit] audit records after [after]. */
+@Serializable
+@SerialName("audit")
+public data class ReadAudit(
+    override val operator: OperatorId,
+    override val key: String,
+    public val after: LogIndex,
+    public val limit: Int,
+) : OperatorCall
+
+/** Asks an entry VM for a graceful shutdown. */
+@Serializable
+@SerialName("shut-down-vm")
+public data class ShutDownVm(override val operator: OperatorId, override val key: String, public val vm: VmId) :
+    OperatorCall
+
+/** Adds the voter at [joining], once it has caught up, and removes [leaving]; either may be absent. */
+@Serializable
+@SerialName("change-voters")
+public data class ChangeVoters(
+    override val operator: OperatorId,
+    override val key: String,
+    public val joining: VoterId? = null,
+    public val joiningVm: VmId? = null,
+    public val joiningAddress: Address? = null,
+    public val leaving: VoterId? = null,
+) : OperatorCall
+
+/** The answer to an [OperatorCall]. */
+@Serializable
+public sealed interface OperatorReply
+
+/** The command was committed with [revision]; [isInEffect] says whether every entry VM follows it already. */
+@Serializable
+@SerialName("accepted")
+public data class CommandAccepted(public val revision: Revision, public val isInEffect: Boolean) : OperatorReply
+
+/** The command was based on a revision that is not the current one; nothing changed. */
+@Serializable
+@SerialName("conflict")
+public data class CommandConflict(public val current: Configuration) : OperatorReply
+
+/** The call was refused for [reason]; nothing changed. */
+@Serializable
+@SerialName("refused")
+public data class CallRefused(public val reason: String) : OperatorReply
+
+/** The process that was asked is not the leader; [leader] is, if known. */
+@Serializable
+@SerialName("not-leader")
+public data class OperatorNotLeader(public val leader: Address? = null) : OperatorReply
+
+/** Whether the call took effect is not known; resend it with the same command id. */
+@Serializable
+@SerialName("unknown")
+public data class OutcomeUnknown(public val reason: String) : OperatorReply
+
+/** The current configuration. */
+@Serializable
+@SerialName("configuration")
+public data class ConfigurationReply(public val configuration: Configuration) : OperatorReply
+
+/** The state of voters and entry VMs. */
+@Serializable
+@SerialName("status")
+public data class StatusReply(
+    public val revision: Revision,
+    public val appliedIndex: LogIndex,
+    public val voters: List<VoterStatus>,
+    public val entryVms: List<EntryVmStatus>,
+) : OperatorReply
+
+/** A part of the audit trail, oldest first. */
+@Serializable
+@SerialName("audit")
+public data class AuditReply(public val records: List<AuditRecord>) : OperatorReply
+
+/** The call was carried out. */
+@Serializable
+@SerialName("done")
+public data object CallDone : OperatorReply
+
+/** Carries operators' calls to the control leader. */
+public val operatorChannel: Channel<OperatorCall, OperatorReply> =
+    Channel("operator", OperatorCall.serializer(), OperatorReply.serializer())
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/platform/ControlThread.kt
@@ -0,0 +1,47 @@
+/*
+ * The one thread that owns the control state of a process. State confined to it needs no locks; traffic code on other
+ * threads asks for changes with [ControlThread.run] and reads immutable snapshots. Blocks that run here must be short
+ * and must neither block nor perform input or output.
+ */
+package fulmarshunt.platform
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExecutorCoroutineDispatcher
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.concurrent.Executors
+
+/** Runs blocks one after another on a single thread named `control-state`. */
+public class ControlThread internal constructor(private val dispatcher: ExecutorCoroutineDispatcher) : AutoCloseable {
+    /** The scope of coroutines that resume on the control thread. */
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
+
+    /** Runs [block] on the control thread and returns its result. */
+    public suspend fun <T> run(block: () -> T): T = withContext(dispatcher) { block() }
+
+    /** Runs [block] on the control thread every [periodMs] until the returned job is cancelled. */
+    public fun every(periodMs: Long, block: suspend () -> Unit): Job = scope.launch {
+        while (true) {
+            delay(periodMs)
+            block()
+        }
+    }
+
+    /** Cancels what runs in [scope] and ends the thread. */
+    override fun close() {
+        scope.cancel()
+        dispatcher.close()
+    }
+}
+
+/** Starts a control thread. */
+public fun startControlThread(): ControlThread = ControlThread(
+    Executors
+        .newSingleThreadExecutor { task -> Thread(task, "control-state").apply { isDaemon = true } }
+        .asCoroutineDispatcher(),
+)
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -0,0 +1,78 @@
+/*
+ * Calls over links on loopback sockets: replies, failures that say whether the call was sent, and the handshake.
+ */
+package fulmarshunt.link
+
+import fulmarshunt.Address
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.builtins.serializer
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+private val echo = Channel("echo", String.serializer(), String.serializer())
+private val loopback = Address("127.0.0.1", 0)
+
+class LinksTest {
+    /** Guards against replies that reach another call than their own when answers come out of order. */
+    @Test
+    fun `concurrent calls get their own replies`(): Unit = runBlocking {
+        val handlers =
+            LinkHandlers().with(echo) { _, text ->
+                delay((text.last().digitToInt() % 3) * 20L)
+                "re:$text"
+            }
+        val server = linksOf("server", "secret", handlers)
+        val client = linksOf("client", "secret", LinkHandlers())
+        val address = server.listen(loopback).getOrNull()!!
+        val replies = (0 until 50).map { n -> async { client.call(address, echo, "call $n", 5_000) } }.awaitAll()
+        expectThat(replies.map { it.getOrNull() }).isEqualTo((0 until 50).map { "re:call $it" })
+        client.close()
+        server.close()
+    }
+
+    /** Guards against a call to a process that is down being reported as possibly handled. */
+    @Test
+    fun `a call to a closed port was not sent`(): Unit = runBlocking {
+        val client = linksOf("client", "secret", LinkHandlers())
+        val result = client.call(Address("127.0.0.1", 1), echo, "x", 1_000)
+        expectThat(result.leftOrNull()).isA<LinkFailure.NotSent>()
+        client.close()
+    }
+
+    /** Guards against a peer with another secret being able to call. */
+    @Test
+    fun `another secret is refused`(): Unit = runBlocking {
+        val server = linksOf("server", "secret", LinkHandlers().with(echo) { _, text -> text })
+        val client = linksOf("client", "other", LinkHandlers())
+        val address = server.listen(loopback).getOrNull()!!
+        expectThat(client.call(address, echo, "x", 1_000).leftOrNull()).isA<LinkFailure.NotSent>()
+        client.close()
+        server.close()
+    }
+
+    /** Guards against a call that was sent being reported as not sent when the peer goes away. */
+    @Test
+    fun `a call whose peer closes is lost`(): Unit = runBlocking {
+        val received = CompletableDeferred<Unit>()
+        val handlers =
+            LinkHandlers().with(echo) { _, text ->
+                received.complete(Unit)
+                delay(60_000)
+                text
+            }
+        val server = linksOf("server", "secret", handlers)
+        val client = linksOf("client", "secret", LinkHandlers())
+        val address = server.listen(loopback).getOrNull()!!
+        val call = async { client.call(address, echo, "x", 10_000) }
+        received.await()
+        server.close()
+        expectThat(call.await().leftOrNull()).isA<LinkFailure.Lost>()
+        client.close()
+    }
+}
