--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/standin/Processes.kt
@@ -0,0 +1,57 @@
+/*
+ * Starts programs and stand-ins as real processes with the class path of the test and ends them after it.
+ */
+package fulmarshunt.standin
+
+import java.io.File
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+
+/** The processes of one test. */
+class Processes(private val directory: File) : AutoCloseable {
+    private val started = mutableListOf<Process>()
+
+    /** Starts [mainClass] in a JVM of its own; its output goes to a file named for [name]. */
+    fun start(name: String, mainClass: String, vararg arguments: String): Process {
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val command =
+            listOf(
+                java,
+                "-Xmx96m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+            ) +
+                mainClass + arguments
+        val process =
+            ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(File(directory, "$name.out")))
+                .start()
+        started += process
+        return process
+    }
+
+    /** Writes a settings file and returns its path. */
+    fun settings(name: String, text: String): String = File(directory, name).apply { writeText(text) }.path
+
+    override fun close() {
+        started.forEach { it.destroyForcibly() }
+        started.forEach { it.waitFor(5, TimeUnit.SECONDS) }
+    }
+}
+
+/** Returns a port that was free a moment ago. */
+fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+/** Waits until a process accepts connections at [port]. */
+fun awaitPort(port: Int, timeoutMs: Long = 15_000) {
+    val deadline = System.nanoTime() + timeoutMs * 1_000_000
+    while (System.nanoTime() < deadline) {
+        if (runCatching { Socket("127.0.0.1", port).close() }.isSuccess) return
+        Thread.sleep(50)
+    }
+    error("nothing listens at port $port after $timeoutMs ms")
+}
