--- a/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
+++ b/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
@@ -50,6 +50,9 @@
 class EngineOptions(private val values: Map<String, String>) {
     val id = values.getValue("id")
     val port = values.getValue("port").toInt()
+
+    /** The port that is announced: the one of a proxy, or the own one. */
+    val seenPort = values["seen_port"]?.toInt() ?: port
     val domain = values["domain"] ?: "suva"
     val services = (values["services"] ?: "letters").split(',')
     val announceTo = (values["announce"] ?: "").split(',').filter { it.isNotEmpty() }
