--- a/src/test/kotlin/fulmarshunt/faults/FaultProxyTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/FaultProxyTest.kt
@@ -1,5 +1,5 @@
 /*
- * The faults that the proxy injects, on plain sockets: a proof that depends on the proxy means nothing if the proxy lets
+ * The faults that the proxy injects, on plain sockets: a proof behind the proxy means nothing if the proxy lets
  * bytes pass.
  */
 package fulmarshunt.faults
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -152,7 +152,7 @@
 
     /** Waits until the balancer would send work to every one of [entries]. */
     fun awaitReady(entries: List<SiteEntry> = this.entries) {
-        entries.forEach { entry -> eventually("readiness of ${entry.name}") { true.takeIf { isReady(entry) } } }
+        for (entry in entries) eventually("readiness of ${entry.name}") { true.takeIf { isReady(entry) } }
     }
 
     /** Returns true if the entry VM says that it takes new work. */
