Add pool hosting, admission routing and the limits of callers

Change: PoolHost hosts the pools assigned to a VM, AdmissionRouter finds places and keeps owners informed, and the caller side has limits, retry budgets, the quarantine check, attempts that are replaced only while nothing was relayed, and a bound for slow callers. Streams are given up when no response header arrives. The entry program still uses the local table until the control side is merged.

--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
@@ -0,0 +1,70 @@
+/*
+ * What every request passes before it asks for a place: the limits of its client account, the existence of its service
+ * and the quarantine. [CallerGate] moves the limits to the control thread; the checks themselves are pure.
+ */
+package fulmarshunt.caller
+
+import fulmarshunt.ClientAccountId
+import fulmarshunt.Clock
+import fulmarshunt.Fingerprint
+import fulmarshunt.ServiceId
+import fulmarshunt.entry.SharedState
+import fulmarshunt.operator.ServiceKind
+import fulmarshunt.platform.ControlThread
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+
+/** When a request that is refused by a stopping entry VM can expect another one behind the load balancer. */
+private const val OTHER_VM_RETRY_MS = 1_000L
+
+/** The checks that every request passes. */
+public class CallerGate(
+    public val enter: suspend (ClientAccountId) -> RequestProblem?,
+    public val leave: suspend (ClientAccountId) -> Unit,
+    public val check: (ServiceId, ServiceKind, Fingerprint) -> RequestProblem?,
+    /** Takes a retry from the budgets of the client account; false if there is none. */
+    public val takeRetry: suspend (ClientAccountId) -> Boolean,
+    public val reportSuccess: suspend (ClientAccountId) -> Unit,
+)
+
+/** Returns a gate with limits and budgets on [control]; [isAccepting] is false during a graceful shutdown. */
+public fun callerGate(
+    control: ControlThread,
+    clock: Clock,
+    state: () -> SharedState,
+    isAccepting: () -> Boolean,
+): CallerGate {
+    val limits = AccountLimits()
+    val budgets = RetryBudgets()
+    return CallerGate(
+        enter = { id ->
+            val account = state().configuration.accounts[id]
+            when {
+                !isAccepting() -> stopping()
+                account == null -> RequestProblem(ProblemKind.UNAUTHENTICATED, RunState.NOT_RUN, "no account $id")
+                else -> control.run { limits.enter(account, clock.nowMs()) }
+            }
+        },
+        leave = { id -> withContext(NonCancellable) { control.run { limits.leave(id) } } },
+        check = { service, kind, fingerprint -> state().obstacleTo(service, kind, fingerprint) },
+        takeRetry = { id -> control.run { budgets.tryTake(id) } },
+        reportSuccess = { id -> control.run { budgets.earn(id) } },
+    )
+}
+
+/** Returns why a request with [fingerprint] cannot run at [service], or null. */
+public fun SharedState.obstacleTo(service: ServiceId, kind: ServiceKind, fingerprint: Fingerprint): RequestProblem? =
+    when {
+        configuration.services[service]?.kind != kind ->
+            RequestProblem(ProblemKind.UNKNOWN_SERVICE, RunState.NOT_RUN, "there is no service \"$service\" here")
+        fingerprint in quarantine ->
+            RequestProblem(ProblemKind.QUARANTINED, RunState.NOT_RUN, "its content is in quarantine")
+        else -> null
+    }
+
+private fun stopping(): RequestProblem = RequestProblem(
+    ProblemKind.UNAVAILABLE,
+    RunState.NOT_RUN,
+    "this entry VM is shutting down",
+    OTHER_VM_RETRY_MS,
+)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/Fingerprints.kt
@@ -0,0 +1,31 @@
+/*
+ * Hashes of the content of requests. They decide about quarantine and about the reuse of idempotency keys, so that two
+ * contents must not collide: SHA-256.
+ */
+package fulmarshunt.caller
+
+import fulmarshunt.Fingerprint
+import java.security.MessageDigest
+
+/** Half of a SHA-256 keeps collisions out of reach and messages small. */
+private const val FINGERPRINT_DIGITS = 32
+
+/** Returns the lower-case hexadecimal SHA-256 of [bytes]. */
+public fun sha256Hex(bytes: ByteArray): String =
+    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
+
+/** Returns the fingerprint of [parts]; their boundaries count. */
+public fun fingerprintOf(vararg parts: ByteArray): Fingerprint {
+    val digest = MessageDigest.getInstance("SHA-256")
+    parts.forEach { part ->
+        digest.update("${part.size}:".encodeToByteArray())
+        digest.update(part)
+    }
+    return Fingerprint(digest.digest().joinToString("") { "%02x".format(it) }.take(FINGERPRINT_DIGITS))
+}
+
+/** Returns the fingerprint of the content of this request. */
+public fun GenerationRequest.fingerprint(): Fingerprint {
+    val text = messages.joinToString("\n") { "${it.role.length}:${it.role}:${it.content}" }
+    return fingerprintOf(service.value.encodeToByteArray(), text.encodeToByteArray())
+}
--- a/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
@@ -1,178 +1,177 @@
 /*
- * Runs a request for generated text: asks for a place at a target, starts the generation there and relays its tokens in
- * order, each once. A stream that breaks is resumed at the next offset; an attempt that certainly produced nothing for
- * the caller is replaced by another one. When the caller leaves, the generation is cancelled at the engine.
+ * Runs a request for generated text: asks for a place at a target, runs an attempt there and relays its tokens in
+ * order, each once. An attempt that certainly produced nothing for the caller is replaced by another one within the
+ * retry budget. Answers that are not streamed are held back until they are complete, so that they can be replaced at
+ * any time.
  */
 package fulmarshunt.caller
 
-import fulmarshunt.Address
-import fulmarshunt.Fingerprint
+import fulmarshunt.Clock
+import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
-import fulmarshunt.entry.AdmissionReply
 import fulmarshunt.entry.AdmissionRequest
-import fulmarshunt.entry.Granted
-import fulmarshunt.entry.Noted
+import fulmarshunt.entry.PlacedGrant
+import fulmarshunt.entry.RejectReason
 import fulmarshunt.entry.Rejected
-import fulmarshunt.entry.TicketOutcome
+import fulmarshunt.entry.SharedState
+import fulmarshunt.operator.ServiceKind
 import fulmarshunt.target.EngineClient
-import fulmarshunt.target.EngineGeneration
-import fulmarshunt.target.EngineToken
 import fulmarshunt.target.StreamEnd
-import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.flow.FlowCollector
-import kotlinx.coroutines.flow.flow
-import kotlinx.coroutines.withContext
+import kotlinx.coroutines.flow.channelFlow
 import net.openhft.hashing.LongHashFunction
 
-/** Asks for a place at a target and waits for the answer. */
-public typealias RequestAdmission = suspend (AdmissionRequest) -> AdmissionReply
+/** The time that a request may spend in queues, all attempts together. */
+public const val MAX_QUEUE_WAIT_MS: Long = 30_000
 
-/** Reports the end of an admitted attempt with the number of tokens that arrived. */
-public typealias ReportEnd = suspend (AdmissionRequest, Granted, Int, TicketOutcome) -> Unit
+/** Each attempt runs at a different target; a third failure points at the request or at a wider fault. */
+internal const val MAX_ATTEMPTS: Int = 3
+
+/** Grants that cannot be used any more run nothing and are replaced up to this number. */
+internal const val MAX_UNUSED_GRANTS: Int = 5
+
+private const val DEFAULT_MAX_TOKENS = 4_096
+private const val CHARS_PER_TOKEN = 4
+private const val RETRY_AFTER_MS = 1_000L
+
+/** Engines cache prompts in blocks of about 16 tokens; hashes of longer steps keep requests small. */
+private const val PREFIX_STEP_CHARS = 256
+private const val MAX_PREFIX_HASHES = 64
 
 /** The collaborators of [generationService]. */
 public class GenerationParts(
     public val vm: VmId,
-    public val admit: RequestAdmission,
-    public val reportEnd: ReportEnd,
+    public val clock: Clock,
+    public val state: () -> SharedState,
+    public val gate: CallerGate,
+    public val admissions: Admissions,
     public val engine: EngineClient,
+    /** Outlives requests; carries cancellations of generations whose caller has left. */
+    public val traffic: CoroutineScope,
+    public val meters: CallerMeters = CallerMeters(),
+    public val maxQueueWaitMs: Long = MAX_QUEUE_WAIT_MS,
 )
 
-/** The number of times that a broken stream is resumed without a new token before its engine counts as dead. */
-internal const val MAX_FRUITLESS_RESUMES: Int = 3
-
-private const val MAX_ATTEMPTS = 3
-private const val MAX_WAIT_MS = 10_000L
-private const val DEFAULT_MAX_TOKENS = 4_096
-private const val CHARS_PER_TOKEN = 4
-private const val DEFAULT_RETRY_AFTER_MS = 1_000L
-
 /** Returns a service that answers requests for generated text. */
-public fun generationService(parts: GenerationParts): Generate = { request -> generate(parts, request) }
-
-private fun generate(parts: GenerationParts, request: GenerationRequest): Flow<GenerationEvent> = flow {
-    val relay = Relay(this)
-    var failure: RequestProblem? = null
-    for (attempt in 1..MAX_ATTEMPTS) {
-        val admission = request.toAdmissionRequest(parts.vm, attempt)
-        val granted =
-            when (val reply = parts.admit(admission)) {
-                is Granted -> reply
-                is Rejected -> return@flow emit(GenerationFailed(reply.toProblem()))
-                is Noted -> error("a request for admission was answered like a report")
-            }
-        val end = parts.runAttempt(request, admission, granted, relay)
-        if (end is StreamEnd.Finished) {
-            return@flow emit(GenerationCompleted(end.reason, admission.promptTokens, end.tokens))
+public fun generationService(parts: GenerationParts): Generate = { request ->
+    // The engine client emits from coroutines of its own, which a plain flow does not permit.
+    channelFlow {
+        var outcome = "cancelled"
+        try {
+            val last = parts.serve(request, ::send)
+            outcome = if (last is GenerationFailed) last.problem.kind.slug else "finished"
+            send(last)
+        } finally {
+            parts.meters.request(outcome)
         }
-        failure = end.toProblem(relay.next)
-        if (relay.next > 0) break
     }
-    emit(GenerationFailed(checkNotNull(failure)))
 }
 
-/** Passes on each token once and in order; a token that was passed on before is dropped. */
-private class Relay(private val collector: FlowCollector<GenerationEvent>) {
-    /** The offset of the next token that the caller needs. */
-    var next = 0
-        private set
-
-    suspend fun accept(token: EngineToken) {
-        check(token.offset <= next) { "the engine skipped from offset $next to ${token.offset}" }
-        if (token.offset < next) return
-        next++
-        collector.emit(GeneratedToken(token.offset, token.text))
+private suspend fun GenerationParts.serve(
+    request: GenerationRequest,
+    emit: suspend (GenerationEvent) -> Unit,
+): GenerationEvent {
+    gate.enter(request.account)?.let { return GenerationFailed(it) }
+    try {
+        return GenerationRun(this, request, emit).run()
+    } finally {
+        gate.leave(request.account)
     }
 }
 
-private suspend fun GenerationParts.runAttempt(
-    request: GenerationRequest,
-    admission: AdmissionRequest,
-    granted: Granted,
-    relay: Relay,
-): StreamEnd {
-    var outcome = TicketOutcome.CANCELLED
-    try {
-        val end = streamWithResumes(request, admission, granted, relay)
-        outcome =
-            when (end) {
-                is StreamEnd.Finished -> TicketOutcome.FINISHED
-                is StreamEnd.Refused -> TicketOutcome.REFUSED
-                is StreamEnd.Broken, is StreamEnd.Gone -> TicketOutcome.LOST
+/** One request on its way through its attempts. */
+private class GenerationRun(
+    private val parts: GenerationParts,
+    private val request: GenerationRequest,
+    private val emit: suspend (GenerationEvent) -> Unit,
+) {
+    private val admission = request.toAdmissionRequest(parts)
+    private val excluded = mutableListOf<TargetId>()
+    private var queuedMs = 0L
+    private var asked = 0
+
+    suspend fun run(): GenerationEvent {
+        var problem: RequestProblem? = null
+        var attempts = 0
+        var unused = 0
+        while (attempts < MAX_ATTEMPTS && unused < MAX_UNUSED_GRANTS) {
+            parts.gate.check(request.service, ServiceKind.MODEL, admission.fingerprint)?.let {
+                return GenerationFailed(problem ?: it)
             }
-        return end
-    } finally {
-        // The caller's coroutine may be cancelled already; the engine and the owner of the pool must still hear of it.
-        withContext(NonCancellable) {
-            if (outcome == TicketOutcome.CANCELLED || outcome == TicketOutcome.LOST) {
-                engine.cancel(granted.address, admission.ticket)
+            if (attempts > 0 && !parts.gate.takeRetry(request.account)) break
+            val startMs = parts.clock.nowMs()
+            val reply = parts.admissions.admit(nextAdmission())
+            queuedMs += parts.clock.nowMs() - startMs
+            val grant = reply.fold({ return GenerationFailed(problem ?: it.toProblem()) }, { it })
+            parts.meters.queuedMs(queuedMs)
+            val obstacle = parts.admissions.use(grant)
+            if (obstacle != null) {
+                unused++
+                problem = problem ?: unavailable(obstacle)
+                continue
+            }
+            attempts++
+            parts.meters.attempt()
+            val relay = TokenRelay(request.isStreamed, emit)
+            val end = GenerationAttempt(parts, request, grant, relay).run()
+            if (end is StreamEnd.Finished) {
+                parts.gate.reportSuccess(request.account)
+                relay.release()
+                return GenerationCompleted(end.reason, admission.promptTokens, end.tokens)
             }
-            reportEnd(admission, granted, relay.next, outcome)
+            problem = worse(problem, end.toProblem(relay.next))
+            excluded += grant.granted.target
+            if (relay.hasRelayed) break
         }
+        return GenerationFailed(checkNotNull(problem))
     }
-}
 
-private suspend fun GenerationParts.streamWithResumes(
-    request: GenerationRequest,
-    admission: AdmissionRequest,
-    granted: Granted,
-    relay: Relay,
-): StreamEnd {
-    var end = engine.start(granted.address, request.toEngineGeneration(admission, granted, vm), relay::accept)
-    var fruitless = 0
-    while (end is StreamEnd.Broken && fruitless < MAX_FRUITLESS_RESUMES) {
-        val before = relay.next
-        end = resumeOnce(granted.address, admission.ticket, relay)
-        if (relay.next > before) fruitless = 0 else fruitless++
-    }
-    return end
+    private fun nextAdmission(): AdmissionRequest = admission.copy(
+        ticket = TicketId("${request.id}.${++asked}"),
+        waitedMs = queuedMs,
+        maxWaitMs = (parts.maxQueueWaitMs - queuedMs).coerceAtLeast(1),
+        excluded = excluded.toList(),
+    )
 }
 
-private suspend fun GenerationParts.resumeOnce(address: Address, ticket: TicketId, relay: Relay): StreamEnd =
-    when (val end = engine.resume(address, ticket, relay.next, relay::accept)) {
-        // A closed port on a resume says that the engine is gone, not that the request did not run.
-        is StreamEnd.Refused -> StreamEnd.Gone
-        else -> end
-    }
+/** Returns [later], unless [earlier] says that the request may have run: that cannot be taken back. */
+private fun worse(earlier: RequestProblem?, later: RequestProblem): RequestProblem =
+    if (earlier?.ran == RunState.UNKNOWN && later.ran == RunState.NOT_RUN) earlier else later
 
-private fun GenerationRequest.toAdmissionRequest(vm: VmId, attempt: Int): AdmissionRequest {
+private fun GenerationRequest.toAdmissionRequest(parts: GenerationParts): AdmissionRequest {
     val text = messages.joinToString("\n") { "${it.role}:${it.content}" }
+    val service = parts.state().configuration.services[service]
     return AdmissionRequest(
-        ticket = TicketId("${id.value}.$attempt"),
-        vm = vm,
+        ticket = TicketId(id.value),
+        vm = parts.vm,
         account = account,
-        service = service,
+        service = this.service,
         promptTokens = text.length / CHARS_PER_TOKEN + 1,
-        maxOutputTokens = maxOutputTokens ?: DEFAULT_MAX_TOKENS,
-        fingerprint = Fingerprint(LongHashFunction.xx3().hashChars("$service\n$text").toULong().toString(HEX)),
-        maxWaitMs = MAX_WAIT_MS,
+        maxOutputTokens = maxOutputTokens ?: service?.defaultMaxTokens ?: DEFAULT_MAX_TOKENS,
+        prefixHashes = prefixHashes(text),
+        fingerprint = fingerprint(),
+        maxWaitMs = parts.maxQueueWaitMs,
     )
 }
 
-private const val HEX = 16
-
-private fun GenerationRequest.toEngineGeneration(
-    admission: AdmissionRequest,
-    granted: Granted,
-    vm: VmId,
-): EngineGeneration = EngineGeneration(
-    ticket = admission.ticket,
-    service = service,
-    messages = messages,
-    maxTokens = granted.maxOutputTokens,
-    priority = granted.priority,
-    fence = granted.fence,
-    entryVm = vm,
-)
+/** Returns the hashes of the prefixes of [text] in steps of [PREFIX_STEP_CHARS], shortest first. */
+internal fun prefixHashes(text: String): List<Long> {
+    val steps = (text.length / PREFIX_STEP_CHARS).coerceAtMost(MAX_PREFIX_HASHES)
+    return (1..steps).map { LongHashFunction.xx3().hashChars(text, 0, it * PREFIX_STEP_CHARS) }
+}
+
+internal fun Rejected.toProblem(): RequestProblem {
+    val kind = if (reason == RejectReason.OVERLOADED) ProblemKind.OVERLOADED else ProblemKind.UNAVAILABLE
+    return RequestProblem(kind, RunState.NOT_RUN, "no place at a target (${reason.name})", retryAfterMs)
+}
 
-private fun Rejected.toProblem(): RequestProblem =
-    RequestProblem(ProblemKind.OVERLOADED, RunState.NOT_RUN, "no place at a target (${reason.name})", retryAfterMs)
+internal fun unavailable(reason: String): RequestProblem =
+    RequestProblem(ProblemKind.UNAVAILABLE, RunState.NOT_RUN, reason, RETRY_AFTER_MS)
 
 private fun StreamEnd.toProblem(relayedTokens: Int): RequestProblem = when (this) {
-    is StreamEnd.Refused ->
-        RequestProblem(ProblemKind.UNAVAILABLE, RunState.NOT_RUN, reason, DEFAULT_RETRY_AFTER_MS)
+    is StreamEnd.Refused -> unavailable(reason)
     is StreamEnd.Broken ->
         RequestProblem(ProblemKind.GENERATION_LOST, RunState.UNKNOWN, "after $relayedTokens tokens: $reason")
     is StreamEnd.Gone ->
--- a/src/main/kotlin/fulmarshunt/caller/http/ChatRoutes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ChatRoutes.kt
@@ -12,6 +12,7 @@
 import fulmarshunt.Clock
 import fulmarshunt.RequestId
 import fulmarshunt.ServiceId
+import fulmarshunt.caller.Authenticate
 import fulmarshunt.caller.ChatMessage
 import fulmarshunt.caller.Generate
 import fulmarshunt.caller.GeneratedToken
@@ -35,7 +36,9 @@
 import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.withTimeout
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
 import java.util.UUID
@@ -43,10 +46,13 @@
 /** The greatest request body that is read. */
 internal const val MAX_BODY_BYTES: Long = 1_048_576
 
-private const val MS_PER_SECOND = 1_000L
+/** The events that wait for a caller that reads slowly; a full buffer stops reading from the engine. */
+private const val STREAM_BUFFER_EVENTS = 64
+
+/** A caller that takes no data for this long is treated as gone, so that its place at the target becomes free. */
+private const val SLOW_CALLER_LIMIT_MS = 30_000L
 
-/** Finds the client account of an API key. */
-public typealias Authenticate = (String) -> ClientAccountId?
+private const val MS_PER_SECOND = 1_000L
 
 /** Adds the chat/completions interface; answers come from [generate]. */
 public fun Route.chatRoutes(authenticate: Authenticate, generate: Generate, wallClock: Clock) {
@@ -102,7 +108,7 @@
     generate: Generate,
     createdS: Long,
 ): Unit = coroutineScope {
-    val events = generate(request).produceIn(this)
+    val events = generate(request).buffer(STREAM_BUFFER_EVENTS).produceIn(this)
     val first = events.receive()
     if (first is GenerationFailed) {
         respondProblem(first.problem)
@@ -110,8 +116,12 @@
         respondBytesWriter(ContentType.Text.EventStream) {
             val encoder = ChunkEncoder(request, createdS)
             writeEvent(encoder.encode(first))
-            for (event in events) writeEvent(encoder.encode(event))
-            writeEvent("[DONE]")
+            var last = first
+            for (event in events) {
+                last = event
+                writeEvent(encoder.encode(event))
+            }
+            if (last !is GenerationFailed) writeEvent("[DONE]")
         }
     } else {
         val all = mutableListOf(first)
@@ -121,8 +131,10 @@
 }
 
 private suspend fun ByteWriteChannel.writeEvent(data: String) {
-    writeStringUtf8("data: $data\n\n")
-    flush()
+    withTimeout(SLOW_CALLER_LIMIT_MS) {
+        writeStringUtf8("data: $data\n\n")
+        flush()
+    }
 }
 
 private class ChunkEncoder(private val request: GenerationRequest, private val createdS: Long) {
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/entry/PoolAssignments.kt
@@ -0,0 +1,32 @@
+/*
+ * What a change of the pool assignments means for the VM that hosts pools.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.FencingNumber
+import fulmarshunt.PoolId
+import fulmarshunt.VmId
+
+/** The difference between the pools that a VM hosts and those that are assigned to it. */
+public data class HostingChange(public val dropped: Set<PoolId>, public val added: Map<PoolId, FencingNumber>)
+
+/**
+ * Returns what [vm] must change when it hosts [hosted] under the given fencing numbers and sees [state].
+ *
+ * A pool that comes back under another fencing number is dropped and added, because another VM may have owned it in
+ * between.
+ */
+public fun hostingChange(hosted: Map<PoolId, FencingNumber>, state: SharedState, vm: VmId): HostingChange {
+    val assigned = state.pools.filterValues { it.vm == vm }.mapValues { it.value.fence }
+    return HostingChange(
+        dropped = hosted.filter { (pool, fence) -> assigned[pool] != fence }.keys,
+        added = assigned.filter { (pool, fence) -> hosted[pool] != fence },
+    )
+}
+
+/**
+ * Returns the tickets in [generations] that no caller waits for: nobody registered them and the VM that started them
+ * is not registered.
+ */
+public fun <T> orphans(generations: Map<T, VmId>, known: Set<T>, state: SharedState): Set<T> =
+    generations.filter { (ticket, vm) -> ticket !in known && vm !in state.entryVms }.keys
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -0,0 +1,259 @@
+/*
+ * Hosts the pools that are assigned to this VM. State lives on the control thread; answers, cancellations and reports
+ * are carried out on traffic threads. A pool keeps its running tickets while the lease is lost and the assignment is
+ * unchanged, because nobody else can have granted a place in it; it grants nothing during that time.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.FencingNumber
+import fulmarshunt.PoolId
+import fulmarshunt.TargetId
+import fulmarshunt.TicketId
+import fulmarshunt.VmId
+import fulmarshunt.platform.ControlThread
+import fulmarshunt.platform.retrying
+import fulmarshunt.target.PoolEffect
+import fulmarshunt.target.TargetAnnouncement
+import fulmarshunt.target.TargetKind
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** How long a new owner waits for running tickets to be registered again before it admits requests. */
+public const val SETTLING_MS: Long = 1_000
+
+private const val NOT_OWNER_RETRY_MS = 100L
+
+/** Outlasts the longest delivery time of a call, so that a withdrawal that overtakes its request still counts. */
+private const val WITHDRAWAL_MEMORY_MS = 10_000L
+
+/** What a host does outside the control thread. */
+public class PoolHostActions(
+    /** Cancels a generation; true if it no longer runs. */
+    public val cancel: suspend (Address, TicketId) -> Boolean,
+    /** Lists the running generations of an engine, or null if it does not answer. */
+    public val list: suspend (Address) -> Map<TicketId, VmId>?,
+    /** Reports a death; true if the report is committed. */
+    public val reportDeath: suspend (ReportTargetDeath) -> Boolean,
+)
+
+/** Hosts pools; functions other than [handle] run on the control thread. */
+public class PoolHost(
+    private val vm: VmId,
+    private val clock: Clock,
+    private val control: ControlThread,
+    private val traffic: CoroutineScope,
+    private val hasLease: (Long) -> Boolean,
+    private val createPool: CreatePool,
+    private val actions: PoolHostActions,
+) {
+    private class Hosted(val id: PoolId, val fence: FencingNumber, val pool: HostedPool, val settlingUntilMs: Long) {
+        val waiting = mutableMapOf<TicketId, CompletableDeferred<AdmissionReply>>()
+        val known = mutableSetOf<TicketId>()
+        val engines = mutableMapOf<TargetId, Address>()
+        var timer: Job? = null
+        var timerAtMs: Long? = null
+    }
+
+    private val hosted = mutableMapOf<PoolId, Hosted>()
+    private val withdrawnAtMs = LinkedHashMap<TicketId, Long>()
+    private var state = SharedState()
+    private var isReleasing = false
+
+    /** Follows a new shared state. */
+    public fun apply(newState: SharedState) {
+        val nowMs = clock.nowMs()
+        val lost = state.entryVms.keys - newState.entryVms.keys
+        val isReconfigured = state.configuration.revision != newState.configuration.revision
+        state = newState
+        val change = hostingChange(hosted.mapValues { it.value.fence }, newState, vm)
+        change.dropped.forEach { drop(it) }
+        for (entry in hosted.values.toList()) {
+            if (isReconfigured) carryOut(entry, entry.pool.configure(newState.configuration, nowMs))
+            lost.forEach { carryOut(entry, entry.pool.vmLost(it, nowMs)) }
+            if (lost.isNotEmpty()) entry.engines.values.forEach { sweep(entry, it) }
+        }
+        change.added.forEach { (id, fence) -> add(id, fence, nowMs) }
+    }
+
+    /** Answers every waiting request with [RejectReason.NOT_OWNER], because the lease has run out. */
+    public fun loseLease() {
+        hosted.values.forEach { entry ->
+            entry.waiting.keys.toList().forEach { ticket ->
+                carryOut(entry, entry.pool.withdraw(ticket, clock.nowMs()))
+                answer(entry, ticket, notOwner())
+            }
+        }
+    }
+
+    /** Stops admission to all pools for a graceful shutdown and returns the pools that can be released. */
+    public fun release(): List<PoolId> {
+        isReleasing = true
+        loseLease()
+        return hosted.keys.toList()
+    }
+
+    /** The pools that this VM hosts. */
+    public fun hostedPools(): Set<PoolId> = hosted.keys.toSet()
+
+    /** Answers a call of an entry VM; a request for admission is answered when it leaves the queue. */
+    public suspend fun handle(call: AdmissionCall): AdmissionReply {
+        if (call !is Admit) return control.run { report(call) }
+        val answer = CompletableDeferred<AdmissionReply>()
+        control.run { admit(call, answer) }
+        try {
+            return answer.await()
+        } finally {
+            if (!answer.isCompleted) control.scope.launch { report(Withdraw(call.pool, call.request.ticket)) }
+        }
+    }
+
+    private fun admit(call: Admit, answer: CompletableDeferred<AdmissionReply>) {
+        val nowMs = clock.nowMs()
+        val entry = hosted[call.pool]
+        val ticket = call.request.ticket
+        if (entry == null || isReleasing || !hasLease(nowMs)) {
+            answer.complete(notOwner())
+            return
+        }
+        if (withdrawnAtMs.containsKey(ticket)) {
+            answer.complete(Rejected(RejectReason.LEAVING, NOT_OWNER_RETRY_MS))
+            return
+        }
+        entry.waiting[ticket] = answer
+        carryOut(entry, entry.pool.admit(call.request, nowMs))
+    }
+
+    private fun report(call: AdmissionCall): AdmissionReply {
+        val nowMs = clock.nowMs()
+        if (call is Withdraw) rememberWithdrawal(call.ticket, nowMs)
+        val entry = hosted[call.pool] ?: return notOwner()
+        val effects =
+            when (call) {
+                is Withdraw -> {
+                    entry.waiting.remove(call.ticket)
+                        ?.complete(Rejected(RejectReason.LEAVING, NOT_OWNER_RETRY_MS))
+                    entry.known -= call.ticket
+                    // A grant may have been on its way to the caller when the caller left.
+                    entry.pool.withdraw(call.ticket, nowMs) +
+                        entry.pool.end(call.ticket, 0, TicketOutcome.UNUSED, nowMs)
+                }
+                is Progress -> entry.pool.progress(call, nowMs)
+                is EndTicket -> {
+                    entry.known -= call.ticket
+                    entry.pool.end(call.ticket, call.tokens, call.outcome, nowMs)
+                }
+                is Reregister -> {
+                    entry.known += call.tickets.map { it.request.ticket }
+                    entry.pool.reregister(call.vm, call.tickets, nowMs)
+                }
+                is PassAnnouncement -> announce(entry, call.announcement, nowMs)
+                is Admit -> error("a request for admission is not a report")
+            }
+        carryOut(entry, effects)
+        return Noted
+    }
+
+    private fun announce(entry: Hosted, announcement: TargetAnnouncement, nowMs: Long): List<PoolEffect> {
+        val isNew = entry.engines[announcement.target] != announcement.address
+        if (announcement.kind == TargetKind.ENGINE) {
+            entry.engines[announcement.target] = announcement.address
+            if (isNew && nowMs >= entry.settlingUntilMs) sweep(entry, announcement.address)
+        }
+        return entry.pool.announce(announcement, nowMs)
+    }
+
+    private fun add(id: PoolId, fence: FencingNumber, nowMs: Long) {
+        val entry = Hosted(id, fence, createPool(id, fence, nowMs + SETTLING_MS), nowMs + SETTLING_MS)
+        hosted[id] = entry
+        carryOut(entry, entry.pool.configure(state.configuration, nowMs))
+        control.scope.launch {
+            delay(SETTLING_MS)
+            if (hosted[id] === entry) entry.engines.values.forEach { sweep(entry, it) }
+        }
+    }
+
+    private fun drop(id: PoolId) {
+        val entry = hosted.remove(id) ?: return
+        entry.timer?.cancel()
+        entry.waiting.keys.toList().forEach { answer(entry, it, notOwner()) }
+    }
+
+    private fun carryOut(entry: Hosted, effects: List<PoolEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is PoolEffect.Decide -> decide(entry, effect)
+                is PoolEffect.CancelGeneration -> cancelWithRetry(effect.address, effect.ticket)
+                is PoolEffect.ReportDeath -> reportDeath(entry, effect)
+            }
+        }
+        schedule(entry)
+    }
+
+    private fun decide(entry: Hosted, effect: PoolEffect.Decide) {
+        val nowMs = clock.nowMs()
+        val isGrant = effect.reply is Granted
+        if (isGrant && (!hasLease(nowMs) || effect.ticket !in entry.waiting)) {
+            carryOut(entry, entry.pool.end(effect.ticket, 0, TicketOutcome.UNUSED, nowMs))
+            return answer(entry, effect.ticket, notOwner())
+        }
+        if (isGrant) entry.known += effect.ticket
+        answer(entry, effect.ticket, effect.reply)
+    }
+
+    private fun answer(entry: Hosted, ticket: TicketId, reply: AdmissionReply) {
+        entry.waiting.remove(ticket)?.complete(reply)
+    }
+
+    private fun cancelWithRetry(address: Address, ticket: TicketId) {
+        traffic.launch { retrying { actions.cancel(address, ticket) } }
+    }
+
+    private fun reportDeath(entry: Hosted, effect: PoolEffect.ReportDeath) {
+        val report = ReportTargetDeath(entry.id, entry.fence, effect.target, effect.incarnation, effect.running)
+        traffic.launch { retrying { actions.reportDeath(report) } }
+    }
+
+    /** Cancels the generations at [address] whose entry VM is gone and that nobody has registered. */
+    private fun sweep(entry: Hosted, address: Address) {
+        traffic.launch {
+            var generations: Map<TicketId, VmId>? = null
+            retrying { actions.list(address).also { generations = it } != null }
+            val found = generations ?: return@launch
+            control.run {
+                if (hosted[entry.id] === entry && hasLease(clock.nowMs())) {
+                    orphans(found, entry.known, state).forEach { cancelWithRetry(address, it) }
+                }
+            }
+        }
+    }
+
+    private fun schedule(entry: Hosted) {
+        if (hosted[entry.id] !== entry) return
+        val nextMs = entry.pool.nextTickMs()
+        if (nextMs == entry.timerAtMs && entry.timer?.isActive == true) return
+        entry.timer?.cancel()
+        entry.timerAtMs = nextMs
+        entry.timer =
+            nextMs?.let {
+                control.scope.launch {
+                    delay((it - clock.nowMs()).coerceAtLeast(1))
+                    entry.timerAtMs = null
+                    entry.timer = null
+                    carryOut(entry, entry.pool.tick(clock.nowMs()))
+                }
+            }
+    }
+
+    private fun rememberWithdrawal(ticket: TicketId, nowMs: Long) {
+        withdrawnAtMs[ticket] = nowMs
+        val oldest = withdrawnAtMs.entries.iterator()
+        while (oldest.hasNext() && nowMs - oldest.next().value > WITHDRAWAL_MEMORY_MS) oldest.remove()
+    }
+
+    private fun notOwner(): Rejected = Rejected(RejectReason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+}
--- a/src/main/kotlin/fulmarshunt/program/Entry.kt
+++ b/src/main/kotlin/fulmarshunt/program/Entry.kt
@@ -3,13 +3,23 @@
  */
 package fulmarshunt.program
 
+import arrow.core.left
+import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
+import fulmarshunt.PoolId
 import fulmarshunt.VmId
+import fulmarshunt.caller.Admissions
+import fulmarshunt.caller.CallerGate
 import fulmarshunt.caller.GenerationParts
 import fulmarshunt.caller.generationService
 import fulmarshunt.caller.http.chatRoutes
 import fulmarshunt.entry.EntrySettings
+import fulmarshunt.entry.Granted
+import fulmarshunt.entry.Noted
+import fulmarshunt.entry.PlacedGrant
+import fulmarshunt.entry.Rejected
+import fulmarshunt.entry.SharedState
 import fulmarshunt.monotonicClock
 import fulmarshunt.parseAddress
 import fulmarshunt.platform.readSettings
@@ -25,6 +35,10 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import kotlin.io.path.Path
 import kotlin.system.exitProcess
 
@@ -45,13 +59,30 @@
     val clock = monotonicClock()
     val control = startControlThread()
     val table = TargetTable()
+    val traffic = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     val generate =
         generationService(
             GenerationParts(
                 vm = vm,
-                admit = { request -> control.run { table.admit(request, clock.nowMs()) } },
-                reportEnd = { request, granted, _, _ -> control.run { table.end(request.ticket, granted.target) } },
+                clock = clock,
+                state = { SharedState() },
+                gate = CallerGate({ null }, {}, { _, _, _ -> null }, { true }, {}),
+                admissions = Admissions(
+                    admit = { request ->
+                        when (val reply = control.run { table.admit(request, clock.nowMs()) }) {
+                            is Granted -> PlacedGrant(PoolId("local/0"), request, reply, clock.nowMs()).right()
+                            is Rejected -> reply.left()
+                            is Noted -> error("a request for admission was answered like a report")
+                        }
+                    },
+                    use = { null },
+                    progress = { _, _, _, _ -> },
+                    end = { grant, _, _ ->
+                        traffic.launch { control.run { table.end(grant.request.ticket, grant.granted.target) } }
+                    },
+                ),
                 engine = httpEngineClient(),
+                traffic = traffic,
             ),
         )
     listen(targets) { announceRoutes { control.run { table.announce(it, clock.nowMs()) } } }
--- a/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
@@ -31,13 +31,17 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readLine
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import java.io.IOException
 import java.net.ConnectException
 
 /** The silence on a stream after which its connection is given up and the generation resumed on a new one. */
@@ -131,10 +135,20 @@
     onToken: suspend (EngineToken) -> Unit,
     request: HttpRequestBuilder.() -> Unit,
 ): StreamEnd = try {
-    prepareRequest {
-        request()
-        header(HttpHeaders.Connection, "close")
-    }.execute { response -> readStream(response, silenceMs, onToken) }
+    coroutineScope {
+        val watchdog =
+            launch {
+                delay(CONNECT_TIMEOUT_MS + silenceMs)
+                throw IOException("no response within $silenceMs ms")
+            }
+        prepareRequest {
+            request()
+            header(HttpHeaders.Connection, "close")
+        }.execute { response ->
+            watchdog.cancel()
+            readStream(response, silenceMs, onToken)
+        }
+    }
 } catch (e: CancellationException) {
     throw e
 } catch (e: ConnectException) {
@@ -153,7 +167,7 @@
     if (response.status != HttpStatusCode.OK) return StreamEnd.Broken("status ${response.status.value}")
     val body = response.bodyAsChannel()
     while (true) {
-        val line = withTimeoutOrNull(silenceMs) { body.readUTF8Line() ?: END_OF_STREAM }
+        val line = withTimeoutOrNull(silenceMs) { body.readLine() ?: END_OF_STREAM }
         if (line == null) return StreamEnd.Broken("silent for $silenceMs ms")
         if (line == END_OF_STREAM) return StreamEnd.Broken("the stream ended early")
         if (!line.startsWith(DATA_PREFIX)) continue
