Add the replicated log of the voters

The control VMs need one ordered, durable record of configuration, claims and pool assignments. ClusterId joins the shared ids.

Before: no replicated state.

--- a/src/main/kotlin/fulmarshunt/Ids.kt
+++ b/src/main/kotlin/fulmarshunt/Ids.kt
@@ -92,6 +92,13 @@
     override fun toString(): String = value
 }
 
+/** Identifies a group of voters from its formation on; it is chosen by the voter that forms the group. */
+@Serializable
+@JvmInline
+public value class ClusterId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Identifies the content of a request across resends under new request ids. */
 @Serializable
 @JvmInline
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/FollowerStep.kt
@@ -0,0 +1,62 @@
+/*
+ * What a follower does with the messages of its leader.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.LogIndex
+
+internal fun Draft.onAppend(envelope: Envelope, message: Append) {
+    followLeader(envelope)
+    if (isBlank) return refuseAppend(envelope, message)
+    val previous = message.previous
+    // Entries up to the commit index are the same everywhere, also where the log no longer holds them.
+    val isMatching = previous.index <= state.commit || state.log.termAtOrNull(previous.index) == previous.term
+    if (!isMatching) return refuseAppend(envelope, message)
+    val fresh = message.entries.filter { it.index > state.commit && state.log.termAtOrNull(it.index) != it.term }
+    if (fresh.isNotEmpty()) {
+        // The first entry that differs makes all that follow it differ or be missing.
+        truncateAfter(fresh.first().index - 1)
+        extendLog(fresh)
+        store(fresh)
+    }
+    val match = previous.index + message.entries.size
+    commitTo(minOf(message.commit, match))
+    answer(envelope, Appended(match, message.stamp))
+}
+
+/** Answers that the entries do not fit, or that the sender no longer leads. */
+internal fun Draft.refuseAppend(envelope: Envelope, message: Append) {
+    val hint = if (isBlank) LogIndex(0) else matchHint(message.previous)
+    answer(envelope, AppendRefused(message.previous.index, hint, isBlank, message.stamp))
+}
+
+/** Returns the greatest index before [previous] at which this log may match the leader's. */
+private fun Draft.matchHint(previous: LogPosition): LogIndex {
+    val log = state.log
+    if (previous.index > log.last.index) return log.last.index
+    val conflicting = log.termAtOrNull(previous.index)
+    var index = previous.index - 1
+    while (index > state.commit && log.termAtOrNull(index) == conflicting) index -= 1
+    return index
+}
+
+private fun Draft.truncateAfter(index: LogIndex) {
+    check(index >= state.commit) { "entry ${index + 1} is committed and cannot be replaced" }
+    state =
+        state.copy(
+            log = state.log.truncatedAfter(index),
+            memberships = state.memberships.filter { it.index <= index },
+        )
+}
+
+internal fun Draft.followLeader(envelope: Envelope) {
+    check(state.role !is Leader) { "${envelope.from} and ${state.id} both lead in term ${state.term}" }
+    state =
+        state.copy(
+            role = Follower,
+            leader = envelope.from,
+            leaderAddress = envelope.replyTo,
+            heardLeaderAtMs = at.nowMs,
+        )
+    resetElectionTimer()
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
@@ -0,0 +1,207 @@
+/*
+ * What a leader does: replication, commit, heartbeats, read barriers. One batch to each peer is under way at a time;
+ * entries that arrive meanwhile form the next batch.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.VoterId
+
+/** The size of the entries of one batch, a quarter of the greatest frame. */
+internal const val APPEND_BATCH_BYTES: Int = 1_024 * 1_024
+
+internal fun Draft.onPropose(event: Propose) {
+    if (state.role !is Leader) {
+        reply = Refused("not the leader")
+        return
+    }
+    reply = AcceptedAt(appendOwn(Command(event.command)).index)
+}
+
+/** Appends an entry of this term, stores it and sends it to the peers. */
+internal fun Draft.appendOwn(payload: Payload): LogEntry {
+    val entry = LogEntry(state.log.last.index + 1, state.term, payload)
+    extendLog(listOf(entry))
+    if (payload is MembershipChange) alignPeers(payload.membership)
+    store(listOf(entry))
+    leading().peers.keys.forEach { replicate(it) }
+    return entry
+}
+
+private fun Draft.alignPeers(membership: Membership) {
+    val leader = leading()
+    val peers =
+        membership.members.filter { it.id != state.id }.associate { member ->
+            member.id to (leader.peers[member.id] ?: newPeer(state.log.last.index - 1, null))
+        }
+    state = state.copy(role = leader.copy(peers = peers))
+}
+
+internal fun Draft.onHeartbeatDue() {
+    val now = at.nowMs
+    val heard =
+        leading().peers.filterValues { (it.heardAtMs ?: Long.MIN_VALUE) > now - state.timing.electionTimeoutMaxMs }.keys
+    if (!state.membership.isQuorum(heard + state.id)) {
+        becomeFollower(state.term)
+        state = state.copy(leader = null, leaderAddress = null)
+        return
+    }
+    state = state.copy(role = leading().copy(heartbeatAtMs = now + state.timing.heartbeatMs))
+    startRound()
+}
+
+internal fun Draft.onConfirmLeadership() {
+    val leader = state.role as? Leader
+    if (leader == null) {
+        reply = Refused("not the leader")
+        return
+    }
+    reply = ConfirmedBy(leader.round + 1)
+    // Barriers that arrive while a round is under way share the next one.
+    if (state.confirmedRoundOrNull() == leader.round) {
+        startRound()
+    } else {
+        state = state.copy(role = leader.copy(wantsRound = true))
+    }
+}
+
+private fun Draft.startRound() {
+    val leader = leading()
+    state = state.copy(role = leader.copy(round = leader.round + 1, wantsRound = false))
+    for ((id, peer) in leader.peers) {
+        val isOverdue = peer.inFlightTo != null && at.nowMs - peer.inFlightSinceMs >= state.timing.electionTimeoutMinMs
+        if (isOverdue) update(id) { it.copy(inFlightTo = null, nextIndex = it.matchIndex + 1) }
+        if (!replicate(id)) sendHeartbeat(id)
+    }
+}
+
+private fun Draft.sendHeartbeat(id: VoterId) {
+    val peer = leading().peers.getValue(id)
+    val previous =
+        state.log.termAtOrNull(peer.matchIndex)?.let { LogPosition(peer.matchIndex, it) } ?: LogPosition.START
+    send(
+        memberOf(id),
+        Append(previous, emptyList(), minOf(state.commit, previous.index), stamp()),
+        isAfterStore = false,
+    )
+}
+
+/** Sends the next entries, or the next part of a snapshot, and returns whether it did. */
+private fun Draft.replicate(id: VoterId): Boolean {
+    val peer = leading().peers.getValue(id)
+    if (peer.inFlightTo != null) return false
+    val snapshot = checkNotNull(state.snapshot)
+    if (peer.transfer != null || peer.nextIndex <= state.log.base.index) {
+        val transfer = peer.transfer ?: SnapshotTransfer(snapshot, 0)
+        val header = transfer.snapshot.header
+        val end = minOf(header.sizeBytes, transfer.offsetBytes + SNAPSHOT_CHUNK_BYTES)
+        val bytes = transfer.snapshot.data.copyOfRange(transfer.offsetBytes, end)
+        send(memberOf(id), SnapshotChunk(header, transfer.offsetBytes, bytes, stamp()), isAfterStore = false)
+        update(id) { it.copy(transfer = transfer, inFlightTo = header.position.index, inFlightSinceMs = at.nowMs) }
+        return true
+    }
+    if (peer.nextIndex > state.log.last.index) return false
+    val entries = state.log.batch(peer.nextIndex, APPEND_BATCH_BYTES)
+    val previous = peer.nextIndex - 1
+    val term = checkNotNull(state.log.termAtOrNull(previous))
+    send(memberOf(id), Append(LogPosition(previous, term), entries, state.commit, stamp()), isAfterStore = false)
+    update(id) { it.copy(inFlightTo = entries.last().index, inFlightSinceMs = at.nowMs) }
+    return true
+}
+
+internal fun Draft.onAppended(envelope: Envelope, message: Appended) {
+    val id = envelope.from
+    if (!hear(id, message.stamp)) return
+    update(id) { peer ->
+        val match = maxOf(peer.matchIndex, message.match)
+        val isAnswered = peer.inFlightTo != null && match >= peer.inFlightTo
+        peer.copy(
+            matchIndex = match,
+            nextIndex = maxOf(peer.nextIndex, match + 1),
+            inFlightTo = if (isAnswered) null else peer.inFlightTo,
+            transfer = peer.transfer?.takeIf { match < it.snapshot.header.position.index },
+        )
+    }
+    advanceCommit()
+    afterReply(id)
+}
+
+internal fun Draft.onAppendRefused(envelope: Envelope, message: AppendRefused) {
+    val id = envelope.from
+    if (!hear(id, message.stamp)) return
+    update(id) { peer ->
+        when {
+            peer.transfer != null -> peer
+            message.needsSnapshot ->
+                peer.copy(transfer = SnapshotTransfer(checkNotNull(state.snapshot), 0), inFlightTo = null)
+            message.previous != peer.nextIndex - 1 -> peer
+            else -> {
+                val next = minOf(message.hint + 1, peer.nextIndex - 1)
+                peer.copy(nextIndex = maxOf(peer.matchIndex + 1, next), inFlightTo = null)
+            }
+        }
+    }
+    afterReply(id)
+}
+
+internal fun Draft.onSnapshotChunkReply(envelope: Envelope, message: SnapshotChunkReply) {
+    val id = envelope.from
+    if (!hear(id, message.stamp)) return
+    update(id) { peer ->
+        val transfer = peer.transfer
+        if (transfer == null || transfer.snapshot.header.position.index != message.index) {
+            peer
+        } else {
+            val offset = message.nextOffsetBytes.coerceIn(0, transfer.snapshot.header.sizeBytes)
+            peer.copy(transfer = transfer.copy(offsetBytes = offset), inFlightTo = null)
+        }
+    }
+    afterReply(id)
+}
+
+/** Records that the peer [id] answered, and returns whether it is one. */
+private fun Draft.hear(id: VoterId, stamp: Stamp): Boolean {
+    if ((state.role as? Leader)?.peers?.containsKey(id) != true) return false
+    update(id) { peer ->
+        val acknowledged = if (stamp.round >= peer.acknowledged.round) stamp else peer.acknowledged
+        peer.copy(heardAtMs = at.nowMs, acknowledged = acknowledged)
+    }
+    return true
+}
+
+private fun Draft.afterReply(id: VoterId) {
+    // The reply can have committed the removal of this leader or of the peer.
+    val leader = state.role as? Leader ?: return
+    if (id in leader.peers) replicate(id)
+    if (leader.wantsRound && state.confirmedRoundOrNull() == leader.round) startRound()
+    promoteLearner()
+}
+
+/** Commits what a quorum has on disk, and leaves the lead if that removed this voter. */
+internal fun Draft.advanceCommit() {
+    val leader = leading()
+    val index =
+        state.membership.quorumValue { id ->
+            if (id == state.id) leader.storedIndex else leader.peers.getValue(id).matchIndex
+        }
+    // An entry of an earlier term can be replaced although a quorum has it, so that only own entries are counted.
+    if (index <= state.commit || state.log.termAtOrNull(index) != state.term) return
+    commitTo(index)
+    if (state.committedMembershipOrNull?.memberOrNull(state.id) == null) {
+        startRound()
+        becomeFollower(state.term)
+        state = state.copy(leader = null, leaderAddress = null)
+        return
+    }
+    promoteLearner()
+}
+
+internal fun Draft.leading(): Leader = state.role as Leader
+
+private fun Draft.update(id: VoterId, change: (Peer) -> Peer) {
+    val leader = leading()
+    state = state.copy(role = leader.copy(peers = leader.peers + (id to change(leader.peers.getValue(id)))))
+}
+
+private fun Draft.memberOf(id: VoterId): Member = checkNotNull(state.membership.memberOrNull(id))
+
+private fun Draft.stamp(): Stamp = Stamp(leading().round, at.nowMs)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/MembershipStep.kt
@@ -0,0 +1,65 @@
+/*
+ * Changes of the membership, one voter at a time. The majorities of two memberships that differ by one voter always
+ * overlap, so that a change needs no joint phase.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.VoterId
+
+internal fun Draft.onAddMember(member: Member) {
+    if (refuseUnlessReady()) return
+    if (state.membership.memberOrNull(member.id) == null) {
+        reply = AcceptedAt(changeMembership(state.membership.with(member.copy(isLearner = true))))
+    } else {
+        reply = AcceptedAt(state.log.last.index)
+    }
+}
+
+internal fun Draft.onRemoveMember(id: VoterId) {
+    if (refuseUnlessReady()) return
+    val next = state.membership.without(id)
+    reply =
+        when {
+            next == state.membership -> AcceptedAt(state.log.last.index)
+            next.voters.isEmpty() -> Refused("$id is the last voter")
+            !next.isQuorum(respondingMembers()) ->
+                Refused("without $id, the voters that respond would not be a majority")
+            else -> AcceptedAt(changeMembership(next))
+        }
+}
+
+/** Makes a learner that has caught up a voter, unless another change is under way. */
+internal fun Draft.promoteLearner() {
+    val leader = state.role as? Leader ?: return
+    if (isChangePending()) return
+    val learner =
+        state.membership.members.find { member ->
+            member.isLearner && leader.peers[member.id].let { it != null && it.matchIndex >= state.commit }
+        } ?: return
+    changeMembership(state.membership.with(learner.copy(isLearner = false)))
+}
+
+private fun Draft.changeMembership(membership: Membership) = appendOwn(MembershipChange(membership)).index
+
+private fun Draft.refuseUnlessReady(): Boolean {
+    val problem =
+        when {
+            state.role !is Leader -> "not the leader"
+            isChangePending() -> "another change of the membership is under way"
+            else -> return false
+        }
+    reply = Refused(problem)
+    return true
+}
+
+/**
+ * Says whether a new change must wait. Before the first entry of its term is committed, a leader may not know of a
+ * change that its predecessor has committed.
+ */
+private fun Draft.isChangePending(): Boolean =
+    state.commit < leading().firstIndex || state.memberships.last().index > state.commit
+
+private fun Draft.respondingMembers(): Set<VoterId> {
+    val sinceMs = at.nowMs - state.timing.electionTimeoutMaxMs
+    return leading().peers.filterValues { (it.heardAtMs ?: Long.MIN_VALUE) > sinceMs }.keys + state.id
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedStateMachine.kt
@@ -0,0 +1,30 @@
+/*
+ * What the replicated log asks of its state machine, and what it tells its users.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+
+/** A deterministic state machine. All functions are called on the control thread. */
+public class ReplicatedStateMachine(
+    /** Applies a committed command, in log order; the result goes to the proposer. */
+    public val apply: (LogIndex, ByteArray) -> ByteArray,
+    /** Captures the state after the last applied command. */
+    public val snapshot: () -> ByteArray,
+    /** Replaces the state by one that was captured after the entry at the index. */
+    public val restore: (LogIndex, ByteArray) -> Unit,
+)
+
+/** Why a proposal has no result. */
+public sealed interface ProposeFailure {
+    /** The command was not proposed, because this voter does not lead; [leader] does, if known. */
+    public data class NotLeader(val leader: Address?) : ProposeFailure
+
+    /** The command may or may not commit. */
+    public data class Undecided(val reason: String) : ProposeFailure
+}
+
+/** Who leads, as far as this voter knows. */
+public data class Leadership(public val term: Term, public val isLeader: Boolean, public val leader: Address?)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
@@ -0,0 +1,77 @@
+/*
+ * Snapshots: taking them, sending them in chunks that fit a frame, and installing them.
+ */
+package fulmarshunt.voter
+
+/** The size of a chunk, a quarter of the greatest frame. */
+internal const val SNAPSHOT_CHUNK_BYTES: Int = 1_024 * 1_024
+
+internal fun Draft.onSnapshotTaken(event: SnapshotTaken) {
+    val current = checkNotNull(state.snapshot).header
+    if (event.index <= current.position.index) return
+    check(event.index == state.commit) { "the snapshot at ${event.index} is not that of entry ${state.commit}" }
+    val term = checkNotNull(state.log.termAtOrNull(event.index)) { "entry ${event.index} is not in the log" }
+    val membership = checkNotNull(state.committedMembershipOrNull)
+    val position = LogPosition(event.index, term)
+    val snapshot = Snapshot(SnapshotHeader(current.cluster, position, membership, event.data.size), event.data)
+    // Entries that slow followers may still need are kept for a while, because a snapshot costs far more to send.
+    val log = state.log.compactedTo(event.index - state.timing.snapshotEveryEntries / KEPT_FRACTION)
+    state = state.copy(snapshot = snapshot, log = log)
+    storeSnapshot(snapshot)
+}
+
+/** Starts with the initial membership of a new cluster. */
+internal fun Draft.onJoinInitial(initial: SnapshotHeader) {
+    if (!isBlank || initial.membership.memberOrNull(state.id) == null) return
+    install(initialSnapshot(initial.cluster, initial.membership))
+}
+
+internal fun Draft.onSnapshotChunk(envelope: Envelope, message: SnapshotChunk) {
+    followLeader(envelope)
+    val header = message.header
+    if (!isBlank && header.position.index <= state.commit) {
+        return answer(envelope, Appended(header.position.index, message.stamp))
+    }
+    val incoming =
+        state.incoming?.takeIf { it.header == header && message.offsetBytes > 0 }
+            ?: IncomingSnapshot(header, emptyList())
+    val isNext =
+        message.offsetBytes == incoming.receivedBytes &&
+            message.bytes.size <= header.sizeBytes - message.offsetBytes
+    val extended = if (isNext) incoming.with(message.bytes) else incoming
+    if (extended.receivedBytes < header.sizeBytes) {
+        state = state.copy(incoming = extended)
+        return answer(envelope, SnapshotChunkReply(header.position.index, extended.receivedBytes, message.stamp))
+    }
+    install(extended.assemble())
+    answer(envelope, Appended(header.position.index, message.stamp))
+}
+
+internal fun Draft.refuseChunk(envelope: Envelope, message: SnapshotChunk) {
+    answer(envelope, SnapshotChunkReply(message.header.position.index, 0, message.stamp))
+}
+
+private fun Draft.install(snapshot: Snapshot) {
+    val header = snapshot.header
+    val position = header.position
+    val isInLog = !isBlank && state.log.termAtOrNull(position.index) == position.term
+    val log = if (isInLog) state.log.compactedTo(position.index) else EntryLog(position)
+    val later = if (isInLog) state.memberships.filter { it.index > position.index } else emptyList()
+    state =
+        state.copy(
+            snapshot = snapshot,
+            log = log,
+            memberships = listOf(DatedMembership(position.index, header.membership)) + later,
+            commit = position.index,
+            incoming = null,
+        )
+    actions += Restore(snapshot)
+    storeSnapshot(snapshot)
+}
+
+private fun Draft.storeSnapshot(snapshot: Snapshot) {
+    actions += StoreSnapshot(state.hard, snapshot, state.log.base, state.log.slice(state.log.base.index + 1))
+}
+
+/** The share of the entries between two snapshots that is kept after a snapshot: one in this many. */
+private const val KEPT_FRACTION = 10
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
@@ -0,0 +1,79 @@
+/*
+ * What happens to a voter, and what it asks its surroundings to do in response.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import fulmarshunt.VoterId
+
+/** The time of an event on the voter's clock, and a random number in 0 until 1 for election timeouts. */
+internal data class Moment(val nowMs: Long, val draw: Double)
+
+internal sealed interface VoterEvent
+
+/** The deadline of the state has passed. */
+internal data object Tick : VoterEvent
+
+internal data class MessageReceived(val envelope: Envelope) : VoterEvent
+
+/** Everything up to a [Store] or [StoreSnapshot] with this term and index is on disk. */
+internal data class Stored(val term: Term, val lastIndex: LogIndex) : VoterEvent
+
+internal class Propose(val command: ByteArray) : VoterEvent
+
+/** Asks for a round of heartbeats that starts now or later. */
+internal data object ConfirmLeadership : VoterEvent
+
+/** Adds [member] as a learner; the leader makes it a voter once it has caught up. */
+internal data class AddMember(val member: Member) : VoterEvent
+
+internal data class RemoveMember(val id: VoterId) : VoterEvent
+
+/** The state machine was captured after the entry at [index]. */
+internal class SnapshotTaken(val index: LogIndex, val data: ByteArray) : VoterEvent
+
+/** The blank voter takes part in the cluster that starts with [initial]. */
+internal class JoinInitial(val initial: SnapshotHeader) : VoterEvent
+
+/** What the surroundings must do, in the order given. */
+internal sealed interface Action
+
+/** Appends to the write-ahead file. An entry replaces stored entries at its index and after it. */
+internal class Store(val term: Term, val lastIndex: LogIndex, val hard: HardState, val entries: List<LogEntry>) :
+    Action
+
+/** Replaces the stored snapshot, and then the write-ahead file by [hard], [base] and [entries]. */
+internal class StoreSnapshot(
+    val hard: HardState,
+    val snapshot: Snapshot,
+    val base: LogPosition,
+    val entries: List<LogEntry>,
+) : Action
+
+/** Sends a message; if [isAfterStore], not before everything stored so far is on disk. */
+internal data class Send(val address: Address, val envelope: Envelope, val isAfterStore: Boolean) : Action
+
+/** Applies committed entries. */
+internal class Apply(val entries: List<LogEntry>) : Action
+
+/** Replaces the state of the state machine. */
+internal class Restore(val snapshot: Snapshot) : Action
+
+/** Captures the state machine, and answers with [SnapshotTaken]. */
+internal data object TakeSnapshot : Action
+
+/** The immediate answer to a request. */
+internal sealed interface RequestReply
+
+/** The command is in the leader's log at [index]; it is not yet committed. */
+internal data class AcceptedAt(val index: LogIndex) : RequestReply
+
+/** Leadership is confirmed when a quorum has acknowledged [round]. */
+internal data class ConfirmedBy(val round: Long) : RequestReply
+
+internal data class Refused(val reason: String) : RequestReply
+
+/** The outcome of a step. */
+internal class StepResult(val state: VoterState, val actions: List<Action>, val reply: RequestReply?)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterMessages.kt
@@ -0,0 +1,123 @@
+/*
+ * The messages between voters. All but the probe are one-way: the reply on the channel only says that the message was
+ * received, and the answer is a message of its own, sent once what it promises is on disk.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.ClusterId
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import fulmarshunt.VmId
+import fulmarshunt.VoterId
+import fulmarshunt.link.Channel
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/** A call from one voter to another. */
+@Serializable
+internal sealed interface VoterCall
+
+/** A message with its sender and addressee. A voter whose disk was wiped drops messages to its former id. */
+@Serializable
+@SerialName("e")
+internal data class Envelope(
+    val cluster: ClusterId,
+    val from: VoterId,
+    val replyTo: Address,
+    val to: VoterId,
+    val term: Term,
+    val message: VoterMessage,
+) : VoterCall
+
+/** Asks who listens at an address and whether it already belongs to a cluster. */
+@Serializable
+@SerialName("p")
+internal data object Probe : VoterCall
+
+/** The answer to a [VoterCall]. */
+@Serializable
+internal sealed interface VoterCallReply
+
+/** The message was received; this says nothing about its effect. */
+@Serializable
+@SerialName("r")
+internal data object Received : VoterCallReply
+
+/** Who listens at an address. [initial] is present while the voter still has the initial membership of its cluster. */
+@Serializable
+@SerialName("i")
+internal data class Identity(
+    val id: VoterId,
+    val vm: VmId,
+    val isBlank: Boolean,
+    val isBootstrapping: Boolean,
+    val initial: SnapshotHeader? = null,
+) : VoterCallReply
+
+/** What one voter tells another. */
+@Serializable
+internal sealed interface VoterMessage
+
+/** Asks whether the addressee would vote for the sender in [nextTerm]; it changes no state of the addressee. */
+@Serializable
+@SerialName("pv")
+internal data class PreVote(val nextTerm: Term, val last: LogPosition) : VoterMessage
+
+@Serializable
+@SerialName("pvr")
+internal data class PreVoteReply(val nextTerm: Term, val isGranted: Boolean) : VoterMessage
+
+/** Asks for the vote of the addressee in the term of the envelope. */
+@Serializable
+@SerialName("v")
+internal data class VoteRequest(val last: LogPosition) : VoterMessage
+
+@Serializable
+@SerialName("vr")
+internal data class VoteReply(val isGranted: Boolean) : VoterMessage
+
+/** Dates a message of the leader; the follower returns it unchanged. [sentAtMs] is read on the leader's clock. */
+@Serializable
+internal data class Stamp(val round: Long, val sentAtMs: Long)
+
+/** Appends [entries] after [previous]; without entries it is a heartbeat. */
+@Serializable
+@SerialName("a")
+internal class Append(val previous: LogPosition, val entries: List<LogEntry>, val commit: LogIndex, val stamp: Stamp) :
+    VoterMessage
+
+/** The log of the sender equals the leader's up to [match], and is on disk up to there. */
+@Serializable
+@SerialName("ar")
+internal data class Appended(val match: LogIndex, val stamp: Stamp) : VoterMessage
+
+/** The sender lacks the entry at [previous]; its log can match the leader's at [hint] at the latest. */
+@Serializable
+@SerialName("ax")
+internal data class AppendRefused(
+    val previous: LogIndex,
+    val hint: LogIndex,
+    val needsSnapshot: Boolean,
+    val stamp: Stamp,
+) : VoterMessage
+
+/** A part of a snapshot, from [offsetBytes] on. */
+@Serializable
+@SerialName("s")
+internal class SnapshotChunk(
+    val header: SnapshotHeader,
+    val offsetBytes: Int,
+    @ByteString val bytes: ByteArray,
+    val stamp: Stamp,
+) : VoterMessage
+
+/** The sender has the snapshot at [index] up to [nextOffsetBytes]. */
+@Serializable
+@SerialName("sr")
+internal data class SnapshotChunkReply(val index: LogIndex, val nextOffsetBytes: Int, val stamp: Stamp) : VoterMessage
+
+/** Carries calls between voters. */
+internal val voterChannel: Channel<VoterCall, VoterCallReply> =
+    Channel("voter", VoterCall.serializer(), VoterCallReply.serializer())
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterReports.kt
@@ -0,0 +1,34 @@
+/*
+ * What a voter tells others about itself and about the cluster.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.LogIndex
+import fulmarshunt.operator.VoterStatus
+
+internal fun leadershipOf(state: VoterState): Leadership =
+    Leadership(state.term, state.role is Leader, state.leaderAddress)
+
+internal fun statusOf(state: VoterState, nowMs: Long): List<VoterStatus> {
+    val leader = state.role as? Leader
+    val members = state.memberships.lastOrNull()?.membership?.members.orEmpty()
+    return members.map { member ->
+        val peer = leader?.peers?.get(member.id)
+        val isSelf = member.id == state.id
+        VoterStatus(
+            id = member.id,
+            vm = member.vm,
+            address = member.address,
+            isLeader = member.id == state.leader,
+            isLearner = member.isLearner,
+            matchIndex = if (isSelf) state.log.last.index else peer?.matchIndex ?: LogIndex(0),
+            lastHeardMs = if (isSelf) 0 else peer?.heardAtMs?.let { nowMs - it } ?: -1,
+        )
+    }
+}
+
+internal fun identityOf(state: VoterState, settings: VoterSettings): Identity {
+    val header = state.snapshot?.header
+    val initial = header?.takeIf { it.position == LogPosition.START }
+    return Identity(state.id, settings.vm, header == null, settings.bootstrap, initial)
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
@@ -0,0 +1,77 @@
+/*
+ * The settings of a voter and the factory of its replicated log.
+ */
+package fulmarshunt.voter
+
+import arrow.core.Either
+import arrow.core.left
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.VmId
+import fulmarshunt.VoterId
+import fulmarshunt.platform.ControlThread
+import java.nio.file.Path
+import java.security.SecureRandom
+import java.util.HexFormat
+import kotlin.random.Random
+
+/** The settings of one voter. */
+public data class VoterSettings(
+    public val vm: VmId,
+    /** The address at which the other voters reach this one. */
+    public val address: Address,
+    public val dataDirectory: Path,
+    /** Lets this voter take part in forming a new cluster; see [initialVoters]. Clear it after the first start. */
+    public val bootstrap: Boolean,
+    /** All voters of a new cluster, this one included. */
+    public val initialVoters: Map<VmId, Address>,
+    public val electionTimeoutMinMs: Long = 500,
+    public val electionTimeoutMaxMs: Long = 1_000,
+    public val heartbeatMs: Long = 100,
+    public val snapshotEveryEntries: Int = 10_000,
+)
+
+private const val ID_BYTES = 16
+
+/**
+ * Opens the replicated log in the data directory of [settings]. It reads from disk and must not be called on the
+ * control thread.
+ *
+ * @return the log, not yet started, or in one line why it cannot be opened.
+ */
+public fun openReplicatedLog(
+    settings: VoterSettings,
+    machine: ReplicatedStateMachine,
+    control: ControlThread,
+    clock: Clock,
+): Either<String, ReplicatedLog> = openReplicatedLog(settings, machine, control, clock, forceToDisk)
+
+/** Opens the replicated log with [sync] in place of the operating system's. */
+internal fun openReplicatedLog(
+    settings: VoterSettings,
+    machine: ReplicatedStateMachine,
+    control: ControlThread,
+    clock: Clock,
+    sync: Sync,
+): Either<String, ReplicatedLog> {
+    val problem = problemOf(settings)
+    if (problem != null) return problem.left()
+    return openVoterFiles(settings.dataDirectory, settings.vm, { newVoterId(settings.vm) }, sync)
+        .map { ReplicatedLog(settings, machine, control, clock, it, Random.Default::nextDouble) }
+}
+
+private fun newVoterId(vm: VmId): VoterId {
+    val random = ByteArray(ID_BYTES).also(SecureRandom()::nextBytes)
+    return VoterId("$vm#${HexFormat.of().formatHex(random)}")
+}
+
+private fun problemOf(settings: VoterSettings): String? = when {
+    settings.electionTimeoutMinMs !in 1..settings.electionTimeoutMaxMs ->
+        "electionTimeoutMinMs must be between 1 and electionTimeoutMaxMs"
+    settings.heartbeatMs !in 1 until settings.electionTimeoutMinMs ->
+        "heartbeatMs must be between 1 and electionTimeoutMinMs"
+    settings.snapshotEveryEntries < 1 -> "snapshotEveryEntries must be positive"
+    settings.bootstrap && settings.initialVoters[settings.vm] != settings.address ->
+        "initialVoters must contain ${settings.vm} at ${settings.address} when bootstrap is set"
+    else -> null
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterState.kt
@@ -0,0 +1,123 @@
+/*
+ * The state of a voter as an immutable value. Only the step function makes new versions of it.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.ClusterId
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import fulmarshunt.VoterId
+import kotlinx.serialization.Serializable
+
+/** The intervals that govern elections, heartbeats and snapshots. */
+internal data class VoterTiming(
+    val electionTimeoutMinMs: Long,
+    val electionTimeoutMaxMs: Long,
+    val heartbeatMs: Long,
+    val snapshotEveryEntries: Int,
+)
+
+/** The part of the state that must be on disk before a message that depends on it is sent. */
+@Serializable
+internal data class HardState(val term: Term, val votedFor: VoterId? = null)
+
+/** The membership that is in force from [index] on. */
+internal data class DatedMembership(val index: LogIndex, val membership: Membership)
+
+/** What a voter currently does. */
+internal sealed interface Role
+
+internal data object Follower : Role
+
+/** Asks for support before it disturbs the others with a new term. */
+internal data class PreCandidate(val granted: Set<VoterId>) : Role
+
+/** Collects votes; its own counts once it is on disk. */
+internal data class Candidate(val granted: Set<VoterId>) : Role
+
+/** Leads in the current term. */
+internal data class Leader(
+    val peers: Map<VoterId, Peer>,
+    /** The last own entry that is on disk. */
+    val storedIndex: LogIndex,
+    /** The first entry of this term. */
+    val firstIndex: LogIndex,
+    /** The number of the latest round of heartbeats. */
+    val round: Long,
+    /** Says that a read barrier waits for a round that starts after the current one. */
+    val wantsRound: Boolean,
+    val heartbeatAtMs: Long,
+) : Role
+
+/** What the leader knows about another member. */
+internal data class Peer(
+    val nextIndex: LogIndex,
+    val matchIndex: LogIndex,
+    /** The last entry of the batch that was sent and not yet answered. */
+    val inFlightTo: LogIndex?,
+    val inFlightSinceMs: Long,
+    val transfer: SnapshotTransfer?,
+    val heardAtMs: Long?,
+    /** The newest stamp that came back. */
+    val acknowledged: Stamp,
+)
+
+/** A snapshot on its way to a peer. The transfer keeps its snapshot when the leader takes a newer one. */
+internal data class SnapshotTransfer(val snapshot: Snapshot, val offsetBytes: Int)
+
+/** The state of a voter. It is blank, and does not vote, until it has a snapshot. */
+internal data class VoterState(
+    val self: Member,
+    val timing: VoterTiming,
+    val hard: HardState,
+    val snapshot: Snapshot?,
+    val log: EntryLog,
+    /** The memberships from the snapshot on, oldest first; empty while blank. */
+    val memberships: List<DatedMembership>,
+    val commit: LogIndex,
+    val role: Role,
+    val leader: VoterId?,
+    val leaderAddress: Address?,
+    /** When a leader was last heard; a voter that has just started counts as having heard one. */
+    val heardLeaderAtMs: Long,
+    val electionAtMs: Long,
+    val incoming: IncomingSnapshot?,
+) {
+    val id: VoterId get() = self.id
+    val term: Term get() = hard.term
+    val cluster: ClusterId? get() = snapshot?.header?.cluster
+    val membership: Membership get() = memberships.last().membership
+
+    /** The time at which the next [Tick] is due. */
+    val deadlineMs: Long get() = (role as? Leader)?.heartbeatAtMs ?: electionAtMs
+
+    /** Says whether enough entries were applied since the last snapshot to take another one. */
+    val isSnapshotDue: Boolean
+        get() {
+            val covered = snapshot?.header?.position?.index ?: return false
+            return commit.value - covered.value >= timing.snapshotEveryEntries
+        }
+
+    /** The newest membership that is committed, or null while blank. */
+    val committedMembershipOrNull: Membership? get() = memberships.lastOrNull { it.index <= commit }?.membership
+}
+
+/** Returns the greatest round that a quorum has acknowledged, or null if this voter does not lead. */
+internal fun VoterState.confirmedRoundOrNull(): Long? {
+    val leading = role as? Leader ?: return null
+    if (commit < leading.firstIndex) return null
+    return membership.quorumValue { if (it == id) leading.round else leading.peers[it]?.acknowledged?.round ?: 0 }
+}
+
+/**
+ * Says whether a quorum has acknowledged a message that was sent within the last election timeout. Followers grant no
+ * vote within that time, so that no other leader can exist.
+ */
+internal fun VoterState.holdsQuorum(nowMs: Long): Boolean {
+    val leading = role as? Leader ?: return false
+    if (commit < leading.firstIndex) return false
+    val sentAtMs =
+        membership.quorumValue { if (it == id) nowMs else leading.peers[it]?.acknowledged?.sentAtMs ?: Long.MIN_VALUE }
+    return sentAtMs > nowMs - timing.electionTimeoutMinMs
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterStorage.kt
@@ -0,0 +1,31 @@
+/*
+ * What a voter keeps on disk, as functions, so that tests can make them fail. They block, run on one thread that is not
+ * the control thread, and throw `IOException`. After a failure none may be called again: a failed sync can have dropped
+ * data that a later one would report as stored.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.VoterId
+import java.nio.channels.FileChannel
+
+/** Stores the state of one voter. */
+internal class VoterStorage(
+    /** Appends one record to the write-ahead file, and syncs it. */
+    val append: (HardState, List<LogEntry>) -> Unit,
+    /** Replaces the snapshot and then the write-ahead file. */
+    val replace: (StoreSnapshot) -> Unit,
+    /** Releases the data directory. */
+    val close: () -> Unit,
+)
+
+/** What was found on disk. */
+internal class StoredState(val id: VoterId, val hard: HardState, val snapshot: Snapshot?, val log: EntryLog)
+
+/** A voter's data directory that is open. */
+internal class OpenStorage(val stored: StoredState, val storage: VoterStorage)
+
+/** Forces the content of a file, or the names in a directory, to disk. */
+internal typealias Sync = (FileChannel) -> Unit
+
+/** The sync of the operating system. */
+internal val forceToDisk: Sync = { it.force(true) }
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/VoterTransport.kt
@@ -0,0 +1,54 @@
+/*
+ * How a voter reaches others. Each address has one queue and one coroutine, so that an unreachable peer holds up only
+ * its own messages, and the queue is bounded, because the protocol repeats what is lost.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.link.Links
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import java.util.concurrent.ConcurrentHashMap
+
+private const val OUTBOX_MESSAGES = 64
+
+/** How long a message may take until its receipt; the link finds a hung connection only after a longer time. */
+private const val SEND_TIMEOUT_MS = 500L
+
+/** Carries messages between voters. The functions may be called from any thread. */
+internal class VoterTransport(
+    /** Sends without waiting; the message may be lost. */
+    val send: (Address, Envelope) -> Unit,
+    /** Returns who listens at an address, or null if nobody answers. */
+    val probe: suspend (Address) -> Identity?,
+    val close: () -> Unit,
+)
+
+/** Returns a transport over [links]. */
+internal fun linkTransport(links: Links): VoterTransport {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    val outboxes = ConcurrentHashMap<Address, Channel<Envelope>>()
+
+    fun openOutbox(address: Address): Channel<Envelope> {
+        val outbox = Channel<Envelope>(OUTBOX_MESSAGES, BufferOverflow.DROP_OLDEST)
+        scope.launch {
+            for (envelope in outbox) links.call(address, voterChannel, envelope, SEND_TIMEOUT_MS)
+        }
+        return outbox
+    }
+    return VoterTransport(
+        send = { address, envelope -> outboxes.computeIfAbsent(address, ::openOutbox).trySend(envelope) },
+        probe = { address ->
+            withContext(Dispatchers.IO) {
+                links.call(address, voterChannel, Probe, SEND_TIMEOUT_MS).getOrNull() as? Identity
+            }
+        },
+        close = { scope.cancel() },
+    )
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -0,0 +1,108 @@
+/*
+ * Voters of one test, on loopback links in this process, with a state machine that sums and keeps its commands.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.LogIndex
+import fulmarshunt.VmId
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.platform.startControlThread
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import java.net.ServerSocket
+import java.nio.ByteBuffer
+import java.nio.file.Path
+
+internal const val TEST_TIMEOUT_MS = 30_000L
+
+/** Counts its commands and folds them into a hash, so that another order or a gap gives another state. */
+internal class HashMachine {
+    @Volatile
+    var count = 0L
+
+    @Volatile
+    var hash = 0L
+
+    val machine =
+        ReplicatedStateMachine(
+            apply = { _: LogIndex, command: ByteArray ->
+                count += 1
+                hash = hash * 31 + command.contentHashCode()
+                encode()
+            },
+            snapshot = ::encode,
+            restore = { _, bytes ->
+                val buffer = ByteBuffer.wrap(bytes)
+                count = buffer.getLong()
+                hash = buffer.getLong()
+            },
+        )
+
+    private fun encode(): ByteArray = ByteBuffer.allocate(16).putLong(count).putLong(hash).array()
+}
+
+/** A running voter. */
+internal class TestVoter(val log: ReplicatedLog, val machine: HashMachine, private val closeAll: suspend () -> Unit) {
+    suspend fun close() = closeAll()
+}
+
+/** Returns [count] VMs with free loopback ports. */
+internal fun freeAddresses(count: Int): Map<VmId, Address> {
+    val sockets = List(count) { ServerSocket(0) }
+    val addresses = sockets.mapIndexed { n, socket -> VmId("vm$n") to Address("127.0.0.1", socket.localPort) }.toMap()
+    sockets.forEach { it.close() }
+    return addresses
+}
+
+internal suspend fun startVoter(
+    vm: VmId,
+    voters: Map<VmId, Address>,
+    directory: Path,
+    snapshotEveryEntries: Int = 10_000,
+    bootstrap: Boolean = true,
+    sync: Sync = forceToDisk,
+): TestVoter {
+    val control = startControlThread()
+    val machine = HashMachine()
+    val address = voters.getValue(vm)
+    val settings =
+        VoterSettings(vm, address, directory, bootstrap, voters, snapshotEveryEntries = snapshotEveryEntries)
+    val log =
+        openReplicatedLog(settings, machine.machine, control, monotonicClock(), sync).fold({ error(it) }, { it })
+    val links: Links = linksOf(log.id.value, "secret", log.handlers(LinkHandlers()))
+    links.listen(address).onLeft { error(it) }
+    log.start(links)
+    return TestVoter(log, machine) {
+        log.close()
+        links.close()
+        control.close()
+    }
+}
+
+/** Waits until one of [voters] leads and returns it. */
+internal suspend fun leaderOf(voters: Collection<TestVoter>): TestVoter = withTimeout(TEST_TIMEOUT_MS) {
+    var leader: TestVoter? = null
+    while (leader == null) {
+        leader = voters.find { it.log.leadership.value.isLeader && it.log.confirmLeadership(1_000) }
+        delay(20)
+    }
+    leader
+}
+
+/** Proposes at whichever of [voters] leads until the command is committed; it may be applied twice. */
+internal suspend fun commit(voters: Collection<TestVoter>, command: String): Unit = withTimeout(TEST_TIMEOUT_MS) {
+    while (leaderOf(voters).log.propose(command.encodeToByteArray(), 5_000).isLeft()) delay(20)
+}
+
+/** Waits until [condition] holds. */
+internal suspend fun eventually(what: String, condition: () -> Boolean) {
+    val deadline = System.nanoTime() + TEST_TIMEOUT_MS * 1_000_000
+    while (!condition()) {
+        check(System.nanoTime() < deadline) { "not in time: $what" }
+        delay(20)
+    }
+}
