--- a/src/main/kotlin/fulmarshunt/caller/RequestProblem.kt
+++ b/src/main/kotlin/fulmarshunt/caller/RequestProblem.kt
@@ -29,6 +29,7 @@
     UNAVAILABLE("unavailable", "No target can take the request now"),
     QUARANTINED("quarantined", "The request crashed the targets that ran it"),
     KEY_REUSED("idempotency-key-reused", "The idempotency key was used for another call"),
+    ANSWER_NOT_KEPT("answer-not-kept", "The call ran and its answer was too large to be kept"),
     OUTCOME_UNKNOWN("outcome-unknown", "The call was sent and its outcome is not known"),
     GENERATION_LOST("generation-lost", "The target that ran the generation was lost"),
 }
--- a/src/main/kotlin/fulmarshunt/caller/http/ChatRoutes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ChatRoutes.kt
@@ -50,7 +50,7 @@
 private const val STREAM_BUFFER_EVENTS = 64
 
 /** A caller that takes no data for this long is treated as gone, so that its place at the target becomes free. */
-private const val SLOW_CALLER_LIMIT_MS = 30_000L
+internal const val SLOW_CALLER_LIMIT_MS = 30_000L
 
 private const val MS_PER_SECOND = 1_000L
 
--- a/src/main/kotlin/fulmarshunt/caller/http/ProblemResponse.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ProblemResponse.kt
@@ -23,6 +23,7 @@
             ProblemKind.RATE_LIMITED -> HttpStatusCode.TooManyRequests
             ProblemKind.OVERLOADED, ProblemKind.UNAVAILABLE -> HttpStatusCode.ServiceUnavailable
             ProblemKind.QUARANTINED, ProblemKind.KEY_REUSED -> HttpStatusCode.UnprocessableEntity
+            ProblemKind.ANSWER_NOT_KEPT -> HttpStatusCode.Conflict
             ProblemKind.OUTCOME_UNKNOWN -> HttpStatusCode.BadGateway
             ProblemKind.GENERATION_LOST -> HttpStatusCode.BadGateway
         }
--- a/src/main/kotlin/fulmarshunt/program/Entry.kt
+++ b/src/main/kotlin/fulmarshunt/program/Entry.kt
@@ -24,6 +24,7 @@
 import fulmarshunt.parseAddress
 import fulmarshunt.platform.readSettings
 import fulmarshunt.platform.startControlThread
+import fulmarshunt.target.AnnouncementResult
 import fulmarshunt.target.TargetTable
 import fulmarshunt.target.http.announceRoutes
 import fulmarshunt.target.http.httpEngineClient
@@ -85,7 +86,12 @@
                 traffic = traffic,
             ),
         )
-    listen(targets) { announceRoutes { control.run { table.announce(it, clock.nowMs()) } } }
+    listen(targets) {
+        announceRoutes {
+            control.run { table.announce(it, clock.nowMs()) }
+            AnnouncementResult.Taken
+        }
+    }
     val server = listen(callers) { chatRoutes({ key -> ClientAccountId(key) }, generate, wallClock()) }
     Runtime.getRuntime().addShutdownHook(Thread { server.stop() })
     Thread.currentThread().join()
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/AnnouncementCheck.kt
@@ -0,0 +1,26 @@
+/*
+ * Checks of announcements beyond their form. Each problem is one line that names the field.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.operator.Configuration
+
+private val PORTS = 1..65_535
+
+/** Returns what is wrong with this announcement, or null. */
+public fun TargetAnnouncement.problemOrNull(configuration: Configuration): String? = when {
+    target.value.isBlank() -> "target: is empty"
+    address.host.isBlank() -> "address.host: is empty"
+    address.port !in PORTS -> "address.port: ${address.port} is not in $PORTS"
+    domain !in configuration.domains -> "failure_domain: \"$domain\" is not configured"
+    services.isEmpty() -> "services: is empty"
+    startLimit < 1 -> "start_limit: $startLimit is less than 1"
+    fullLimit < startLimit -> "full_limit: $fullLimit is less than start_limit"
+    memoryTokens < 0 -> "memory_tokens: $memoryTokens is negative"
+    kind == TargetKind.ENGINE && memoryTokens == 0L -> "memory_tokens: is missing for an engine"
+    load.usedTokens < 0 -> "load.used_tokens: ${load.usedTokens} is negative"
+    load.running < 0 -> "load.running: ${load.running} is negative"
+    load.waiting < 0 -> "load.waiting: ${load.waiting} is negative"
+    load.preemptions < 0 -> "load.preemptions: ${load.preemptions} is negative"
+    else -> null
+}
--- a/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
@@ -117,7 +117,7 @@
 private val SUCCESS_STATUSES = 200..299
 private val REFUSAL_STATUSES = setOf(HttpStatusCode.Conflict, HttpStatusCode.ServiceUnavailable)
 
-private fun engineHttpClient(): HttpClient = HttpClient(CIO) {
+internal fun engineHttpClient(): HttpClient = HttpClient(CIO) {
     expectSuccess = false
     engine {
         requestTimeout = 0
