Add the decisions of a pool's owner

The owner of a pool needs one place that decides which waiting request runs next and where. Pool keeps its state on one thread, takes the time as an argument and returns effects: fair queueing by virtual time, admission by the expected peak memory, slow start, target choice with prefix affinity, liveness, and separation of requests that may have crashed a target. Policies are function types that settings select by name.

--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/LatencyNorm.kt
@@ -0,0 +1,43 @@
+/*
+ * The usual value of a latency at one target, and the detection of a target that turned cold.
+ */
+package fulmarshunt.target
+
+/** A sample above this many times the norm is slow. */
+private const val SLOW_FACTOR = 4.0
+
+/** This many slow samples in a row mean that the target turned cold; single ones come from bursts. */
+private const val COLD_SAMPLES = 4
+
+/** The norm is not compared with before this many samples. */
+private const val MIN_SAMPLES = 8
+
+/** The weight of a new sample in the norm. */
+private const val LEARNING_RATE = 0.05
+
+/** Latencies below this are treated as equal, because clock granularity dominates them. */
+private const val MIN_NORM_MS = 1.0
+
+/** A running mean of a latency that follows slow samples only slowly. */
+internal class LatencyNorm {
+    private var mean = 0.0
+    private var samples = 0
+    private var slowInRow = 0
+
+    /** True while the latest sample was slow. */
+    val isSlow: Boolean get() = slowInRow > 0
+
+    /** Adds a sample and returns true if the target has just turned cold. */
+    fun record(sampleMs: Double): Boolean {
+        val bound = SLOW_FACTOR * maxOf(mean, MIN_NORM_MS)
+        val slow = samples >= MIN_SAMPLES && sampleMs > bound
+        // Early samples set the mean quickly; later, a clamped sample lets the norm adapt to a lasting change.
+        val rate = maxOf(LEARNING_RATE, 1.0 / (samples + 1))
+        mean += rate * ((if (slow) bound else sampleMs) - mean)
+        samples++
+        slowInRow = if (slow) slowInRow + 1 else 0
+        if (slowInRow < COLD_SAMPLES) return false
+        slowInRow = 0
+        return true
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
@@ -0,0 +1,37 @@
+/*
+ * What the owner of a pool wants done as the result of a decision. The caller performs the effects in order; the pool
+ * itself performs no input or output.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.Address
+import fulmarshunt.Fingerprint
+import fulmarshunt.Incarnation
+import fulmarshunt.ServiceId
+import fulmarshunt.TargetId
+import fulmarshunt.TicketId
+import fulmarshunt.entry.AdmissionReply
+
+/** Something that the pool wants done. */
+public sealed interface PoolEffect
+
+/** Answers the admission call for [ticket]; there is exactly one for each admitted ticket. */
+public data class Decide(public val ticket: TicketId, public val reply: AdmissionReply) : PoolEffect
+
+/** Cancels the generation of [ticket], because nobody receives it any more. */
+public data class CancelGeneration(
+    public val target: TargetId,
+    public val address: Address,
+    public val ticket: TicketId,
+) : PoolEffect
+
+/** Reports that [target] died while the requests in [running] ran on it. */
+public data class ReportDeath(
+    public val target: TargetId,
+    public val incarnation: Incarnation,
+    public val running: List<Fingerprint>,
+) : PoolEffect
+
+/** Orders the engine [target] to load [service] from the weight store. */
+public data class IssueLoad(public val target: TargetId, public val address: Address, public val service: ServiceId) :
+    PoolEffect
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/Suspects.kt
@@ -0,0 +1,52 @@
+/*
+ * Requests that ran on a target when it died. One of them may have crashed it. Suspects of the same death are kept
+ * apart, so that a second death tells the guilty one from the others.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.Fingerprint
+
+/** Beyond this number, the suspects of the oldest deaths are forgotten. */
+private const val MAX_SUSPECTS = 4_096
+
+/** A suspect that caused no second death for this long is cleared. */
+private const val SUSPICION_MS = 600_000L
+
+private class Suspicion(val deaths: MutableSet<Int>, var sinceMs: Long)
+
+/** The suspects that one pool knows. */
+internal class Suspects {
+    private val byFingerprint = object : LinkedHashMap<Fingerprint, Suspicion>() {
+        override fun removeEldestEntry(eldest: Map.Entry<Fingerprint, Suspicion>): Boolean = size > MAX_SUSPECTS
+    }
+    private var deaths = 0
+
+    val size: Int get() = byFingerprint.size
+
+    fun recordDeath(running: List<Fingerprint>, nowMs: Long) {
+        deaths++
+        for (fingerprint in running) {
+            val suspicion = byFingerprint.getOrPut(fingerprint) { Suspicion(mutableSetOf(), nowMs) }
+            suspicion.deaths += deaths
+            suspicion.sinceMs = nowMs
+        }
+    }
+
+    /** Clears a request that ran to its end. */
+    fun clear(fingerprint: Fingerprint) {
+        byFingerprint.remove(fingerprint)
+    }
+
+    fun isSuspect(fingerprint: Fingerprint): Boolean = byFingerprint.isNotEmpty() && fingerprint in byFingerprint
+
+    /** True if both were present at the same death. */
+    fun shareDeath(one: Fingerprint, other: Fingerprint): Boolean {
+        val first = byFingerprint[one] ?: return false
+        val second = byFingerprint[other] ?: return false
+        return first.deaths.any { it in second.deaths }
+    }
+
+    fun expire(nowMs: Long) {
+        byFingerprint.values.removeIf { nowMs - it.sinceMs > SUSPICION_MS }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/target/PoolTest.kt
@@ -0,0 +1,255 @@
+/*
+ * The reactions of a pool to the failures of its targets and entry VMs, each with a time line written out.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.Incarnation
+import fulmarshunt.TargetId
+import fulmarshunt.TicketId
+import fulmarshunt.VmId
+import fulmarshunt.entry.RejectReason
+import fulmarshunt.entry.RunningTicket
+import fulmarshunt.entry.TicketOutcome
+import fulmarshunt.operator.Configuration
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+
+class PoolTest {
+    private fun Pool.admitAll(count: Int, nowMs: Long, prefix: String = "r") =
+        (0 until count).flatMap { admit(request("$prefix$it"), nowMs) }.granted()
+
+    private fun Pool.end(ticket: String, outcome: TicketOutcome, nowMs: Long) = end(TicketId(ticket), 5, outcome, nowMs)
+
+    /** Guards against a target that has just started being sent its full limit (R2). */
+    @Test
+    fun `a new incarnation starts at the start limit`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 2), 0)
+        expectThat(pool.admitAll(10, 1)).hasSize(2)
+        pool.announce(announcement(incarnation = 2, startLimit = 1), 2)
+        expectThat(pool.inFlight("t1")).isEqualTo(1)
+    }
+
+    /** Guards against a target that turned cold keeping its earned limit. */
+    @Test
+    fun `a target that turned cold returns to its start limit`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 8), 0)
+        pool.admitAll(8, 1)
+        for (i in 1..12) pool.progress(TicketId("r${i % 8}"), 10 * i, 50, 20.0, 100L * i)
+        pool.announce(announcement(startLimit = 1), 1_500)
+        for (i in 0..3) pool.progress(TicketId("r$i"), 500, 50, 200.0, 1_600L + i)
+        expectThat(pool.target("t1").limit).isEqualTo(1)
+    }
+
+    /** Guards against new work for a silent target, and against its requests never being reported. */
+    @Test
+    fun `a silent target is suspected and then dead`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 2), 0)
+        pool.admit(request("r1"), 1)
+        expectThat(pool.nextTickMs()).isEqualTo(3_000)
+        pool.tick(3_000)
+        expectThat(pool.admit(request("r2"), 3_001)).isEmpty()
+        val death = pool.tick(6_000).filterIsInstance<ReportDeath>().single()
+        expectThat(death.running.map { it.value }).isEqualTo(listOf("r1"))
+        expectThat(pool.tick(9_000)).isEmpty()
+    }
+
+    /** Guards against requests of a target that was only cut off losing their places when it returns. */
+    @Test
+    fun `a target that returns in the same incarnation still runs its tickets`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 2), 0)
+        pool.admit(request("r1"), 1)
+        pool.tick(6_000)
+        pool.announce(announcement(startLimit = 1, load = TargetLoad(running = 1)), 7_000)
+        expectThat(pool.admit(request("r2"), 7_001)).isEmpty()
+        expectThat(pool.end("r1", TicketOutcome.FINISHED, 7_100).granted()).isEqualTo(mapOf("r2" to "t1"))
+    }
+
+    /** Guards against work being sent to a target that loses every request while it still announces itself. */
+    @Test
+    fun `several lost tickets are a death that names all of them`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 4), 0)
+        pool.admitAll(4, 1)
+        pool.end("r0", TicketOutcome.LOST, 10)
+        pool.end("r1", TicketOutcome.LOST, 11)
+        val death = pool.end("r2", TicketOutcome.LOST, 12).filterIsInstance<ReportDeath>().single()
+        expectThat(death.running.map { it.value }).containsExactlyInAnyOrder("r0", "r1", "r2", "r3")
+    }
+
+    /** Guards against one bad request being hidden among the same companions at each death. */
+    @Test
+    fun `suspects of one death are not placed together`() {
+        val pool = pool()
+        pool.announce(announcement("t1", startLimit = 2), 0)
+        pool.admit(request("r1", fingerprint = "f1"), 1)
+        pool.admit(request("r2", fingerprint = "f2"), 1)
+        pool.announce(announcement("t1", incarnation = 2, startLimit = 4), 10)
+        pool.admit(request("r3", fingerprint = "f1"), 11)
+        expectThat(pool.admit(request("r4", fingerprint = "f2"), 12)).isEmpty()
+        pool.announce(announcement("t2", startLimit = 4), 13)
+        expectThat(pool.inFlight("t2")).isEqualTo(1)
+    }
+
+    /** Guards against new work on a drained target, and against requests waiting for one that will not come back. */
+    @Test
+    fun `a drained target gets no work and its queue is told`() {
+        val pool = pool()
+        pool.announce(announcement(), 0)
+        pool.admit(request("r1"), 2_000)
+        expectThat(pool.admit(request("r2"), 2_001)).isEmpty()
+        val effects = pool.configure(Configuration(drainedTargets = setOf(TargetId("t1"))), 2_002)
+        expectThat(effects.rejected()["r2"]?.reason).isEqualTo(RejectReason.LEAVING)
+        pool.end("r1", TicketOutcome.FINISHED, 2_003)
+        expectThat(pool.admit(request("r3"), 2_004).rejected()["r3"]?.reason).isEqualTo(RejectReason.LEAVING)
+    }
+
+    /** Guards against a new owner granting places that the former owner's requests still hold. */
+    @Test
+    fun `a settling pool grants nothing and counts registered tickets`() {
+        val pool = pool(settlingUntilMs = 1_000)
+        val running = RunningTicket(request("old"), TargetId("t1"), Incarnation(1), 7)
+        expectThat(pool.reregister(VmId("vm1"), listOf(running), 10)).isEmpty()
+        pool.announce(announcement(load = TargetLoad(running = 1)), 20)
+        expectThat(pool.admit(request("r1"), 30)).isEmpty()
+        expectThat(pool.nextTickMs()).isEqualTo(1_000)
+        expectThat(pool.tick(1_000)).isEmpty()
+        expectThat(pool.end("old", TicketOutcome.FINISHED, 1_100).granted()).isEqualTo(mapOf("r1" to "t1"))
+    }
+
+    /** Guards against generations that nobody receives keeping engine memory. */
+    @Test
+    fun `a lost entry VM has its generations cancelled and its queue dropped`() {
+        val pool = pool()
+        pool.announce(announcement(), 0)
+        pool.admit(request("r1", vm = "vm1"), 1)
+        pool.admit(request("r2", vm = "vm1"), 1)
+        pool.admit(request("r3", vm = "vm2"), 1)
+        val effects = pool.vmLost(VmId("vm1"), 10)
+        expectThat(effects.filterIsInstance<CancelGeneration>().map { it.ticket.value }).isEqualTo(listOf("r1"))
+        expectThat(effects.rejected().keys).isEqualTo(setOf("r2"))
+        expectThat(pool.end("r1", TicketOutcome.CANCELLED, 20).granted()).isEqualTo(mapOf("r3" to "t1"))
+    }
+
+    /** Guards against a grant whose reply was lost holding its place for ever, or losing it while it may run. */
+    @Test
+    fun `an unused grant is released only when the target cannot run it`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 2), 0)
+        pool.admit(request("used"), 1)
+        pool.admit(request("unused"), 1)
+        pool.progress(TicketId("used"), 1, 50, -1.0, 100)
+        for (second in 1..8L) {
+            pool.announce(announcement(load = TargetLoad(running = 2)), 1_000 * second)
+            pool.progress(TicketId("used"), second.toInt() * 20, 50, 20.0, 1_000 * second + 500)
+        }
+        expectThat(pool.inFlight("t1")).isEqualTo(2)
+        for (second in 9..20L) {
+            pool.announce(announcement(load = TargetLoad(running = 1)), 1_000 * second)
+            pool.progress(TicketId("used"), second.toInt() * 20, 50, 20.0, 1_000 * second + 500)
+        }
+        expectThat(pool.inFlight("t1")).isEqualTo(1)
+    }
+
+    /** Guards against long requests of unknown length being packed until the engine preempts. */
+    @Test
+    fun `the expected peak bounds the running set`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 64, memoryTokens = 10_000), 0)
+        val granted = (0 until 64).flatMap { pool.admit(request("r$it", maxOutputTokens = 2_000), 1) }.granted()
+        expectThat(granted.size).isGreaterThan(5).isLessThan(20)
+        expectThat(pool.admit(request("big", promptTokens = 20_000), 2_000).rejected()["big"]?.reason)
+            .isEqualTo(RejectReason.NO_TARGET)
+    }
+
+    /** Guards against preemptions that the forecast did not foresee going on for ever. */
+    @Test
+    fun `a preemption tightens the risk bound, which relaxes`() {
+        val pool = pool()
+        pool.announce(announcement(), 0)
+        val before = pool.target("t1").riskBound
+        pool.announce(announcement(load = TargetLoad(preemptions = 3)), 1_000)
+        val tightened = pool.target("t1").riskBound
+        expectThat(tightened).isGreaterThan(before)
+        for (second in 2..100L) pool.announce(announcement(load = TargetLoad(preemptions = 3)), 1_000 * second)
+        expectThat(pool.target("t1").riskBound).isLessThan(tightened)
+    }
+
+    /** Guards against tags waiting behind letters (head-of-line blocking). */
+    @Test
+    fun `a short request does not wait behind long ones`() {
+        val pool = pool()
+        pool.announce(announcement(fullLimit = 1), 0)
+        pool.admitAll(20, 1)
+        pool.admit(request("tag", account = "a", maxOutputTokens = 8), 2)
+        expectThat(pool.end("r0", TicketOutcome.FINISHED, 3).granted().keys).isEqualTo(setOf("tag"))
+    }
+
+    /** Guards against waiting requests that nobody answers, and against a retry advice that is too early. */
+    @Test
+    fun `overdue requests are rejected and hopeless ones at once`() {
+        val pool = pool()
+        pool.announce(announcement(fullLimit = 1), 0)
+        pool.admit(request("first"), 1)
+        expectThat(pool.admit(request("r1", maxWaitMs = 500), 2)).isEmpty()
+        expectThat(pool.nextTickMs()).isEqualTo(502)
+        expectThat(pool.tick(502).rejected()["r1"]?.reason).isEqualTo(RejectReason.OVERLOADED)
+        for (i in 0 until 40) pool.admit(request("q$i"), 600)
+        for (i in 1..20L) {
+            pool.announce(announcement(fullLimit = 1), i * 500 + 600)
+            pool.end(if (i == 1L) "first" else "q${i - 2}", TicketOutcome.FINISHED, i * 500 + 601)
+        }
+        val late = pool.admit(request("late", maxWaitMs = 1_000), 10_700).rejected()["late"]
+        expectThat(late?.retryAfterMs ?: 0).isGreaterThan(2_000)
+    }
+
+    /** Guards against lost cache events being read as certain knowledge, or as no knowledge at all. */
+    @Test
+    fun `a gap in the cache events lowers the confidence`() {
+        val index = PrefixIndex()
+        fun stored(sequence: Long, hash: Long) = listOf(CacheEvent(sequence, CacheOperation.STORED, hash))
+        index.apply(stored(1, 11) + stored(2, 12))
+        expectThat(index.affinity(listOf(11, 12))).isEqualTo(1.0)
+        index.apply(stored(9, 13))
+        expectThat(index.affinity(listOf(11, 12))).isGreaterThan(0.0).isLessThan(1.0)
+        expectThat(index.affinity(listOf(13))).isEqualTo(1.0)
+        index.apply((10L..40_000L).flatMap { stored(it, it) })
+        expectThat(index.size).isLessThan(20_000)
+    }
+
+    /** Guards against a full target being chosen for its cache, and against the cache being ignored. */
+    @Test
+    fun `affinity decides between equally loaded targets only`() {
+        val pool = pool()
+        val events = listOf(CacheEvent(1, CacheOperation.STORED, 5))
+        pool.announce(announcement("t1", startLimit = 8, cacheEvents = events), 0)
+        pool.announce(announcement("t2", startLimit = 8), 0)
+        fun place(n: Int) =
+            pool.admit(request("r$n", promptTokens = 900, prefixHashes = listOf(5L)), 1).granted()["r$n"]
+        expectThat(place(0)).isEqualTo("t1")
+        expectThat((1..9).map { place(it) }.contains("t2")).isEqualTo(true)
+    }
+
+    /** Guards against a retry at the target that failed the request. */
+    @Test
+    fun `an excluded target is not chosen`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        pool.announce(announcement("t2"), 0)
+        expectThat(pool.admit(request("r1", excluded = listOf("t1")), 1).granted()["r1"]).isNotEqualTo("t1")
+        expectThat(poolPolicies(queueOrder = "lifo").isRight()).isFalse()
+        expectThat(pool.admit(request("r1"), 2).granted()["r1"]).isNull()
+    }
+}
