--- a/src/main/kotlin/fulmarshunt/caller/ClaimMessages.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimMessages.kt
@@ -13,6 +13,7 @@
 import fulmarshunt.link.Channel
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /** The greatest answer body that a claim keeps. */
 public const val MAX_RECORDED_ANSWER_BYTES: Int = 8_192
@@ -30,7 +31,7 @@
     public val status: Int,
     public val contentType: String,
     /** The body, or null when it was greater than [MAX_RECORDED_ANSWER_BYTES]. */
-    public val body: ByteArray?,
+    @ByteString public val body: ByteArray?,
 )
 
 /** What an entry VM asks about claims. */
@@ -87,6 +88,11 @@
 @SerialName("mismatch")
 public data object KeyReused : ClaimReply
 
+/** No claim can be recorded, because the voters keep as many as they can; the call must not run. */
+@Serializable
+@SerialName("full")
+public data object ClaimsFull : ClaimReply
+
 /** The change to the claim is committed. */
 @Serializable
 @SerialName("recorded")
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimTable.kt
@@ -0,0 +1,120 @@
+/*
+ * The claims of calls that must run at most once, as the voters keep them. The table is bounded by count and by bytes,
+ * and a claim that does not fit is refused before its call can run.
+ */
+package fulmarshunt.caller
+
+import fulmarshunt.Fingerprint
+import fulmarshunt.TicketId
+import fulmarshunt.putting
+import fulmarshunt.removing
+import kotlinx.serialization.Serializable
+
+/** The greatest number of claims. */
+internal const val MAX_CLAIMS: Int = 100_000
+
+/** The greatest size of all claims; a voter holds them twice while it takes a snapshot, in 128 MB. */
+internal const val MAX_CLAIM_BYTES: Long = 24L * 1_024 * 1_024
+
+/** What a claim takes besides its texts and its answer, for the bound on bytes. */
+private const val CLAIM_OVERHEAD_BYTES = 96L
+
+/** Bounds the time of one step; the rest expires with the next one. */
+private const val MAX_EXPIRED_AT_ONCE = 1_000
+
+/** A recorded claim. */
+@Serializable
+public class Claim(
+    public val fingerprint: Fingerprint,
+    public val ticket: TicketId,
+    public val expiresAtEpochMs: Long,
+    /** The answer of the call, or null while its outcome is not known. */
+    public val answer: RecordedAnswer? = null,
+)
+
+/** All claims, in the order in which they were recorded and expire. */
+@Serializable
+public class ClaimTable(public val claims: Map<ClaimKey, Claim> = emptyMap(), public val sizeBytes: Long = 0)
+
+/** The bounds of a [ClaimTable]. */
+public data class ClaimLimits(val maxClaims: Int = MAX_CLAIMS, val maxBytes: Long = MAX_CLAIM_BYTES)
+
+/** Returns the table after [call] at [nowEpochMs], and the reply. */
+internal fun ClaimTable.apply(
+    call: ClaimCall,
+    nowEpochMs: Long,
+    limits: ClaimLimits = ClaimLimits(),
+): Pair<ClaimTable, ClaimReply> = when (call) {
+    is RecordClaim -> record(call, nowEpochMs, limits)
+    is FinishClaim -> finish(call, limits)
+    is WithdrawClaim -> withdraw(call)
+}
+
+/** Returns the table without the claims that have expired at [nowEpochMs], at most [MAX_EXPIRED_AT_ONCE] of them. */
+internal fun ClaimTable.expire(nowEpochMs: Long): ClaimTable {
+    var current = this
+    var dropped = 0
+    while (dropped < MAX_EXPIRED_AT_ONCE && current.hasExpired(nowEpochMs)) {
+        val (key, claim) = current.claims.entries.first()
+        current = current.without(key, claim)
+        dropped += 1
+    }
+    return current
+}
+
+/** Returns whether a claim has expired at [nowEpochMs]. */
+internal fun ClaimTable.hasExpired(nowEpochMs: Long): Boolean =
+    claims.values.firstOrNull()?.let { it.expiresAtEpochMs <= nowEpochMs } ?: false
+
+private fun ClaimTable.record(call: RecordClaim, nowEpochMs: Long, limits: ClaimLimits): Pair<ClaimTable, ClaimReply> {
+    val known = claims[call.key]
+    if (known != null) return this to replyToResend(known, call)
+    val claim = Claim(call.fingerprint, call.ticket, nowEpochMs + CLAIM_RETENTION_MS)
+    val isFull = claims.size >= limits.maxClaims || sizeBytes + sizeOf(call.key, claim) > limits.maxBytes
+    return if (isFull) this to ClaimsFull else with(call.key, claim) to Claimed
+}
+
+private fun replyToResend(known: Claim, call: RecordClaim): ClaimReply = when {
+    known.fingerprint != call.fingerprint -> KeyReused
+    known.answer != null -> AlreadyAnswered(known.answer)
+    // The answer to the same attempt's first claim was lost; the attempt has not sent the call yet.
+    known.ticket == call.ticket -> Claimed
+    else -> AlreadyClaimed
+}
+
+private fun ClaimTable.finish(call: FinishClaim, limits: ClaimLimits): Pair<ClaimTable, ClaimReply> {
+    val known = claims[call.key]
+    if (known == null || known.ticket != call.ticket) return this to AlreadyClaimed
+    if (known.answer != null) return this to ClaimRecorded
+    val finished = known.answeredWith(call.answer)
+    // That the call finished is kept even when its body does not fit.
+    val fits = finished.bodyBytes <= MAX_RECORDED_ANSWER_BYTES &&
+        sizeBytes + sizeOf(call.key, finished) - sizeOf(call.key, known) <= limits.maxBytes
+    val kept =
+        if (fits) finished else known.answeredWith(RecordedAnswer(call.answer.status, call.answer.contentType, null))
+    return without(call.key, known, keepsPlace = true).with(call.key, kept) to ClaimRecorded
+}
+
+private fun ClaimTable.withdraw(call: WithdrawClaim): Pair<ClaimTable, ClaimReply> {
+    val known = claims[call.key]
+    return when {
+        known == null -> this to ClaimRecorded
+        known.answer != null -> this to AlreadyAnswered(known.answer)
+        known.ticket != call.ticket -> this to AlreadyClaimed
+        else -> without(call.key, known) to ClaimRecorded
+    }
+}
+
+private fun ClaimTable.with(key: ClaimKey, claim: Claim) =
+    ClaimTable(claims.putting(key, claim), sizeBytes + sizeOf(key, claim))
+
+private fun ClaimTable.without(key: ClaimKey, claim: Claim, keepsPlace: Boolean = false) =
+    ClaimTable(if (keepsPlace) claims else claims.removing(key), sizeBytes - sizeOf(key, claim))
+
+private fun Claim.answeredWith(answer: RecordedAnswer) = Claim(fingerprint, ticket, expiresAtEpochMs, answer)
+
+private val Claim.bodyBytes get() = answer?.body?.size ?: 0
+
+private fun sizeOf(key: ClaimKey, claim: Claim): Long = CLAIM_OVERHEAD_BYTES + key.account.value.length +
+    key.key.value.length + claim.fingerprint.value.length + claim.ticket.value.length +
+    (claim.answer?.contentType?.length ?: 0) + claim.bodyBytes
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/ControlClient.kt
@@ -0,0 +1,57 @@
+/*
+ * Claims and death reports of an entry VM to the control leader, repeated at a new leader until the outcome is clear or
+ * the time is over.
+ */
+package fulmarshunt.caller
+
+import fulmarshunt.entry.LeaseCall
+import fulmarshunt.entry.LeaseNotLeader
+import fulmarshunt.entry.LeaseReply
+import fulmarshunt.entry.ReportRecorded
+import fulmarshunt.entry.ReportTargetDeath
+import fulmarshunt.entry.leaseChannel
+import fulmarshunt.voter.LeaderAnswer
+import fulmarshunt.voter.LeaderCalls
+import fulmarshunt.voter.Redirect
+
+/** How long one try waits; another voter may lead by then. */
+private const val TRY_MS = 2_500L
+
+/** Calls the control leader on behalf of an entry VM. */
+public class ControlClient internal constructor(private val leader: LeaderCalls) {
+    /**
+     * Makes [call] within [timeoutMs].
+     *
+     * @return the leader's reply; [ClaimNotLeader] if the call was certainly not recorded; [ClaimUndecided] if it may
+     *   have been.
+     */
+    public suspend fun claim(call: ClaimCall, timeoutMs: Long): ClaimReply {
+        var mayBeRecorded = false
+        val answer =
+            leader.repeat(claimChannel, call, timeoutMs, TRY_MS) { reply ->
+                if (reply is ClaimUndecided) mayBeRecorded = true
+                when (reply) {
+                    is ClaimNotLeader -> Redirect(reply.leader)
+                    is ClaimUndecided -> Redirect(null)
+                    else -> null
+                }
+            }
+        return when (answer) {
+            is LeaderAnswer.Replied -> answer.reply
+            is LeaderAnswer.NotReached -> if (mayBeRecorded) ClaimUndecided else ClaimNotLeader()
+            is LeaderAnswer.Unclear -> ClaimUndecided
+        }
+    }
+
+    /** Reports the death of a target; returns whether the report is known to be committed within [timeoutMs]. */
+    public suspend fun reportDeath(report: ReportTargetDeath, timeoutMs: Long): Boolean {
+        val answer =
+            leader.repeat<LeaseCall, LeaseReply>(leaseChannel, report, timeoutMs, TRY_MS) { reply ->
+                (reply as? LeaseNotLeader)?.let { Redirect(it.leader) }
+            }
+        return answer is LeaderAnswer.Replied && answer.reply == ReportRecorded
+    }
+}
+
+/** Returns a client over [leader]. */
+public fun controlClientOf(leader: LeaderCalls): ControlClient = ControlClient(leader)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/entry/DeathCounts.kt
@@ -0,0 +1,87 @@
+/*
+ * Finds requests that crash the targets they run on. A request that ran on two targets when they died is quarantined,
+ * unless another request ran on both as well: then either may be to blame, and both stay suspects until they have been
+ * apart.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Fingerprint
+import fulmarshunt.Incarnation
+import fulmarshunt.TargetId
+import fulmarshunt.putting
+import fulmarshunt.removing
+import kotlinx.serialization.Serializable
+
+/** How long a poison request is refused. */
+public const val QUARANTINE_MS: Long = 60L * 60 * 1_000
+
+/** How long a death counts against the requests that ran then. */
+internal const val SUSPICION_MS: Long = 60L * 60 * 1_000
+
+/** Bounds the memory for suspects and for deaths; the oldest are forgotten first. */
+internal const val MAX_SUSPECTS: Int = 10_000
+
+/** One life of a target. */
+@Serializable
+public data class TargetLife(public val target: TargetId, public val incarnation: Incarnation)
+
+/** A request that ran on a target when it died. */
+@Serializable
+public data class Suspect(
+    /** The requests that ran beside it at every death so far; any of them may be to blame instead. */
+    public val fellows: Set<Fingerprint>,
+    public val atEpochMs: Long,
+)
+
+/** The recent deaths and the suspects. */
+@Serializable
+public data class DeathCounts(
+    public val deaths: Map<TargetLife, Long> = emptyMap(),
+    public val suspects: Map<Fingerprint, Suspect> = emptyMap(),
+)
+
+/** Returns the counts after the death of [life] with [running] on it, and the requests to quarantine. */
+internal fun DeathCounts.record(
+    life: TargetLife,
+    running: Set<Fingerprint>,
+    nowEpochMs: Long,
+): Pair<DeathCounts, List<Fingerprint>> {
+    if (life in deaths) return this to emptyList()
+    val narrowed =
+        running.associateWith { fingerprint ->
+            suspects[fingerprint]?.fellows?.intersect(running) ?: (running - fingerprint)
+        }
+    val poison = running.filter { it in suspects && narrowed.getValue(it).isEmpty() }
+    // A death that a poison request explains counts against nobody else.
+    val cleared = suspects.filterValues { suspect -> poison.any { it in suspect.fellows } }.keys + poison
+    var left = suspects
+    cleared.forEach { left = left.removing(it) }
+    if (poison.isEmpty()) {
+        narrowed.forEach { (fingerprint, fellows) ->
+            // Removed first, so that the order stays that of the last death.
+            left = left.removing(fingerprint).putting(fingerprint, Suspect(fellows, nowEpochMs))
+        }
+    }
+    return DeathCounts(deaths.putting(life, nowEpochMs), left).bounded() to poison.sortedBy { it.value }
+}
+
+/** Returns the counts without what happened too long before [nowEpochMs]. */
+internal fun DeathCounts.expire(nowEpochMs: Long): DeathCounts {
+    var left = this
+    while ((left.deaths.values.firstOrNull() ?: nowEpochMs) <= nowEpochMs - SUSPICION_MS) {
+        left = left.copy(deaths = left.deaths.removing(left.deaths.keys.first()))
+    }
+    while ((left.suspects.values.firstOrNull()?.atEpochMs ?: nowEpochMs) <= nowEpochMs - SUSPICION_MS) {
+        left = left.copy(suspects = left.suspects.removing(left.suspects.keys.first()))
+    }
+    return left
+}
+
+private fun DeathCounts.bounded(): DeathCounts {
+    var left = this
+    while (left.deaths.size > MAX_SUSPECTS) left = left.copy(deaths = left.deaths.removing(left.deaths.keys.first()))
+    while (left.suspects.size > MAX_SUSPECTS) {
+        left = left.copy(suspects = left.suspects.removing(left.suspects.keys.first()))
+    }
+    return left
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -0,0 +1,277 @@
+/*
+ * The control leader's side of leases: answers renewals, pushes changes, assigns pools and removes entry VMs that are
+ * gone. The decisions are in [LeaseTable] and [planMoves]; everything mutable is confined to the control thread.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Clock
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import fulmarshunt.VmId
+import fulmarshunt.link.LinkConnection
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.LinkPeer
+import fulmarshunt.operator.EntryVmStatus
+import fulmarshunt.platform.ControlThread
+import fulmarshunt.voter.ApplyDeath
+import fulmarshunt.voter.ApplyRegistry
+import fulmarshunt.voter.ControlMachine
+import fulmarshunt.voter.LogAccess
+import fulmarshunt.voter.LogProposer
+import fulmarshunt.voter.PROPOSE_TIMEOUT_MS
+import fulmarshunt.voter.ProposeFailure
+import fulmarshunt.voter.ShutdownBegun
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.map
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+/** How long a pushed change may take; a VM that is slower gets it with its next renewal. */
+private const val PUSH_TIMEOUT_MS = 1_000L
+
+/** How long a renewal waits for a pool move that concerns the VM; less than [RENEWAL_TIMEOUT_MS]. */
+private const val WITHHELD_TIMEOUT_MS = 400L
+
+/** Answers lease calls and keeps pools assigned while this voter leads. */
+public class LeaseService internal constructor(
+    private val control: ControlThread,
+    private val machine: ControlMachine,
+    private val log: LogAccess,
+    private val proposer: LogProposer,
+    private val clock: Clock,
+    private val wallClock: Clock,
+) {
+    private val logger = LogManager.getLogger(LeaseService::class.java)
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val progress = MutableStateFlow(0L)
+
+    /** VMs that must not get a lease, because a move of their pools or their removal may be committed at any time. */
+    private val withheld = MutableStateFlow(emptySet<VmId>())
+    private val pushes = HashMap<VmId, PushTarget>()
+
+    /** VMs that have given their lease back and are still registered. */
+    private val releasing = HashSet<VmId>()
+    private var table: LeaseTable? = null
+
+    private class PushTarget(val connection: LinkConnection) {
+        var known = LogIndex(0)
+        var isPushing = false
+    }
+
+    /** Returns [base] with the handler of [leaseChannel]. */
+    public fun handlers(base: LinkHandlers): LinkHandlers = base.with(leaseChannel, ::answer)
+
+    /** Starts pushing changes and waking the duties of the leader. */
+    internal fun start() {
+        control.scope.launch {
+            machine.state.map { it.shared.index }.distinctUntilChanged().collect {
+                pushes.keys.toList().forEach(::push)
+                wake.trySend(Unit)
+                signalProgress()
+            }
+        }
+    }
+
+    /** Returns whether the entry at [index] is in effect within [timeoutMs]. */
+    public suspend fun awaitInEffect(index: LogIndex, timeoutMs: Long): Boolean = withContext(control.dispatch) {
+        withTimeoutOrNull(timeoutMs) { progress.first { isInEffect(index) } } != null || isInEffect(index)
+    }
+
+    /** Returns the state of the entry VMs, on any thread. */
+    public suspend fun status(): List<EntryVmStatus> = control.run {
+        val now = clock.nowMs()
+        val shared = machine.state.value.shared
+        shared.entryVms.values.sortedBy { it.id.value }.map { vm ->
+            EntryVmStatus(
+                vm.id,
+                vm.address,
+                table?.mayHold(vm.id, now) ?: false,
+                table?.appliedBy(vm.id) ?: LogIndex(0),
+                shared.pools.filterValues { it.vm == vm.id }.keys.sortedBy { it.value },
+            )
+        }
+    }
+
+    /** Keeps leases and pools in order until it is cancelled, because [term] is over. */
+    internal suspend fun lead(term: Term) {
+        withheld.value = emptySet()
+        releasing.clear()
+        table = LeaseTable(term, machine.state.value.shared.entryVms.keys, clock.nowMs())
+        try {
+            while (true) {
+                val due = performDuties()
+                withTimeoutOrNull(due.coerceAtLeast(1)) { wake.receive() }
+            }
+        } finally {
+            table = null
+            pushes.clear()
+            signalProgress()
+        }
+    }
+
+    /** Removes VMs that are gone, moves pools, and returns how long nothing more is due. */
+    private suspend fun performDuties(): Long {
+        val leases = table ?: return DUTY_PERIOD_MS
+        val now = clock.nowMs()
+        val shared = machine.state.value.shared
+        releasing.retainAll(shared.entryVms.keys)
+        val gone = releasing.sortedBy { it.value } + (leases.goneAt(now, shared.entryVms.keys) - releasing)
+        val moves = if (gone.isEmpty()) planMoves(viewAt(leases, shared, now)) else emptyList()
+        val change = if (gone.isNotEmpty()) RemoveVms(gone) else MovePools(moves)
+        val isDone = gone.isEmpty() && moves.isEmpty() && withheld.value.isEmpty()
+        if (!isDone) {
+            val concerned = gone + moves.mapNotNull { it.previous?.vm }.filter { !leases.mayHold(it, now) }
+            withheld.update { it + concerned }
+            // An earlier change with an unclear outcome precedes this one in the log, so this one settles it.
+            val failure = proposer.propose(ApplyRegistry(change)).leftOrNull()
+            if (failure != null) {
+                logger.warn("A change of the registry was not committed: {}", failure)
+                return RETRY_MS
+            }
+            settle(leases, gone, moves)
+            return 1
+        }
+        val end = leases.nextEndOrNull(now) ?: (now + DUTY_PERIOD_MS)
+        signalProgress()
+        return minOf(DUTY_PERIOD_MS, end - now)
+    }
+
+    private fun settle(leases: LeaseTable, gone: List<VmId>, moves: List<PoolMove>) {
+        val shared = machine.state.value.shared
+        gone.forEach(leases::release)
+        moves.forEach { move ->
+            val former = move.previous?.vm
+            if (move.vm != null) leases.fill(move.pool)
+            if (move.vm == null && former != null && move.pool !in shared.pools) {
+                leases.vacate(move.pool, former, shared.index, clock.nowMs())
+            }
+        }
+        withheld.value = emptySet()
+        gone.forEach { logger.info("Entry VM {} was removed from the registry", it) }
+        moves.forEach { logger.info("Pool {} moved from {} to {}", it.pool, it.previous?.vm, it.vm) }
+    }
+
+    private fun viewAt(leases: LeaseTable, shared: SharedState, nowMs: Long): AssignmentView {
+        val asked = machine.state.value.shutdowns
+        val usable = shared.entryVms.filterKeys { it !in asked && leases.isUsable(it, nowMs) }
+        return AssignmentView(
+            shared.configuration.allPools(),
+            shared.pools,
+            usable.mapValues { it.value.domain },
+            mayHold = { leases.mayHold(it, nowMs) },
+            hasReleased = leases::hasReleased,
+            isVacant = { leases.isVacant(it, nowMs) },
+        )
+    }
+
+    private suspend fun answer(peer: LinkPeer, call: LeaseCall): LeaseReply {
+        if (control.run { table } == null) return notLeader()
+        return when (call) {
+            is RenewLease -> renew(peer.connection, call)
+            is ReleaseLease -> release(call.vm.id)
+            is ReportTargetDeath ->
+                proposer
+                    .proposeGrouped(ApplyDeath(call, wallClock.nowMs()))
+                    .fold(::refusal) { ReportRecorded }
+        }
+    }
+
+    private suspend fun renew(connection: LinkConnection, call: RenewLease): LeaseReply {
+        withTimeoutOrNull(WITHHELD_TIMEOUT_MS) { withheld.first { call.vm.id !in it } } ?: return notLeader()
+        val state = machine.state.value
+        if (state.shared.entryVms[call.vm.id] != call.vm) {
+            proposer.propose(ApplyRegistry(RegisterVm(call.vm))).onLeft { return refusal(it) }
+        }
+        if (call.isShuttingDown && call.vm.id in state.shutdowns) proposer.propose(ShutdownBegun(call.vm.id))
+        return control.run { grant(connection, call) }
+    }
+
+    private fun grant(connection: LinkConnection, call: RenewLease): LeaseReply {
+        val now = clock.nowMs()
+        val leases = table ?: return notLeader()
+        val state = machine.state.value
+        val vm = call.vm.id
+        val isCurrent = log.leadership.value.let { it.isLeader && it.term == leases.term } && log.holdsQuorum(now)
+        if (!isCurrent || vm in withheld.value || state.shared.entryVms[vm] != call.vm) return notLeader()
+        if (call.applied > state.shared.index) {
+            logger.error("Entry VM {} has applied entry {} beyond {}", vm, call.applied, state.shared.index)
+            return LeaseNotLeader()
+        }
+        val wasUsable = leases.isUsable(vm, now)
+        leases.grant(call, now)
+        if (wasUsable != leases.isUsable(vm, now) || call.released.isNotEmpty()) wake.trySend(Unit)
+        val target = pushes[vm]?.takeIf { it.connection === connection } ?: PushTarget(connection)
+        target.known = call.applied
+        pushes[vm] = target
+        signalProgress()
+        val changes = machine.changesAfterOrNull(call.applied)
+        return LeaseGranted(
+            leases.term,
+            state.shared.takeIf { changes == null },
+            changes.orEmpty(),
+            shutdownRequested = vm in state.shutdowns,
+        )
+    }
+
+    private suspend fun release(vm: VmId): LeaseReply {
+        control.run {
+            releasing += vm
+            wake.trySend(Unit)
+        }
+        withTimeoutOrNull(PROPOSE_TIMEOUT_MS) { machine.state.first { vm !in it.shared.entryVms } }
+            ?: return notLeader()
+        return LeaseReleased
+    }
+
+    private fun push(vm: VmId) {
+        val target = pushes[vm] ?: return
+        val changes = machine.changesAfterOrNull(target.known)
+        if (target.isPushing || !target.connection.isOpen || changes.isNullOrEmpty()) return
+        target.isPushing = true
+        control.scope.launch(Dispatchers.Default) {
+            val reply = target.connection.call(stateChannel, StatePush(changes), PUSH_TIMEOUT_MS)
+            control.run {
+                target.isPushing = false
+                val applied = reply.getOrNull()?.applied ?: return@run
+                if (applied <= target.known) return@run
+                target.known = applied
+                table?.acknowledge(vm, applied)
+                if (table?.hasVacancies == true) wake.trySend(Unit)
+                signalProgress()
+                push(vm)
+            }
+        }
+    }
+
+    private fun isInEffect(index: LogIndex): Boolean {
+        val shared = machine.state.value.shared
+        return table?.isInEffect(index, shared.entryVms.keys, clock.nowMs()) ?: false
+    }
+
+    private fun signalProgress() {
+        progress.value += 1
+    }
+
+    private fun refusal(failure: ProposeFailure): LeaseReply = when (failure) {
+        is ProposeFailure.NotLeader -> LeaseNotLeader(failure.leader)
+        is ProposeFailure.Undecided -> LeaseNotLeader()
+    }
+
+    private fun notLeader(): LeaseReply =
+        LeaseNotLeader(log.leadership.value.let { if (it.isLeader) null else it.leader })
+
+    private companion object {
+        /** The longest time between two looks at the leases. */
+        const val DUTY_PERIOD_MS = 1_000L
+
+        /** The pause after a failed proposal. */
+        const val RETRY_MS = 200L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -0,0 +1,113 @@
+/*
+ * The leases that entry VMs may hold, as one control leader knows them during one term. It errs on the long side: a VM
+ * that is not listed as a possible holder certainly has no lease. It is confined to the control thread.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.LogIndex
+import fulmarshunt.PoolId
+import fulmarshunt.Term
+import fulmarshunt.VmId
+
+/** How long a lease may be in use after the leader answered the renewal. */
+internal const val LEASE_WITH_MARGIN_MS: Long = LEASE_MS + LEASE_MARGIN_MS
+
+/** How long a VM without a renewal stays registered. */
+internal const val REGISTRATION_MS: Long = 60_000
+
+/**
+ * Leases of the term [term].
+ *
+ * @param registered the VMs that may hold a lease of an earlier leader.
+ * @param electedAtMs a time at which no earlier leader granted leases any more.
+ */
+internal class LeaseTable(val term: Term, registered: Set<VmId>, private val electedAtMs: Long) {
+    private class Lease(var mayHoldUntilMs: Long, var renewedAtMs: Long) {
+        var isGranted = false
+        var applied = LogIndex(0)
+        var released = emptySet<PoolId>()
+        var isShuttingDown = false
+    }
+
+    /** A pool that was taken from a VM that may still believe that it is the owner. */
+    private class Vacancy(val formerOwner: VmId, val index: LogIndex, val safeAtMs: Long)
+
+    private val leases = HashMap<VmId, Lease>()
+    private val vacancies = HashMap<PoolId, Vacancy>()
+
+    init {
+        registered.forEach { leases[it] = Lease(electedAtMs + LEASE_WITH_MARGIN_MS, electedAtMs) }
+    }
+
+    /** Records that [renewal] is answered with a lease at [nowMs]. */
+    fun grant(renewal: RenewLease, nowMs: Long) {
+        val until = nowMs + LEASE_WITH_MARGIN_MS
+        val lease = leases.getOrPut(renewal.vm.id) { Lease(until, nowMs) }
+        lease.mayHoldUntilMs = maxOf(lease.mayHoldUntilMs, until)
+        lease.renewedAtMs = nowMs
+        lease.isGranted = true
+        lease.applied = renewal.applied
+        lease.released = renewal.released.toSet()
+        lease.isShuttingDown = renewal.isShuttingDown
+    }
+
+    /** Records that [vm] has applied the log up to [applied]. */
+    fun acknowledge(vm: VmId, applied: LogIndex) {
+        leases[vm]?.let { if (applied > it.applied) it.applied = applied }
+    }
+
+    /** Ends the lease of [vm], which has given it back or is no longer registered. */
+    fun release(vm: VmId) {
+        leases.remove(vm)
+    }
+
+    /** Records that the entry at [index] took [pool] from [formerOwner], committed by [nowMs]. */
+    fun vacate(pool: PoolId, formerOwner: VmId, index: LogIndex, nowMs: Long) {
+        vacancies[pool] = Vacancy(formerOwner, index, nowMs + LEASE_WITH_MARGIN_MS)
+    }
+
+    /** Records that [pool] has an owner again. */
+    fun fill(pool: PoolId) {
+        vacancies.remove(pool)
+    }
+
+    /** Whether pools were taken from VMs and not given to others yet. */
+    val hasVacancies: Boolean get() = vacancies.isNotEmpty()
+
+    /** Returns whether [vm] may hold a lease at [nowMs]. */
+    fun mayHold(vm: VmId, nowMs: Long): Boolean = leases[vm]?.let { nowMs < it.mayHoldUntilMs } ?: false
+
+    /** Returns whether [vm] can be given pools at [nowMs]: this leader granted its lease and it is not stopping. */
+    fun isUsable(vm: VmId, nowMs: Long): Boolean =
+        leases[vm]?.let { it.isGranted && !it.isShuttingDown && nowMs < it.renewedAtMs + LEASE_MS } ?: false
+
+    /** Returns the last log entry that [vm] is known to have applied. */
+    fun appliedBy(vm: VmId): LogIndex = leases[vm]?.applied ?: LogIndex(0)
+
+    /** Returns whether the owner of [pool] has stopped admitting to it; older releases do not count. */
+    fun hasReleased(pool: PoolId, owner: PoolOwner): Boolean =
+        leases[owner.vm]?.let { pool in it.released && it.applied.value >= owner.fence.value } ?: false
+
+    /** Returns whether no VM can believe at [nowMs] that it owns [pool], which has no owner. */
+    fun isVacant(pool: PoolId, nowMs: Long): Boolean {
+        if (nowMs < electedAtMs + LEASE_WITH_MARGIN_MS) return false
+        val vacancy = vacancies[pool] ?: return true
+        return nowMs >= vacancy.safeAtMs || appliedBy(vacancy.formerOwner) >= vacancy.index ||
+            !mayHold(vacancy.formerOwner, nowMs)
+    }
+
+    /** Returns whether each of [registered] has applied the entry at [index] or has no lease at [nowMs]. */
+    fun isInEffect(index: LogIndex, registered: Set<VmId>, nowMs: Long): Boolean =
+        registered.all { appliedBy(it) >= index || !mayHold(it, nowMs) }
+
+    /** Returns those of [registered] that have not renewed for [REGISTRATION_MS]. */
+    fun goneAt(nowMs: Long, registered: Set<VmId>): List<VmId> = registered
+        .filter { nowMs >= (leases[it]?.renewedAtMs ?: electedAtMs) + REGISTRATION_MS }
+        .sortedBy { it.value }
+
+    /** Returns the next time after [nowMs] at which a lease or a vacancy ends, or null if there is none. */
+    fun nextEndOrNull(nowMs: Long): Long? =
+        (leases.values.map { it.mayHoldUntilMs } + vacancies.values.map { it.safeAtMs })
+            .filter { it > nowMs }
+            .minOrNull()
+}
--- a/src/main/kotlin/fulmarshunt/entry/SharedState.kt
+++ b/src/main/kotlin/fulmarshunt/entry/SharedState.kt
@@ -15,6 +15,8 @@
 import fulmarshunt.operator.Configuration
 import fulmarshunt.operator.ConfigurationChange
 import fulmarshunt.operator.with
+import fulmarshunt.putting
+import fulmarshunt.removing
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -90,9 +92,9 @@
                 .fold(configuration) { current, step -> current.with(step) }
                 .copy(revision = change.revision),
         )
-    is EntryVmRegistered -> copy(entryVms = entryVms + (change.vm.id to change.vm))
-    is EntryVmRemoved -> copy(entryVms = entryVms - change.vm)
-    is PoolAssigned -> copy(pools = change.owner?.let { pools + (change.pool to it) } ?: (pools - change.pool))
-    is Quarantined -> copy(quarantine = quarantine + (change.fingerprint to change.untilEpochMs))
-    is QuarantineEnded -> copy(quarantine = quarantine - change.fingerprint)
+    is EntryVmRegistered -> copy(entryVms = entryVms.putting(change.vm.id, change.vm))
+    is EntryVmRemoved -> copy(entryVms = entryVms.removing(change.vm))
+    is PoolAssigned -> copy(pools = change.owner?.let { pools.putting(change.pool, it) } ?: pools.removing(change.pool))
+    is Quarantined -> copy(quarantine = quarantine.putting(change.fingerprint, change.untilEpochMs))
+    is QuarantineEnded -> copy(quarantine = quarantine.removing(change.fingerprint))
 }
--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -81,6 +81,10 @@
         }
     }
 
+    /** Returns the dialed connection to [address] if it is open, without dialing. */
+    public fun openConnectionOrNull(address: Address): LinkConnection? =
+        dialed[address]?.connection?.takeIf { it.isOpen }
+
     /** Calls the process at [address]; see [LinkConnection.call]. */
     public suspend fun <Q : Any, R : Any> call(
         address: Address,
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
@@ -0,0 +1,151 @@
+/*
+ * Checks of configuration changes. Each error is one line that starts with the path of the field.
+ */
+package fulmarshunt.operator
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+
+/** Bounds the configuration, which must fit into one link frame: an account takes about 250 bytes. */
+internal const val MAX_CLIENT_ACCOUNTS: Int = 12_000
+
+/** Bounds the other parts of the configuration. */
+internal const val MAX_OTHER_PARTS: Int = 2_000
+
+private const val MAX_ID_CHARS = 128
+private const val MAX_SHARDS = 64
+private val sha256Pattern = Regex("[0-9a-f]{64}")
+private val idPattern = Regex("[^\\s\\p{Cntrl}]+")
+private val methodPattern = Regex("\\*|[A-Z]+")
+
+/**
+ * Returns this configuration with [changes] applied and the same revision.
+ *
+ * @return the configuration, or the first field that is wrong.
+ */
+internal fun Configuration.validated(changes: List<ConfigurationChange>): Either<String, Configuration> {
+    if (changes.isEmpty()) return "changes: must not be empty".left()
+    val keys = KeyOwners(this)
+    var current = this
+    changes.forEachIndexed { position, change ->
+        val problem = current.problemOf(change) ?: keys.claim(change)
+        if (problem != null) return "changes[$position].$problem".left()
+        current = current.with(change)
+    }
+    val problem = current.problemAfter(this)
+    return if (problem == null) current.right() else problem.left()
+}
+
+private fun Configuration.problemOf(change: ConfigurationChange): String? = when (change) {
+    is PutClientAccount -> problemOf(change.account)
+    is RemoveClientAccount -> unknown("client account", change.id.value, change.id in accounts)
+    is PutService -> problemOf(change.service)
+    is RemoveService -> unknown("service", change.id.value, change.id in services)
+    is PutFailureDomain -> problemOf(change.domain)
+    is SetFailureDomainDrained -> unknown("failure domain", change.id.value, change.id in domains)
+    is SetTargetDrained -> idProblem("id", change.id.value)
+    is PutOperator -> problemOf(change.operator)
+    is RemoveOperator -> unknown("operator", change.id.value, change.id in operators)
+}
+
+private fun problemOf(account: ClientAccount): String? = idProblem("account.id", account.id.value)
+    ?: hashProblem("account.keySha256", account.keySha256)
+    ?: positive("account.weight", account.weight)
+    ?: positive("account.maxRequestsPerSecond", account.maxRequestsPerSecond)
+    ?: positive("account.maxConcurrentRequests", account.maxConcurrentRequests.toDouble())
+
+private fun problemOf(service: Service): String? = idProblem("service.id", service.id.value)
+    ?: positive("service.shortMaxTokens", service.shortMaxTokens.toDouble())
+    ?: positive("service.defaultMaxTokens", service.defaultMaxTokens.toDouble())
+    // The id of a plain service is one segment of the paths of its calls.
+    ?: "service.id: must not contain \"/\"".takeIf { service.kind == ServiceKind.PLAIN && '/' in service.id.value }
+    ?: "service.nonRepeatable: must be empty for a model"
+        .takeIf { service.kind == ServiceKind.MODEL && service.nonRepeatable.isNotEmpty() }
+    ?: service.nonRepeatable.withIndex().firstNotNullOfOrNull { (position, rule) ->
+        val field = "service.nonRepeatable[$position]"
+        when {
+            !methodPattern.matches(rule.method) -> "$field.method: must be in upper case or \"*\""
+            !rule.pathPrefix.startsWith('/') -> "$field.pathPrefix: must start with \"/\""
+            else -> null
+        }
+    }
+
+private fun problemOf(domain: FailureDomain): String? = idProblem("domain.id", domain.id.value)
+    ?: "domain.id: must not contain \"/\"".takeIf { '/' in domain.id.value }
+    ?: idProblem("domain.region", domain.region)
+    ?: "domain.shards: must be between 1 and $MAX_SHARDS".takeIf { domain.shards !in 1..MAX_SHARDS }
+
+private fun problemOf(operator: Operator): String? = idProblem("operator.id", operator.id.value)
+    ?: hashProblem("operator.keySha256", operator.keySha256)
+
+private fun Configuration.problemAfter(before: Configuration): String? = when {
+    accounts.size > MAX_CLIENT_ACCOUNTS -> "accounts: there can be at most $MAX_CLIENT_ACCOUNTS"
+    services.size > MAX_OTHER_PARTS -> "services: there can be at most $MAX_OTHER_PARTS"
+    domains.size > MAX_OTHER_PARTS -> "domains: there can be at most $MAX_OTHER_PARTS"
+    operators.size > MAX_OTHER_PARTS -> "operators: there can be at most $MAX_OTHER_PARTS"
+    drainedTargets.size > MAX_OTHER_PARTS -> "drainedTargets: there can be at most $MAX_OTHER_PARTS"
+    before.hasAdministrator && !hasAdministrator ->
+        "operators: the last operator with permission \"administer\" cannot be removed"
+    else -> null
+}
+
+private val Configuration.hasAdministrator get() = operators.values.any { Permission.ADMINISTER in it.permissions }
+
+private fun idProblem(field: String, id: String): String? = when {
+    id.length > MAX_ID_CHARS -> "$field: must have at most $MAX_ID_CHARS characters"
+    !idPattern.matches(id) -> "$field: must not be empty or contain white space"
+    else -> null
+}
+
+private fun hashProblem(field: String, sha256: String): String? =
+    if (sha256Pattern.matches(sha256)) null else "$field: must be 64 hexadecimal digits in lower case"
+
+private fun positive(field: String, value: Double): String? =
+    if (value > 0 && value.isFinite()) null else "$field: must be greater than 0"
+
+private fun unknown(kind: String, id: String, isKnown: Boolean): String? =
+    if (isKnown) null else "id: $kind \"$id\" does not exist"
+
+/** The holder of each key hash while the changes of one command are checked. */
+private class KeyOwners(configuration: Configuration) {
+    private val holderOf = HashMap<String, String>()
+    private val hashOf = HashMap<String, String>()
+
+    init {
+        configuration.accounts.values.forEach { put(account(it.id.value), it.keySha256) }
+        configuration.operators.values.forEach { put(operator(it.id.value), it.keySha256) }
+    }
+
+    /** Returns a problem if another client account or operator has the key that [change] sets. */
+    fun claim(change: ConfigurationChange): String? = when (change) {
+        is PutClientAccount ->
+            claim("account.keySha256", account(change.account.id.value), change.account.keySha256)
+        is PutOperator -> claim("operator.keySha256", operator(change.operator.id.value), change.operator.keySha256)
+        is RemoveClientAccount -> release(account(change.id.value))
+        is RemoveOperator -> release(operator(change.id.value))
+        else -> null
+    }
+
+    private fun claim(field: String, holder: String, sha256: String): String? {
+        val other = holderOf[sha256]
+        if (other != null && other != holder) return "$field: $other has the same key"
+        release(holder)
+        put(holder, sha256)
+        return null
+    }
+
+    private fun put(holder: String, sha256: String) {
+        holderOf[sha256] = holder
+        hashOf[holder] = sha256
+    }
+
+    private fun release(holder: String): String? {
+        hashOf.remove(holder)?.let(holderOf::remove)
+        return null
+    }
+
+    private fun account(id: String) = "client account \"$id\""
+
+    private fun operator(id: String) = "operator \"$id\""
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/operator/CommandDecision.kt
@@ -0,0 +1,130 @@
+/*
+ * Decides submitted commands and actions when their log entry is applied. Credential and permissions are checked here,
+ * against the configuration at that entry: a check on receipt alone would let an operator commit who was revoked in
+ * between.
+ */
+package fulmarshunt.operator
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.CommandId
+import fulmarshunt.LogIndex
+import fulmarshunt.OperatorId
+import fulmarshunt.Revision
+import java.security.MessageDigest
+
+/** The longest reason that the audit trail takes. */
+private const val MAX_REASON_CHARS = 500
+
+/** The outcome of a command or action, and the history that records it. */
+internal data class CommandDecision(
+    val outcome: CommandOutcome,
+    val history: CommandHistory,
+    /** The configuration after an accepted command, or null when nothing changed. */
+    val changed: Configuration? = null,
+)
+
+/** Returns the operator with [id] if [keySha256] is the hash of its key, or why the call is refused. */
+internal fun Configuration.authenticated(id: OperatorId, keySha256: String): Either<String, Operator> {
+    val operator = operators[id]
+    // One message for both cases, so that an answer does not tell which operators exist.
+    if (operator == null || !sameHash(operator.keySha256, keySha256)) {
+        return "operator: \"$id\" is unknown or its key is wrong".left()
+    }
+    return operator.right()
+}
+
+/** Returns whether [submitted] was decided before for the holder of the same key. */
+internal fun CommandHistory.isResend(submitted: SubmittedCommand): Boolean {
+    val first = outcomes[submitted.command.id] ?: return false
+    return first.operator == submitted.command.operator && sameHash(first.keySha256, submitted.keySha256)
+}
+
+/** Decides [submitted] at the log entry [index]. */
+internal fun decideCommand(
+    configuration: Configuration,
+    history: CommandHistory,
+    index: LogIndex,
+    submitted: SubmittedCommand,
+): CommandDecision {
+    val command = submitted.command
+    val operator = configuration.authenticated(command.operator, submitted.keySha256)
+    // The operator of the first submission gets its answer even if the command itself replaced its key.
+    if (operator is Either.Left && !history.isResend(submitted)) {
+        return CommandDecision(OutcomeRefused(operator.value), history)
+    }
+    history.outcomes[command.id]?.let { first ->
+        if (first.operator == command.operator && first.contentSha256 == submitted.contentSha256) {
+            return CommandDecision(first.outcome, history)
+        }
+        return CommandDecision(OutcomeRefused("id: \"${command.id}\" was used before for another command"), history)
+    }
+    val authenticated = operator.getOrElse { error("a command of an unknown operator was not refused") }
+    val (outcome, changed) = evaluate(configuration, authenticated, index, command)
+    val recorded = RecordedOutcome(command.operator, submitted.keySha256, submitted.contentSha256, outcome)
+    val withOutcome = history.withOutcome(command.id, recorded)
+    if (changed == null) return CommandDecision(outcome, withOutcome)
+    val record =
+        AuditRecord(
+            index,
+            command.id,
+            command.operator,
+            submitted.receivedAtEpochMs,
+            changed.revision,
+            describeParts(configuration, command.changes),
+            describeParts(changed, command.changes),
+            command.reason,
+        )
+    return CommandDecision(outcome, withOutcome.withAudit(record), changed)
+}
+
+/** Decides [submitted] at the log entry [index]. */
+internal fun decideAction(
+    configuration: Configuration,
+    history: CommandHistory,
+    index: LogIndex,
+    submitted: SubmittedAction,
+): CommandDecision {
+    val needed = permissionFor(submitted.action)
+    val operator =
+        configuration.authenticated(submitted.operator, submitted.keySha256).getOrElse {
+            return CommandDecision(OutcomeRefused(it), history)
+        }
+    if (needed !in operator.permissions) return CommandDecision(lacking(needed), history)
+    val record =
+        AuditRecord(
+            index,
+            CommandId("action-$index"),
+            submitted.operator,
+            submitted.receivedAtEpochMs,
+            configuration.revision,
+            emptyList(),
+            listOf(describe(submitted.action)),
+        )
+    return CommandDecision(OutcomeAccepted(configuration.revision, index), history.withAudit(record))
+}
+
+private fun evaluate(
+    configuration: Configuration,
+    operator: Operator,
+    index: LogIndex,
+    command: OperatorCommand,
+): Pair<CommandOutcome, Configuration?> {
+    command.changes.map(::permissionFor).firstOrNull { it !in operator.permissions }?.let { return lacking(it) to null }
+    if (command.expectedRevision != configuration.revision) {
+        return OutcomeConflict(configuration.revision) to null
+    }
+    if (command.reason.length > MAX_REASON_CHARS) {
+        return OutcomeRefused("reason: must have at most $MAX_REASON_CHARS characters") to null
+    }
+    val changed = configuration.validated(command.changes).getOrElse { return OutcomeRefused(it) to null }
+    val revision = Revision(configuration.revision.value + 1)
+    return OutcomeAccepted(revision, index) to changed.copy(revision = revision)
+}
+
+private fun lacking(permission: Permission) =
+    OutcomeRefused("permissions: the operator lacks \"${permission.name.lowercase()}\"")
+
+private fun sameHash(a: String, b: String) = MessageDigest.isEqual(a.encodeToByteArray(), b.encodeToByteArray())
--- a/src/main/kotlin/fulmarshunt/operator/Configuration.kt
+++ b/src/main/kotlin/fulmarshunt/operator/Configuration.kt
@@ -11,6 +11,8 @@
 import fulmarshunt.Revision
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
+import fulmarshunt.putting
+import fulmarshunt.removing
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -161,10 +163,10 @@
 
 /** Returns this configuration with [change] applied and the same revision. */
 public fun Configuration.with(change: ConfigurationChange): Configuration = when (change) {
-    is PutClientAccount -> copy(accounts = accounts + (change.account.id to change.account))
-    is RemoveClientAccount -> copy(accounts = accounts - change.id)
-    is PutService -> copy(services = services + (change.service.id to change.service))
-    is RemoveService -> copy(services = services - change.id)
+    is PutClientAccount -> copy(accounts = accounts.putting(change.account.id, change.account))
+    is RemoveClientAccount -> copy(accounts = accounts.removing(change.id))
+    is PutService -> copy(services = services.putting(change.service.id, change.service))
+    is RemoveService -> copy(services = services.removing(change.id))
     is PutFailureDomain -> withDomain(change.domain.copy(isDrained = domains[change.domain.id]?.isDrained ?: false))
     is SetFailureDomainDrained -> domains[change.id]?.let { withDomain(it.copy(isDrained = change.isDrained)) }
         ?: this
@@ -176,8 +178,8 @@
                 change.id
         },
     )
-    is PutOperator -> copy(operators = operators + (change.operator.id to change.operator))
-    is RemoveOperator -> copy(operators = operators - change.id)
+    is PutOperator -> copy(operators = operators.putting(change.operator.id, change.operator))
+    is RemoveOperator -> copy(operators = operators.removing(change.id))
 }
 
 /** Returns the permission that [change] needs. */
@@ -187,7 +189,5 @@
     else -> Permission.CONFIGURE
 }
 
-private fun Configuration.withDomain(domain: FailureDomain): Configuration = copy(
-    domains =
-    domains + (domain.id to domain),
-)
+private fun Configuration.withDomain(domain: FailureDomain): Configuration =
+    copy(domains = domains.putting(domain.id, domain))
--- a/src/main/kotlin/fulmarshunt/operator/OperatorMessages.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorMessages.kt
@@ -167,7 +167,11 @@
 /** A part of the audit trail, oldest first. */
 @Serializable
 @SerialName("audit")
-public data class AuditReply(public val records: List<AuditRecord>) : OperatorReply
+public data class AuditReply(
+    public val records: List<AuditRecord>,
+    /** The oldest record that is still kept; earlier ones were dropped. */
+    public val firstKept: LogIndex = LogIndex(0),
+) : OperatorReply
 
 /** The call was carried out. */
 @Serializable
--- a/src/main/kotlin/fulmarshunt/platform/ControlThread.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlThread.kt
@@ -15,12 +15,16 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import java.util.concurrent.Executors
+import kotlin.coroutines.CoroutineContext
 
 /** Runs blocks one after another on a single thread named `control-state`. */
 public class ControlThread internal constructor(private val dispatcher: ExecutorCoroutineDispatcher) : AutoCloseable {
     /** The scope of coroutines that resume on the control thread. */
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
 
+    /** The context of coroutines that resume on the control thread. */
+    public val dispatch: CoroutineContext get() = dispatcher
+
     /** Runs [block] on the control thread and returns its result. */
     public suspend fun <T> run(block: () -> T): T = withContext(dispatcher) { block() }
 
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/LogProposer.kt
@@ -0,0 +1,69 @@
+/*
+ * Proposes commands to the replicated log. Commands that may share a log entry are collected while the previous entry
+ * is being committed, so that the number of disk syncs does not grow with the number of concurrent calls.
+ */
+package fulmarshunt.voter
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+
+/** Bounds a log entry: a command with a recorded answer takes up to 9 KiB. */
+private const val MAX_COMMANDS_PER_ENTRY = 128
+
+/** Bounds the commands that wait for the next entry. */
+private const val MAX_WAITING_COMMANDS = 4_096
+
+/** How long a proposal may take; an election takes about a second. */
+internal const val PROPOSE_TIMEOUT_MS: Long = 2_000
+
+/** Proposes commands, alone or together with others. */
+public class LogProposer internal constructor(private val log: LogAccess, private val scope: CoroutineScope) {
+    private class Waiting(val command: LogCommand) {
+        val result = CompletableDeferred<Either<ProposeFailure, LogReply>>()
+    }
+
+    private val queue = Channel<Waiting>(MAX_WAITING_COMMANDS)
+
+    /** Starts committing grouped commands until the scope ends. */
+    internal fun start() {
+        scope.launch {
+            for (first in queue) {
+                val group = mutableListOf(first)
+                while (group.size < MAX_COMMANDS_PER_ENTRY) group += queue.tryReceive().getOrNull() ?: break
+                commit(group)
+            }
+        }
+    }
+
+    /** Proposes [command] as an entry of its own. */
+    public suspend fun propose(command: LogCommand): Either<ProposeFailure, LogReply> =
+        proposeAll(listOf(command)).map { it.single() }
+
+    /** Proposes [command] in an entry that it may share with other grouped commands. */
+    public suspend fun proposeGrouped(command: LogCommand): Either<ProposeFailure, LogReply> {
+        val waiting = Waiting(command)
+        if (queue.trySend(waiting).isFailure) {
+            // Nothing entered the log, as when this voter does not lead, and another try may succeed.
+            return ProposeFailure.NotLeader(null).left()
+        }
+        return waiting.result.await()
+    }
+
+    private suspend fun commit(group: List<Waiting>) {
+        val replies = proposeAll(group.map { it.command })
+        group.forEachIndexed { position, waiting -> waiting.result.complete(replies.map { it[position] }) }
+    }
+
+    private suspend fun proposeAll(commands: List<LogCommand>): Either<ProposeFailure, List<LogReply>> =
+        log.propose(encodeCommands(commands), PROPOSE_TIMEOUT_MS).flatMap { bytes ->
+            val replies = decodeReplies(bytes)
+            check(replies.size == commands.size) { "${commands.size} commands have ${replies.size} replies" }
+            replies.right()
+        }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/RecentChanges.kt
@@ -0,0 +1,42 @@
+/*
+ * The last changes of the shared state, from which entry VMs that are a little behind catch up.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.LogIndex
+import fulmarshunt.entry.Configured
+import fulmarshunt.entry.IndexedChanges
+
+/** The log entries whose changes are kept. */
+internal const val MAX_RECENT_ENTRIES: Int = 4_096
+
+/** The greatest number of single changes in one message, so that it fits into a link frame. */
+internal const val MAX_CHANGES_PER_MESSAGE: Int = 4_096
+
+/** Keeps the changes of the last [MAX_RECENT_ENTRIES] entries that had any; confined to the control thread. */
+internal class RecentChanges {
+    private val entries = ArrayDeque<IndexedChanges>()
+    private var coveredAfter = LogIndex(0)
+
+    fun add(changes: IndexedChanges) {
+        entries.addLast(changes)
+        if (entries.size > MAX_RECENT_ENTRIES) coveredAfter = entries.removeFirst().index
+    }
+
+    /** Forgets everything, because the state at [index] came from a snapshot. */
+    fun restart(index: LogIndex) {
+        entries.clear()
+        coveredAfter = index
+    }
+
+    /** Returns the changes after [index], or null when they are not kept or too many for one message. */
+    fun afterOrNull(index: LogIndex): List<IndexedChanges>? {
+        if (index < coveredAfter) return null
+        val first = entries.binarySearchBy(index.value + 1) { it.index.value }.let { if (it < 0) -it - 1 else it }
+        val missing = entries.subList(first, entries.size).toList()
+        return missing.takeIf { list -> list.sumOf { weight(it) } <= MAX_CHANGES_PER_MESSAGE }
+    }
+
+    private fun weight(indexed: IndexedChanges): Int =
+        indexed.changes.sumOf { if (it is Configured) it.changes.size else 1 }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
@@ -0,0 +1,73 @@
+/*
+ * Control voters over a log in memory, on loopback links, for tests of clients.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Address
+import fulmarshunt.FailureDomainId
+import fulmarshunt.OperatorId
+import fulmarshunt.VmId
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.sha256Hex
+import fulmarshunt.platform.ControlThread
+import fulmarshunt.platform.startControlThread
+import fulmarshunt.voter.AddFirstOperator
+import fulmarshunt.voter.LeaderCalls
+import fulmarshunt.voter.MemoryLog
+import fulmarshunt.voter.controlServiceOf
+import fulmarshunt.voter.leaderCallsOf
+import fulmarshunt.wallClock
+import kotlinx.coroutines.runBlocking
+
+const val ADMIN_KEY = "admin-key"
+val ADMIN = OperatorId("admin")
+
+class ControlCluster(voterCount: Int) : AutoCloseable {
+    private val log = MemoryLog()
+    private val opened = mutableListOf<AutoCloseable>()
+    val voters: List<MemoryLog.Voter> = List(voterCount) { log.voter(track(startControlThread())) }
+    val addresses: List<Address> =
+        voters.mapIndexed { position, voter ->
+            val first = AddFirstOperator(ADMIN, sha256Hex(ADMIN_KEY.encodeToByteArray()))
+            val service =
+                controlServiceOf(voter.control, voter.machine, voter.access, first, monotonicClock(), wallClock())
+            val links = links("control-$position", service.handlers(LinkHandlers()))
+            service.start()
+            runBlocking { links.listen(Address("127.0.0.1", 0)) }.getOrNull()!!
+        }
+
+    /** Makes the voter at [position] lead. */
+    fun elect(position: Int): Unit = log.elect(voters[position], addresses[position])
+
+    fun client(name: String): LeaderCalls = leaderCallsOf(links(name, LinkHandlers()), addresses)
+
+    /** Starts an entry VM that keeps its state in [store]. */
+    fun entryVm(name: String, domain: String, store: StateStore? = null): LeaseKeeper {
+        val handlers = LazyHandlers()
+        val links = links(name, LinkHandlers().with(stateChannel) { peer, push -> handlers.answer(peer.process, push) })
+        val vm = EntryVm(VmId(name), Address("127.0.0.1", 1), FailureDomainId(domain))
+        val control = track(startControlThread())
+        val keeper = leaseKeeperOf(vm, leaderCallsOf(links, addresses), control, monotonicClock(), store).getOrNull()!!
+        handlers.keeper = keeper
+        keeper.start()
+        return keeper
+    }
+
+    override fun close(): Unit = opened.asReversed().forEach { it.close() }
+
+    private fun links(name: String, handlers: LinkHandlers): Links = track(linksOf(name, "secret", handlers))
+
+    private fun <T : AutoCloseable> track(closeable: T): T = closeable.also { opened += it }
+
+    /** Links need their handlers before the lease keeper, which needs the links, exists. */
+    private class LazyHandlers {
+        @Volatile
+        var keeper: LeaseKeeper? = null
+
+        suspend fun answer(peer: String, push: StatePush): StatePushReply =
+            checkNotNull(keeper) { "a push from $peer came before the start" }.receive(push)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
@@ -0,0 +1,108 @@
+/*
+ * Entry VMs, operators and claims against control services on loopback links.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.ClientAccountId
+import fulmarshunt.CommandId
+import fulmarshunt.FailureDomainId
+import fulmarshunt.Fingerprint
+import fulmarshunt.IdempotencyKey
+import fulmarshunt.Revision
+import fulmarshunt.TicketId
+import fulmarshunt.VmId
+import fulmarshunt.caller.ClaimKey
+import fulmarshunt.caller.ClaimUndecided
+import fulmarshunt.caller.Claimed
+import fulmarshunt.caller.RecordClaim
+import fulmarshunt.caller.controlClientOf
+import fulmarshunt.operator.CallDone
+import fulmarshunt.operator.CommandAccepted
+import fulmarshunt.operator.FailureDomain
+import fulmarshunt.operator.OperatorCommand
+import fulmarshunt.operator.PutFailureDomain
+import fulmarshunt.operator.ShutDownVm
+import fulmarshunt.operator.SubmitCommand
+import fulmarshunt.operator.operatorClientOf
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.nio.file.Path
+
+class LeaseKeeperTest {
+    private fun submit(id: String, revision: Long, domain: String) = SubmitCommand(
+        ADMIN,
+        ADMIN_KEY,
+        OperatorCommand(
+            CommandId(id),
+            ADMIN,
+            Revision(revision),
+            listOf(PutFailureDomain(FailureDomain(FailureDomainId(domain)))),
+        ),
+        waitInEffectMs = 5_000,
+    )
+
+    /** Guards against changes that reach entry VMs only in part, and against a revision that reverts at a restart. */
+    @Test
+    fun `entry VMs follow commands across a change of leader`(@TempDir directory: Path): Unit = runBlocking {
+        ControlCluster(3).use { cluster ->
+            cluster.elect(0)
+            val keepers = listOf("a", "b").map { cluster.entryVm(it, "suva") }
+            val stored = cluster.entryVm("c", "lautoka", stateStoreIn(directory))
+            val client = operatorClientOf(cluster.client("operator"))
+            // A VM that knows the registry holds a lease, and a command is in effect only when it has applied it.
+            withTimeout(10_000) {
+                (keepers + stored).forEach { keeper -> keeper.state.first { it.entryVms.size == 3 } }
+            }
+            val first = client.call(submit("one", 1, "suva"), 10_000)
+            expectThat(first).isA<CommandAccepted>().get { isInEffect }.isTrue()
+            expectThat((keepers + stored).map { it.state.value.configuration.revision }.distinct())
+                .isEqualTo(listOf(Revision(2)))
+            cluster.elect(1)
+            // A resend after an election is recognised by the new leader.
+            expectThat(client.call(submit("one", 1, "suva"), 10_000)).isEqualTo(first)
+            expectThat(client.call(submit("two", 2, "lautoka"), 10_000)).isA<CommandAccepted>()
+                .get { isInEffect }.isTrue()
+            withTimeout(15_000) { keepers[0].state.first { it.pools.size == 2 } }
+            expectThat(stateStoreIn(directory).load().getOrNull()?.configuration?.revision).isEqualTo(Revision(3))
+        }
+    }
+
+    /** Guards against a shutdown that the VM is never asked for, or that leaves the VM registered. */
+    @Test
+    fun `a requested shutdown is reported and the lease released`(): Unit = runBlocking {
+        ControlCluster(1).use { cluster ->
+            cluster.elect(0)
+            val keeper = cluster.entryVm("a", "suva")
+            val client = operatorClientOf(cluster.client("operator"))
+            withTimeout(10_000) { keeper.state.first { it.entryVms.size == 1 } }
+            expectThat(client.call(ShutDownVm(ADMIN, ADMIN_KEY, VmId("a")), 5_000)).isEqualTo(CallDone)
+            withTimeout(10_000) { keeper.shutdownRequested.first { it } }
+            keeper.reportShutdown(emptyList())
+            expectThat(keeper.release(5_000)).isTrue()
+            expectThat(cluster.voters[0].machine.state.value.shared.entryVms.size).isEqualTo(0)
+        }
+    }
+
+    /** Guards against a claim being taken for granted although its commit is not known. */
+    @Test
+    fun `a claim is undecided until a leader confirms it`(): Unit = runBlocking {
+        ControlCluster(2).use { cluster ->
+            cluster.elect(0)
+            val client = controlClientOf(cluster.client("entry"))
+            val key = ClaimKey(ClientAccountId("acme"), IdempotencyKey("k"))
+            val call =
+                RecordClaim(key, Fingerprint("f"), VmId("a"), TicketId("t"))
+            cluster.voters[0].losesAnswers = true
+            expectThat(client.claim(call, 500)).isEqualTo(ClaimUndecided)
+            cluster.elect(1)
+            expectThat(client.claim(call, 5_000)).isEqualTo(Claimed)
+        }
+    }
+}
