--- a/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
+++ b/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
@@ -11,6 +11,8 @@
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
+import fulmarshunt.operator.OperatorPort
+import fulmarshunt.operator.operatorClient
 import fulmarshunt.operator.sha256Hex
 import fulmarshunt.platform.ControlThread
 import fulmarshunt.platform.startControlThread
@@ -44,6 +46,8 @@
 
     fun client(name: String): LeaderCalls = leaderCallsOf(links(name, LinkHandlers()), addresses)
 
+    fun operator(): OperatorPort = operatorClient(links("operator", LinkHandlers()), addresses, monotonicClock())
+
     /** Starts an entry VM that keeps its state in [store]. */
     fun entryVm(name: String, domain: String, store: StateStore? = null): LeaseKeeper {
         val handlers = LazyHandlers()
--- a/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
@@ -23,7 +23,6 @@
 import fulmarshunt.operator.PutFailureDomain
 import fulmarshunt.operator.ShutDownVm
 import fulmarshunt.operator.SubmitCommand
-import fulmarshunt.operator.operatorClientOf
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -55,19 +54,19 @@
             cluster.elect(0)
             val keepers = listOf("a", "b").map { cluster.entryVm(it, "suva") }
             val stored = cluster.entryVm("c", "lautoka", stateStoreIn(directory))
-            val client = operatorClientOf(cluster.client("operator"))
+            val client = cluster.operator()
             // A VM that knows the registry holds a lease, and a command is in effect only when it has applied it.
             withTimeout(10_000) {
                 (keepers + stored).forEach { keeper -> keeper.state.first { it.entryVms.size == 3 } }
             }
-            val first = client.call(submit("one", 1, "suva"), 10_000)
+            val first = client(submit("one", 1, "suva")).getOrNull()
             expectThat(first).isA<CommandAccepted>().get { isInEffect }.isTrue()
             expectThat((keepers + stored).map { it.state.value.configuration.revision }.distinct())
                 .isEqualTo(listOf(Revision(2)))
             cluster.elect(1)
             // A resend after an election is recognised by the new leader.
-            expectThat(client.call(submit("one", 1, "suva"), 10_000)).isEqualTo(first)
-            expectThat(client.call(submit("two", 2, "lautoka"), 10_000)).isA<CommandAccepted>()
+            expectThat(client(submit("one", 1, "suva")).getOrNull()).isEqualTo(first)
+            expectThat(client(submit("two", 2, "lautoka")).getOrNull()).isA<CommandAccepted>()
                 .get { isInEffect }.isTrue()
             withTimeout(15_000) { keepers[0].state.first { it.pools.size == 2 } }
             expectThat(stateStoreIn(directory).load().getOrNull()?.configuration?.revision).isEqualTo(Revision(3))
@@ -80,9 +79,9 @@
         ControlCluster(1).use { cluster ->
             cluster.elect(0)
             val keeper = cluster.entryVm("a", "suva")
-            val client = operatorClientOf(cluster.client("operator"))
+            val client = cluster.operator()
             withTimeout(10_000) { keeper.state.first { it.entryVms.size == 1 } }
-            expectThat(client.call(ShutDownVm(ADMIN, ADMIN_KEY, VmId("a")), 5_000)).isEqualTo(CallDone)
+            expectThat(client(ShutDownVm(ADMIN, ADMIN_KEY, VmId("a"))).getOrNull()).isEqualTo(CallDone)
             withTimeout(10_000) { keeper.shutdownRequested.first { it } }
             keeper.reportShutdown(emptyList())
             expectThat(keeper.release(5_000)).isTrue()
