Add the control program

The control services ran only over a log in memory in tests.

The program opens the replicated log, answers the lease, claim and operator channels and serves /livez, /readyz and /metrics. Settings: [vm] needs no failure_domain on control VMs, [link] has advertise, and [operator] names the first operator. A command is at most 768 KiB and an entry 64 grouped commands, because the log takes entries of 1 MiB.

Before: no program.

--- a/src/main/kotlin/fulmarshunt/operator/ApiKeys.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ApiKeys.kt
@@ -25,10 +25,11 @@
 }
 
 /** Returns the hexadecimal SHA-256 of [key]. */
-public fun keySha256(key: Secret): String = MessageDigest
-    .getInstance("SHA-256")
-    .digest(key.value.encodeToByteArray())
-    .joinToString("") { "%02x".format(it) }
+public fun keySha256(key: Secret): String = sha256Hex(key.value.encodeToByteArray())
+
+/** Returns the hexadecimal SHA-256 of [bytes]. */
+internal fun sha256Hex(bytes: ByteArray): String =
+    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
 
 /** True if [text] is a hexadecimal SHA-256 in lower case. */
 public fun isKeySha256(text: String): Boolean =
--- a/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
@@ -15,7 +15,6 @@
 
 private const val MAX_ID_CHARS = 128
 private const val MAX_SHARDS = 64
-private val sha256Pattern = Regex("[0-9a-f]{64}")
 private val idPattern = Regex("[^\\s\\p{Cntrl}]+")
 private val methodPattern = Regex("\\*|[A-Z]+")
 
@@ -99,7 +98,7 @@
 }
 
 private fun hashProblem(field: String, sha256: String): String? =
-    if (sha256Pattern.matches(sha256)) null else "$field: must be 64 hexadecimal digits in lower case"
+    if (isKeySha256(sha256)) null else "$field: must be 64 hexadecimal digits in lower case"
 
 private fun positive(field: String, value: Double): String? =
     if (value > 0 && value.isFinite()) null else "$field: must be greater than 0"
--- a/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
@@ -9,6 +9,7 @@
 import fulmarshunt.entry.LeaseService
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linkCbor
+import fulmarshunt.platform.Secret
 import fulmarshunt.voter.ApplyAction
 import fulmarshunt.voter.ApplyCommand
 import fulmarshunt.voter.CommandReply
@@ -16,7 +17,6 @@
 import fulmarshunt.voter.LogAccess
 import fulmarshunt.voter.LogProposer
 import fulmarshunt.voter.ProposeFailure
-import java.security.MessageDigest
 
 /** How long the confirmation of leadership may take. */
 private const val CONFIRM_TIMEOUT_MS = 1_000L
@@ -30,8 +30,8 @@
 /** The greatest number of audit records in one reply, which must fit into a link frame. */
 private const val MAX_AUDIT_RECORDS = 100
 
-/** The greatest encoded command, so that it fits into a log entry and a push. */
-private const val MAX_COMMAND_BYTES = 2 * 1_024 * 1_024
+/** The greatest encoded command; a log entry takes 1 MiB. */
+private const val MAX_COMMAND_BYTES = 768 * 1_024
 
 /** Answers operators' calls. */
 public class OperatorService internal constructor(
@@ -46,7 +46,7 @@
 
     internal suspend fun answer(call: OperatorCall): OperatorReply {
         if (!log.leadership.value.isLeader || !log.confirmLeadership(CONFIRM_TIMEOUT_MS)) return notLeader()
-        val keySha256 = sha256Hex(call.key.encodeToByteArray())
+        val keySha256 = keySha256(Secret(call.key))
         if (call is SubmitCommand) return submit(call, keySha256)
         val state = machine.state.value
         state.shared.configuration.authenticated(call.operator, keySha256).onLeft { return CallRefused(it) }
@@ -139,7 +139,3 @@
     private fun notLeader(): OperatorReply =
         OperatorNotLeader(log.leadership.value.let { if (it.isLeader) null else it.leader })
 }
-
-/** Returns the SHA-256 of [bytes] in hexadecimal digits. */
-public fun sha256Hex(bytes: ByteArray): String =
-    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
--- a/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
@@ -4,10 +4,14 @@
  */
 package fulmarshunt.platform
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.FailureDomainId
 import fulmarshunt.OperatorId
 import fulmarshunt.VmId
+import fulmarshunt.operator.isKeySha256
 import fulmarshunt.parseAddress
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -23,9 +27,22 @@
     public val dataDirectory: String? = null,
 )
 
+/** The VM that a control process runs on. */
+@Serializable
+public data class ControlVmSettings(
+    public val id: VmId,
+    @SerialName("failure_domain")
+    public val failureDomain: FailureDomainId? = null,
+)
+
 /** Links between our processes. */
 @Serializable
-public data class LinkSettings(public val listen: String, public val secret: Secret)
+public data class LinkSettings(
+    public val listen: String,
+    public val secret: Secret,
+    /** Where other processes reach this one, when that differs from [listen]. */
+    public val advertise: String? = null,
+)
 
 /** Links of a program that does not listen. */
 @Serializable
@@ -47,6 +64,15 @@
     public val members: List<VoterMember> = emptyList(),
 )
 
+/** The first operator of a new deployment, who has every permission; ignored once there is an operator. */
+@Serializable
+public data class FirstOperatorSettings(
+    @SerialName("bootstrap_operator")
+    public val id: OperatorId? = null,
+    @SerialName("bootstrap_operator_key_sha256")
+    public val keySha256: String? = null,
+)
+
 /** Where the control VMs are reached. */
 @Serializable
 public data class ControlAddresses(public val addresses: List<String>)
@@ -73,13 +99,21 @@
 /** The settings of `control`. */
 @Serializable
 public data class ControlSettings(
-    public val vm: VmSettings,
+    public val vm: ControlVmSettings,
     public val link: LinkSettings,
     public val data: DataSettings,
     public val voters: VotersSettings = VotersSettings(),
     public val platform: ListenSettings,
+    public val operator: FirstOperatorSettings = FirstOperatorSettings(),
 )
 
+/** Returns the address at which other processes reach this one; call it on checked settings only. */
+public fun ControlSettings.reachableAddress(): Address {
+    val member = voters.members.firstOrNull { it.vm == vm.id }?.address
+    val text = member ?: link.advertise ?: link.listen
+    return checkNotNull(parseAddress(text).getOrNull()) { "unchecked address $text" }
+}
+
 /** The settings of `orders` and `questionnaire`. */
 @Serializable
 public data class OperatorSettings(
@@ -111,8 +145,8 @@
 public val controlSettingsCheck: SettingsCheck<ControlSettings> =
     checkAll(
         { notBlank("vm.id", it.vm.id.value) },
-        { notBlank("vm.failure_domain", it.vm.failureDomain.value) },
         { listenAddress("link.listen", it.link.listen) },
+        { settings -> settings.link.advertise?.let { peerAddress("link.advertise", it) } ?: Unit.right() },
         { strongSecret("link.secret", it.link.secret) },
         { notBlank("data.directory", it.data.directory) },
         { settings ->
@@ -121,9 +155,33 @@
         { settings ->
             each("voters.members", settings.voters.members) { field, m -> peerAddress("$field.address", m.address) }
         },
+        { bootstrapMember(it) },
         { listenAddress("platform.listen", it.platform.listen) },
+        { firstOperator(it.operator) },
     )
 
+private fun bootstrapMember(settings: ControlSettings): Either<SettingsProblem, Unit> {
+    val isListed = settings.voters.members.any { it.vm == settings.vm.id }
+    return if (settings.voters.bootstrap && !isListed) {
+        SettingsProblem("voters.members: does not list this VM \"${settings.vm.id}\": add it or unset bootstrap").left()
+    } else {
+        Unit.right()
+    }
+}
+
+private fun firstOperator(settings: FirstOperatorSettings): Either<SettingsProblem, Unit> {
+    val id = settings.id
+    val hash = settings.keySha256
+    val field = "operator.bootstrap_operator"
+    return when {
+        id == null && hash == null -> Unit.right()
+        id == null || id.value.isBlank() -> SettingsProblem("$field: is empty: give the operator's id").left()
+        hash == null || !isKeySha256(hash) ->
+            SettingsProblem("${field}_key_sha256: is no SHA-256: give 64 hexadecimal digits in lower case").left()
+        else -> Unit.right()
+    }
+}
+
 /** Checks the values of [OperatorSettings]. */
 public val operatorSettingsCheck: SettingsCheck<OperatorSettings> =
     checkAll(
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/program/Control.kt
@@ -0,0 +1,137 @@
+/*
+ * The program of a control VM: a voter of the replicated state that grants leases while it leads.
+ */
+package fulmarshunt.program
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import fulmarshunt.Address
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.parseAddress
+import fulmarshunt.platform.ControlSettings
+import fulmarshunt.platform.ExitCode
+import fulmarshunt.platform.FirstOperatorSettings
+import fulmarshunt.platform.ProgramEnd
+import fulmarshunt.platform.controlSettingsCheck
+import fulmarshunt.platform.http.PlatformServer
+import fulmarshunt.platform.http.startPlatformServer
+import fulmarshunt.platform.processMain
+import fulmarshunt.platform.processMetrics
+import fulmarshunt.platform.reachableAddress
+import fulmarshunt.platform.readSettings
+import fulmarshunt.platform.serveUntilTerminated
+import fulmarshunt.platform.startControlThread
+import fulmarshunt.voter.AddFirstOperator
+import fulmarshunt.voter.ReplicatedLog
+import fulmarshunt.voter.VoterSettings
+import fulmarshunt.voter.access
+import fulmarshunt.voter.bindMetrics
+import fulmarshunt.voter.controlMachineOf
+import fulmarshunt.voter.controlServiceOf
+import fulmarshunt.voter.openReplicatedLog
+import fulmarshunt.wallClock
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.filterNotNull
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** How long a shutdown may take; it waits only for the disk. */
+private const val SHUTDOWN_LIMIT_MS = 5_000L
+
+/** Starts the program. */
+public fun main(args: Array<String>): Unit = processMain("control", args) { path ->
+    val settings =
+        readSettings(path, ControlSettings.serializer(), controlSettingsCheck)
+            .getOrElse { return@processMain ProgramEnd(ExitCode.USAGE, it.message) }
+    startControl(settings).fold({ it }) { it.serve() }
+}
+
+/** The parts of a running control process that are closed in order. */
+private class ControlProcess(
+    private val log: ReplicatedLog,
+    private val links: Links,
+    private val platform: PlatformServer,
+) {
+    private val logger = LogManager.getLogger("fulmarshunt.program.Control")
+    private val isStopping = AtomicBoolean()
+
+    suspend fun serve(): ProgramEnd = coroutineScope {
+        launch {
+            val failure = log.failure.filterNotNull().first()
+            if (!isStopping.get()) halt(failure)
+        }
+        serveUntilTerminated(SHUTDOWN_LIMIT_MS) {
+            isStopping.set(true)
+            platform.close()
+            log.close()
+            links.close()
+        }
+        ProgramEnd(ExitCode.DONE)
+    }
+
+    /** Ends the process without the graceful shutdown, which would report success. */
+    private fun halt(failure: String) {
+        logger.fatal("The replicated log has stopped: {}", failure)
+        LogManager.shutdown()
+        Runtime.getRuntime().halt(ExitCode.BROKEN_INVARIANT.number)
+    }
+}
+
+private suspend fun startControl(settings: ControlSettings): Either<ProgramEnd, ControlProcess> = either {
+    val directory = Path.of(settings.data.directory)
+    createDirectory(directory).onLeft { raise(ProgramEnd(ExitCode.USAGE, "data.directory: $it")) }
+    val control = startControlThread()
+    val clock = monotonicClock()
+    val machine = controlMachineOf()
+    val voter =
+        VoterSettings(
+            settings.vm.id,
+            settings.reachableAddress(),
+            directory,
+            settings.voters.bootstrap,
+            settings.voters.members.associate { it.vm to checked(it.address) },
+        )
+    val log =
+        openReplicatedLog(voter, machine.asReplicated, control, clock)
+            .getOrElse { raise(ProgramEnd(ExitCode.BROKEN_INVARIANT, it)) }
+    val service =
+        controlServiceOf(control, machine, log.access(), firstOperator(settings.operator), clock, wallClock())
+    val handlers = service.handlers(log.handlers(LinkHandlers()))
+    val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
+    links.listen(checked(settings.link.listen)).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.listen: $it")) }
+    val metrics = processMetrics()
+    bindMetrics(metrics, machine, log.leadership)
+    val platform =
+        startPlatformServer(checked(settings.platform.listen), metrics) {
+            if (log.leadership.value.leader == null) "no leader is known" else null
+        }.getOrElse { raise(ProgramEnd(ExitCode.USAGE, "platform.listen: $it")) }
+    log.start(links)
+    service.start()
+    ControlProcess(log, links, platform)
+}
+
+private fun firstOperator(settings: FirstOperatorSettings): AddFirstOperator? {
+    val id = settings.id ?: return null
+    return AddFirstOperator(id, settings.keySha256 ?: return null)
+}
+
+private fun createDirectory(directory: Path): Either<String, Unit> = try {
+    Files.createDirectories(directory)
+    Unit.right()
+} catch (e: IOException) {
+    "$directory cannot be created (${e::class.simpleName}): give the path of a writable directory".left()
+}
+
+private fun checked(address: String): Address =
+    checkNotNull(parseAddress(address).getOrNull()) { "unchecked address $address" }
--- a/src/main/kotlin/fulmarshunt/voter/LogAccess.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LogAccess.kt
@@ -20,3 +20,14 @@
     public val removeVoter: suspend (VoterId, Long) -> Either<String, Unit>,
     public val status: suspend () -> List<VoterStatus>,
 )
+
+/** Returns the operations of this log. */
+public fun ReplicatedLog.access(): LogAccess = LogAccess(
+    propose = ::propose,
+    confirmLeadership = ::confirmLeadership,
+    holdsQuorum = ::holdsQuorum,
+    leadership = leadership,
+    addVoter = ::addVoter,
+    removeVoter = ::removeVoter,
+    status = ::status,
+)
--- a/src/main/kotlin/fulmarshunt/voter/LogProposer.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LogProposer.kt
@@ -13,8 +13,11 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 
-/** Bounds a log entry: a command with a recorded answer takes up to 9 KiB. */
-private const val MAX_COMMANDS_PER_ENTRY = 128
+/** Bounds the commands of a log entry: one with a recorded answer takes up to 9 KiB. */
+private const val MAX_COMMANDS_PER_ENTRY = 64
+
+/** The greatest encoded entry, below what the replicated log takes. */
+private const val MAX_ENTRY_BYTES = 1_000 * 1_024
 
 /** Bounds the commands that wait for the next entry. */
 private const val MAX_WAITING_COMMANDS = 4_096
@@ -60,10 +63,15 @@
         group.forEachIndexed { position, waiting -> waiting.result.complete(replies.map { it[position] }) }
     }
 
-    private suspend fun proposeAll(commands: List<LogCommand>): Either<ProposeFailure, List<LogReply>> =
-        log.propose(encodeCommands(commands), PROPOSE_TIMEOUT_MS).flatMap { bytes ->
+    private suspend fun proposeAll(commands: List<LogCommand>): Either<ProposeFailure, List<LogReply>> {
+        val entry = encodeCommands(commands)
+        if (entry.size > MAX_ENTRY_BYTES) {
+            return ProposeFailure.Undecided("${commands.size} commands take ${entry.size} bytes").left()
+        }
+        return log.propose(entry, PROPOSE_TIMEOUT_MS).flatMap { bytes ->
             val replies = decodeReplies(bytes)
             check(replies.size == commands.size) { "${commands.size} commands have ${replies.size} replies" }
             replies.right()
         }
+    }
 }
