--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
@@ -0,0 +1,151 @@
+/*
+ * The data directory of a voter under torn writes, flipped bits, failed syncs and interrupted replacements.
+ */
+package fulmarshunt.voter
+
+import arrow.core.Either
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import fulmarshunt.VmId
+import fulmarshunt.VoterId
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+import kotlin.experimental.xor
+
+class VoterFilesTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private val hard = HardState(Term(2), VoterId("b#1"))
+    private val wal get() = directory.resolve("wal")
+
+    private fun open(vm: String = "a", sync: Sync = {}): Either<String, OpenStorage> =
+        openVoterFiles(directory, VmId(vm), { VoterId("$vm#1") }, sync)
+
+    private fun <T> use(sync: Sync = {}, block: (OpenStorage) -> T): T {
+        val files = open(sync = sync).fold({ error(it) }, { it })
+        return try {
+            block(files)
+        } finally {
+            files.storage.close()
+        }
+    }
+
+    /** Fills the directory with three records of two entries and returns the size of the file before each. */
+    private fun fill(): List<Long> = use { files ->
+        files.storage.replace(StoreSnapshot(hard, threeVoters, LogPosition.START, emptyList()))
+        (0L..2L).map { n ->
+            Files.size(wal).also { files.storage.append(hard, listOf(command(2 * n + 1, 2), command(2 * n + 2, 2))) }
+        }
+    }
+
+    /** Guards against a voter that does not start, or that keeps half a record, after an interrupted write. */
+    @Test
+    fun `a torn last record is cut at every length`() {
+        val last = fill().last()
+        val bytes = Files.readAllBytes(wal)
+        for (length in last until bytes.size) {
+            Files.write(wal, bytes.copyOf(length.toInt()))
+            val stored = use { it.storage.append(hard, listOf(command(5, 2))).run { it.stored } }
+            expectThat(stored.log.last.index).isEqualTo(LogIndex(4))
+            expectThat(stored.hard).isEqualTo(hard)
+            expectThat(use { it.stored.log.last.index }).isEqualTo(LogIndex(5))
+        }
+    }
+
+    /** Guards against a record whose length reached the disk without its content being taken for corruption. */
+    @Test
+    fun `a last record that was never written is cut`() {
+        val last = fill().last().toInt()
+        val bytes = Files.readAllBytes(wal)
+        Files.write(wal, bytes.copyOf(last) + ByteArray(bytes.size - last))
+        expectThat(use { it.stored.log.last.index }).isEqualTo(LogIndex(4))
+    }
+
+    /** Guards against entries that were acknowledged and then dropped, or changed, because a bit flipped. */
+    @Test
+    fun `a flipped bit is refused in one line`() {
+        val last = fill().last().toInt()
+        val bytes = Files.readAllBytes(wal)
+        for (position in bytes.indices) {
+            val damaged = bytes.copyOf().also { it[position] = it[position] xor 0x10 }
+            Files.write(wal, damaged)
+            val problem = open().onRight { it.storage.close() }.leftOrNull()
+            expectThat(problem).describedAs("bit flipped at byte $position of $last").isNotNull().contains("corrupt")
+            expectThat(problem!!.lines().size).isEqualTo(1)
+        }
+    }
+
+    /** Guards against a voter that restarts under its old id without the votes or entries of that id. */
+    @Test
+    fun `a missing file is refused`() {
+        fill()
+        for (name in listOf("wal", "snapshot", "identity")) {
+            val path = directory.resolve(name)
+            val bytes = Files.readAllBytes(path)
+            Files.delete(path)
+            expectThat(open().leftOrNull()).isNotNull().contains("missing")
+            Files.write(path, bytes)
+        }
+        expectThat(open("z").leftOrNull()).isNotNull().contains("belongs to VM a")
+    }
+
+    /** Guards against two processes that write to one directory. */
+    @Test
+    fun `a directory in use is refused`() {
+        use { expectThat(open().leftOrNull()).isNotNull().contains("another process") }
+    }
+
+    /** Guards against a state that is neither the old nor the new one when the replacement of a snapshot fails. */
+    @Test
+    fun `a snapshot that fails at any sync leaves a consistent directory`() {
+        val position = LogPosition(LogIndex(3), Term(2))
+        val header = SnapshotHeader(threeVoters.header.cluster, position, threeVoters.header.membership, 4)
+        val replacement = StoreSnapshot(hard, Snapshot(header, ByteArray(4) { 7 }), position, listOf(command(4, 2)))
+        for (failing in 1..4) {
+            Files.walk(directory).filter(Files::isRegularFile).forEach(Files::delete)
+            fill()
+            var count = 0
+            val sync: Sync = { if (++count == failing) throw IOException("sync $failing fails") }
+            runCatching { use(sync) { it.storage.replace(replacement) } }
+            use { files ->
+                val stored = files.stored
+                val isNew = stored.snapshot!!.header.position == position
+                val isOld = stored.snapshot.header == threeVoters.header && stored.log.last.index == LogIndex(6)
+                expectThat(isNew || isOld).isTrue()
+                expectThat(stored.log.termAtOrNull(LogIndex(4))).isEqualTo(Term(2))
+                expectThat(stored.hard).isEqualTo(hard)
+            }
+        }
+    }
+
+    /** Guards against entries of a replaced suffix that come back after a restart. */
+    @Test
+    fun `a later entry at the same index replaces the former ones`() {
+        fill()
+        use { it.storage.append(HardState(Term(3)), listOf(command(4, 3))) }
+        val stored = use { it.stored }
+        expectThat(stored.log.last).isEqualTo(LogPosition(LogIndex(4), Term(3)))
+        expectThat(stored.hard).isEqualTo(HardState(Term(3)))
+    }
+
+    /** Guards against a snapshot whose damage goes unnoticed. */
+    @Test
+    fun `a damaged snapshot is refused`() {
+        fill()
+        Files.write(directory.resolve("snapshot"), byteArrayOf(1), StandardOpenOption.APPEND)
+        val bytes = Files.readAllBytes(directory.resolve("snapshot"))
+        bytes[20] = bytes[20] xor 1
+        Files.write(directory.resolve("snapshot"), bytes)
+        expectThat(open().leftOrNull()).isNotNull().contains("snapshot")
+    }
+}
