--- a/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
+++ b/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
@@ -1,32 +1,37 @@
 /*
- * What a pool asks of the process that hosts it. The pool only decides; the host answers requests, cancels generations
- * and reports deaths.
+ * What the owner of a pool wants done as the result of a decision. The caller performs the effects in order; the pool
+ * itself performs no input or output.
  */
 package fulmarshunt.target
 
 import fulmarshunt.Address
 import fulmarshunt.Fingerprint
 import fulmarshunt.Incarnation
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.entry.AdmissionReply
 
-/** An action that a pool has decided on. */
-public sealed interface PoolEffect {
-    /** Answers the waiting request of [ticket]. */
-    public data class Decide(public val ticket: TicketId, public val reply: AdmissionReply) : PoolEffect
+/** Something that the pool wants done. */
+public sealed interface PoolEffect
 
-    /** Cancels a generation that nobody receives. */
-    public data class CancelGeneration(
-        public val target: TargetId,
-        public val address: Address,
-        public val ticket: TicketId,
-    ) : PoolEffect
+/** Answers the admission call for [ticket]; there is exactly one for each admitted ticket. */
+public data class Decide(public val ticket: TicketId, public val reply: AdmissionReply) : PoolEffect
 
-    /** Reports the death of a target and the requests that ran on it. */
-    public data class ReportDeath(
-        public val target: TargetId,
-        public val incarnation: Incarnation,
-        public val running: List<Fingerprint>,
-    ) : PoolEffect
-}
+/** Cancels the generation of [ticket], because nobody receives it any more. */
+public data class CancelGeneration(
+    public val target: TargetId,
+    public val address: Address,
+    public val ticket: TicketId,
+) : PoolEffect
+
+/** Reports that [target] died while the requests in [running] ran on it. */
+public data class ReportDeath(
+    public val target: TargetId,
+    public val incarnation: Incarnation,
+    public val running: List<Fingerprint>,
+) : PoolEffect
+
+/** Orders the engine [target] to load [service] from the weight store. */
+public data class IssueLoad(public val target: TargetId, public val address: Address, public val service: ServiceId) :
+    PoolEffect
