Run the whole data path in the entry program

Cause: the program asked a local table, knew no control and no other entry VM.

Change: the program keeps a lease, hosts the assigned pools, routes requests to pool owners, serves plain services, forwards announcements, reports health and metrics, and shuts down gracefully. Requests are cancelled when their caller closes the connection while nothing is written.

--- a/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
@@ -37,7 +37,8 @@
         var isOurs = true
         try {
             val reply = parts.claims(RecordClaim(claimKey, request.fingerprint(), parts.vm, ticket))
-            isOurs = reply !is AlreadyAnswered && reply !is AlreadyClaimed && reply !is KeyReused
+            isOurs = reply !is AlreadyAnswered && reply !is AlreadyClaimed &&
+                reply !is KeyReused && reply !is ClaimsFull
             return when (reply) {
                 is Claimed -> runOnce(claimKey) { isSent = it }
                 is AlreadyAnswered -> replay(reply.answer)
--- a/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
@@ -131,7 +131,7 @@
     private fun nextAdmission(): AdmissionRequest = admission.copy(
         ticket = TicketId("${request.id}.${++asked}"),
         waitedMs = queuedMs,
-        maxWaitMs = (parts.maxQueueWaitMs - queuedMs).coerceAtLeast(1),
+        maxWaitMs = parts.maxQueueWaitMs,
         excluded = excluded.toList(),
     )
 }
--- a/src/main/kotlin/fulmarshunt/caller/PlainService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlainService.kt
@@ -143,7 +143,7 @@
         maxOutputTokens = 1,
         fingerprint = request.fingerprint(),
         waitedMs = queuedMs,
-        maxWaitMs = (parts.maxQueueWaitMs - queuedMs).coerceAtLeast(1),
+        maxWaitMs = parts.maxQueueWaitMs,
         excluded = excluded.toList(),
     )
 }
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -0,0 +1,38 @@
+/*
+ * The HTTP server for callers. A request is cancelled when its caller closes the connection, also while nothing is
+ * written: Ktor's CIO engine reports it to the request since version 3.4 when the plugin below is installed. Requests
+ * are counted until their answer is written, so that a graceful shutdown can wait for them.
+ */
+package fulmarshunt.caller.http
+
+import fulmarshunt.Address
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.update
+
+/** Returns a server at [address] that counts its open requests in [openRequests]. */
+public fun callerServer(
+    address: Address,
+    openRequests: MutableStateFlow<Int>,
+    routes: Route.() -> Unit,
+): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
+    embeddedServer(CIO, port = address.port, host = address.host) {
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        intercept(ApplicationCallPipeline.Setup) {
+            openRequests.update { it + 1 }
+            try {
+                proceed()
+            } finally {
+                openRequests.update { it - 1 }
+            }
+        }
+        routing { routes() }
+    }
--- a/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
@@ -1,6 +1,6 @@
 /*
- * The interface to plain services: forwards method, path, query, headers and body, and streams the answer back. The path
- * is decoded and encoded again, so that the path that rules are compared with is the path that is sent.
+ * The interface to plain services: forwards method, path, query, headers and body, and streams the answer back. The
+ * path is decoded and encoded again, so that the path that rules are compared with is the path that is sent.
  */
 package fulmarshunt.caller.http
 
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
@@ -37,7 +37,7 @@
     public val fingerprint: Fingerprint,
     /** How long the request has waited already, in other queues or before a takeover. */
     public val waitedMs: Long = 0,
-    /** How long the caller lets the request wait in this queue. */
+    /** How long the request may wait altogether, including [waitedMs]. */
     public val maxWaitMs: Long,
     /** Targets that failed this request before. */
     public val excluded: List<TargetId> = emptyList(),
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
@@ -84,7 +84,7 @@
             val candidates = if (isPatient) order.sortedBy { expectedWaitMs(it) }.take(1) + order else order
             for (pool in candidates.distinct()) {
                 val waitedMs = clock.nowMs() - startMs
-                val remainingMs = request.maxWaitMs - waitedMs
+                val remainingMs = request.maxWaitMs - request.waitedMs - waitedMs
                 if (remainingMs <= 0) return last.left()
                 val isSpilling = !isPatient && order.size > 1
                 // Each question has a ticket of its own, so that a late withdrawal cannot hit the next question.
@@ -92,7 +92,8 @@
                     request.copy(
                         ticket = TicketId("${request.ticket}.${++asked}"),
                         waitedMs = request.waitedMs + waitedMs,
-                        maxWaitMs = if (isSpilling) minOf(SPILL_WAIT_MS, remainingMs) else remainingMs,
+                        maxWaitMs = request.waitedMs + waitedMs +
+                            if (isSpilling) minOf(SPILL_WAIT_MS, remainingMs) else remainingMs,
                     )
                 when (val outcome = ask(snapshot, pool, attempt)) {
                     is Asked.NoOwner, is Asked.OwnerLost ->
@@ -194,7 +195,7 @@
         val call = Admit(pool, request)
         val reply =
             try {
-                send(call, request.maxWaitMs + REPLY_MARGIN_MS)
+                send(call, request.maxWaitMs - request.waitedMs + REPLY_MARGIN_MS)
             } catch (e: CancellationException) {
                 report(Withdraw(pool, request.ticket))
                 throw e
--- a/src/main/kotlin/fulmarshunt/entry/HostedPool.kt
+++ b/src/main/kotlin/fulmarshunt/entry/HostedPool.kt
@@ -8,7 +8,9 @@
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.operator.Configuration
+import fulmarshunt.target.Pool
 import fulmarshunt.target.PoolEffect
+import fulmarshunt.target.PoolView
 import fulmarshunt.target.TargetAnnouncement
 
 /** The operations of a pool; the last argument of each is the time. */
@@ -23,6 +25,24 @@
     public val configure: (Configuration, Long) -> List<PoolEffect>,
     public val tick: (Long) -> List<PoolEffect>,
     public val nextTickMs: () -> Long?,
+    public val view: () -> PoolView,
+)
+
+/** Returns the operations of [pool]. */
+public fun hostedPoolOf(pool: Pool): HostedPool = HostedPool(
+    announce = pool::announce,
+    admit = pool::admit,
+    withdraw = pool::withdraw,
+    progress = { report, nowMs ->
+        pool.progress(report.ticket, report.tokens, report.firstTokenMs, report.betweenTokensMs, nowMs)
+    },
+    end = pool::end,
+    reregister = pool::reregister,
+    vmLost = pool::vmLost,
+    configure = pool::configure,
+    tick = pool::tick,
+    nextTickMs = pool::nextTickMs,
+    view = pool::view,
 )
 
 /** Creates the decisions of a pool that admits nothing before the given time. */
--- a/src/main/kotlin/fulmarshunt/entry/LeaseKeeper.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseKeeper.kt
@@ -67,6 +67,9 @@
     /** Returns whether this VM holds a lease at [nowMs] of its monotonic clock. */
     public fun hasLease(nowMs: Long): Boolean = nowMs < leaseUntilMs
 
+    /** When the lease runs out unless it is renewed, by the monotonic clock. */
+    public val leaseEndsMs: Long get() = leaseUntilMs
+
     /** Returns [base] with the handler of [stateChannel]. */
     public fun handlers(base: LinkHandlers): LinkHandlers = base.with(stateChannel) { _, push -> receive(push) }
 
--- a/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -14,7 +14,12 @@
 import fulmarshunt.VmId
 import fulmarshunt.platform.ControlThread
 import fulmarshunt.platform.retrying
+import fulmarshunt.target.CancelGeneration
+import fulmarshunt.target.Decide
+import fulmarshunt.target.IssueLoad
 import fulmarshunt.target.PoolEffect
+import fulmarshunt.target.PoolView
+import fulmarshunt.target.ReportDeath
 import fulmarshunt.target.TargetAnnouncement
 import fulmarshunt.target.TargetKind
 import kotlinx.coroutines.CompletableDeferred
@@ -100,6 +105,9 @@
     /** The pools that this VM hosts. */
     public fun hostedPools(): Set<PoolId> = hosted.keys.toSet()
 
+    /** Returns a picture of each hosted pool. */
+    public fun views(): List<PoolView> = hosted.values.map { it.pool.view() }
+
     /** Answers a call of an entry VM; a request for admission is answered when it leaves the queue. */
     public suspend fun handle(call: AdmissionCall): AdmissionReply {
         if (call !is Admit) return control.run { report(call) }
@@ -186,15 +194,17 @@
     private fun carryOut(entry: Hosted, effects: List<PoolEffect>) {
         for (effect in effects) {
             when (effect) {
-                is PoolEffect.Decide -> decide(entry, effect)
-                is PoolEffect.CancelGeneration -> cancelWithRetry(effect.address, effect.ticket)
-                is PoolEffect.ReportDeath -> reportDeath(entry, effect)
+                is Decide -> decide(entry, effect)
+                is CancelGeneration -> cancelWithRetry(effect.address, effect.ticket)
+                is ReportDeath -> reportDeath(entry, effect)
+                // Load commands are not sent yet: engines announce what they have loaded.
+                is IssueLoad -> Unit
             }
         }
         schedule(entry)
     }
 
-    private fun decide(entry: Hosted, effect: PoolEffect.Decide) {
+    private fun decide(entry: Hosted, effect: Decide) {
         val nowMs = clock.nowMs()
         val isGrant = effect.reply is Granted
         if (isGrant && (!hasLease(nowMs) || effect.ticket !in entry.waiting)) {
@@ -213,7 +223,7 @@
         traffic.launch { retrying { actions.cancel(address, ticket) } }
     }
 
-    private fun reportDeath(entry: Hosted, effect: PoolEffect.ReportDeath) {
+    private fun reportDeath(entry: Hosted, effect: ReportDeath) {
         val report = ReportTargetDeath(entry.id, entry.fence, effect.target, effect.incarnation, effect.running)
         traffic.launch { retrying { actions.reportDeath(report) } }
     }
--- a/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
@@ -13,9 +13,13 @@
 import fulmarshunt.VmId
 import fulmarshunt.operator.isKeySha256
 import fulmarshunt.parseAddress
+import fulmarshunt.target.poolPolicies
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
+private const val MAX_DRAIN_DELAY_MS = 60_000L
+private const val MAX_FINISH_LIMIT_MS = 24L * 60 * 60 * 1_000
+
 /** The VM that a process runs on. */
 @Serializable
 public data class VmSettings(
@@ -94,6 +98,29 @@
     public val callers: ListenSettings,
     public val targets: ListenSettings,
     public val platform: ListenSettings,
+    public val policies: PolicySettings = PolicySettings(),
+    public val shutdown: ShutdownSettings = ShutdownSettings(),
+)
+
+/** The names of the policies of the pools that this VM owns. */
+@Serializable
+public data class PolicySettings(
+    public val queue: String = "fair",
+    public val routing: String = "expected-memory",
+    public val admission: String = "expected-memory",
+    @SerialName("slow_start")
+    public val slowStart: String = "on",
+)
+
+/** The times of a graceful shutdown. */
+@Serializable
+public data class ShutdownSettings(
+    /** How long new requests are still taken after readiness fails, so that load balancers notice. */
+    @SerialName("drain_delay_ms")
+    public val drainDelayMs: Long = 2_000,
+    /** How long running requests may take to finish. */
+    @SerialName("finish_limit_ms")
+    public val finishLimitMs: Long = 600_000,
 )
 
 /** The settings of `control`. */
@@ -114,6 +141,12 @@
     return checkNotNull(parseAddress(text).getOrNull()) { "unchecked address $text" }
 }
 
+/** Returns the address at which other processes reach this one; call it on checked settings only. */
+public fun EntrySettings.reachableAddress(): Address {
+    val text = link.advertise ?: link.listen
+    return checkNotNull(parseAddress(text).getOrNull()) { "unchecked address $text" }
+}
+
 /** The settings of `orders` and `questionnaire`. */
 @Serializable
 public data class OperatorSettings(
@@ -133,12 +166,19 @@
         { notBlank("vm.id", it.vm.id.value) },
         { notBlank("vm.failure_domain", it.vm.failureDomain.value) },
         { listenAddress("link.listen", it.link.listen) },
+        { settings -> settings.link.advertise?.let { peerAddress("link.advertise", it) } ?: Unit.right() },
         { strongSecret("link.secret", it.link.secret) },
         { notEmpty("control.addresses", it.control.addresses) },
         { each("control.addresses", it.control.addresses, ::peerAddress) },
         { listenAddress("callers.listen", it.callers.listen) },
         { listenAddress("targets.listen", it.targets.listen) },
         { listenAddress("platform.listen", it.platform.listen) },
+        { settings ->
+            settings.policies.run { poolPolicies(queue, routing, admission, slowStart) }
+                .fold({ SettingsProblem("policies: $it").left() }, { Unit.right() })
+        },
+        { inRange("shutdown.drain_delay_ms", it.shutdown.drainDelayMs, 0L..MAX_DRAIN_DELAY_MS) },
+        { inRange("shutdown.finish_limit_ms", it.shutdown.finishLimitMs, 0L..MAX_FINISH_LIMIT_MS) },
     )
 
 /** Checks the values of [ControlSettings]. */
--- a/src/main/kotlin/fulmarshunt/program/Entry.kt
+++ b/src/main/kotlin/fulmarshunt/program/Entry.kt
@@ -1,108 +1,27 @@
 /*
- * The program of an entry VM: reads the settings, wires the parts and serves until it is stopped.
+ * The program of an entry VM: serves callers, takes announcements of targets and hosts the pools that control assigns.
  */
 package fulmarshunt.program
 
-import arrow.core.left
-import arrow.core.right
-import fulmarshunt.Address
-import fulmarshunt.ClientAccountId
-import fulmarshunt.PoolId
-import fulmarshunt.VmId
-import fulmarshunt.caller.Admissions
-import fulmarshunt.caller.CallerGate
-import fulmarshunt.caller.GenerationParts
-import fulmarshunt.caller.generationService
-import fulmarshunt.caller.http.chatRoutes
-import fulmarshunt.entry.EntrySettings
-import fulmarshunt.entry.Granted
-import fulmarshunt.entry.Noted
-import fulmarshunt.entry.PlacedGrant
-import fulmarshunt.entry.Rejected
-import fulmarshunt.entry.SharedState
-import fulmarshunt.monotonicClock
-import fulmarshunt.parseAddress
+import arrow.core.getOrElse
+import fulmarshunt.platform.EntrySettings
+import fulmarshunt.platform.ExitCode
+import fulmarshunt.platform.ProgramEnd
+import fulmarshunt.platform.entrySettingsCheck
+import fulmarshunt.platform.processMain
 import fulmarshunt.platform.readSettings
-import fulmarshunt.platform.startControlThread
-import fulmarshunt.target.AnnouncementResult
-import fulmarshunt.target.TargetTable
-import fulmarshunt.target.http.announceRoutes
-import fulmarshunt.target.http.httpEngineClient
-import fulmarshunt.wallClock
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.embeddedServer
-import io.ktor.server.routing.Route
-import io.ktor.server.routing.routing
-import kotlinx.cli.ArgParser
-import kotlinx.cli.ArgType
-import kotlinx.cli.required
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.launch
-import kotlin.io.path.Path
-import kotlin.system.exitProcess
+import fulmarshunt.platform.serveUntilTerminated
 
-private const val EXIT_SETTINGS = 2
+/** What a graceful shutdown may take beyond the configured times. */
+private const val SHUTDOWN_MARGIN_MS = 15_000L
 
-/** Starts an entry VM's process. */
-public fun main(arguments: Array<String>) {
-    val parser = ArgParser("entry")
-    val settingsFile by parser.option(ArgType.String, "settings", description = "TOML settings file").required()
-    parser.parse(arguments)
-    val settings = readSettings(Path(settingsFile), EntrySettings.serializer()).fold({ fail(it.message) }, { it })
-    val callers = addressOf("callers.listen", settings.callers.listen)
-    val targets = addressOf("targets.listen", settings.targets.listen)
-    serveEntry(VmId(settings.vm.id), callers, targets)
-}
-
-private fun serveEntry(vm: VmId, callers: Address, targets: Address) {
-    val clock = monotonicClock()
-    val control = startControlThread()
-    val table = TargetTable()
-    val traffic = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    val generate =
-        generationService(
-            GenerationParts(
-                vm = vm,
-                clock = clock,
-                state = { SharedState() },
-                gate = CallerGate({ null }, {}, { _, _, _ -> null }, { true }, {}),
-                admissions = Admissions(
-                    admit = { request ->
-                        when (val reply = control.run { table.admit(request, clock.nowMs()) }) {
-                            is Granted -> PlacedGrant(PoolId("local/0"), request, reply, clock.nowMs()).right()
-                            is Rejected -> reply.left()
-                            is Noted -> error("a request for admission was answered like a report")
-                        }
-                    },
-                    use = { null },
-                    progress = { _, _, _, _ -> },
-                    end = { grant, _, _ ->
-                        traffic.launch { control.run { table.end(grant.request.ticket, grant.granted.target) } }
-                    },
-                ),
-                engine = httpEngineClient(),
-                traffic = traffic,
-            ),
-        )
-    listen(targets) {
-        announceRoutes {
-            control.run { table.announce(it, clock.nowMs()) }
-            AnnouncementResult.Taken
-        }
-    }
-    val server = listen(callers) { chatRoutes({ key -> ClientAccountId(key) }, generate, wallClock()) }
-    Runtime.getRuntime().addShutdownHook(Thread { server.stop() })
-    Thread.currentThread().join()
-}
-
-private fun listen(address: Address, routes: Route.() -> Unit) =
-    embeddedServer(CIO, port = address.port, host = address.host) { routing { routes() } }.start(wait = false)
-
-private fun addressOf(field: String, text: String): Address = parseAddress(text).fold({ fail("$field: $it") }, { it })
-
-private fun fail(message: String): Nothing {
-    System.err.println("entry: $message")
-    exitProcess(EXIT_SETTINGS)
+/** Starts the program. */
+public fun main(args: Array<String>): Unit = processMain("entry", args) { path ->
+    val settings =
+        readSettings(path, EntrySettings.serializer(), entrySettingsCheck)
+            .getOrElse { return@processMain ProgramEnd(ExitCode.USAGE, it.message) }
+    val process = startEntry(settings).getOrElse { return@processMain ProgramEnd(ExitCode.USAGE, it) }
+    val limitMs = settings.shutdown.drainDelayMs + settings.shutdown.finishLimitMs + SHUTDOWN_MARGIN_MS
+    serveUntilTerminated(limitMs) { process.shutDown() }
+    ProgramEnd(ExitCode.DONE)
 }
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -0,0 +1,288 @@
+/*
+ * The wiring and the graceful shutdown of an entry VM's process.
+ */
+package fulmarshunt.program
+
+import arrow.core.Either
+import arrow.core.raise.either
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.caller.Admissions
+import fulmarshunt.caller.ClaimNotLeader
+import fulmarshunt.caller.ClaimUndecided
+import fulmarshunt.caller.ControlClient
+import fulmarshunt.caller.GenerationParts
+import fulmarshunt.caller.PlainParts
+import fulmarshunt.caller.authenticationBy
+import fulmarshunt.caller.callerGate
+import fulmarshunt.caller.callerMeters
+import fulmarshunt.caller.controlClientOf
+import fulmarshunt.caller.generationService
+import fulmarshunt.caller.http.callerServer
+import fulmarshunt.caller.http.chatRoutes
+import fulmarshunt.caller.http.serviceRoutes
+import fulmarshunt.caller.plainService
+import fulmarshunt.entry.AdmissionRouter
+import fulmarshunt.entry.EntryVm
+import fulmarshunt.entry.LEASE_RENEWAL_MS
+import fulmarshunt.entry.LeaseKeeper
+import fulmarshunt.entry.PoolHost
+import fulmarshunt.entry.PoolHostActions
+import fulmarshunt.entry.admissionChannel
+import fulmarshunt.entry.announcementForwarding
+import fulmarshunt.entry.bindPoolMeters
+import fulmarshunt.entry.hostedPoolOf
+import fulmarshunt.entry.leaseKeeperOf
+import fulmarshunt.entry.stateChannel
+import fulmarshunt.entry.stateStoreIn
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.parseAddress
+import fulmarshunt.platform.ControlThread
+import fulmarshunt.platform.EntrySettings
+import fulmarshunt.platform.PolicySettings
+import fulmarshunt.platform.http.PlatformServer
+import fulmarshunt.platform.http.startPlatformServer
+import fulmarshunt.platform.parsed
+import fulmarshunt.platform.processMetrics
+import fulmarshunt.platform.reachableAddress
+import fulmarshunt.platform.startControlThread
+import fulmarshunt.target.EngineClient
+import fulmarshunt.target.PoolPolicies
+import fulmarshunt.target.PoolView
+import fulmarshunt.target.http.announceRoutes
+import fulmarshunt.target.http.httpEngineClient
+import fulmarshunt.target.http.httpPlainClient
+import fulmarshunt.target.poolOf
+import fulmarshunt.target.poolPolicies
+import fulmarshunt.voter.leaderCallsOf
+import fulmarshunt.wallClock
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.routing.routing
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import java.nio.file.Path
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+/** The greatest time that a claim may take before the call is refused as not run. */
+private const val CLAIM_TIMEOUT_MS = 5_000L
+
+private const val DEATH_REPORT_TIMEOUT_MS = 5_000L
+
+/** How old the figures of pools may be in metrics. */
+private const val POOL_METRICS_PERIOD_MS = 5_000L
+
+/** How long the last reports to pool owners and engines may take during a shutdown. */
+private const val LAST_REPORTS_MS = 3_000L
+
+private const val LEASE_RELEASE_MS = 2_000L
+private const val SERVER_STOP_MS = 200L
+
+/** A running entry process. */
+internal class EntryProcess(
+    private val settings: EntrySettings,
+    private val control: ControlThread,
+    private val clock: Clock,
+    private val traffic: CoroutineScope,
+    private val links: Links,
+    private val keeper: LeaseKeeper,
+    private val host: PoolHost,
+    private val router: AdmissionRouter,
+) {
+    private val log = LogManager.getLogger(EntryProcess::class.java)
+    private val background = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val openRequests = MutableStateFlow(0)
+    private val poolViews = MutableStateFlow(emptyList<PoolView>())
+    private val servers = mutableListOf<EmbeddedServer<*, *>>()
+    private var platform: PlatformServer? = null
+
+    @Volatile
+    private var isLeaving = false
+
+    @Volatile
+    private var isAccepting = true
+
+    suspend fun start(engine: EngineClient, controlClient: ControlClient): Either<String, Unit> = either {
+        val metrics = processMetrics()
+        bindPoolMeters(metrics) { poolViews.value }
+        control.scope.launch { keeper.state.collect { host.apply(it) } }
+        control.scope.launch { watchLease() }
+        control.every(POOL_METRICS_PERIOD_MS) { poolViews.value = host.views() }
+        background.launch { router.followAssignments() }
+        background.launch {
+            keeper.shutdownRequested.first { it }
+            log.info("An operator has asked for a graceful shutdown")
+            // The shutdown hook does the work; this thread waits for it.
+            Thread({ exitProcess(0) }, "operator-shutdown").start()
+        }
+        listen("targets.listen", settings.targets.listen) { address ->
+            embeddedServer(CIO, port = address.port, host = address.host) {
+                routing { announceRoutes(announcementForwarding({ keeper.state.value }, router::announce)) }
+            }
+        }.bind()
+        listenForCallers(engine, controlClient, metrics).bind()
+        platform = startPlatformServer(address(settings.platform.listen), metrics, ::obstacleToReadiness).bind()
+        keeper.start()
+    }
+
+    /** Stops without interrupting a request. */
+    suspend fun shutDown() {
+        isLeaving = true
+        keeper.reportShutdown(control.run { host.release() })
+        delay(settings.shutdown.drainDelayMs)
+        isAccepting = false
+        withTimeoutOrNull(settings.shutdown.finishLimitMs) { openRequests.first { it == 0 } }
+        withTimeoutOrNull(LAST_REPORTS_MS) { traffic.coroutineContext.job.children.forEach { it.join() } }
+        servers.forEach { it.stop(SERVER_STOP_MS, SERVER_STOP_MS) }
+        if (!keeper.release(LEASE_RELEASE_MS)) log.warn("Control did not confirm the release of the lease")
+        background.cancel()
+        platform?.close()
+        links.close()
+    }
+
+    private fun obstacleToReadiness(): String? = when {
+        isLeaving -> "shutting down"
+        !keeper.hasLease(clock.nowMs()) -> "no lease"
+        else -> null
+    }
+
+    private suspend fun watchLease() {
+        while (true) {
+            val leftMs = keeper.leaseEndsMs - clock.nowMs()
+            if (leftMs > 0) {
+                delay(leftMs)
+            } else {
+                host.loseLease()
+                delay(LEASE_RENEWAL_MS)
+            }
+        }
+    }
+
+    private suspend fun listenForCallers(
+        engine: EngineClient,
+        controlClient: ControlClient,
+        metrics: PrometheusMeterRegistry,
+    ): Either<String, Unit> {
+        val state = { keeper.state.value }
+        val gate = callerGate(control, clock, state) { isAccepting }
+        val meters = callerMeters(metrics)
+        val admissions = Admissions(router::admit, router::use, router::progress, router::end)
+        val generate =
+            generationService(
+                GenerationParts(settings.vm.id, clock, state, gate, admissions, engine, traffic, meters),
+            )
+        val serve =
+            plainService(
+                PlainParts(
+                    vm = settings.vm.id,
+                    clock = clock,
+                    state = state,
+                    gate = gate,
+                    admissions = admissions,
+                    send = httpPlainClient(),
+                    claims = { call ->
+                        controlClient.claim(call, CLAIM_TIMEOUT_MS).takeIf {
+                            it !is ClaimNotLeader && it !is ClaimUndecided
+                        }
+                    },
+                    traffic = traffic,
+                    meters = meters,
+                ),
+            )
+        val authenticate = authenticationBy { keeper.state.value.configuration.accounts }
+        return listen("callers.listen", settings.callers.listen) { address ->
+            callerServer(address, openRequests) {
+                chatRoutes(authenticate, generate, wallClock())
+                serviceRoutes(authenticate, serve)
+            }
+        }
+    }
+
+    private suspend fun listen(
+        field: String,
+        text: String,
+        create: (Address) -> EmbeddedServer<*, *>,
+    ): Either<String, Unit> = try {
+        val server = create(address(text))
+        server.startSuspend(wait = false)
+        servers += server
+        Either.Right(Unit)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        Either.Left("$field: cannot listen at $text: ${e.message}")
+    }
+}
+
+/** Starts the parts of an entry VM; returns why it cannot be started otherwise. */
+internal suspend fun startEntry(settings: EntrySettings): Either<String, EntryProcess> = either {
+    val clock = monotonicClock()
+    val control = startControlThread()
+    val traffic = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    val host = CompletableDeferred<PoolHost>()
+    val keeper = CompletableDeferred<LeaseKeeper>()
+    val handlers =
+        LinkHandlers()
+            .with(stateChannel) { _, push -> keeper.await().receive(push) }
+            .with(admissionChannel) { _, call -> host.await().handle(call) }
+    val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
+    links.listen(address(settings.link.listen)).mapLeft { "link.listen: $it" }.bind()
+    val leader = leaderCallsOf(links, settings.control.parsed())
+    val vm = EntryVm(settings.vm.id, settings.reachableAddress(), settings.vm.failureDomain)
+    val store = settings.vm.dataDirectory?.let { stateStoreIn(Path.of(it)) }
+    val leases = leaseKeeperOf(vm, leader, control, clock, store).mapLeft { "vm.data_directory: $it" }.bind()
+    val controlClient = controlClientOf(leader)
+    val engine = httpEngineClient()
+    val pools =
+        PoolHost(
+            vm = vm.id,
+            clock = clock,
+            control = control,
+            traffic = traffic,
+            hasLease = leases::hasLease,
+            createPool = { id, fence, untilMs ->
+                hostedPoolOf(poolOf(id, fence, untilMs, policiesOf(settings.policies), Random.Default))
+            },
+            actions = PoolHostActions(engine.cancel, engine.list) {
+                controlClient.reportDeath(it, DEATH_REPORT_TIMEOUT_MS)
+            },
+        )
+    val router =
+        AdmissionRouter(
+            vm = vm.id,
+            domain = vm.domain,
+            clock = clock,
+            state = leases.state,
+            hasLease = leases::hasLease,
+            callLocal = pools::handle,
+            callOwner = { address, call, timeoutMs -> links.call(address, admissionChannel, call, timeoutMs) },
+            traffic = traffic,
+        )
+    keeper.complete(leases)
+    host.complete(pools)
+    EntryProcess(settings, control, clock, traffic, links, leases, pools, router)
+        .also { it.start(engine, controlClient).bind() }
+}
+
+private fun policiesOf(settings: PolicySettings): PoolPolicies = checkNotNull(
+    poolPolicies(settings.queue, settings.routing, settings.admission, settings.slowStart).getOrNull(),
+) { "unchecked policies" }
+
+private fun address(text: String): Address = checkNotNull(parseAddress(text).getOrNull()) { "unchecked address $text" }
