--- a/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -1,6 +1,6 @@
 /*
  * The control leader's side of leases: answers renewals, pushes changes, assigns pools and removes entry VMs that are
- * gone. The decisions are in [LeaseTable] and [planMoves]; everything mutable is confined to the control thread.
+ * gone. The decisions are in [LeaseTable]; everything mutable is confined to the control thread.
  */
 package fulmarshunt.entry
 
@@ -27,7 +27,6 @@
 import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.map
-import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -52,12 +51,8 @@
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val progress = MutableStateFlow(0L)
 
-    /** VMs that must not get a lease, because a move of their pools or their removal may be committed at any time. */
-    private val withheld = MutableStateFlow(emptySet<VmId>())
     private val pushes = HashMap<VmId, PushTarget>()
 
-    /** VMs that have given their lease back and are still registered. */
-    private val releasing = HashSet<VmId>()
     private var table: LeaseTable? = null
 
     private class PushTarget(val connection: LinkConnection) {
@@ -101,8 +96,6 @@
 
     /** Keeps leases and pools in order until it is cancelled, because [term] is over. */
     internal suspend fun lead(term: Term) {
-        withheld.value = emptySet()
-        releasing.clear()
         table = LeaseTable(term, machine.state.value.shared.entryVms.keys, clock.nowMs())
         try {
             while (true) {
@@ -116,59 +109,32 @@
         }
     }
 
-    /** Removes VMs that are gone, moves pools, and returns how long nothing more is due. */
+    /** Proposes the change that is due, if any, and returns how long nothing more is due. */
     private suspend fun performDuties(): Long {
         val leases = table ?: return DUTY_PERIOD_MS
         val now = clock.nowMs()
-        val shared = machine.state.value.shared
-        releasing.retainAll(shared.entryVms.keys)
-        val gone = releasing.sortedBy { it.value } + (leases.goneAt(now, shared.entryVms.keys) - releasing)
-        val moves = if (gone.isEmpty()) planMoves(viewAt(leases, shared, now)) else emptyList()
-        val change = if (gone.isNotEmpty()) RemoveVms(gone) else MovePools(moves)
-        val isDone = gone.isEmpty() && moves.isEmpty() && withheld.value.isEmpty()
-        if (!isDone) {
-            val concerned = gone + moves.mapNotNull { it.previous?.vm }.filter { !leases.mayHold(it, now) }
-            withheld.update { it + concerned }
-            // An earlier change with an unclear outcome precedes this one in the log, so this one settles it.
-            val failure = proposer.propose(ApplyRegistry(change)).leftOrNull()
-            if (failure != null) {
-                logger.warn("A change of the registry was not committed: {}", failure)
-                return RETRY_MS
-            }
-            settle(leases, gone, moves)
-            return 1
+        val state = machine.state.value
+        val change = leases.nextChangeOrNull(state.shared, state.shutdowns, now)
+        signalProgress()
+        if (change == null) return minOf(DUTY_PERIOD_MS, (leases.nextEndOrNull(now) ?: Long.MAX_VALUE) - now)
+        proposer.propose(ApplyRegistry(change)).onLeft {
+            logger.warn("A change of the registry was not committed: {}", it)
+            return RETRY_MS
         }
-        val end = leases.nextEndOrNull(now) ?: (now + DUTY_PERIOD_MS)
+        leases.settle(change, machine.state.value.shared, clock.nowMs())
         signalProgress()
-        return minOf(DUTY_PERIOD_MS, end - now)
+        report(change)
+        return 1
     }
 
-    private fun settle(leases: LeaseTable, gone: List<VmId>, moves: List<PoolMove>) {
-        val shared = machine.state.value.shared
-        gone.forEach(leases::release)
-        moves.forEach { move ->
-            val former = move.previous?.vm
-            if (move.vm != null) leases.fill(move.pool)
-            if (move.vm == null && former != null && move.pool !in shared.pools) {
-                leases.vacate(move.pool, former, shared.index, clock.nowMs())
+    private fun report(change: RegistryChange) {
+        when (change) {
+            is RegisterVm -> logger.info("Entry VM {} was registered", change.vm.id)
+            is RemoveVms -> change.vms.forEach { logger.info("Entry VM {} was removed from the registry", it) }
+            is MovePools -> change.moves.forEach {
+                logger.info("Pool {} moved from {} to {}", it.pool, it.previous?.vm ?: "none", it.vm ?: "none")
             }
         }
-        withheld.value = emptySet()
-        gone.forEach { logger.info("Entry VM {} was removed from the registry", it) }
-        moves.forEach { logger.info("Pool {} moved from {} to {}", it.pool, it.previous?.vm, it.vm) }
-    }
-
-    private fun viewAt(leases: LeaseTable, shared: SharedState, nowMs: Long): AssignmentView {
-        val asked = machine.state.value.shutdowns
-        val usable = shared.entryVms.filterKeys { it !in asked && leases.isUsable(it, nowMs) }
-        return AssignmentView(
-            shared.configuration.allPools(),
-            shared.pools,
-            usable.mapValues { it.value.domain },
-            mayHold = { leases.mayHold(it, nowMs) },
-            hasReleased = leases::hasReleased,
-            isVacant = { leases.isVacant(it, nowMs) },
-        )
     }
 
     private suspend fun answer(peer: LinkPeer, call: LeaseCall): LeaseReply {
@@ -184,22 +150,28 @@
     }
 
     private suspend fun renew(connection: LinkConnection, call: RenewLease): LeaseReply {
-        withTimeoutOrNull(WITHHELD_TIMEOUT_MS) { withheld.first { call.vm.id !in it } } ?: return notLeader()
+        if (!awaitNotWithheld(call.vm.id)) return notLeader()
         val state = machine.state.value
         if (state.shared.entryVms[call.vm.id] != call.vm) {
-            proposer.propose(ApplyRegistry(RegisterVm(call.vm))).onLeft { return refusal(it) }
+            val registration = RegisterVm(call.vm)
+            proposer.propose(ApplyRegistry(registration)).onLeft { return refusal(it) }
+            report(registration)
         }
         if (call.isShuttingDown && call.vm.id in state.shutdowns) proposer.propose(ShutdownBegun(call.vm.id))
         return control.run { grant(connection, call) }
     }
 
+    private suspend fun awaitNotWithheld(vm: VmId): Boolean = withContext(control.dispatch) {
+        withTimeoutOrNull(WITHHELD_TIMEOUT_MS) { progress.first { table?.isWithheld(vm) != true } } != null
+    }
+
     private fun grant(connection: LinkConnection, call: RenewLease): LeaseReply {
         val now = clock.nowMs()
         val leases = table ?: return notLeader()
         val state = machine.state.value
         val vm = call.vm.id
         val isCurrent = log.leadership.value.let { it.isLeader && it.term == leases.term } && log.holdsQuorum(now)
-        if (!isCurrent || vm in withheld.value || state.shared.entryVms[vm] != call.vm) return notLeader()
+        if (!isCurrent || leases.isWithheld(vm) || state.shared.entryVms[vm] != call.vm) return notLeader()
         if (call.applied > state.shared.index) {
             logger.error("Entry VM {} has applied entry {} beyond {}", vm, call.applied, state.shared.index)
             return LeaseNotLeader()
@@ -222,7 +194,7 @@
 
     private suspend fun release(vm: VmId): LeaseReply {
         control.run {
-            releasing += vm
+            table?.giveBack(vm)
             wake.trySend(Unit)
         }
         withTimeoutOrNull(PROPOSE_TIMEOUT_MS) { machine.state.first { vm !in it.shared.entryVms } }
--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -34,13 +34,16 @@
 
     private val leases = HashMap<VmId, Lease>()
     private val vacancies = HashMap<PoolId, Vacancy>()
+    private val withheld = HashSet<VmId>()
+    private val givenBack = HashSet<VmId>()
 
     init {
         registered.forEach { leases[it] = Lease(electedAtMs + LEASE_WITH_MARGIN_MS, electedAtMs) }
     }
 
-    /** Records that [renewal] is answered with a lease at [nowMs]. */
+    /** Records that [renewal] is answered with a lease at [nowMs]; the VM must not be withheld. */
     fun grant(renewal: RenewLease, nowMs: Long) {
+        check(renewal.vm.id !in withheld) { "a lease is granted to ${renewal.vm.id} while it is withheld" }
         val until = nowMs + LEASE_WITH_MARGIN_MS
         val lease = leases.getOrPut(renewal.vm.id) { Lease(until, nowMs) }
         lease.mayHoldUntilMs = maxOf(lease.mayHoldUntilMs, until)
@@ -56,19 +59,54 @@
         leases[vm]?.let { if (applied > it.applied) it.applied = applied }
     }
 
-    /** Ends the lease of [vm], which has given it back or is no longer registered. */
-    fun release(vm: VmId) {
-        leases.remove(vm)
+    /** Records that [vm] has given its lease back; it is removed from the registry next. */
+    fun giveBack(vm: VmId) {
+        givenBack += vm
     }
 
-    /** Records that the entry at [index] took [pool] from [formerOwner], committed by [nowMs]. */
-    fun vacate(pool: PoolId, formerOwner: VmId, index: LogIndex, nowMs: Long) {
-        vacancies[pool] = Vacancy(formerOwner, index, nowMs + LEASE_WITH_MARGIN_MS)
+    /** Returns whether [vm] must not get a lease, as a change that takes something from it may be committed. */
+    fun isWithheld(vm: VmId): Boolean = vm in withheld
+
+    /**
+     * Returns the change that is due at [nowMs], or null. The VMs that it takes something from get no lease until
+     * [settle]; a later change settles earlier ones with an unclear outcome, because it follows them in the log.
+     */
+    fun nextChangeOrNull(shared: SharedState, shutdowns: Set<VmId>, nowMs: Long): RegistryChange? {
+        givenBack.retainAll(shared.entryVms.keys)
+        val gone = (givenBack + goneAt(nowMs, shared.entryVms.keys)).sortedBy { it.value }
+        if (gone.isNotEmpty()) return RemoveVms(gone).also { withheld += gone }
+        val moves = planMoves(viewAt(shared, shutdowns, nowMs))
+        withheld += moves.mapNotNull { it.previous?.vm }.filter { !mayHold(it, nowMs) }
+        return if (moves.isEmpty() && withheld.isEmpty()) null else MovePools(moves)
     }
 
-    /** Records that [pool] has an owner again. */
-    fun fill(pool: PoolId) {
-        vacancies.remove(pool)
+    /** Records that [change] and everything before it is committed, with the result [shared]. */
+    fun settle(change: RegistryChange, shared: SharedState, nowMs: Long) {
+        withheld.clear()
+        when (change) {
+            is RegisterVm -> Unit
+            is RemoveVms -> change.vms.forEach(leases::remove)
+            is MovePools -> change.moves.forEach { move ->
+                val former = move.previous?.vm
+                if (move.vm != null) {
+                    vacancies.remove(move.pool)
+                } else if (former != null) {
+                    vacancies[move.pool] = Vacancy(former, shared.index, nowMs + LEASE_WITH_MARGIN_MS)
+                }
+            }
+        }
+    }
+
+    private fun viewAt(shared: SharedState, shutdowns: Set<VmId>, nowMs: Long): AssignmentView {
+        val usable = shared.entryVms.filterKeys { it !in shutdowns && isUsable(it, nowMs) }
+        return AssignmentView(
+            shared.configuration.allPools(),
+            shared.pools,
+            usable.mapValues { it.value.domain },
+            mayHold = { mayHold(it, nowMs) },
+            hasReleased = ::hasReleased,
+            isVacant = { isVacant(it, nowMs) },
+        )
     }
 
     /** Whether pools were taken from VMs and not given to others yet. */
@@ -85,11 +123,11 @@
     fun appliedBy(vm: VmId): LogIndex = leases[vm]?.applied ?: LogIndex(0)
 
     /** Returns whether the owner of [pool] has stopped admitting to it; older releases do not count. */
-    fun hasReleased(pool: PoolId, owner: PoolOwner): Boolean =
+    private fun hasReleased(pool: PoolId, owner: PoolOwner): Boolean =
         leases[owner.vm]?.let { pool in it.released && it.applied.value >= owner.fence.value } ?: false
 
     /** Returns whether no VM can believe at [nowMs] that it owns [pool], which has no owner. */
-    fun isVacant(pool: PoolId, nowMs: Long): Boolean {
+    private fun isVacant(pool: PoolId, nowMs: Long): Boolean {
         if (nowMs < electedAtMs + LEASE_WITH_MARGIN_MS) return false
         val vacancy = vacancies[pool] ?: return true
         return nowMs >= vacancy.safeAtMs || appliedBy(vacancy.formerOwner) >= vacancy.index ||
@@ -101,7 +139,7 @@
         registered.all { appliedBy(it) >= index || !mayHold(it, nowMs) }
 
     /** Returns those of [registered] that have not renewed for [REGISTRATION_MS]. */
-    fun goneAt(nowMs: Long, registered: Set<VmId>): List<VmId> = registered
+    private fun goneAt(nowMs: Long, registered: Set<VmId>): List<VmId> = registered
         .filter { nowMs >= (leases[it]?.renewedAtMs ?: electedAtMs) + REGISTRATION_MS }
         .sortedBy { it.value }
 
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -0,0 +1,123 @@
+/*
+ * Leases and pool ownership under random orders of events.
+ */
+package fulmarshunt.entry
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+
+private const val ROUND_MS = 100L
+
+class LeasePropertiesTest {
+    @Provide
+    fun events(): Arbitrary<List<Int>> = Arbitraries.integers().between(0, 9_999).list().ofMinSize(50).ofMaxSize(400)
+
+    /** Guards against two VMs admitting to one pool, and against a command reported in effect that is not. */
+    @Property(tries = 500)
+    fun noPoolHasTwoOwnersAndNothingIsInEffectTooEarly(@ForAll("events") events: List<Int>) {
+        val simulation = LeaseSimulation(4)
+        for (event in events) {
+            simulation.perform(event)
+            val pools = simulation.shared.configuration.allPools()
+            expectThat(pools.map { simulation.admitting(it).size }).all { isLessThanOrEqualTo(1) }
+            if (simulation.isInEffect()) {
+                expectThat(simulation.vms.filter(simulation::hasLease).map { it.state.index })
+                    .all { isGreaterThanOrEqualTo(simulation.shared.index) }
+            }
+        }
+    }
+
+    private fun LeaseSimulation.perform(event: Int) {
+        val vm = vms[event / 100 % vms.size]
+        when (event % 100) {
+            in 0..19 -> sendRenewal(vm)
+            in 20..39 -> deliverRenewal()
+            in 40..54 -> deliverAnswer()
+            in 55..58 -> loseAnswer()
+            in 59..68 -> push(vm)
+            in 69..76 -> propose()
+            in 77..82 -> commitProposal()
+            in 83..84 -> loseProposal(commits = event % 2 == 0)
+            85 -> electLeader(commits = event / 1_000 % 2 == 0)
+            86 -> shutDown(vm)
+            87 -> restart(vm)
+            in 88..89 -> settle()
+            in 90..93 -> pass(1_500)
+            else -> pass(event / 100 * 7L % 400)
+        }
+    }
+
+    /** Guards against a new leader that gives pools away while leases of the former leader may still be in use. */
+    @Test
+    fun `a new leader waits for the leases of the former one`() {
+        val simulation = LeaseSimulation(3)
+        simulation.settleFor(5_000)
+        val lost = simulation.vms[0]
+        simulation.electLeader(commits = false)
+        val electedAtMs = simulation.nowMs
+        while (simulation.nowMs < electedAtMs + LEASE_WITH_MARGIN_MS) {
+            expectThat(simulation.shared.pools.values.filter { it.vm == lost.entry.id }).hasSize(2)
+            // The silent VM may hold a lease without the last change, as far as the new leader knows.
+            expectThat(simulation.isInEffect()).isFalse()
+            simulation.roundWithout(lost)
+        }
+        repeat(3) { simulation.roundWithout(lost) }
+        expectThat(simulation.isInEffect()).isTrue()
+        expectThat(simulation.shared.pools.values.filter { it.vm == lost.entry.id }).isEmpty()
+        expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(3, 3))
+    }
+
+    /** Guards against pools that stay unbalanced after a VM joined, and against moves of more pools than needed. */
+    @Test
+    fun `a joining VM gets only the pools that balance needs`() {
+        val simulation = LeaseSimulation(3)
+        repeat(100) { simulation.roundWithout(simulation.vms[2]) }
+        val before = simulation.shared.pools
+        expectThat(before.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(3, 3))
+        simulation.settleFor(5_000)
+        val after = simulation.shared.pools
+        expectThat(after.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(2, 2, 2))
+        expectThat(after.filter { (pool, owner) -> before[pool] != owner }).hasSize(2)
+    }
+
+    /** Guards against pools of a stopping VM that wait for its lease to run out. */
+    @Test
+    fun `released pools move while the lease holds`() {
+        val simulation = LeaseSimulation(3)
+        simulation.settleFor(5_000)
+        val leaving = simulation.vms[0]
+        simulation.shutDown(leaving)
+        simulation.settle()
+        simulation.settle()
+        expectThat(simulation.hasLease(leaving)).isTrue()
+        expectThat(simulation.shared.pools.values.any { it.vm == leaving.entry.id }).isFalse()
+    }
+
+    private fun LeaseSimulation.settleFor(ms: Long) = repeat((ms / ROUND_MS).toInt()) {
+        settle()
+        pass(ROUND_MS)
+    }
+
+    private fun LeaseSimulation.roundWithout(absent: LeaseSimulation.Vm) {
+        vms.filter { it !== absent }.forEach(::sendRenewal)
+        repeat(vms.size) { deliverRenewal() }
+        repeat(vms.size) { deliverAnswer() }
+        propose()
+        commitProposal()
+        vms.filter { it !== absent && hasLease(it) }.forEach(::push)
+        pass(ROUND_MS)
+    }
+}
