--- a/src/main/kotlin/fulmarshunt/operator/cli/OperatorSession.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/OperatorSession.kt
@@ -12,6 +12,7 @@
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
 import fulmarshunt.operator.Credentials
+import fulmarshunt.operator.OperatorClientLimits
 import fulmarshunt.operator.OperatorPort
 import fulmarshunt.operator.operatorClient
 import fulmarshunt.platform.OperatorSettings
@@ -52,6 +53,7 @@
 internal suspend fun <T> withControl(
     path: Path,
     environment: Environment,
+    limits: OperatorClientLimits,
     use: suspend (OperatorPort, Credentials) -> T,
 ): Either<SettingsProblem, T> = readOperatorSettings(path).flatMap { settings ->
     settings
@@ -59,7 +61,7 @@
         .mapLeft { SettingsProblem("$path: ${it.message}") }
         .map { credentials ->
             linksOf("operator-${credentials.operator}", settings.link.secret.value, LinkHandlers()).use { links ->
-                use(operatorClient(links, settings.control.parsed(), monotonicClock()), credentials)
+                use(operatorClient(links, settings.control.parsed(), monotonicClock(), limits), credentials)
             }
         }
 }
--- a/src/main/kotlin/fulmarshunt/operator/cli/OrderArguments.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/OrderArguments.kt
@@ -19,6 +19,7 @@
 import fulmarshunt.operator.ConfigurationOrder
 import fulmarshunt.operator.DrainOrder
 import fulmarshunt.operator.JoiningVoter
+import fulmarshunt.operator.OperatorClientLimits
 import fulmarshunt.operator.Order
 import fulmarshunt.operator.SetFailureDomainDrained
 import fulmarshunt.operator.SetTargetDrained
@@ -43,11 +44,14 @@
 /** The parsed command line of `orders`. */
 internal class OrderArguments(parser: ArgParser) {
     private val output by parser
-        .option(ArgType.Choice(listOf("table", "json"), { it }), "output", description = "Format of the result")
+        .option(choiceOf("table", "json"), "output", description = "Format of the result")
         .default("table")
     private val waitMs by parser
         .option(ArgType.Int, "wait-ms", description = "How long to wait until the command is in effect everywhere")
         .default(SubmissionOptions(CommandId("")).waitInEffectMs.toInt())
+    private val deadlineMs by parser
+        .option(ArgType.Int, "deadline-ms", description = "How long to look for an answer from control")
+        .default(OperatorClientLimits().deadlineMs.toInt())
     private val commandId by parser
         .option(ArgType.String, "command-id", description = "Id of the command; give the same one to resend a command")
     private val expectedRevision by parser
@@ -72,10 +76,13 @@
 
     val isJson: Boolean get() = output == "json"
 
+    val limits: OperatorClientLimits get() = OperatorClientLimits(deadlineMs = deadlineMs.toLong())
+
     fun order(): Either<String, Order> = source()
 
     fun options(): Either<String, SubmissionOptions> {
         if (waitMs < 0) return "--wait-ms: $waitMs is out of range: use 0 or more".left()
+        if (deadlineMs <= 0) return "--deadline-ms: $deadlineMs is out of range: use 1 or more".left()
         val revision = expectedRevision
         if (revision != null && commandId == null) {
             return "--expected-revision: give --command-id too, as the lost attempt printed it".left()
@@ -86,7 +93,7 @@
 
     private inner class DrainSubcommand(name: String, description: String, private val isDrained: Boolean) :
         Subcommand(name, description) {
-        private val kind by argument(ArgType.Choice(listOf("domain", "target"), { it }), "kind")
+        private val kind by argument(choiceOf("domain", "target"), "kind")
         private val id by argument(ArgType.String, "id")
 
         override fun execute() {
@@ -158,3 +165,7 @@
         }
     }
 }
+
+/** The library's own choice accepts any text when the variants are not an enum class. */
+private fun choiceOf(vararg variants: String): ArgType<String> =
+    ArgType.Choice(variants.toList(), { text -> variants.first { it == text } })
--- a/src/main/kotlin/fulmarshunt/operator/cli/OrdersProgram.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/OrdersProgram.kt
@@ -26,7 +26,7 @@
     return runProgram("orders", args, console, options) { path ->
         val order = arguments.order().getOrElse { return@runProgram ProgramEnd(ExitCode.USAGE, it) }
         val submission = arguments.options().getOrElse { return@runProgram ProgramEnd(ExitCode.USAGE, it) }
-        withControl(path, environment) { port, credentials ->
+        withControl(path, environment, arguments.limits) { port, credentials ->
             if (order is DrainOrder && !arguments.isJson) console.print("command id ${submission.commandId}")
             val result = carryOut(order, port, credentials, submission)
             if (arguments.isJson) console.print(result.toJson()) else result.toLines().forEach(console.print)
--- a/src/main/kotlin/fulmarshunt/operator/cli/QuestionnaireProgram.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/QuestionnaireProgram.kt
@@ -12,6 +12,7 @@
 import fulmarshunt.operator.ConfigurationRead
 import fulmarshunt.operator.Credentials
 import fulmarshunt.operator.KeySource
+import fulmarshunt.operator.OperatorClientLimits
 import fulmarshunt.operator.OperatorCommand
 import fulmarshunt.operator.OperatorPort
 import fulmarshunt.operator.OrderAccepted
@@ -50,6 +51,9 @@
     val waitMs by parser
         .option(ArgType.Int, "wait-ms", description = "How long to wait until the command is in effect everywhere")
         .default(DEFAULT_WAIT_MS)
+    val deadlineMs by parser
+        .option(ArgType.Int, "deadline-ms", description = "How long to look for an answer from control")
+        .default(OperatorClientLimits().deadlineMs.toInt())
 }
 
 /** Runs `questionnaire` with [args] and returns its exit code. */
@@ -68,7 +72,9 @@
         }
     return runProgram("questionnaire", args, console, options) { path ->
         if (arguments.waitMs < 0) return@runProgram ProgramEnd(ExitCode.USAGE, "--wait-ms: use 0 or more")
-        withControl(path, environment) { port, credentials ->
+        if (arguments.deadlineMs <= 0) return@runProgram ProgramEnd(ExitCode.USAGE, "--deadline-ms: use 1 or more")
+        val limits = OperatorClientLimits(deadlineMs = arguments.deadlineMs.toLong())
+        withControl(path, environment, limits) { port, credentials ->
             val answersPath = arguments.answers
             val answers =
                 if (answersPath == null) {
--- a/src/main/kotlin/fulmarshunt/platform/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ProcessMain.kt
@@ -10,10 +10,11 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
+import org.apache.logging.log4j.Logger
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
@@ -65,7 +66,7 @@
     val parser = ArgParser(name)
     val settings by parser.option(ArgType.String, "settings", description = "Path of the settings file (TOML)")
     parser.option(ArgType.Boolean, "version", description = "Print the version")
-    val subcommands = options.declare(parser)
+    val subcommands = options.declare(parser).also { parser.subcommands(*it.toTypedArray()) }
     parseCommandLine(parser, subcommands, args).onLeft { end ->
         if (end.code == ExitCode.DONE) console.print(end.text) else console.printProblem("$name: ${end.text}")
         return end.code
@@ -85,21 +86,25 @@
     }
 }
 
+/** Suspends until the process is asked to terminate; see [shutDownOnTermination]. */
+public suspend fun serveUntilTerminated(limitMs: Long, shutDown: suspend () -> Unit): Nothing {
+    shutDownOnTermination(limitMs, shutDown)
+    awaitCancellation()
+}
+
 /**
- * Suspends until the process is asked to terminate and [shutDown] has finished or has taken [limitMs].
+ * Runs [shutDown] for at most [limitMs] when the process is asked to terminate.
  *
  * The process then ends with exit code 0 at once, because a graceful shutdown is the normal end of a server. It ends
  * with code 4 if [shutDown] fails.
  */
-public suspend fun serveUntilTerminated(limitMs: Long, shutDown: suspend () -> Unit) {
-    val never = CompletableDeferred<Unit>()
-    val hook = Thread({ haltAfter(limitMs, shutDown) }, "graceful-shutdown")
-    Runtime.getRuntime().addShutdownHook(hook)
-    never.await()
+public fun shutDownOnTermination(limitMs: Long, shutDown: suspend () -> Unit) {
+    // Log4j cannot be started once the JVM is shutting down, so the logger is not first asked for in the hook.
+    val log = LogManager.getLogger("fulmarshunt.platform.ProcessMain")
+    Runtime.getRuntime().addShutdownHook(Thread({ haltAfter(limitMs, log, shutDown) }, "graceful-shutdown"))
 }
 
-private fun haltAfter(limitMs: Long, shutDown: suspend () -> Unit) {
-    val log = LogManager.getLogger("fulmarshunt.platform.ProcessMain")
+private fun haltAfter(limitMs: Long, log: Logger, shutDown: suspend () -> Unit) {
     val code =
         try {
             val finished = runBlocking { withTimeoutOrNull(limitMs) { shutDown() } }
--- a/src/main/kotlin/fulmarshunt/platform/SettingsStructure.kt
+++ b/src/main/kotlin/fulmarshunt/platform/SettingsStructure.kt
@@ -85,7 +85,7 @@
         PrimitiveKind.BOOLEAN ->
             if (type == TomlLiteral.Type.Boolean) null else wrongType(field, "a truth value", "write true or false")
         PrimitiveKind.INT, PrimitiveKind.LONG -> when {
-            type != TomlLiteral.Type.Integer -> wrongType(field, "a whole number", "write it without quotes or point")
+            type != TomlLiteral.Type.Integer -> wrongType(field, "a whole number", "write digits only")
             descriptor.kind == PrimitiveKind.INT && text.toIntOrNull() == null && text.toLongOrNull() != null ->
                 SettingsProblem("$field: $text is out of range: use at most ${Int.MAX_VALUE}")
             else -> null
--- a/src/main/kotlin/fulmarshunt/platform/http/PlatformServer.kt
+++ b/src/main/kotlin/fulmarshunt/platform/http/PlatformServer.kt
@@ -18,6 +18,8 @@
 import io.ktor.server.routing.routing
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 
 /** Returns why the process must get no traffic, or null when it is ready. */
 public typealias Readiness = () -> String?
@@ -25,6 +27,9 @@
 /** The time that open responses have to finish when the server stops. */
 private const val STOP_GRACE_MS = 100L
 
+/** Bounds the walk along the causes of an exception, which may form a circle. */
+private const val MAX_CAUSES = 10
+
 /** The content type of the Prometheus text format that the registry writes by default. */
 private val prometheusText = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
 
@@ -66,7 +71,11 @@
     val port = server.engine.resolvedConnectors().first().port
     PlatformServer(server, Address(address.host, port)).right()
 } catch (e: CancellationException) {
-    throw e
+    // The engine reports a failed bind as the cancellation of its own job.
+    currentCoroutineContext().ensureActive()
+    "cannot listen at $address: ${rootMessage(e)}".left()
 } catch (e: Exception) {
-    "cannot listen at $address: ${e.message}".left()
+    "cannot listen at $address: ${rootMessage(e)}".left()
 }
+
+private fun rootMessage(e: Throwable): String? = generateSequence(e) { it.cause }.take(MAX_CAUSES).last().message
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/operator/ExamplesTest.kt
@@ -0,0 +1,41 @@
+/*
+ * The example deployments, read with the parsers of the programs.
+ */
+package fulmarshunt.operator
+
+import arrow.core.Either
+import fulmarshunt.operator.cli.readAnswers
+import fulmarshunt.operator.cli.readOperatorSettings
+import fulmarshunt.platform.ControlSettings
+import fulmarshunt.platform.EntrySettings
+import fulmarshunt.platform.controlSettingsCheck
+import fulmarshunt.platform.entrySettingsCheck
+import fulmarshunt.platform.readSettings
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isNull
+import java.nio.file.Path
+
+class ExamplesTest {
+    /** Guards against examples that the programs do not accept. */
+    @ParameterizedTest
+    @ValueSource(strings = ["vatuvara", "repasso"])
+    fun `every example file is accepted`(deployment: String) {
+        val folder = Path.of("examples", deployment)
+        val results: List<Either<Any, Any>> =
+            listOf(
+                readAnswers(folder.resolve("answers.toml")),
+                readOperatorSettings(folder.resolve("operator.toml")),
+                readSettings(folder.resolve("control.toml"), ControlSettings.serializer(), controlSettingsCheck),
+                readSettings(folder.resolve("entry.toml"), EntrySettings.serializer(), entrySettingsCheck),
+            )
+        results.forEach { expectThat(it.leftOrNull()).isNull() }
+        val answers = readAnswers(folder.resolve("answers.toml")).getOrNull()!!
+        expectThat(answers.failureDomains).hasSize(3)
+        val applied = Configuration().withAll(Configuration().plan(answers, randomKeys()).changes)
+        expectThat(applied.plan(answers, randomKeys()).changes).isEmpty()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
@@ -0,0 +1,180 @@
+/*
+ * The `orders` program against the fake control: results, exit codes, lost answers and leader hints.
+ */
+package fulmarshunt.operator
+
+import fulmarshunt.Address
+import fulmarshunt.FailureDomainId
+import fulmarshunt.TargetId
+import fulmarshunt.operator.cli.runOrders
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.any
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.first
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import strikt.assertions.single
+import java.nio.file.Path
+
+class OrdersTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private val control = FakeControl().also {
+        val suva = FailureDomain(FailureDomainId("suva"))
+        it.configuration = it.configuration.with(PutFailureDomain(suva))
+    }
+    private val recorded = RecordedConsole()
+
+    @AfterEach
+    fun close() = control.close()
+
+    private fun orders(addresses: List<Address>, vararg args: String): Int {
+        val settings = writeOperatorSettings(directory, addresses)
+        return runOrders(listOf("--settings", "$settings") + args, recorded.console, testEnvironment).number
+    }
+
+    /** Guards against an order that is reported as done without being in the configuration. */
+    @Test
+    fun `a failure domain is taken out once`() {
+        val address = runBlocking { control.listen() }
+        expectThat(orders(listOf(address), "take-out", "domain", "suva")).isEqualTo(0)
+        expectThat(control.configuration.domains.values.single().isDrained).isTrue()
+        expectThat(recorded.text).contains("revision 2; in effect everywhere")
+        expectThat(orders(listOf(address), "take-out", "domain", "suva")).isEqualTo(0)
+        expectThat(control.submissions).hasSize(1)
+    }
+
+    /** Guards against a second command when the answer to the first is lost. */
+    @Test
+    fun `a lost answer is resent with the same id to another address`() {
+        var lost = 0
+        val addresses = runBlocking {
+            val first = control.listen { call, links ->
+                if (call is SubmitCommand) {
+                    lost++
+                    control.answer(call)
+                    links.close()
+                    awaitCancellation()
+                }
+                null
+            }
+            listOf(first, control.listen())
+        }
+        expectThat(orders(addresses, "take-out", "target", "engine-7")).isEqualTo(0)
+        expectThat(lost).isEqualTo(1)
+        expectThat(control.submissions.map { it.id }.distinct()).hasSize(1)
+        expectThat(control.submissions).hasSize(2)
+        expectThat(control.configuration.revision.value).isEqualTo(2)
+        expectThat(control.configuration.drainedTargets).containsExactly(TargetId("engine-7"))
+    }
+
+    /** Guards against an operator who cannot repeat a command safely after the program has given up. */
+    @Test
+    fun `a command without an answer can be repeated by its id and revision`() {
+        val silent = runBlocking {
+            control.listen { call, _ ->
+                if (call is SubmitCommand) {
+                    control.answer(call)
+                    OutcomeUnknown("leadership was lost")
+                } else {
+                    null
+                }
+            }
+        }
+        val order = arrayOf("take-out", "domain", "suva")
+        expectThat(orders(listOf(silent), "--deadline-ms", "300", "--wait-ms", "0", *order)).isEqualTo(3)
+        expectThat(recorded.problems).single().contains("the outcome is unknown: leadership was lost")
+        val hint = recorded.problems.single().substringAfter("add ").split(' ').toTypedArray()
+        val address = runBlocking { control.listen() }
+        expectThat(orders(listOf(address), *hint, *order)).isEqualTo(0)
+        expectThat(control.configuration.revision.value).isEqualTo(2)
+        expectThat(recorded.lines).any { contains("accepted as revision 2") }
+    }
+
+    /** Guards against a client that only knows followers and never reaches the leader that they name. */
+    @Test
+    fun `the hint of a follower is followed`() {
+        val follower = runBlocking {
+            val leader = control.listen()
+            control.listen { _, _ -> OperatorNotLeader(leader) }
+        }
+        expectThat(orders(listOf(follower), "status")).isEqualTo(0)
+        expectThat(recorded.lines).first().isEqualTo("revision 1, applied index 9")
+    }
+
+    /** Guards against two followers that name each other and keep the client busy until the deadline. */
+    @Test
+    fun `hints in a circle end in unreachable with a bounded number of calls`() {
+        lateinit var second: Address
+        val first = runBlocking {
+            val address = control.listen { _, _ -> OperatorNotLeader(second) }
+            second = control.listen { _, _ -> OperatorNotLeader(address) }
+            address
+        }
+        expectThat(orders(listOf(first), "--deadline-ms", "500", "status")).isEqualTo(3)
+        expectThat(control.calls.size < 20).isTrue()
+    }
+
+    /** Guards against a conflict that is resubmitted silently over another operator's change. */
+    @Test
+    fun `a conflict shows what changed and ends with code 1`() {
+        val address = runBlocking {
+            control.listen { call, _ ->
+                if (call is SubmitCommand) {
+                    val other = OperatorCommand(
+                        newCommandId(),
+                        testOperator,
+                        control.configuration.revision,
+                        listOf(SetTargetDrained(TargetId("engine-9"), true)),
+                    )
+                    control.answer(SubmitCommand(testOperator, OPERATOR_KEY, other, 0))
+                }
+                null
+            }
+        }
+        expectThat(orders(listOf(address), "take-out", "domain", "suva")).isEqualTo(1)
+        expectThat(recorded.lines).any { isEqualTo("changed meanwhile: + drained target engine-9") }
+        expectThat(recorded.problems).single().contains("based on revision 1, but the current one is 2")
+    }
+
+    /** Guards against exit codes that scripts cannot tell apart. */
+    @Test
+    fun `refusals and unreachable control have their own codes`() {
+        val address = runBlocking { control.listen() }
+        expectThat(orders(listOf(address), "take-out", "domain", "suav")).isEqualTo(1)
+        expectThat(orders(listOf(address), "take-out", "shelf", "suva")).isEqualTo(2)
+        expectThat(orders(listOf(address), "--expected-revision", "3", "take-out", "domain", "suva")).isEqualTo(2)
+        expectThat(orders(listOf(Address("127.0.0.1", 1)), "--deadline-ms", "300", "status")).isEqualTo(3)
+        expectThat(recorded.problems.last()).contains("control is unreachable and nothing was done")
+        expectThat(control.submissions).isEmpty()
+    }
+
+    /** Guards against JSON that other programs cannot read, and against the operator's key in any output. */
+    @Test
+    fun `JSON is one object and holds no key`() {
+        val address = runBlocking { control.listen() }
+        expectThat(orders(listOf(address), "--output", "json", "bring-back", "domain", "suva")).isEqualTo(0)
+        expectThat(orders(listOf(address), "configuration", "--output", "json")).isEqualTo(0)
+        expectThat(recorded.lines[0]).isEqualTo("""{"result":"nothing-to-do","revision":1}""")
+        expectThat(recorded.lines[1]).contains("\"result\":\"configuration\"")
+        expectThat(recorded.text).not().contains(OPERATOR_KEY)
+    }
+
+    /** Guards against a voter change that is sent twice because its first answer was lost. */
+    @Test
+    fun `a voter change without an answer is not resent`() {
+        val address = runBlocking { control.listen { _, _ -> OutcomeUnknown("leadership was lost") } }
+        val code = orders(listOf(address), "remove-voter", "--leaving", "control-suva:1")
+        expectThat(code).isEqualTo(3)
+        expectThat(control.calls).hasSize(1)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/platform/ProcessMainTest.kt
@@ -0,0 +1,93 @@
+/*
+ * Exit codes and output of the frame that all programs use, and the shutdown of a real process on SIGTERM.
+ */
+@file:OptIn(ExperimentalCli::class)
+
+package fulmarshunt.platform
+
+import fulmarshunt.operator.RecordedConsole
+import kotlinx.cli.ExperimentalCli
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import strikt.assertions.single
+import strikt.assertions.startsWith
+import java.util.concurrent.TimeUnit
+
+class ProcessMainTest {
+    private val recorded = RecordedConsole()
+
+    private fun run(vararg args: String, block: suspend () -> ProgramEnd): ExitCode =
+        runProgram("sample", args.toList(), recorded.console, ProgramOptions()) { block() }
+
+    /** Guards against a stack trace on the console, and against a broken invariant that looks like a refusal. */
+    @Test
+    fun `a broken invariant is one line with its place and code 4`() {
+        val code = run("--settings", "x") { error("two owners") }
+        expectThat(code.number).isEqualTo(4)
+        expectThat(recorded.problems)
+            .single()
+            .startsWith("sample: broken invariant: IllegalStateException: two owners at ProcessMainTest.kt:")
+    }
+
+    /** Guards against command lines that start the program although they are wrong. */
+    @Test
+    fun `a wrong command line is one line and code 2`() {
+        expectThat(run { error("must not run") }.number).isEqualTo(2)
+        expectThat(run("--settings") { error("must not run") }.number).isEqualTo(2)
+        expectThat(run("--frob") { error("must not run") }.number).isEqualTo(2)
+        expectThat(recorded.problems.size).isEqualTo(3)
+    }
+
+    /** Guards against help and version being treated as errors. */
+    @Test
+    fun `help and version go to standard output with code 0`() {
+        expectThat(run("--help") { error("must not run") }.number).isEqualTo(0)
+        expectThat(run("--version") { error("must not run") }.number).isEqualTo(0)
+        expectThat(recorded.problems).isEmpty()
+    }
+
+    /** Guards against a refusal whose reason is not shown. */
+    @Test
+    fun `the problem of a refusal is shown with the name of the program`() {
+        val code = run("--settings", "x") { ProgramEnd(ExitCode.REFUSED, "refused: no permission") }
+        expectThat(code.number).isEqualTo(1)
+        expectThat(recorded.problems).containsExactly("sample: refused: no permission")
+    }
+
+    /** Guards against SIGTERM that skips the shutdown function or ends with the code of a killed process. */
+    @Test
+    fun `a terminated server runs its shutdown and ends with code 0`() {
+        val process =
+            ProcessBuilder(
+                "${System.getProperty("java.home")}/bin/java",
+                "-Xmx32m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "fulmarshunt.platform.ProcessMainTestKt",
+            ).redirectErrorStream(true).start()
+        try {
+            val output = process.inputStream.bufferedReader()
+            expectThat(output.readLine()).isEqualTo("serving")
+            // Process.destroy would also close the stream that the next line reads.
+            process.toHandle().destroy()
+            expectThat(output.readLine()).isEqualTo("stopped gracefully")
+            expectThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue()
+            expectThat(process.exitValue()).isEqualTo(0)
+        } finally {
+            process.destroyForcibly()
+        }
+    }
+}
+
+/** The process that the last test terminates. */
+fun main(): Unit = runBlocking {
+    shutDownOnTermination(limitMs = 5_000) { println("stopped gracefully") }
+    println("serving")
+    awaitCancellation()
+}
