--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.Address
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
@@ -26,6 +27,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 
 /** How long dialing and the handshake may take together. */
 private const val DIAL_TIMEOUT_MS = 1_000L
@@ -40,6 +42,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val selector = SelectorManager(Dispatchers.IO)
     private val dialed = ConcurrentHashMap<Address, Dialed>()
+    private val listening = ConcurrentLinkedQueue<ServerSocket>()
 
     private class Dialed {
         val mutex = Mutex()
@@ -62,6 +65,7 @@
             } catch (e: Exception) {
                 return "cannot listen at $address: ${e.message}".left()
             }
+        listening += server
         scope.launch {
             while (true) {
                 val socket = server.accept()
@@ -92,6 +96,8 @@
     /** Closes every connection and stops listening. */
     override fun close() {
         dialed.values.forEach { it.connection?.close("this process is stopping") }
+        // Closing the selector alone leaves the port in use.
+        listening.forEach { it.close() }
         scope.cancel()
         selector.close()
     }
--- a/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
+++ b/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.voter
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -26,6 +27,8 @@
     fun start(scope: CoroutineScope): Job = scope.launch(Dispatchers.IO) {
         try {
             for (task in tasks) runGroup(task)
+        } catch (e: CancellationException) {
+            throw e
         } catch (e: Throwable) {
             tasks.cancel()
             onFailure(e)
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/voter/DiskWriterTest.kt
@@ -0,0 +1,58 @@
+/*
+ * The order of writes, syncs and messages, and the end of a writer whose disk fails.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.ClusterId
+import fulmarshunt.LogIndex
+import fulmarshunt.Term
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.io.IOException
+import java.util.concurrent.ConcurrentLinkedQueue
+
+class DiskWriterTest {
+    private val events = ConcurrentLinkedQueue<String>()
+
+    private fun store(index: Long) = Store(Term(1), LogIndex(index), HardState(Term(1)), listOf(command(index, 1)))
+
+    private fun answer(index: Long): Send {
+        val message = Appended(LogIndex(index), Stamp(1, 0))
+        return Send(peerB.address, Envelope(ClusterId("a#1"), self.id, self.address, peerB.id, Term(1), message), true)
+    }
+
+    private fun run(tasks: List<Action>, isBroken: Boolean = false) = runBlocking {
+        val storage =
+            VoterStorage(
+                append = { _, entries ->
+                    if (isBroken) throw IOException("no space left")
+                    events += "append ${entries.map { it.index }}"
+                },
+                replace = { events += "replace" },
+                close = { events += "close" },
+            )
+        val send: (Send) -> Unit = { events += "send ${(it.envelope.message as Appended).match}" }
+        val writer = DiskWriter(storage, send, { events += "stored ${it.lastIndex}" }, { events += "failed" })
+        tasks.forEach(writer::submit)
+        val writing = writer.start(this)
+        writer.finish()
+        writing.join()
+    }
+
+    /** Guards against an answer sent before what it promises is on disk, and against one sync for each entry. */
+    @Test
+    fun `waiting records are stored together and answered afterwards`() {
+        run(listOf(store(1), answer(1), store(2), answer(2)))
+        expectThat(events.toList()).isEqualTo(listOf("append [1, 2]", "stored 2", "send 1", "send 2", "close"))
+    }
+
+    /** Guards against a voter that goes on after a failed write. */
+    @Test
+    fun `nothing is sent or written after a failure`() {
+        val replacement = StoreSnapshot(HardState(Term(1)), threeVoters, LogPosition.START, emptyList())
+        run(listOf(store(1), answer(1), replacement), isBroken = true)
+        expectThat(events.toList()).isEqualTo(listOf("failed", "close"))
+    }
+}
