Tell the initial membership only once it is on disk

A crash in between left it blank under the same id, so that it could form another membership with the same cluster id. The membership is now told after the sync. The accept loop of Links also ends without an uncaught exception when its socket is closed.

--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -26,6 +26,7 @@
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
+import java.nio.channels.ClosedChannelException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 
@@ -67,9 +68,13 @@
             }
         listening += server
         scope.launch {
-            while (true) {
-                val socket = server.accept()
-                launch { serve(socket) }
+            try {
+                while (true) {
+                    val socket = server.accept()
+                    launch { serve(socket) }
+                }
+            } catch (_: ClosedChannelException) {
+                log.debug("No longer listening at {}", address)
             }
         }
         return Address(address.host, (server.localAddress as InetSocketAddress).port).right()
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -47,6 +47,7 @@
     public val id: VoterId = open.stored.id
 
     private var state: VoterState = initialState(settings, open.stored, clock.nowMs())
+    private var isSnapshotStored = open.stored.snapshot != null
     private val waiters = Waiters()
     private val writer = DiskWriter(open.storage, ::sendNow, ::onStored, ::onWriteFailure)
     private var writing: Job? = null
@@ -155,7 +156,7 @@
     }
 
     private fun onCall(call: VoterCall): VoterCallReply = when (call) {
-        is Probe -> identityOf(state, settings)
+        is Probe -> identityOf(state, settings, isSnapshotStored)
         is Envelope -> {
             if (transport != null) dispatch(MessageReceived(call))
             Received
@@ -166,7 +167,11 @@
         while (state.snapshot == null && failure.value == null) {
             val others = settings.initialVoters - settings.vm
             val answers = others.mapNotNull { (vm, address) -> transport.probe(address)?.let { vm to it } }.toMap()
-            initialMembershipOrNull(identityOf(state, settings), settings.initialVoters, answers)?.let {
+            initialMembershipOrNull(
+                identityOf(state, settings, isSnapshotStored),
+                settings.initialVoters,
+                answers,
+            )?.let {
                 dispatch(JoinInitial(it))
             }
             delay(FORMATION_PERIOD_MS)
@@ -225,7 +230,11 @@
     }
 
     private fun onStored(event: Stored) {
-        control.scope.launch { dispatch(event) }
+        control.scope.launch {
+            // A blank voter stores nothing before its first snapshot.
+            isSnapshotStored = true
+            dispatch(event)
+        }
     }
 
     private fun onWriteFailure(cause: Throwable) {
--- a/src/main/kotlin/fulmarshunt/voter/VoterReports.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterReports.kt
@@ -27,8 +27,12 @@
     }
 }
 
-internal fun identityOf(state: VoterState, settings: VoterSettings): Identity {
+/**
+ * Returns what this voter answers to a probe. The initial membership is told only when [isSnapshotStored]: a voter that
+ * told it and then lost it in a crash could form another cluster under the same id.
+ */
+internal fun identityOf(state: VoterState, settings: VoterSettings, isSnapshotStored: Boolean): Identity {
     val header = state.snapshot?.header
-    val initial = header?.takeIf { it.position == LogPosition.START }
+    val initial = header?.takeIf { isSnapshotStored && it.position == LogPosition.START }
     return Identity(state.id, settings.vm, header == null, settings.bootstrap, initial)
 }
--- a/src/test/kotlin/fulmarshunt/voter/FormationTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/FormationTest.kt
@@ -3,12 +3,15 @@
  */
 package fulmarshunt.voter
 
+import fulmarshunt.Term
 import fulmarshunt.VmId
 import fulmarshunt.VoterId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNull
+import java.nio.file.Path
 
 class FormationTest {
     private val voters = listOf(self, peerB, peerC).associate { it.vm to it.address }
@@ -50,4 +53,15 @@
         val answers = mapOf(peerB.vm to blank(peerC), peerC.vm to blank(peerC).copy(vm = VmId("x")))
         expectThat(initialMembershipOrNull(blank(self), voters, answers)).isNull()
     }
+
+    /** Guards against a membership that others adopt and its former loses in a crash, and then forms anew. */
+    @Test
+    fun `the initial membership is told once it is on disk`() {
+        val settings = VoterSettings(self.vm, self.address, Path.of("unused"), true, voters)
+        val stored = StoredState(self.id, HardState(Term(0)), threeVoters, EntryLog(LogPosition.START))
+        val state = initialState(settings, stored, 0)
+        expectThat(identityOf(state, settings, isSnapshotStored = false).initial).isNull()
+        expectThat(identityOf(state, settings, isSnapshotStored = false).isBlank).isFalse()
+        expectThat(identityOf(state, settings, isSnapshotStored = true).initial).isEqualTo(threeVoters.header)
+    }
 }
