Test how pools are hosted when leases, owners and callers go

Cause: PoolHost was covered by the process tests only, which do not lose a lease or an owner. Change: three tests with a fake pool.

--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/PoolHostTest.kt
@@ -0,0 +1,96 @@
+/*
+ * Hosting of pools when leases, assignments and callers go.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.FencingNumber
+import fulmarshunt.PoolId
+import fulmarshunt.VmId
+import fulmarshunt.monotonicClock
+import fulmarshunt.platform.startControlThread
+import fulmarshunt.target.Decide
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class PoolHostTest {
+    private val pool = PoolId("suva/0")
+    private val vm = VmId("entry-1")
+    private val control = startControlThread()
+    private val ended = mutableListOf<TicketOutcome>()
+    private var hasLease = true
+    private var grantsAtOnce = true
+
+    private val host = PoolHost(
+        vm = vm,
+        clock = monotonicClock(),
+        control = control,
+        traffic = CoroutineScope(Dispatchers.Default),
+        hasLease = { hasLease },
+        createPool = { _, _, _ ->
+            HostedPool(
+                announce = { _, _ -> emptyList() },
+                admit = { request, _ -> if (grantsAtOnce) listOf(Decide(request.ticket, granted())) else emptyList() },
+                withdraw = { _, _ -> emptyList() },
+                progress = { _, _ -> emptyList() },
+                end = { _, _, outcome, _ -> emptyList<Decide>().also { ended += outcome } },
+                reregister = { _, _, _ -> emptyList() },
+                vmLost = { _, _ -> emptyList() },
+                configure = { _, _ -> emptyList() },
+                tick = { emptyList() },
+                nextTickMs = { null },
+                view = { error("no view") },
+            )
+        },
+        actions = PoolHostActions({ _, _ -> true }, { emptyMap() }, { true }),
+    )
+
+    private fun state(index: Long, owner: VmId): SharedState = SharedState(
+        pools = mapOf(pool to PoolOwner(owner, FencingNumber(index))),
+    )
+
+    @AfterEach
+    fun stop(): Unit = control.close()
+
+    /** Guards against two owners that grant places at the same target. */
+    @Test
+    fun `nothing is granted without an assignment or a lease`(): Unit = runBlocking {
+        suspend fun ask() = host.handle(Admit(pool, admissionRequest()))
+        val notOwner = Rejected(RejectReason.NOT_OWNER, 100)
+        expectThat(ask()).isEqualTo(notOwner)
+        control.run { host.apply(state(1, vm)) }
+        expectThat(ask()).isEqualTo(granted())
+        hasLease = false
+        expectThat(ask()).isEqualTo(notOwner)
+    }
+
+    /** Guards against callers that wait in the queue of a former owner. */
+    @Test
+    fun `waiting requests are sent away when the pool gets another owner`(): Unit = runBlocking {
+        grantsAtOnce = false
+        control.run { host.apply(state(1, vm)) }
+        val answer = async(Dispatchers.Default) { host.handle(Admit(pool, admissionRequest())) }
+        withTimeout(5_000) {
+            delay(100)
+            control.run { host.apply(state(2, VmId("entry-2"))) }
+            expectThat(answer.await()).isEqualTo(Rejected(RejectReason.NOT_OWNER, 100))
+        }
+    }
+
+    /** Guards against a place that stays taken because a withdrawal arrived before its request. */
+    @Test
+    fun `a withdrawal that overtakes its request still counts`(): Unit = runBlocking {
+        control.run { host.apply(state(1, vm)) }
+        host.handle(Withdraw(pool, admissionRequest().ticket))
+        val reply = host.handle(Admit(pool, admissionRequest()))
+        expectThat((reply as Rejected).reason).isEqualTo(RejectReason.LEAVING)
+        expectThat(ended).isEqualTo(mutableListOf(TicketOutcome.UNUSED))
+    }
+}
