Withhold the lease of each former owner during a move

A VM gets no lease while a move of its pools to another VM is open, also when it has released them. The configuration uses unordered persistent maps, and small commands search for key hashes instead of indexing them, because iterating an ordered map looks up each key.

--- a/src/main/kotlin/fulmarshunt/PersistentMaps.kt
+++ b/src/main/kotlin/fulmarshunt/PersistentMaps.kt
@@ -5,10 +5,17 @@
 package fulmarshunt
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentHashMap
 import kotlinx.collections.immutable.toPersistentMap
 
-/** Returns this map with [value] at [key]; a new key comes last in the iteration order. */
-internal fun <K, V> Map<K, V>.putting(key: K, value: V): PersistentMap<K, V> = toPersistentMap().put(key, value)
+/** Returns this map with [value] at [key], in no particular order; iteration is as fast as in a hash map. */
+internal fun <K, V> Map<K, V>.putting(key: K, value: V): PersistentMap<K, V> = toPersistentHashMap().put(key, value)
 
-/** Returns this map without [key]. */
-internal fun <K, V> Map<K, V>.removing(key: K): PersistentMap<K, V> = toPersistentMap().remove(key)
+/** Returns this map without [key], in no particular order. */
+internal fun <K, V> Map<K, V>.removing(key: K): PersistentMap<K, V> = toPersistentHashMap().remove(key)
+
+/** Returns this map with [value] at [key], where a new key comes last; iteration looks up each key. */
+internal fun <K, V> Map<K, V>.appending(key: K, value: V): PersistentMap<K, V> = toPersistentMap().put(key, value)
+
+/** Returns this map without [key] and with the others in their order. */
+internal fun <K, V> Map<K, V>.dropping(key: K): PersistentMap<K, V> = toPersistentMap().remove(key)
--- a/src/main/kotlin/fulmarshunt/caller/ClaimTable.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimTable.kt
@@ -6,8 +6,8 @@
 
 import fulmarshunt.Fingerprint
 import fulmarshunt.TicketId
-import fulmarshunt.putting
-import fulmarshunt.removing
+import fulmarshunt.appending
+import fulmarshunt.dropping
 import kotlinx.serialization.Serializable
 
 /** The greatest number of claims. */
@@ -106,10 +106,10 @@
 }
 
 private fun ClaimTable.with(key: ClaimKey, claim: Claim) =
-    ClaimTable(claims.putting(key, claim), sizeBytes + sizeOf(key, claim))
+    ClaimTable(claims.appending(key, claim), sizeBytes + sizeOf(key, claim))
 
 private fun ClaimTable.without(key: ClaimKey, claim: Claim, keepsPlace: Boolean = false) =
-    ClaimTable(if (keepsPlace) claims else claims.removing(key), sizeBytes - sizeOf(key, claim))
+    ClaimTable(if (keepsPlace) claims else claims.dropping(key), sizeBytes - sizeOf(key, claim))
 
 private fun Claim.answeredWith(answer: RecordedAnswer) = Claim(fingerprint, ticket, expiresAtEpochMs, answer)
 
--- a/src/main/kotlin/fulmarshunt/entry/DeathCounts.kt
+++ b/src/main/kotlin/fulmarshunt/entry/DeathCounts.kt
@@ -8,8 +8,8 @@
 import fulmarshunt.Fingerprint
 import fulmarshunt.Incarnation
 import fulmarshunt.TargetId
-import fulmarshunt.putting
-import fulmarshunt.removing
+import fulmarshunt.appending
+import fulmarshunt.dropping
 import kotlinx.serialization.Serializable
 
 /** How long a poison request is refused. */
@@ -55,33 +55,33 @@
     // A death that a poison request explains counts against nobody else.
     val cleared = suspects.filterValues { suspect -> poison.any { it in suspect.fellows } }.keys + poison
     var left = suspects
-    cleared.forEach { left = left.removing(it) }
+    cleared.forEach { left = left.dropping(it) }
     if (poison.isEmpty()) {
         narrowed.forEach { (fingerprint, fellows) ->
             // Removed first, so that the order stays that of the last death.
-            left = left.removing(fingerprint).putting(fingerprint, Suspect(fellows, nowEpochMs))
+            left = left.dropping(fingerprint).appending(fingerprint, Suspect(fellows, nowEpochMs))
         }
     }
-    return DeathCounts(deaths.putting(life, nowEpochMs), left).bounded() to poison.sortedBy { it.value }
+    return DeathCounts(deaths.appending(life, nowEpochMs), left).bounded() to poison.sortedBy { it.value }
 }
 
 /** Returns the counts without what happened too long before [nowEpochMs]. */
 internal fun DeathCounts.expire(nowEpochMs: Long): DeathCounts {
     var left = this
     while ((left.deaths.values.firstOrNull() ?: nowEpochMs) <= nowEpochMs - SUSPICION_MS) {
-        left = left.copy(deaths = left.deaths.removing(left.deaths.keys.first()))
+        left = left.copy(deaths = left.deaths.dropping(left.deaths.keys.first()))
     }
     while ((left.suspects.values.firstOrNull()?.atEpochMs ?: nowEpochMs) <= nowEpochMs - SUSPICION_MS) {
-        left = left.copy(suspects = left.suspects.removing(left.suspects.keys.first()))
+        left = left.copy(suspects = left.suspects.dropping(left.suspects.keys.first()))
     }
     return left
 }
 
 private fun DeathCounts.bounded(): DeathCounts {
     var left = this
-    while (left.deaths.size > MAX_SUSPECTS) left = left.copy(deaths = left.deaths.removing(left.deaths.keys.first()))
+    while (left.deaths.size > MAX_SUSPECTS) left = left.copy(deaths = left.deaths.dropping(left.deaths.keys.first()))
     while (left.suspects.size > MAX_SUSPECTS) {
-        left = left.copy(suspects = left.suspects.removing(left.suspects.keys.first()))
+        left = left.copy(suspects = left.suspects.dropping(left.suspects.keys.first()))
     }
     return left
 }
--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -76,7 +76,11 @@
         val gone = (givenBack + goneAt(nowMs, shared.entryVms.keys)).sortedBy { it.value }
         if (gone.isNotEmpty()) return RemoveVms(gone).also { withheld += gone }
         val moves = planMoves(viewAt(shared, shutdowns, nowMs))
-        withheld += moves.mapNotNull { it.previous?.vm }.filter { !mayHold(it, nowMs) }
+        // A VM that has released a pool could restart and take itself for the owner before the move is committed.
+        moves.forEach { move ->
+            val owner = move.previous?.vm
+            if (owner != null && (move.vm != null || !mayHold(owner, nowMs))) withheld += owner
+        }
         return if (moves.isEmpty() && withheld.isEmpty()) null else MovePools(moves)
     }
 
--- a/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
@@ -14,6 +14,9 @@
 internal const val MAX_OTHER_PARTS: Int = 2_000
 
 private const val MAX_ID_CHARS = 128
+
+/** The number of changes up to which key hashes are searched for instead of indexed. */
+private const val MAX_SEARCHED_CHANGES = 16
 private const val MAX_SHARDS = 64
 private val idPattern = Regex("[^\\s\\p{Cntrl}]+")
 private val methodPattern = Regex("\\*|[A-Z]+")
@@ -25,7 +28,7 @@
  */
 internal fun Configuration.validated(changes: List<ConfigurationChange>): Either<String, Configuration> {
     if (changes.isEmpty()) return "changes: must not be empty".left()
-    val keys = KeyOwners(this)
+    val keys = KeyOwners(this, changes.size)
     var current = this
     changes.forEachIndexed { position, change ->
         val problem = current.problemOf(change) ?: keys.claim(change)
@@ -107,14 +110,14 @@
     if (isKnown) null else "id: $kind \"$id\" does not exist"
 
 /** The holder of each key hash while the changes of one command are checked. */
-private class KeyOwners(configuration: Configuration) {
-    private val holderOf = HashMap<String, String>()
-    private val hashOf = HashMap<String, String>()
+private class KeyOwners(private val configuration: Configuration, changeCount: Int) {
+    private val added = HashMap<String, String>()
+    private val hashOfAdded = HashMap<String, String>()
+    private val replaced = HashSet<String>()
 
-    init {
-        configuration.accounts.values.forEach { put(account(it.id.value), it.keySha256) }
-        configuration.operators.values.forEach { put(operator(it.id.value), it.keySha256) }
-    }
+    /** Present for large commands only: for a few changes, building it takes longer than searching. */
+    private val index: Map<String, String>? =
+        if (changeCount <= MAX_SEARCHED_CHANGES) null else holders().toMap(HashMap())
 
     /** Returns a problem if another client account or operator has the key that [change] sets. */
     fun claim(change: ConfigurationChange): String? = when (change) {
@@ -127,23 +130,31 @@
     }
 
     private fun claim(field: String, holder: String, sha256: String): String? {
-        val other = holderOf[sha256]
+        val other = added[sha256] ?: originalOrNull(sha256)?.takeIf { it !in replaced }
         if (other != null && other != holder) return "$field: $other has the same key"
         release(holder)
-        put(holder, sha256)
+        added[sha256] = holder
+        hashOfAdded[holder] = sha256
         return null
     }
 
-    private fun put(holder: String, sha256: String) {
-        holderOf[sha256] = holder
-        hashOf[holder] = sha256
-    }
-
     private fun release(holder: String): String? {
-        hashOf.remove(holder)?.let(holderOf::remove)
+        replaced += holder
+        hashOfAdded.remove(holder)?.let(added::remove)
         return null
     }
 
+    private fun originalOrNull(sha256: String): String? = if (index != null) {
+        index[sha256]
+    } else {
+        configuration.accounts.values.find { it.keySha256 == sha256 }?.let { account(it.id.value) }
+            ?: configuration.operators.values.find { it.keySha256 == sha256 }?.let { operator(it.id.value) }
+    }
+
+    private fun holders(): Sequence<Pair<String, String>> =
+        configuration.accounts.values.asSequence().map { it.keySha256 to account(it.id.value) } +
+            configuration.operators.values.asSequence().map { it.keySha256 to operator(it.id.value) }
+
     private fun account(id: String) = "client account \"$id\""
 
     private fun operator(id: String) = "operator \"$id\""
--- a/src/main/kotlin/fulmarshunt/operator/CommandHistory.kt
+++ b/src/main/kotlin/fulmarshunt/operator/CommandHistory.kt
@@ -7,8 +7,8 @@
 import fulmarshunt.CommandId
 import fulmarshunt.LogIndex
 import fulmarshunt.OperatorId
-import fulmarshunt.putting
-import fulmarshunt.removing
+import fulmarshunt.appending
+import fulmarshunt.dropping
 import kotlinx.serialization.Serializable
 
 /** The outcomes that are kept: three days at the planned 3,100 changes a day. */
@@ -40,9 +40,9 @@
     id: CommandId,
     recorded: RecordedOutcome,
     limit: Int = MAX_KEPT_OUTCOMES,
-): CommandHistory = copy(outcomes = outcomes.putting(id, recorded).boundedTo(limit))
+): CommandHistory = copy(outcomes = outcomes.appending(id, recorded).boundedTo(limit))
 
 internal fun CommandHistory.withAudit(record: AuditRecord, limit: Int = MAX_KEPT_AUDIT_RECORDS): CommandHistory =
-    copy(audit = audit.putting(record.index, record).boundedTo(limit))
+    copy(audit = audit.appending(record.index, record).boundedTo(limit))
 
-private fun <K, V> Map<K, V>.boundedTo(limit: Int): Map<K, V> = if (size > limit) removing(keys.first()) else this
+private fun <K, V> Map<K, V>.boundedTo(limit: Int): Map<K, V> = if (size > limit) dropping(keys.first()) else this
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -43,19 +43,22 @@
     private fun LeaseSimulation.perform(event: Int) {
         val vm = vms[event / 100 % vms.size]
         when (event % 100) {
-            in 0..19 -> sendRenewal(vm)
-            in 20..39 -> deliverRenewal()
-            in 40..54 -> deliverAnswer()
-            in 55..58 -> loseAnswer()
-            in 59..68 -> push(vm)
-            in 69..76 -> propose()
-            in 77..82 -> commitProposal()
-            in 83..84 -> loseProposal(commits = event % 2 == 0)
-            85 -> electLeader(commits = event / 1_000 % 2 == 0)
-            86 -> shutDown(vm)
-            87 -> restart(vm)
-            in 88..89 -> settle()
-            in 90..93 -> pass(1_500)
+            in 0..19 -> renew(vm)
+            in 20..27 -> sendRenewal(vm)
+            in 28..35 -> deliverRenewal()
+            in 36..42 -> deliverAnswer()
+            in 43..45 -> loseAnswer()
+            in 46..57 -> push(vm)
+            in 58..69 -> propose()
+            in 70..75 -> commitProposal()
+            in 76..77 -> loseProposal(commits = event / 1_000 % 2 == 0)
+            78 -> electLeader(commits = event / 1_000 % 2 == 0)
+            79 -> shutDown(vm)
+            80 -> restart(vm)
+            in 81..84 -> settle()
+            // The lease of one VM runs out while the others renew.
+            in 85..87 -> repeat(34) { roundWithout(vm, proposes = event / 1_000 % 2 == 0) }
+            in 88..92 -> pass(1_500)
             else -> pass(event / 100 * 7L % 400)
         }
     }
@@ -80,6 +83,28 @@
         expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(3, 3))
     }
 
+    /** Guards against a lease for the former owner of a pool while its move to another VM is being committed. */
+    @Test
+    fun `a VM whose pools are being moved gets no lease`() {
+        val simulation = LeaseSimulation(3)
+        simulation.settleFor(5_000)
+        val silent = simulation.vms[0]
+        val pool = simulation.shared.pools.filterValues { it.vm == silent.entry.id }.keys.first()
+        repeat(33) { simulation.roundWithout(silent, proposes = false) }
+        simulation.propose()
+        simulation.renew(silent)
+        simulation.loseProposal(commits = true)
+        simulation.vms.drop(1).forEach(simulation::push)
+        expectThat(simulation.admitting(pool)).hasSize(1)
+        expectThat(simulation.hasLease(silent)).isFalse()
+        // The next change settles the one whose outcome the leader does not know.
+        simulation.propose()
+        simulation.commitProposal()
+        simulation.renew(silent)
+        expectThat(simulation.hasLease(silent)).isTrue()
+        expectThat(simulation.admitting(pool)).hasSize(1)
+    }
+
     /** Guards against pools that stay unbalanced after a VM joined, and against moves of more pools than needed. */
     @Test
     fun `a joining VM gets only the pools that balance needs`() {
@@ -111,12 +136,20 @@
         pass(ROUND_MS)
     }
 
-    private fun LeaseSimulation.roundWithout(absent: LeaseSimulation.Vm) {
+    private fun LeaseSimulation.renew(vm: LeaseSimulation.Vm) {
+        sendRenewal(vm)
+        deliverRenewal()
+        deliverAnswer()
+    }
+
+    private fun LeaseSimulation.roundWithout(absent: LeaseSimulation.Vm, proposes: Boolean = true) {
         vms.filter { it !== absent }.forEach(::sendRenewal)
         repeat(vms.size) { deliverRenewal() }
         repeat(vms.size) { deliverAnswer() }
-        propose()
-        commitProposal()
+        if (proposes) {
+            propose()
+            commitProposal()
+        }
         vms.filter { it !== absent && hasLease(it) }.forEach(::push)
         pass(ROUND_MS)
     }
