--- a/src/main/kotlin/fulmarshunt/operator/OperatorClient.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorClient.kt
@@ -113,4 +113,11 @@
 /** A submitted command carries an id by which the leader recognises it; a voter change does not. */
 private fun isRepeatable(call: OperatorCall): Boolean = call !is ChangeVoters
 
-private fun waitMs(call: OperatorCall): Long = (call as? SubmitCommand)?.waitInEffectMs ?: 0
+/** The leader lets a joining voter catch up for up to 30 s and takes as long again for the leaving one. */
+private const val VOTER_CHANGE_MS = 60_000L
+
+private fun waitMs(call: OperatorCall): Long = when (call) {
+    is SubmitCommand -> call.waitInEffectMs
+    is ChangeVoters -> VOTER_CHANGE_MS
+    else -> 0
+}
--- a/src/main/kotlin/fulmarshunt/platform/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ProcessMain.kt
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.Logger
 import java.nio.file.Path
+import kotlin.reflect.KClass
 import kotlin.system.exitProcess
 
 /** Where a program writes; a test passes functions that collect the lines. */
@@ -122,11 +123,20 @@
 /** Ends the process when [e] is a broken invariant; failures of libraries on their own threads are only reported. */
 private fun haltOnBrokenInvariant(name: String, thread: Thread, e: Throwable) {
     System.err.println("$name: thread ${thread.name}: ${describeBrokenInvariant(e)}")
-    if (e is IllegalStateException || e is IllegalArgumentException || e is Error) {
-        Runtime.getRuntime().halt(ExitCode.BROKEN_INVARIANT.number)
-    }
+    if (isBrokenInvariant(e)) Runtime.getRuntime().halt(ExitCode.BROKEN_INVARIANT.number)
+}
+
+/**
+ * True for an error of the JVM and for a failed `check` or `require` of our own. Libraries throw subclasses of the same
+ * exceptions, for example for a selector that was closed, and these do not stop the process.
+ */
+internal fun isBrokenInvariant(e: Throwable): Boolean {
+    val isOwn = e.stackTrace.firstOrNull()?.className.orEmpty().startsWith("fulmarshunt.")
+    return e is Error || (isOwn && e::class in invariantExceptions)
 }
 
+private val invariantExceptions = setOf<KClass<*>>(IllegalStateException::class, IllegalArgumentException::class)
+
 /** Returns one line with the message of [e] and the first place in our own code, instead of a stack trace. */
 internal fun describeBrokenInvariant(e: Throwable): String {
     val frame = e.stackTrace.firstOrNull { it.className.startsWith("fulmarshunt.") } ?: e.stackTrace.firstOrNull()
--- a/src/test/kotlin/fulmarshunt/platform/ProcessMainTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ProcessMainTest.kt
@@ -14,9 +14,11 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import strikt.assertions.single
 import strikt.assertions.startsWith
+import java.nio.channels.ClosedSelectorException
 import java.util.concurrent.TimeUnit
 
 class ProcessMainTest {
@@ -52,6 +54,13 @@
         expectThat(recorded.problems).isEmpty()
     }
 
+    /** Guards against a library's failure on its own thread that stops the process. */
+    @Test
+    fun `a failed check stops the process and a closed selector does not`() {
+        expectThat(isBrokenInvariant(runCatching { check(1 > 2) }.exceptionOrNull()!!)).isTrue()
+        expectThat(isBrokenInvariant(ClosedSelectorException())).isFalse()
+    }
+
     /** Guards against a refusal whose reason is not shown. */
     @Test
     fun `the problem of a refusal is shown with the name of the program`() {
