--- a/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -195,7 +195,9 @@
         for (effect in effects) {
             when (effect) {
                 is Decide -> decide(entry, effect)
-                is CancelGeneration -> cancelWithRetry(effect.address, effect.ticket)
+                // A plain service has no generations; a cancellation would reach it as a call of its own.
+                is CancelGeneration ->
+                    if (effect.target in entry.engines) cancelWithRetry(effect.address, effect.ticket)
                 is ReportDeath -> reportDeath(entry, effect)
                 // Load commands are not sent yet: engines announce what they have loaded.
                 is IssueLoad -> Unit
--- a/src/test/kotlin/fulmarshunt/faults/CallerClient.kt
+++ b/src/test/kotlin/fulmarshunt/faults/CallerClient.kt
@@ -96,6 +96,8 @@
         .header("Authorization", "Bearer $key")
 
     private companion object {
+        val sharedHttp: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
         const val REQUEST_TIMEOUT_S = 60L
 
         /** The stand-in engine's tokens name their generation and offset. */
--- a/src/test/kotlin/fulmarshunt/faults/FaultProxy.kt
+++ b/src/test/kotlin/fulmarshunt/faults/FaultProxy.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 /** The direction of bytes through a proxy. */
 enum class Direction {
@@ -57,6 +58,9 @@
     /** The port at which the proxy listens. */
     val port: Int = (server.localAddress as InetSocketAddress).port
 
+    /** The bytes that passed in both directions. */
+    val relayedBytes = AtomicLong()
+
     /** The delay of each chunk of bytes. */
     @Volatile
     var delayMs: Long = 0
@@ -143,6 +147,7 @@
             if (direction == Direction.INBOUND && connection.source == null) connection.identify(buffer, count)
             if (delayMs > 0) delay(delayMs)
             if (connection.isSilent || isCut(connection, direction)) continue
+            relayedBytes.addAndGet(count.toLong())
             if (runCatching { to.writeFully(buffer, 0, count).also { _ -> to.flush() } }.isFailure) return
         }
     }
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
@@ -0,0 +1,319 @@
+/*
+ * Generations under failures of engines, connections and entry VMs, with real processes behind fault-injecting proxies.
+ */
+package fulmarshunt.faults
+
+import fulmarshunt.ClientAccountId
+import fulmarshunt.FailureDomainId
+import fulmarshunt.ServiceId
+import fulmarshunt.operator.ClientAccount
+import fulmarshunt.operator.FailureDomain
+import fulmarshunt.operator.PutClientAccount
+import fulmarshunt.operator.PutFailureDomain
+import fulmarshunt.operator.PutService
+import fulmarshunt.operator.Service
+import fulmarshunt.operator.ServiceKind
+import fulmarshunt.operator.SetFailureDomainDrained
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isContainedIn
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+import java.io.File
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+
+/** The key of the client account that the tests use. */
+private const val KEY = "vatuvara-key"
+
+@Timeout(TEST_LIMIT_S)
+class GenerationFaultTest {
+    @TempDir
+    lateinit var directory: File
+
+    private val caller = CallerClient(KEY)
+
+    private fun withSite(voterCount: Int = 1, entryCount: Int = 2, block: (Site) -> Unit) {
+        Site(directory, voterCount, entryCount).use { site ->
+            site.start()
+            val domains = listOf("suva", "nausori", "lautoka").map {
+                PutFailureDomain(FailureDomain(FailureDomainId(it)))
+            }
+            val account = ClientAccount(ClientAccountId("vatuvara"), sha256(KEY), maxRequestsPerSecond = 1_000.0)
+            val letters = PutService(Service(ServiceId("letters"), ServiceKind.MODEL))
+            site.configure(*domains.toTypedArray(), PutClientAccount(account), letters)
+            site.awaitReady()
+            block(site)
+        }
+    }
+
+    /** Waits until a short generation is served through each entry VM. */
+    private fun Site.awaitService(entries: List<SiteEntry> = this.entries) {
+        for (entry in entries) {
+            awaitThat("a generation through ${entry.name}") {
+                caller.stream(entry.callersPort, "warm length=2").isComplete
+            }
+        }
+    }
+
+    private fun ReceivedStream.expectWhole(tokens: Int) {
+        expectThat(isComplete).describedAs("complete: $rest").isTrue()
+        expectThat(offsets).isEqualTo((0 until tokens).toList())
+        expectThat(generations).hasSize(1)
+    }
+
+    private fun streamInBackground(
+        entry: SiteEntry,
+        prompt: String,
+        started: CountDownLatch,
+    ): CompletableFuture<ReceivedStream> = CompletableFuture.supplyAsync {
+        caller.stream(entry.callersPort, prompt) { count -> if (count == 5) started.countDown() }
+    }
+
+    /** Guards against lost, repeated or mixed tokens when a connection goes silent for good while new ones work. */
+    @Test
+    fun `a stream on a silent connection is resumed without loss`() {
+        withSite { site ->
+            val engine = site.engine("engine-1")
+            site.awaitService()
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=300", started)
+            started.awaitFirst()
+            engine.proxy.silenceOpenConnections()
+            stream.get().expectWhole(300)
+            expectThat(engine.stat("started")).isEqualTo(1L + site.entries.size)
+        }
+    }
+
+    /** Guards against lost, repeated or mixed tokens when connections are reset again and again. */
+    @Test
+    fun `a stream whose connections are reset is resumed without loss`() {
+        withSite { site ->
+            val engine = site.engine("engine-1")
+            site.awaitService()
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=300", started)
+            started.awaitFirst()
+            repeat(4) {
+                engine.proxy.resetOpenConnections()
+                Thread.sleep(300)
+            }
+            stream.get().expectWhole(300)
+        }
+    }
+
+    /** Guards against a second generation being mixed into a stream whose engine died. */
+    @Test
+    fun `a stream whose engine dies ends with an error and tokens of one generation`() {
+        withSite { site ->
+            val engines = listOf(site.engine("engine-1"), site.engine("engine-2"))
+            site.awaitService()
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=2000", started)
+            started.awaitFirst()
+            engines.first { it.stat("running") > 0 }.process.kill()
+            val received = stream.get()
+            expectThat(received.isComplete).isFalse()
+            expectThat(received.rest).contains("generation-lost")
+            expectThat(received.generations).hasSize(1)
+            expectThat(received.offsets).isEqualTo(received.offsets.indices.toList())
+        }
+    }
+
+    /** Guards against a buffered generation being lost with its engine although nothing had reached the caller. */
+    @Test
+    fun `a buffered generation is finished elsewhere when its engine dies`() {
+        withSite { site ->
+            val engines = listOf(site.engine("engine-1"), site.engine("engine-2"))
+            site.awaitService()
+            val answer =
+                CompletableFuture.supplyAsync {
+                    caller.open(site.entries[0].callersPort, "letter length=200", isStreamed = false)
+                }
+            val busy = eventually("a running generation") { engines.firstOrNull { it.stat("running") > 0 } }
+            busy.process.kill()
+            val response = answer.get()
+            val text = response.body().readBytes().decodeToString()
+            expectThat(response.statusCode()).describedAs(text).isEqualTo(200)
+            expectThat(text).contains("\"completion_tokens\":200")
+        }
+    }
+
+    /** Guards against capacity being spent on a generation whose caller has left. */
+    @Test
+    fun `a generation whose caller leaves is cancelled at the engine`() {
+        withSite { site ->
+            val engine = site.engine("engine-1")
+            site.awaitService()
+            val response = caller.open(site.entries[0].callersPort, "letter length=20000", maxTokens = 30_000)
+            response.body().read()
+            expectThat(engine.stat("running")).isEqualTo(1)
+            response.body().close()
+            awaitThat("the cancellation") { engine.stat("running") == 0L }
+        }
+    }
+
+    /** Guards against capacity being spent on generations whose entry VM died. */
+    @Test
+    fun `generations of a dead entry VM are cancelled`() {
+        withSite(entryCount = 3) { site ->
+            val engine = site.engine("engine-1")
+            site.awaitService()
+            for (entry in site.entries) {
+                val started = CountDownLatch(1)
+                CompletableFuture.supplyAsync {
+                    caller.stream(entry.callersPort, "letter length=20000", maxTokens = 30_000) { started.countDown() }
+                }
+                started.awaitFirst()
+            }
+            expectThat(engine.stat("running")).isEqualTo(3)
+            site.entries[0].process.kill()
+            awaitThat("the cancellation", 30_000) { engine.stat("running") == 2L }
+            Thread.sleep(3_000)
+            expectThat(engine.stat("running")).isEqualTo(2)
+        }
+    }
+
+    /** Guards against a fresh target falling over when all entry VMs send to it at once. */
+    @Test
+    fun `a fresh engine never gets more than its start limit`() {
+        withSite(entryCount = 3) { site ->
+            site.engine("engine-1", "suva", "full_limit=4", "memory=100000")
+            site.awaitService()
+            val fresh = site.engine(
+                "engine-2",
+                "suva",
+                "warm_up=8000",
+                "start_limit=2",
+                "fragile=true",
+                "memory=100000",
+            )
+            val pool = Executors.newFixedThreadPool(24)
+            val streams =
+                (0 until 48).map { n ->
+                    CompletableFuture.supplyAsync(
+                        { caller.stream(site.entries[n % 3].callersPort, "burst $n length=60") },
+                        pool,
+                    )
+                }
+            val received = streams.map { it.get() }
+            pool.shutdownNow()
+            expectThat(fresh.process.isAlive()).isTrue()
+            expectThat(received.map { it.status }).all { isContainedIn(listOf(200, 503)) }
+            received.filter { it.status == 200 }.forEach { it.expectWhole(60) }
+            expectThat(received.count { it.isComplete }).isGreaterThan(20)
+        }
+    }
+
+    /** Guards against a request that crashes every target it runs on, sent again and again under new request ids. */
+    @Test
+    fun `a request that crashes engines is quarantined everywhere`() {
+        withSite(entryCount = 2) { site ->
+            val engines = (1..4).map { site.engine("engine-$it") }
+            site.awaitService()
+            val answers =
+                (0 until 8).map { n ->
+                    val answer = caller.stream(site.entries[n % 2].callersPort, "CRASH-THE-ENGINE now")
+                    Thread.sleep(1_000)
+                    answer
+                }
+            expectThat(engines.count { !it.process.isAlive() }).isLessThanOrEqualTo(3)
+            expectThat(answers.last().rest).contains("quarantined")
+            site.awaitService()
+        }
+    }
+
+    /** Guards against new work in a drained failure domain, and against streams that a drain cuts off. */
+    @Test
+    fun `a drained failure domain gets no new work and comes back`() {
+        withSite { site ->
+            val inSuva = site.engine("engine-1", "suva")
+            val elsewhere = site.engine("engine-2", "nausori")
+            site.awaitService()
+            awaitThat("work in suva") {
+                caller.stream(site.entries[0].callersPort, "x length=2")
+                inSuva.stat("started") > 0
+            }
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=600", started)
+            started.awaitFirst()
+            site.configure(SetFailureDomainDrained(FailureDomainId("suva"), true))
+            val before = inSuva.stat("started")
+            repeat(10) { n -> caller.stream(site.entries[n % 2].callersPort, "y$n length=3").expectWhole(3) }
+            expectThat(inSuva.stat("started")).isEqualTo(before)
+            expectThat(elsewhere.stat("started")).isGreaterThan(0)
+            stream.get().expectWhole(600)
+            site.configure(SetFailureDomainDrained(FailureDomainId("suva"), false))
+            awaitThat("work in suva again") {
+                caller.stream(site.entries[0].callersPort, "z length=2")
+                inSuva.stat("started") > before
+            }
+        }
+    }
+
+    /** Guards against a planned stop that cuts off a running stream, or that takes new work. */
+    @Test
+    fun `a graceful shutdown finishes running streams`() {
+        withSite { site ->
+            site.engine("engine-1")
+            site.awaitService()
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=500", started)
+            started.awaitFirst()
+            site.entries[0].process.terminate()
+            eventually("the end of readiness") {
+                true.takeIf { runCatching { !site.isReady(site.entries[0]) }.getOrDefault(true) }
+            }
+            stream.get().expectWhole(500)
+            expectThat(site.entries[0].process.exitCode(15_000)).isEqualTo(0)
+            site.awaitService(site.entries.drop(1))
+        }
+    }
+
+    /** Guards against new work without a lease, and against streams that end because control is away. */
+    @Test
+    fun `without control new work stops and running streams finish`() {
+        withSite { site ->
+            site.engine("engine-1")
+            site.awaitService()
+            val started = CountDownLatch(1)
+            val stream = streamInBackground(site.entries[0], "letter length=800", started)
+            started.awaitFirst()
+            site.voters.forEach { it.process.kill() }
+            awaitThat("the end of readiness") { !site.isReady(site.entries[0]) }
+            val refused = caller.stream(site.entries[0].callersPort, "x length=2")
+            expectThat(refused.status).isEqualTo(503)
+            expectThat(refused.rest).contains("\"ran\":\"not_run\"")
+            stream.get().expectWhole(800)
+            site.voters.forEach { it.process.start() }
+            site.awaitReady()
+            site.awaitService()
+        }
+    }
+
+    /** Guards against new work by an entry VM that was frozen for longer than its lease. */
+    @Test
+    fun `a frozen entry VM that wakes serves again only with a new lease`() {
+        withSite { site ->
+            val engine = site.engine("engine-1")
+            site.awaitService()
+            site.entries[0].process.freeze()
+            Thread.sleep(5_000)
+            site.awaitService(site.entries.drop(1))
+            val before = engine.stat("max_concurrent")
+            site.entries[0].process.thaw()
+            site.awaitReady()
+            site.awaitService()
+            expectThat(engine.stat("max_concurrent")).isLessThanOrEqualTo(maxOf(before, 2))
+        }
+    }
+}
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -36,11 +36,23 @@
 import java.security.MessageDigest
 import java.time.Duration
 import java.util.UUID
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** Returns the hexadecimal SHA-256 of [text]. */
 fun sha256(text: String): String =
     MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
 
+/** Bounds a test that waits for something that never happens. */
+const val TEST_LIMIT_S: Long = 120
+
+private const val LATCH_LIMIT_S = 30L
+
+/** Waits for a latch and fails when it is not released in time. */
+fun CountDownLatch.awaitFirst() {
+    check(await(LATCH_LIMIT_S, TimeUnit.SECONDS)) { "nothing arrived within $LATCH_LIMIT_S s" }
+}
+
 /** Repeats [attempt] until it returns a value or [timeoutMs] has passed. */
 fun <T : Any> eventually(what: String, timeoutMs: Long = 20_000, attempt: () -> T?): T {
     val deadline = System.nanoTime() + timeoutMs * 1_000_000
@@ -51,10 +63,18 @@
     error("$what did not happen within $timeoutMs ms")
 }
 
+/** Repeats [condition] until it holds or [timeoutMs] has passed. */
+fun awaitThat(what: String, timeoutMs: Long = 20_000, condition: () -> Boolean) {
+    eventually(what, timeoutMs) { true.takeIf { condition() } }
+}
+
 /** One process that the site can stop, freeze and start again. */
 class SiteProcess(val name: String, private val launch: () -> Process) {
     private var process: Process? = null
 
+    /** The process id. */
+    val pid: Long get() = checkNotNull(process).pid()
+
     fun start(): SiteProcess = apply { process = launch() }
 
     fun kill() {
@@ -68,7 +88,7 @@
 
     fun exitCode(timeoutMs: Long): Int? {
         val running = checkNotNull(process)
-        return if (running.waitFor(timeoutMs, java.util.concurrent.TimeUnit.MILLISECONDS)) running.exitValue() else null
+        return if (running.waitFor(timeoutMs, TimeUnit.MILLISECONDS)) running.exitValue() else null
     }
 
     fun isAlive(): Boolean = process?.isAlive == true
@@ -78,7 +98,7 @@
     fun thaw(): Unit = signal("CONT")
 
     private fun signal(name: String) {
-        ProcessBuilder("kill", "-$name", checkNotNull(process).pid().toString()).start().waitFor()
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
     }
 }
 
@@ -130,6 +150,7 @@
     private val entryCount: Int = 3,
     private val domains: List<String> = listOf("suva", "nausori", "lautoka"),
     private val policies: String = "",
+    private val isProxied: Boolean = true,
 ) : AutoCloseable {
     private val processes = Processes(directory)
     private val names = (1..voterCount).map { "control-$it" } + (1..entryCount).map { "entry-$it" }
@@ -152,7 +173,7 @@
 
     /** Waits until the balancer would send work to every one of [entries]. */
     fun awaitReady(entries: List<SiteEntry> = this.entries) {
-        for (entry in entries) eventually("readiness of ${entry.name}") { true.takeIf { isReady(entry) } }
+        for (entry in entries) awaitThat("readiness of ${entry.name}") { isReady(entry) }
     }
 
     /** Returns true if the entry VM says that it takes new work. */
@@ -262,7 +283,7 @@
     private fun target(name: String, launch: (Int, Int) -> Process): SiteTarget {
         val port = freePort()
         val proxy = proxyFor(port)
-        val process = SiteProcess(name) { launch(port, proxy.port) }.start()
+        val process = SiteProcess(name) { launch(port, if (isProxied) proxy.port else port) }.start()
         awaitPort(port)
         return SiteTarget(name, port, proxy, process)
     }
--- a/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
+++ b/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
@@ -84,6 +84,12 @@
     val isCancelled = MutableStateFlow(false)
     val total = minOf(length, maxTokens)
 
+    /** True while the cache of the generation is evicted. */
+    var isPreempted = false
+
+    /** Steps that the engine still spends on computing the evicted cache again. */
+    var recomputeSteps = 0
+
     fun memory(): Long = promptTokens.toLong() + tokens.value
 
     fun token(offset: Int): String = "$id:$offset "
@@ -127,10 +133,9 @@
             delay(if (isCold()) options.stepMs * COLD_FACTOR else options.stepMs)
             synchronized(batch) {
                 batch.removeIf { it.isCancelled.value || it.finish.value != null }
-                val runnable = batch.sortedByDescending { it.priority }
-                var memory = 0L
                 waiting.set(0)
-                for (generation in runnable) {
+                var memory = 0L
+                for (generation in batch.sortedByDescending { it.priority }) {
                     memory += generation.memory() + 1
                     if (memory <= options.memoryTokens) step(generation) else preempt(generation)
                 }
@@ -139,6 +144,14 @@
     }
 
     private fun step(generation: Generation) {
+        if (generation.isPreempted) {
+            generation.isPreempted = false
+            generation.recomputeSteps = (generation.memory() / RECOMPUTED_TOKENS_PER_STEP).toInt()
+        }
+        if (generation.recomputeSteps > 0) {
+            generation.recomputeSteps--
+            return
+        }
         generation.tokens.value++
         if (generation.tokens.value >= generation.total) {
             generation.finish.value = if (generation.length <= generation.maxTokens) "stop" else "length"
@@ -147,6 +160,8 @@
 
     private fun preempt(generation: Generation) {
         waiting.incrementAndGet()
+        if (generation.isPreempted) return
+        generation.isPreempted = true
         if (generation.tokens.value > 0) preemptions.incrementAndGet()
     }
 
@@ -292,6 +307,7 @@
 
     private companion object {
         const val COLD_FACTOR = 8
+        const val RECOMPUTED_TOKENS_PER_STEP = 100L
         const val COLD_MS = 5_000L
         const val CRASH_EXIT = 70
         const val CHARS_PER_TOKEN = 4
