Wait for the former owner after an unclear withdrawal of a pool

Cause: the leader recorded the vacancy of a pool only when it learned that the withdrawal was committed. If the outcome stayed unclear and the change was committed all the same, the pool counted as vacant at once and got a new owner while the former one still held a lease. Change: the withdrawal is noted when it is proposed, and the vacancy starts when the pool is first seen without owner.

--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -37,6 +37,9 @@
 
     private val leases = HashMap<VmId, Lease>()
     private val vacancies = HashMap<PoolId, Vacancy>()
+
+    /** The owners from which proposed changes take a pool, until it is clear whether they are committed. */
+    private val withdrawals = HashMap<PoolId, VmId>()
     private val withheld = HashSet<VmId>()
     private val givenBack = HashSet<VmId>()
 
@@ -75,6 +78,7 @@
      * [settle]; a later change settles earlier ones with an unclear outcome, because it follows them in the log.
      */
     fun nextChangeOrNull(shared: SharedState, shutdowns: Set<VmId>, nowMs: Long): RegistryChange? {
+        recordVacancies(shared, nowMs)
         givenBack.retainAll(shared.entryVms.keys)
         val gone = (givenBack + goneAt(nowMs, shared.entryVms.keys)).sortedBy { it.value }
         if (gone.isNotEmpty()) return RemoveVms(gone).also { withheld += gone }
@@ -82,6 +86,7 @@
         // A VM that has released a pool could restart and take itself for the owner before the move is committed.
         moves.forEach { move ->
             val owner = move.previous?.vm
+            if (owner != null && move.vm == null) withdrawals[move.pool] = owner
             if (owner != null && (move.vm != null || !mayHold(owner, nowMs))) withheld += owner
         }
         return if (moves.isEmpty() && withheld.isEmpty()) null else MovePools(moves)
@@ -93,15 +98,22 @@
         when (change) {
             is RegisterVm -> Unit
             is RemoveVms -> change.vms.forEach(leases::remove)
-            is MovePools -> change.moves.forEach { move ->
-                val former = move.previous?.vm
-                if (move.vm != null) {
-                    vacancies.remove(move.pool)
-                } else if (former != null) {
-                    vacancies[move.pool] = Vacancy(former, shared.index, nowMs + LEASE_WITH_MARGIN_MS)
-                }
-            }
+            is MovePools -> change.moves.forEach { if (it.vm != null) vacancies.remove(it.pool) }
+        }
+        recordVacancies(shared, nowMs)
+        withdrawals.clear()
+    }
+
+    /**
+     * Starts the vacancy of each pool whose withdrawal turns out to be committed. The leader may never learn the
+     * outcome of its proposal; grants since the change was applied carry it, so that the wait counts from now.
+     */
+    private fun recordVacancies(shared: SharedState, nowMs: Long) {
+        val committed = withdrawals.filterKeys { it !in shared.pools }
+        committed.forEach { (pool, former) ->
+            vacancies[pool] = Vacancy(former, shared.index, nowMs + LEASE_WITH_MARGIN_MS)
         }
+        withdrawals -= committed.keys
     }
 
     private fun viewAt(shared: SharedState, shutdowns: Set<VmId>, nowMs: Long): AssignmentView {
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -105,6 +105,28 @@
         expectThat(simulation.admitting(pool)).hasSize(1)
     }
 
+    /**
+     * Guards against a second owner of a pool that was taken from a VM by a change whose outcome the leader did not
+     * learn (reduced from seed -3828222997900028382 of the property above).
+     */
+    @Test
+    fun `a pool withdrawn with an unclear outcome waits for its former owner`() {
+        val simulation = LeaseSimulation(4)
+        val joining = simulation.vms[0]
+        repeat(34) { simulation.roundWithout(joining) }
+        simulation.renew(joining)
+        simulation.propose()
+        simulation.loseProposal(commits = true)
+        val pool = simulation.shared.configuration.allPools().single { it !in simulation.shared.pools }
+        simulation.propose()
+        simulation.commitProposal()
+        simulation.renew(joining)
+        expectThat(simulation.admitting(pool)).hasSize(1)
+        simulation.settleFor(5_000)
+        expectThat(simulation.shared.pools[pool]?.vm).isEqualTo(joining.entry.id)
+        expectThat(simulation.admitting(pool)).hasSize(1)
+    }
+
     /** Guards against pools that stay unbalanced after a VM joined, and against moves of more pools than needed. */
     @Test
     fun `a joining VM gets only the pools that balance needs`() {
