Register lost entry VMs for 6 s and keep one copy of hashing

With 60 s, the generations of a dead entry VM ran on for a minute. One possible cause is that a free port was taken by an outgoing connection before its process listened. Sha256.kt in the root package. Free ports of tests lie below the range of outgoing connections. A failed wait for readiness shows the output of the processes. The property tests have fixed seeds and 2 to 10 times as many tries, so that the verdict is the same on each run.

--- a/src/main/kotlin/fulmarshunt/caller/Authentication.kt
+++ b/src/main/kotlin/fulmarshunt/caller/Authentication.kt
@@ -5,6 +5,7 @@
 
 import fulmarshunt.ClientAccountId
 import fulmarshunt.operator.ClientAccount
+import fulmarshunt.sha256Hex
 
 /** Finds the client account of an API key, or null. */
 public typealias Authenticate = (String) -> ClientAccountId?
@@ -12,7 +13,7 @@
 /** Returns an authentication against the client accounts that [accounts] reads. */
 public fun authenticationBy(accounts: () -> Map<ClientAccountId, ClientAccount>): Authenticate {
     val index = KeyIndex(accounts)
-    return { key -> index.current()[sha256Hex(key.encodeToByteArray())] }
+    return { key -> index.current()[sha256Hex(key)] }
 }
 
 private class KeyIndex(private val accounts: () -> Map<ClientAccountId, ClientAccount>) {
--- a/src/main/kotlin/fulmarshunt/caller/Fingerprints.kt
+++ b/src/main/kotlin/fulmarshunt/caller/Fingerprints.kt
@@ -5,15 +5,12 @@
 package fulmarshunt.caller
 
 import fulmarshunt.Fingerprint
+import fulmarshunt.toHex
 import java.security.MessageDigest
 
 /** Half of a SHA-256 keeps collisions out of reach and messages small. */
 private const val FINGERPRINT_DIGITS = 32
 
-/** Returns the lower-case hexadecimal SHA-256 of [bytes]. */
-public fun sha256Hex(bytes: ByteArray): String =
-    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
-
 /** Returns the fingerprint of [parts]; their boundaries count. */
 public fun fingerprintOf(vararg parts: ByteArray): Fingerprint {
     val digest = MessageDigest.getInstance("SHA-256")
@@ -21,7 +18,7 @@
         digest.update("${part.size}:".encodeToByteArray())
         digest.update(part)
     }
-    return Fingerprint(digest.digest().joinToString("") { "%02x".format(it) }.take(FINGERPRINT_DIGITS))
+    return Fingerprint(digest.digest().toHex().take(FINGERPRINT_DIGITS))
 }
 
 /** Returns the fingerprint of the content of this request. */
--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -16,7 +16,7 @@
  * How long a VM without a renewal stays registered. Until it is removed, its generations keep running for nobody; a
  * frozen VM that wakes later registers again.
  */
-internal const val REGISTRATION_MS: Long = 60_000
+internal const val REGISTRATION_MS: Long = 6_000
 
 /**
  * Leases of the term [term].
--- a/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
+++ b/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
@@ -4,6 +4,8 @@
  */
 package fulmarshunt.operator
 
+import fulmarshunt.isSha256Hex
+
 private const val MAX_NAME_CHARACTERS = 64
 private const val MAX_SHARDS = 64
 private const val MAX_TOKENS = 1_000_000
@@ -86,7 +88,7 @@
     return null
 }
 
-private fun findKeyProblem(field: String, hash: String?): String? = if (hash == null || isKeySha256(hash)) {
+private fun findKeyProblem(field: String, hash: String?): String? = if (hash == null || isSha256Hex(hash)) {
     null
 } else {
     "$field.key_sha256: is not a SHA-256: give 64 hexadecimal digits in lower case, and never the key itself"
--- a/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
@@ -6,6 +6,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.isSha256Hex
 
 /** Bounds the configuration, which must fit into one link frame: an account takes about 250 bytes. */
 internal const val MAX_CLIENT_ACCOUNTS: Int = 12_000
@@ -101,7 +102,7 @@
 }
 
 private fun hashProblem(field: String, sha256: String): String? =
-    if (isKeySha256(sha256)) null else "$field: must be 64 hexadecimal digits in lower case"
+    if (isSha256Hex(sha256)) null else "$field: must be 64 hexadecimal digits in lower case"
 
 private fun positive(field: String, value: Double): String? =
     if (value > 0 && value.isFinite()) null else "$field: must be greater than 0"
--- a/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
@@ -10,6 +10,7 @@
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linkCbor
 import fulmarshunt.platform.Secret
+import fulmarshunt.sha256Hex
 import fulmarshunt.voter.ApplyAction
 import fulmarshunt.voter.ApplyCommand
 import fulmarshunt.voter.CommandReply
--- a/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
@@ -11,7 +11,7 @@
 import fulmarshunt.FailureDomainId
 import fulmarshunt.OperatorId
 import fulmarshunt.VmId
-import fulmarshunt.operator.isKeySha256
+import fulmarshunt.isSha256Hex
 import fulmarshunt.parseAddress
 import fulmarshunt.target.poolPolicies
 import kotlinx.serialization.SerialName
@@ -216,7 +216,7 @@
     return when {
         id == null && hash == null -> Unit.right()
         id == null || id.value.isBlank() -> SettingsProblem("$field: is empty: give the operator's id").left()
-        hash == null || !isKeySha256(hash) ->
+        hash == null || !isSha256Hex(hash) ->
             SettingsProblem("${field}_key_sha256: is no SHA-256: give 64 hexadecimal digits in lower case").left()
         else -> Unit.right()
     }
--- a/src/test/kotlin/fulmarshunt/caller/LimitsTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/LimitsTest.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.operator.Configuration
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -59,11 +60,11 @@
     /** Guards against a stored key hash that is compared with the key, and against a stale index after a change. */
     @Test
     fun `keys are found by their hash in the current accounts`() {
-        var accounts = mapOf(id to ClientAccount(id, sha256Hex("key-1".encodeToByteArray())))
+        var accounts = mapOf(id to ClientAccount(id, sha256Hex("key-1")))
         val authenticate = authenticationBy { accounts }
         expectThat(authenticate("key-1")).isEqualTo(id)
         expectThat(authenticate(accounts.getValue(id).keySha256)).isNull()
-        accounts = mapOf(id to ClientAccount(id, sha256Hex("key-2".encodeToByteArray())))
+        accounts = mapOf(id to ClientAccount(id, sha256Hex("key-2")))
         expectThat(authenticate("key-1")).isNull()
     }
 
--- a/src/test/kotlin/fulmarshunt/demo/Demo.kt
+++ b/src/test/kotlin/fulmarshunt/demo/Demo.kt
@@ -11,7 +11,6 @@
 import fulmarshunt.faults.CallerClient
 import fulmarshunt.faults.Site
 import fulmarshunt.faults.awaitThat
-import fulmarshunt.faults.sha256
 import fulmarshunt.operator.ClientAccount
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.NonRepeatableRule
@@ -20,6 +19,7 @@
 import fulmarshunt.operator.PutService
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
+import fulmarshunt.sha256Hex
 import java.nio.file.Files
 import kotlin.system.exitProcess
 
@@ -35,7 +35,7 @@
             site.configure(
                 PutFailureDomain(FailureDomain(FailureDomainId("suva"))),
                 PutFailureDomain(FailureDomain(FailureDomainId("nausori"))),
-                PutClientAccount(ClientAccount(ClientAccountId("vatuvara"), sha256(KEY))),
+                PutClientAccount(ClientAccount(ClientAccountId("vatuvara"), sha256Hex(KEY))),
                 PutService(Service(ServiceId("letters"), ServiceKind.MODEL)),
                 PutService(
                     Service(
--- a/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
+++ b/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
@@ -13,9 +13,9 @@
 import fulmarshunt.monotonicClock
 import fulmarshunt.operator.OperatorPort
 import fulmarshunt.operator.operatorClient
-import fulmarshunt.operator.sha256Hex
 import fulmarshunt.platform.ControlThread
 import fulmarshunt.platform.startControlThread
+import fulmarshunt.sha256Hex
 import fulmarshunt.voter.AddFirstOperator
 import fulmarshunt.voter.LeaderCalls
 import fulmarshunt.voter.MemoryLog
@@ -33,7 +33,7 @@
     val voters: List<MemoryLog.Voter> = List(voterCount) { log.voter(track(startControlThread())) }
     val addresses: List<Address> =
         voters.mapIndexed { position, voter ->
-            val first = AddFirstOperator(ADMIN, sha256Hex(ADMIN_KEY.encodeToByteArray()))
+            val first = AddFirstOperator(ADMIN, sha256Hex(ADMIN_KEY))
             val service =
                 controlServiceOf(voter.control, voter.machine, voter.access, first, monotonicClock(), wallClock())
             val links = links("control-$position", service.handlers(LinkHandlers()))
--- a/src/test/kotlin/fulmarshunt/entry/EntryProcessTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/EntryProcessTest.kt
@@ -10,7 +10,6 @@
 import fulmarshunt.faults.Site
 import fulmarshunt.faults.SiteTarget
 import fulmarshunt.faults.eventually
-import fulmarshunt.faults.sha256
 import fulmarshunt.operator.ClientAccount
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.NonRepeatableRule
@@ -19,6 +18,7 @@
 import fulmarshunt.operator.PutService
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
@@ -57,7 +57,7 @@
                     nonRepeatable = listOf(NonRepeatableRule("POST", "/beds")),
                 ),
             ),
-            PutClientAccount(ClientAccount(ClientAccountId("labs"), sha256("test-key"))),
+            PutClientAccount(ClientAccount(ClientAccountId("labs"), sha256Hex("test-key"))),
         )
         site.awaitReady()
         engine = site.engine("e1", "suva", "start_limit=4")
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -19,6 +19,9 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 
+/** A fixed seed, so that each run of the build tries the same cases. */
+private const val SEED = "20261204"
+
 private const val ROUND_MS = 100L
 
 class LeasePropertiesTest {
@@ -26,7 +29,7 @@
     fun events(): Arbitrary<List<Int>> = Arbitraries.integers().between(0, 9_999).list().ofMinSize(50).ofMaxSize(400)
 
     /** Guards against two VMs admitting to one pool, and against a command reported in effect that is not. */
-    @Property(tries = 500)
+    @Property(tries = 5_000, seed = SEED)
     fun noPoolHasTwoOwnersAndNothingIsInEffectTooEarly(@ForAll("events") events: List<Int>) {
         val simulation = LeaseSimulation(4)
         for (event in events) {
--- a/src/test/kotlin/fulmarshunt/faults/ConfigurationFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/ConfigurationFaultTest.kt
@@ -17,6 +17,7 @@
 import fulmarshunt.operator.PutClientAccount
 import fulmarshunt.operator.PutFailureDomain
 import fulmarshunt.operator.ReadConfiguration
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
@@ -35,7 +36,7 @@
 
 private fun domain(name: String) = PutFailureDomain(FailureDomain(FailureDomainId(name)))
 
-private fun account(name: String) = PutClientAccount(ClientAccount(ClientAccountId(name), sha256(name)))
+private fun account(name: String) = PutClientAccount(ClientAccount(ClientAccountId(name), sha256Hex(name)))
 
 @Timeout(TEST_LIMIT_S)
 class ConfigurationFaultTest {
--- a/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
@@ -14,6 +14,7 @@
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
 import fulmarshunt.operator.SetFailureDomainDrained
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -49,7 +50,7 @@
             val domains = listOf("suva", "nausori", "lautoka").map {
                 PutFailureDomain(FailureDomain(FailureDomainId(it)))
             }
-            val account = ClientAccount(ClientAccountId("vatuvara"), sha256(KEY), maxRequestsPerSecond = 1_000.0)
+            val account = ClientAccount(ClientAccountId("vatuvara"), sha256Hex(KEY), maxRequestsPerSecond = 1_000.0)
             val letters = PutService(Service(ServiceId("letters"), ServiceKind.MODEL))
             site.configure(*domains.toTypedArray(), PutClientAccount(account), letters)
             site.awaitReady()
@@ -165,7 +166,6 @@
 
     /** Guards against capacity being spent on generations whose entry VM died. */
     @Test
-    @Tag("known-red")
     fun `generations of a dead entry VM are cancelled`() {
         withSite(entryCount = 3) { site ->
             val engine = site.engine("engine-1")
--- a/src/test/kotlin/fulmarshunt/faults/NonRepeatableFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/NonRepeatableFaultTest.kt
@@ -15,6 +15,7 @@
 import fulmarshunt.operator.PutService
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
@@ -44,7 +45,7 @@
             site.configure(
                 PutFailureDomain(FailureDomain(FailureDomainId("suva"))),
                 PutFailureDomain(FailureDomain(FailureDomainId("nausori"))),
-                PutClientAccount(ClientAccount(ClientAccountId("repasso"), sha256(KEY))),
+                PutClientAccount(ClientAccount(ClientAccountId("repasso"), sha256Hex(KEY))),
                 PutService(Service(ServiceId("bookings"), ServiceKind.PLAIN, listOf(rule))),
             )
             site.awaitReady()
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -24,6 +24,7 @@
 import fulmarshunt.operator.StatusReply
 import fulmarshunt.operator.SubmitCommand
 import fulmarshunt.operator.operatorChannel
+import fulmarshunt.sha256Hex
 import fulmarshunt.standin.Processes
 import fulmarshunt.standin.awaitPort
 import fulmarshunt.standin.freePort
@@ -33,16 +34,11 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse.BodyHandlers
-import java.security.MessageDigest
 import java.time.Duration
 import java.util.UUID
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
-/** Returns the hexadecimal SHA-256 of [text]. */
-fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
-
 /** Bounds a test that waits for something that never happens. */
 const val TEST_LIMIT_S: Long = 120
 
@@ -173,7 +169,14 @@
 
     /** Waits until the balancer would send work to every one of [entries]. */
     fun awaitReady(entries: List<SiteEntry> = this.entries) {
-        for (entry in entries) awaitThat("readiness of ${entry.name}") { isReady(entry) }
+        for (entry in entries) {
+            runCatching { awaitThat("readiness of ${entry.name}") { isReady(entry) } }.onFailure {
+                val shown = (voters.map { it.process } + entry.process).joinToString("\n") { process ->
+                    "${process.name} (alive: ${process.isAlive()}):\n${processes.lastLines(process.name)}"
+                }
+                throw IllegalStateException("${it.message}\n$shown", it)
+            }
+        }
     }
 
     /** Returns true if the entry VM says that it takes new work. */
@@ -328,7 +331,7 @@
             listen = "127.0.0.1:$platformPort"
             [operator]
             bootstrap_operator = "${OPERATOR.value}"
-            bootstrap_operator_key_sha256 = "${sha256(OPERATOR_KEY)}"
+            bootstrap_operator_key_sha256 = "${sha256Hex(OPERATOR_KEY)}"
         """.trimIndent()
     }
 
--- a/src/test/kotlin/fulmarshunt/measurement/CapacityMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/CapacityMeasurement.kt
@@ -19,7 +19,6 @@
 import fulmarshunt.entry.stateChannel
 import fulmarshunt.faults.Site
 import fulmarshunt.faults.SiteVoter
-import fulmarshunt.faults.sha256
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
@@ -28,6 +27,7 @@
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.PutClientAccount
 import fulmarshunt.operator.PutFailureDomain
+import fulmarshunt.sha256Hex
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
@@ -146,7 +146,7 @@
 
 private const val SETTLE_MS = 4_000L
 
-private fun account(name: String) = PutClientAccount(ClientAccount(ClientAccountId(name), sha256(name)))
+private fun account(name: String) = PutClientAccount(ClientAccount(ClientAccountId(name), sha256Hex(name)))
 
 private fun Site.change(expected: Revision, changes: List<PutClientAccount>): Revision =
     (submit(expected, changes) as? CommandAccepted)?.revision ?: configure(*changes.toTypedArray())
--- a/src/test/kotlin/fulmarshunt/measurement/OverheadMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/OverheadMeasurement.kt
@@ -12,7 +12,6 @@
 import fulmarshunt.faults.Site
 import fulmarshunt.faults.SiteTarget
 import fulmarshunt.faults.awaitThat
-import fulmarshunt.faults.sha256
 import fulmarshunt.operator.ClientAccount
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.PutClientAccount
@@ -20,6 +19,7 @@
 import fulmarshunt.operator.PutService
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
+import fulmarshunt.sha256Hex
 import org.HdrHistogram.ConcurrentHistogram
 import java.net.URI
 import java.net.http.HttpClient
@@ -43,7 +43,7 @@
         site.start()
         site.configure(
             PutFailureDomain(FailureDomain(FailureDomainId("suva"))),
-            PutClientAccount(ClientAccount(ClientAccountId("a"), sha256(KEY), 1.0, 1e6, 100_000)),
+            PutClientAccount(ClientAccount(ClientAccountId("a"), sha256Hex(KEY), 1.0, 1e6, 100_000)),
             PutService(Service(ServiceId("letters"), ServiceKind.MODEL)),
         )
         site.awaitReady()
--- a/src/test/kotlin/fulmarshunt/measurement/PolicyMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/PolicyMeasurement.kt
@@ -13,7 +13,6 @@
 import fulmarshunt.faults.Site
 import fulmarshunt.faults.SiteTarget
 import fulmarshunt.faults.awaitThat
-import fulmarshunt.faults.sha256
 import fulmarshunt.operator.ClientAccount
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.PutClientAccount
@@ -22,6 +21,7 @@
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
 import fulmarshunt.operator.SetFailureDomainDrained
+import fulmarshunt.sha256Hex
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.knowm.xchart.BitmapEncoder
@@ -122,7 +122,7 @@
     val domains = shape.domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it))) }
     val accounts =
         accountWeights.map { (name, weight) ->
-            PutClientAccount(ClientAccount(ClientAccountId(name), sha256(name), weight, 10_000.0, 10_000))
+            PutClientAccount(ClientAccount(ClientAccountId(name), sha256Hex(name), weight, 10_000.0, 10_000))
         }
     val service = PutService(Service(ServiceId("letters"), ServiceKind.MODEL))
     site.configure(*(domains + accounts + service).toTypedArray())
--- a/src/test/kotlin/fulmarshunt/operator/CommandDecisionTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/CommandDecisionTest.kt
@@ -9,6 +9,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.OperatorId
 import fulmarshunt.Revision
+import fulmarshunt.sha256Hex
 import fulmarshunt.voter.AddFirstOperator
 import fulmarshunt.voter.ApplyCommand
 import fulmarshunt.voter.CommandReply
@@ -23,7 +24,7 @@
 import strikt.assertions.startsWith
 
 private val admin = OperatorId("admin")
-private val adminHash = sha256Hex("k".encodeToByteArray())
+private val adminHash = sha256Hex("k")
 
 /** Applies commands one after another, as a voter does. */
 private class Replica {
@@ -43,16 +44,15 @@
         key: String = "k",
     ): CommandOutcome {
         val command = OperatorCommand(CommandId(id), operator, Revision(revision), changes.toList())
-        val content = sha256Hex(command.toString().encodeToByteArray())
-        val submitted = SubmittedCommand(command, sha256Hex(key.encodeToByteArray()), content, 1_000)
+        val content = sha256Hex(command.toString())
+        val submitted = SubmittedCommand(command, sha256Hex(key), content, 1_000)
         val applied = state.apply(LogIndex(++index), listOf(ApplyCommand(submitted)))
         state = applied.state
         return (applied.replies.single() as CommandReply).outcome
     }
 }
 
-private fun account(id: String, key: String = id) =
-    ClientAccount(ClientAccountId(id), sha256Hex(key.encodeToByteArray()))
+private fun account(id: String, key: String = id) = ClientAccount(ClientAccountId(id), sha256Hex(key))
 
 private val suva = PutFailureDomain(FailureDomain(FailureDomainId("suva")))
 
@@ -92,7 +92,7 @@
     @Test
     fun `a command of a revoked operator is refused at apply`() {
         val replica = Replica()
-        val bob = Operator(OperatorId("bob"), sha256Hex("b".encodeToByteArray()), setOf(Permission.CONFIGURE))
+        val bob = Operator(OperatorId("bob"), sha256Hex("b"), setOf(Permission.CONFIGURE))
         replica.submit("a", 1, PutOperator(bob))
         replica.submit("b", 2, RemoveOperator(bob.id))
         expectThat(replica.submit("c", 3, suva, operator = bob.id, key = "b")).isA<OutcomeRefused>()
@@ -104,7 +104,7 @@
     @Test
     fun `permissions and keys are checked`() {
         val replica = Replica()
-        val bob = Operator(OperatorId("bob"), sha256Hex("b".encodeToByteArray()), setOf(Permission.CONFIGURE))
+        val bob = Operator(OperatorId("bob"), sha256Hex("b"), setOf(Permission.CONFIGURE))
         replica.submit("a", 1, suva, PutOperator(bob))
         val drain = SetFailureDomainDrained(FailureDomainId("suva"), true)
         expectThat(replica.submit("b", 2, drain, operator = bob.id, key = "b")).isA<OutcomeRefused>()
--- a/src/test/kotlin/fulmarshunt/standin/Processes.kt
+++ b/src/test/kotlin/fulmarshunt/standin/Processes.kt
@@ -7,6 +7,9 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val SHOWN_LINES = 20
 
 /** The processes of one test. */
 class Processes(private val directory: File) : AutoCloseable {
@@ -37,14 +40,36 @@
     /** Writes a settings file and returns its path. */
     fun settings(name: String, text: String): String = File(directory, name).apply { writeText(text) }.path
 
+    /** Returns the last lines that the process [name] wrote. */
+    fun lastLines(name: String): String = File(directory, "$name.out").takeIf {
+        it.exists()
+    }?.readLines()?.takeLast(SHOWN_LINES)?.joinToString("\n").orEmpty()
+
     override fun close() {
         started.forEach { it.destroyForcibly() }
         started.forEach { it.waitFor(5, TimeUnit.SECONDS) }
     }
 }
 
-/** Returns a port that was free a moment ago. */
-fun freePort(): Int = ServerSocket(0).use { it.localPort }
+/**
+ * Returns a port that was free a moment ago.
+ *
+ * It lies below the range from which the system takes the ports of outgoing connections, so that none of them occupies
+ * it before the process that it is meant for listens. Each JVM starts at a place of its own.
+ */
+fun freePort(): Int {
+    repeat(PORT_COUNT) {
+        val port = FIRST_PORT + nextPort.getAndIncrement().mod(PORT_COUNT)
+        if (runCatching { ServerSocket(port).close() }.isSuccess) return port
+    }
+    error("no port from $FIRST_PORT on is free")
+}
+
+private const val FIRST_PORT = 12_000
+private const val PORT_COUNT = 20_000
+private const val PORTS_PER_JVM = 997
+
+private val nextPort = AtomicInteger((ProcessHandle.current().pid() * PORTS_PER_JVM).mod(PORT_COUNT))
 
 /** Waits until a process accepts connections at [port]. */
 fun awaitPort(port: Int, timeoutMs: Long = 15_000) {
--- a/src/test/kotlin/fulmarshunt/target/PoolPropertyTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/PoolPropertyTest.kt
@@ -19,6 +19,9 @@
 import java.util.Random
 import kotlin.math.exp
 
+/** A fixed seed, so that each run of the build tries the same cases. */
+private const val SEED = "20261204"
+
 class PoolPropertyTest {
     private fun nonNegative(code: Int) = code and Int.MAX_VALUE
 
@@ -59,7 +62,7 @@
     }
 
     /** Guards against a target that has just started getting more than it can bear (R2). */
-    @Property(tries = 200)
+    @Property(tries = 400, seed = SEED)
     fun newTargetHoldsAtMostStartLimitAndWhatItEarned(@ForAll @Size(min = 20, max = 300) codes: List<Int>) {
         val pool = pool()
         run(pool, codes) { _, finished ->
@@ -68,7 +71,7 @@
     }
 
     /** Guards against callers that get two answers or none. */
-    @Property(tries = 200)
+    @Property(tries = 400, seed = SEED)
     fun eachTicketIsDecidedExactlyOnce(@ForAll @Size(min = 20, max = 300) codes: List<Int>) {
         val pool = pool()
         val decided = HashMap<String, Int>()
@@ -81,7 +84,7 @@
     }
 
     /** Guards against places that stay empty while requests wait. */
-    @Property(tries = 200)
+    @Property(tries = 400, seed = SEED)
     fun noRequestWaitsWhileAPlaceIsFree(@ForAll @Size(min = 20, max = 300) codes: List<Int>) {
         val pool = pool()
         run(pool, codes) { _, _ ->
@@ -93,7 +96,7 @@
     }
 
     /** Guards against a client account with long outputs taking the share of the others. */
-    @Property(tries = 10)
+    @Property(tries = 20, seed = SEED)
     fun backloggedAccountsAreServedByWeight(@ForAll seed: Long) {
         val random = Random(seed)
         val weights = mapOf("a" to 1.0, "b" to 1.0, "c" to 2.0, "d" to 4.0)
--- a/src/test/kotlin/fulmarshunt/voter/ControlMachineTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ControlMachineTest.kt
@@ -32,7 +32,7 @@
 import fulmarshunt.operator.OperatorCommand
 import fulmarshunt.operator.PutClientAccount
 import fulmarshunt.operator.SubmittedCommand
-import fulmarshunt.operator.sha256Hex
+import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -40,11 +40,11 @@
 import strikt.assertions.isNull
 
 private val admin = OperatorId("admin")
-private val hash = sha256Hex("k".encodeToByteArray())
+private val hash = sha256Hex("k")
 
 /** Returns a command that adds the client account [number] to a configuration with revision [revision]. */
 internal fun accountCommand(number: Int, revision: Long): LogCommand {
-    val account = ClientAccount(ClientAccountId("account-$number"), sha256Hex("$number".encodeToByteArray()))
+    val account = ClientAccount(ClientAccountId("account-$number"), sha256Hex("$number"))
     val command =
         OperatorCommand(CommandId("c$number"), admin, Revision(revision), listOf(PutClientAccount(account)))
     return ApplyCommand(SubmittedCommand(command, hash, "content-$number", 1_000L + number))
--- a/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
@@ -14,9 +14,12 @@
 import strikt.assertions.isTrue
 import kotlin.random.Random
 
+/** A fixed seed, so that each run of the build tries the same cases. */
+private const val SEED = "20261204"
+
 class StepPropertyTest {
     /** Guards against two votes in one term, also across a restart that loses what was not synced. */
-    @Property(tries = 300)
+    @Property(tries = 900, seed = SEED)
     fun aVoterVotesOnceInATerm(@ForAll seed: Long) {
         val random = Random(seed)
         val voter = ScriptedVoter(random)
@@ -36,7 +39,7 @@
     }
 
     /** Guards against a follower that replaces a committed entry, or promises one that is not on its disk. */
-    @Property(tries = 300)
+    @Property(tries = 900, seed = SEED)
     fun aFollowerKeepsCommittedEntries(@ForAll seed: Long) {
         val random = Random(seed)
         val voter = ScriptedVoter(random, snapshotEveryEntries = 1 + random.nextInt(30))
@@ -58,7 +61,7 @@
     }
 
     /** Guards against a commit that a majority does not hold on disk. */
-    @Property(tries = 300)
+    @Property(tries = 900, seed = SEED)
     fun aLeaderCommitsWhatAMajorityHolds(@ForAll seed: Long) {
         val random = Random(seed)
         val voter = ScriptedVoter(random)
@@ -90,7 +93,7 @@
     }
 
     /** Guards against a state that depends on whether it was built from a snapshot or from the first entry. */
-    @Property(tries = 100)
+    @Property(tries = 300, seed = SEED)
     fun aSnapshotAndTheLogGiveEqualStates(@ForAll seed: Long) {
         val random = Random(seed)
         val full = ScriptedVoter(random)
@@ -123,7 +126,7 @@
     }
 
     /** Guards against a wiped voter that votes, and against one that answers to its former id. */
-    @Property(tries = 20)
+    @Property(tries = 60, seed = SEED)
     fun aBlankVoterDoesNotVote(@ForAll seed: Long) {
         val voter = ScriptedVoter(Random(seed), initial = null)
         voter.nowMs = 10_000
@@ -135,7 +138,7 @@
     }
 
     /** Guards against a leader that answers reads, or grants leases, after a majority stopped confirming it. */
-    @Property(tries = 50)
+    @Property(tries = 150, seed = SEED)
     fun aLeaderWithoutAnswersStopsConfirming(@ForAll seed: Long) {
         val voter = ScriptedVoter(Random(seed))
         val term = voter.becomeLeaderOfThree()
@@ -152,7 +155,7 @@
     }
 
     /** Guards against a snapshot sent to a peer that lacks one batch only, because that batch was lost. */
-    @Property(tries = 20)
+    @Property(tries = 60, seed = SEED)
     fun aLostBatchIsSentAgain(@ForAll seed: Long) {
         val voter = ScriptedVoter(Random(seed), snapshotEveryEntries = 10)
         val first = voter.becomeLeaderOfThree()
