--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -16,8 +16,11 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
@@ -196,8 +199,7 @@
 
     private suspend fun writeFrames() {
         while (true) {
-            val frame = withTimeoutOrNull(KEEP_ALIVE_MS) { outgoing.receiveCatching() }
-            val next = if (frame == null) KeepAlive else frame.getOrNull() ?: return
+            val next = nextFrameOrNull() ?: return
             val written = withTimeoutOrNull(SILENCE_LIMIT_MS) { output.writeFrame(next) }
             if (written == null) {
                 close("${peer.process} took no data for $SILENCE_LIMIT_MS ms")
@@ -206,6 +208,14 @@
         }
     }
 
+    /** Returns the next frame to send, or null once the connection is closed. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextFrameOrNull(): Frame? = select {
+        // A receive inside `withTimeoutOrNull` can take a frame and then lose it to the timeout; a select cannot.
+        outgoing.onReceiveCatching { it.getOrNull() }
+        onTimeout(KEEP_ALIVE_MS) { KeepAlive }
+    }
+
     private companion object {
         /** A peer that lets more frames than this wait is treated as congested. */
         const val OUTGOING_FRAMES = 4_096
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -74,6 +74,7 @@
     public suspend fun start(links: Links): Unit = start(linkTransport(links))
 
     internal suspend fun start(transport: VoterTransport) {
+        log.info("Started as voter {}", id)
         control.run {
             check(this.transport == null) { "the replicated log was started already" }
             state.snapshot?.let { restore(it) }
--- a/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
@@ -3,18 +3,8 @@
  */
 package fulmarshunt.faults
 
-import fulmarshunt.ClientAccountId
 import fulmarshunt.FailureDomainId
-import fulmarshunt.ServiceId
-import fulmarshunt.operator.ClientAccount
-import fulmarshunt.operator.FailureDomain
-import fulmarshunt.operator.PutClientAccount
-import fulmarshunt.operator.PutFailureDomain
-import fulmarshunt.operator.PutService
-import fulmarshunt.operator.Service
-import fulmarshunt.operator.ServiceKind
 import fulmarshunt.operator.SetFailureDomainDrained
-import fulmarshunt.sha256Hex
 import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -34,52 +24,13 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 
-/** The key of the client account that the tests use. */
-private const val KEY = "vatuvara-key"
-
 @Timeout(TEST_LIMIT_S)
 class GenerationFaultTest {
     @TempDir
     lateinit var directory: File
 
-    private val caller = CallerClient(KEY)
-
-    private fun withSite(voterCount: Int = 1, entryCount: Int = 2, block: (Site) -> Unit) {
-        Site(directory, voterCount, entryCount).use { site ->
-            site.start()
-            val domains = listOf("suva", "nausori", "lautoka").map {
-                PutFailureDomain(FailureDomain(FailureDomainId(it)))
-            }
-            val account = ClientAccount(ClientAccountId("vatuvara"), sha256Hex(KEY), maxRequestsPerSecond = 1_000.0)
-            val letters = PutService(Service(ServiceId("letters"), ServiceKind.MODEL))
-            site.configure(*domains.toTypedArray(), PutClientAccount(account), letters)
-            site.awaitReady()
-            block(site)
-        }
-    }
-
-    /** Waits until a short generation is served through each entry VM. */
-    private fun Site.awaitService(entries: List<SiteEntry> = this.entries) {
-        for (entry in entries) {
-            awaitThat("a generation through ${entry.name}") {
-                caller.stream(entry.callersPort, "warm length=2").isComplete
-            }
-        }
-    }
-
-    private fun ReceivedStream.expectWhole(tokens: Int) {
-        expectThat(isComplete).describedAs("complete: $rest").isTrue()
-        expectThat(offsets).isEqualTo((0 until tokens).toList())
-        expectThat(generations).hasSize(1)
-    }
-
-    private fun streamInBackground(
-        entry: SiteEntry,
-        prompt: String,
-        started: CountDownLatch,
-    ): CompletableFuture<ReceivedStream> = CompletableFuture.supplyAsync {
-        caller.stream(entry.callersPort, prompt) { count -> if (count == 5) started.countDown() }
-    }
+    private fun withSite(voterCount: Int = 1, entryCount: Int = 2, block: (Site) -> Unit): Unit =
+        withGenerationSite(directory, voterCount, entryCount, block)
 
     /** Guards against lost, repeated or mixed tokens when a connection goes silent for good while new ones work. */
     @Test
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -9,6 +9,7 @@
 import fulmarshunt.CommandId
 import fulmarshunt.OperatorId
 import fulmarshunt.Revision
+import fulmarshunt.VoterId
 import fulmarshunt.link.LinkFailure
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linksOf
@@ -105,7 +106,15 @@
     val dataDirectory: File,
     val platformPort: Int,
     val process: SiteProcess,
-)
+) {
+    /** The address at which other processes reach the voter. */
+    val address: Address get() = Address("127.0.0.1", proxy.port)
+
+    /** Deletes everything on the disk of the voter. */
+    fun wipeDisk() {
+        dataDirectory.deleteRecursively()
+    }
+}
 
 /** An entry VM of the site. */
 class SiteEntry(
@@ -221,6 +230,11 @@
         voters.firstOrNull { it.name == leader?.vm?.value }
     }
 
+    /** Returns the id of the data directory of [voter], as the voter logs it when it starts. */
+    fun voterIdOf(voter: SiteVoter): VoterId = eventually("the voter id of ${voter.name}") {
+        VOTER_ID.findAll(processes.output(voter.name)).lastOrNull()?.let { VoterId(it.groupValues[1]) }
+    }
+
     /** Asks [voter], or each voter in turn until one that leads answers. */
     fun ask(call: OperatorCall, voter: SiteVoter? = null): OperatorReply? {
         for (candidate in listOfNotNull(voter).ifEmpty { voters }) {
@@ -232,7 +246,7 @@
 
     /** Asks [voter] once. */
     fun askOnce(voter: SiteVoter, call: OperatorCall): Either<LinkFailure, OperatorReply> =
-        runBlocking { links.call(Address("127.0.0.1", voter.proxy.port), operatorChannel, call, ASK_TIMEOUT_MS) }
+        runBlocking { links.call(voter.address, operatorChannel, call, ASK_TIMEOUT_MS) }
 
     /** Starts a stand-in engine; [options] are `name=value`. */
     fun engine(name: String, domain: String = domains.first(), vararg options: String): SiteTarget =
@@ -373,6 +387,7 @@
         const val SECRET = "site-link-secret"
         const val OPERATOR_KEY = "operator-key"
         val OPERATOR = OperatorId("ops")
+        private val VOTER_ID = Regex("Started as voter (\\S+)")
         private const val ASK_TIMEOUT_MS = 8_000L
     }
 }
--- a/src/test/kotlin/fulmarshunt/standin/Processes.kt
+++ b/src/test/kotlin/fulmarshunt/standin/Processes.kt
@@ -40,10 +40,11 @@
     /** Writes a settings file and returns its path. */
     fun settings(name: String, text: String): String = File(directory, name).apply { writeText(text) }.path
 
+    /** Returns everything that the process [name] wrote. */
+    fun output(name: String): String = File(directory, "$name.out").takeIf { it.exists() }?.readText().orEmpty()
+
     /** Returns the last lines that the process [name] wrote. */
-    fun lastLines(name: String): String = File(directory, "$name.out").takeIf {
-        it.exists()
-    }?.readLines()?.takeLast(SHOWN_LINES)?.joinToString("\n").orEmpty()
+    fun lastLines(name: String): String = output(name).lines().takeLast(SHOWN_LINES).joinToString("\n")
 
     override fun close() {
         started.forEach { it.destroyForcibly() }
