Report a faulted operator call as possibly run and show what the audit keeps

Cause: when control carried a command out and then failed to answer, `orders` said that nothing was done; the audit trail did not say from which log entry on it is kept, so that a trail with dropped records looked complete. Change: only a call that was not sent counts as not run; the table of `orders audit` ends with the first kept entry.

--- a/src/main/kotlin/fulmarshunt/operator/OperatorClient.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorClient.kt
@@ -77,7 +77,7 @@
     ): Either<String, OperatorReply>? = result.fold(
         { failure ->
             lastProblem = failure.reason
-            mayHaveRun = mayHaveRun || failure is LinkFailure.Lost
+            mayHaveRun = mayHaveRun || failure !is LinkFailure.NotSent
             if (failure !is LinkFailure.NotSent && !isRepeatable(call)) describeFailure().left() else null
         },
         { reply ->
--- a/src/main/kotlin/fulmarshunt/operator/cli/ResultText.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/ResultText.kt
@@ -97,4 +97,7 @@
             it.after.joinToString("; "),
         )
     },
-)
+) + keptLines()
+
+private fun AuditReply.keptLines(): List<String> =
+    listOfNotNull("the audit trail is kept from entry $firstKept on".takeIf { firstKept.value > 0 })
--- a/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
@@ -5,6 +5,7 @@
 
 import fulmarshunt.Address
 import fulmarshunt.FailureDomainId
+import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.operator.cli.runOrders
 import kotlinx.coroutines.awaitCancellation
@@ -22,6 +23,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 import strikt.assertions.single
+import java.io.IOException
 import java.nio.file.Path
 
 class OrdersTest {
@@ -169,6 +171,30 @@
         expectThat(recorded.text).not().contains(OPERATOR_KEY)
     }
 
+    /** Guards against "nothing was done" when control carried the command out and failed afterwards. */
+    @Test
+    fun `a call that control failed to answer may have run`() {
+        val address = runBlocking {
+            control.listen { call, _ ->
+                if (call is SubmitCommand) {
+                    control.answer(call)
+                    throw IOException("the answer cannot be written")
+                }
+                null
+            }
+        }
+        expectThat(orders(listOf(address), "--deadline-ms", "300", "take-out", "domain", "suva")).isEqualTo(3)
+        expectThat(recorded.problems).single().contains("the outcome is unknown")
+    }
+
+    /** Guards against an audit trail that looks complete although its oldest records were dropped. */
+    @Test
+    fun `the audit trail says which records are kept`() {
+        val address = runBlocking { control.listen { _, _ -> AuditReply(emptyList(), LogIndex(7)) } }
+        expectThat(orders(listOf(address), "audit")).isEqualTo(0)
+        expectThat(recorded.text).contains("kept from entry 7 on")
+    }
+
     /** Guards against a voter change that is sent twice because its first answer was lost. */
     @Test
     fun `a voter change without an answer is not resent`() {
