Say in one line which address or directory cannot be used

Cause: an HTTP port in use reached the uncaught exception handler as well, so that control and entry printed "broken invariant: BindException" beside the problem, and entry ended with code 4 when its callers' port was taken. The platform port of entry was reported without its settings key. A data directory that is in use, belongs to another VM or cannot be written ended with code 4, the code of damaged data.

Change: HTTP servers are created and started by platform.http.HttpServers, which returns a failed bind as a value. The data directory's problem says whether the stored state is damaged (code 4) or the settings are wrong (code 2). The tests of the data directory check this in addition.

--- a/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -6,12 +6,10 @@
 package fulmarshunt.caller.http
 
 import fulmarshunt.Address
+import fulmarshunt.platform.http.HttpServer
+import fulmarshunt.platform.http.httpServer
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.install
-import io.ktor.server.cio.CIO
-import io.ktor.server.cio.CIOApplicationEngine
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.embeddedServer
 import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.routing
@@ -19,12 +17,8 @@
 import kotlinx.coroutines.flow.update
 
 /** Returns a server at [address] that counts its open requests in [openRequests]. */
-public fun callerServer(
-    address: Address,
-    openRequests: MutableStateFlow<Int>,
-    routes: Route.() -> Unit,
-): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
-    embeddedServer(CIO, port = address.port, host = address.host) {
+public fun callerServer(address: Address, openRequests: MutableStateFlow<Int>, routes: Route.() -> Unit): HttpServer =
+    httpServer(address) {
         install(HttpRequestLifecycle) { cancelCallOnClose = true }
         intercept(ApplicationCallPipeline.Setup) {
             openRequests.update { it + 1 }
--- a/src/main/kotlin/fulmarshunt/platform/http/PlatformServer.kt
+++ b/src/main/kotlin/fulmarshunt/platform/http/PlatformServer.kt
@@ -5,21 +5,13 @@
 package fulmarshunt.platform.http
 
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import fulmarshunt.Address
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.ensureActive
 
 /** Returns why the process must get no traffic, or null when it is ready. */
 public typealias Readiness = () -> String?
@@ -27,15 +19,12 @@
 /** The time that open responses have to finish when the server stops. */
 private const val STOP_GRACE_MS = 100L
 
-/** Bounds the walk along the causes of an exception, which may form a circle. */
-private const val MAX_CAUSES = 10
-
 /** The content type of the Prometheus text format that the registry writes by default. */
 private val prometheusText = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
 
 /** A running platform server. */
 public class PlatformServer internal constructor(
-    private val server: EmbeddedServer<*, *>,
+    private val server: HttpServer,
     /** The address that the server listens at. */
     public val address: Address,
 ) : AutoCloseable {
@@ -51,9 +40,9 @@
     address: Address,
     metrics: PrometheusMeterRegistry,
     readiness: Readiness,
-): Either<String, PlatformServer> = try {
+): Either<String, PlatformServer> {
     val server =
-        embeddedServer(CIO, port = address.port, host = address.host) {
+        httpServer(address) {
             routing {
                 get("/livez") { call.respondText("live\n") }
                 get("/readyz") {
@@ -67,15 +56,5 @@
                 get("/metrics") { call.respondText(metrics.scrape(), prometheusText) }
             }
         }
-    server.startSuspend(wait = false)
-    val port = server.engine.resolvedConnectors().first().port
-    PlatformServer(server, Address(address.host, port)).right()
-} catch (e: CancellationException) {
-    // The engine reports a failed bind as the cancellation of its own job.
-    currentCoroutineContext().ensureActive()
-    "cannot listen at $address: ${rootMessage(e)}".left()
-} catch (e: Exception) {
-    "cannot listen at $address: ${rootMessage(e)}".left()
+    return server.startAt(address).map { PlatformServer(server, it) }
 }
-
-private fun rootMessage(e: Throwable): String? = generateSequence(e) { it.cause }.take(MAX_CAUSES).last().message
--- a/src/main/kotlin/fulmarshunt/program/Control.kt
+++ b/src/main/kotlin/fulmarshunt/program/Control.kt
@@ -104,7 +104,9 @@
         )
     val log =
         openReplicatedLog(voter, machine.asReplicated, control, clock)
-            .getOrElse { raise(ProgramEnd(ExitCode.BROKEN_INVARIANT, it)) }
+            .getOrElse {
+                raise(ProgramEnd(if (it.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE, it.message))
+            }
     val service =
         controlServiceOf(control, machine, log.access(), firstOperator(settings.operator), clock, wallClock())
     val handlers = service.handlers(log.handlers(LinkHandlers()))
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -43,7 +43,10 @@
 import fulmarshunt.platform.ControlThread
 import fulmarshunt.platform.EntrySettings
 import fulmarshunt.platform.PolicySettings
+import fulmarshunt.platform.http.HttpServer
 import fulmarshunt.platform.http.PlatformServer
+import fulmarshunt.platform.http.httpServer
+import fulmarshunt.platform.http.startAt
 import fulmarshunt.platform.http.startPlatformServer
 import fulmarshunt.platform.parsed
 import fulmarshunt.platform.processMetrics
@@ -59,12 +62,8 @@
 import fulmarshunt.target.poolPolicies
 import fulmarshunt.voter.leaderCallsOf
 import fulmarshunt.wallClock
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.routing
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -110,7 +109,7 @@
     private val background = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val openRequests = MutableStateFlow(0)
     private val poolViews = MutableStateFlow(emptyList<PoolView>())
-    private val servers = mutableListOf<EmbeddedServer<*, *>>()
+    private val servers = mutableListOf<HttpServer>()
     private var platform: PlatformServer? = null
 
     @Volatile
@@ -133,12 +132,15 @@
             Thread({ exitProcess(0) }, "operator-shutdown").start()
         }
         listen("targets.listen", settings.targets.listen) { address ->
-            embeddedServer(CIO, port = address.port, host = address.host) {
+            httpServer(address) {
                 routing { announceRoutes(announcementForwarding({ keeper.state.value }, router::announce)) }
             }
         }.bind()
         listenForCallers(engine, controlClient, metrics).bind()
-        platform = startPlatformServer(address(settings.platform.listen), metrics, ::obstacleToReadiness).bind()
+        platform =
+            startPlatformServer(address(settings.platform.listen), metrics, ::obstacleToReadiness)
+                .mapLeft { "platform.listen: $it" }
+                .bind()
         keeper.start()
     }
 
@@ -215,19 +217,10 @@
         }
     }
 
-    private suspend fun listen(
-        field: String,
-        text: String,
-        create: (Address) -> EmbeddedServer<*, *>,
-    ): Either<String, Unit> = try {
-        val server = create(address(text))
-        server.startSuspend(wait = false)
-        servers += server
-        Either.Right(Unit)
-    } catch (e: CancellationException) {
-        throw e
-    } catch (e: Exception) {
-        Either.Left("$field: cannot listen at $text: ${e.message}")
+    private suspend fun listen(field: String, text: String, create: (Address) -> HttpServer): Either<String, Unit> {
+        val address = address(text)
+        val server = create(address)
+        return server.startAt(address).mapLeft { "$field: $it" }.map { servers += server }
     }
 }
 
--- a/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
@@ -40,20 +40,20 @@
 )
 
 /** A damaged or foreign data directory. The message is for the operator. */
-private class UnusableDirectory(message: String) : IOException(message)
+private class UnusableDirectory(message: String, val isDamaged: Boolean = true) : IOException(message)
 
 /**
  * Opens the data directory of the voter on [vm], and creates it if it is absent or empty.
  *
  * @param newId makes the id of a voter whose directory is new.
- * @return the stored state, or in one line why the directory cannot be used.
+ * @return the stored state, or why the directory cannot be used.
  */
 internal fun openVoterFiles(
     directory: Path,
     vm: VmId,
     newId: () -> VoterId,
     sync: Sync = forceToDisk,
-): Either<String, OpenStorage> = try {
+): Either<StorageProblem, OpenStorage> = try {
     Files.createDirectories(directory)
     val files = VoterFiles(directory, sync)
     try {
@@ -63,9 +63,10 @@
         throw e
     }
 } catch (e: UnusableDirectory) {
-    "data directory $directory: ${e.message}".left()
+    StorageProblem("data directory $directory: ${e.message}", e.isDamaged).left()
 } catch (e: IOException) {
-    "data directory $directory cannot be opened: $e".left()
+    val fix = "give the path of a directory that this process can read and write"
+    StorageProblem("data directory $directory cannot be opened (${e::class.simpleName}): $fix", false).left()
 }
 
 private class VoterFiles(private val directory: Path, private val sync: Sync) {
@@ -75,7 +76,7 @@
     fun open(vm: VmId, newId: () -> VoterId): OpenStorage {
         listOf(IDENTITY_FILE, SNAPSHOT_FILE, WAL_FILE).forEach { Files.deleteIfExists(path(it + TEMPORARY_SUFFIX)) }
         val identity = readIdentity() ?: createDirectory(StoredIdentity(vm, newId()))
-        if (identity.vm != vm) throw UnusableDirectory("it belongs to VM ${identity.vm}, not to $vm")
+        if (identity.vm != vm) throw UnusableDirectory("it belongs to VM ${identity.vm}, not to $vm", isDamaged = false)
         val snapshot = readSnapshotOrNull()
         val (hard, walLog) = readWal()
         val log = if (snapshot == null) walLog else walLog.reconciledWith(snapshot.header.position)
@@ -200,7 +201,7 @@
         }
     if (lock == null) {
         channel.close()
-        throw UnusableDirectory("another process uses it")
+        throw UnusableDirectory("another process uses it", isDamaged = false)
     }
     return channel
 }
--- a/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
@@ -37,14 +37,14 @@
  * Opens the replicated log in the data directory of [settings]. It reads from disk and must not be called on the
  * control thread.
  *
- * @return the log, not yet started, or in one line why it cannot be opened.
+ * @return the log, not yet started, or why it cannot be opened.
  */
 public fun openReplicatedLog(
     settings: VoterSettings,
     machine: ReplicatedStateMachine,
     control: ControlThread,
     clock: Clock,
-): Either<String, ReplicatedLog> = openReplicatedLog(settings, machine, control, clock, forceToDisk)
+): Either<StorageProblem, ReplicatedLog> = openReplicatedLog(settings, machine, control, clock, forceToDisk)
 
 /** Opens the replicated log with [sync] in place of the operating system's. */
 internal fun openReplicatedLog(
@@ -53,9 +53,9 @@
     control: ControlThread,
     clock: Clock,
     sync: Sync,
-): Either<String, ReplicatedLog> {
+): Either<StorageProblem, ReplicatedLog> {
     val problem = problemOf(settings)
-    if (problem != null) return problem.left()
+    if (problem != null) return StorageProblem(problem, isDamaged = false).left()
     return openVoterFiles(settings.dataDirectory, settings.vm, { newVoterId(settings.vm) }, sync)
         .map { ReplicatedLog(settings, machine, control, clock, it, Random.Default::nextDouble) }
 }
--- a/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
@@ -13,6 +13,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.io.IOException
@@ -28,11 +29,11 @@
     private val hard = HardState(Term(2), VoterId("b#1"))
     private val wal get() = directory.resolve("wal")
 
-    private fun open(vm: String = "a", sync: Sync = {}): Either<String, OpenStorage> =
+    private fun open(vm: String = "a", sync: Sync = {}): Either<StorageProblem, OpenStorage> =
         openVoterFiles(directory, VmId(vm), { VoterId("$vm#1") }, sync)
 
     private fun <T> use(sync: Sync = {}, block: (OpenStorage) -> T): T {
-        val files = open(sync = sync).fold({ error(it) }, { it })
+        val files = open(sync = sync).fold({ error(it.message) }, { it })
         return try {
             block(files)
         } finally {
@@ -80,8 +81,11 @@
             val damaged = bytes.copyOf().also { it[position] = it[position] xor 0x10 }
             Files.write(wal, damaged)
             val problem = open().onRight { it.storage.close() }.leftOrNull()
-            expectThat(problem).describedAs("bit flipped at byte $position of $last").isNotNull().contains("corrupt")
-            expectThat(problem!!.lines().size).isEqualTo(1)
+            expectThat(problem).describedAs("bit flipped at byte $position of $last").isNotNull().and {
+                get { message }.contains("corrupt")
+                get { message.lines().size }.isEqualTo(1)
+                get { isDamaged }.isTrue()
+            }
         }
     }
 
@@ -93,16 +97,27 @@
             val path = directory.resolve(name)
             val bytes = Files.readAllBytes(path)
             Files.delete(path)
-            expectThat(open().leftOrNull()).isNotNull().contains("missing")
+            expectThat(open().leftOrNull()).isNotNull().and {
+                get { message }.contains("missing")
+                get { isDamaged }.isTrue()
+            }
             Files.write(path, bytes)
         }
-        expectThat(open("z").leftOrNull()).isNotNull().contains("belongs to VM a")
+        expectThat(open("z").leftOrNull()).isNotNull().and {
+            get { message }.contains("belongs to VM a")
+            get { isDamaged }.isFalse()
+        }
     }
 
     /** Guards against two processes that write to one directory. */
     @Test
     fun `a directory in use is refused`() {
-        use { expectThat(open().leftOrNull()).isNotNull().contains("another process") }
+        use {
+            expectThat(open().leftOrNull()).isNotNull().and {
+                get { message }.contains("another process")
+                get { isDamaged }.isFalse()
+            }
+        }
     }
 
     /** Guards against a state that is neither the old nor the new one when the replacement of a snapshot fails. */
@@ -146,6 +161,6 @@
         val bytes = Files.readAllBytes(directory.resolve("snapshot"))
         bytes[20] = bytes[20] xor 1
         Files.write(directory.resolve("snapshot"), bytes)
-        expectThat(open().leftOrNull()).isNotNull().contains("snapshot")
+        expectThat(open().leftOrNull()?.message).isNotNull().contains("snapshot")
     }
 }
--- a/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -77,7 +77,9 @@
     val settings =
         VoterSettings(vm, address, directory, bootstrap, voters, snapshotEveryEntries = snapshotEveryEntries)
     val log =
-        openReplicatedLog(settings, machine.machine, control, monotonicClock(), sync).fold({ error(it) }, { it })
+        openReplicatedLog(settings, machine.machine, control, monotonicClock(), sync).fold({
+            error(it.message)
+        }, { it })
     val links: Links = linksOf(log.id.value, "secret", log.handlers(LinkHandlers()))
     // The port of a voter that was closed just before is released a little later.
     withTimeout(TEST_TIMEOUT_MS) { while (links.listen(address).isLeft()) delay(20) }
