Make the demonstration and the measurements run to their end

Cause: the stand-in engine kept tokens and end of a generation in two values; a stream that saw the last token before the end waited for ever, so that bin/measure overhead stopped at 4 of 100 direct streams. A failed program printed a stack trace and was kept alive by the threads of its links, and a terminated one left its processes running. The policy program took 6,000 tokens/s for the capacity of Vatuvara's engines although their memory bears about half, counted fairness after the queues had drained, when every account has all it asked for, and had no bound on its end.

Change: one value for the progress of a generation; runTool ends the programs with a line and a code; processes end with the program.

The new policy program has not been run yet.

--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -151,6 +151,7 @@
     private val domains: List<String> = listOf("suva", "nausori", "lautoka"),
     private val policies: String = "",
     private val isProxied: Boolean = true,
+    private val entryJvmFlags: List<String> = listOf("-Xmx96m"),
 ) : AutoCloseable {
     private val processes = Processes(directory)
     private val names = (1..voterCount).map { "control-$it" } + (1..entryCount).map { "entry-$it" }
@@ -362,7 +363,10 @@
                 """.trimIndent() + "\n" + policies,
             )
         val process =
-            SiteProcess(name) { processes.start(name, "fulmarshunt.program.EntryKt", "--settings", settings) }
+            SiteProcess(name) {
+                val main = "fulmarshunt.program.EntryKt"
+                processes.start(name, main, "--settings", settings, jvmFlags = entryJvmFlags)
+            }
         SiteEntry(name, proxy, callers, targets, platform, process)
     }
 
--- a/src/test/kotlin/fulmarshunt/measurement/PolicyMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/PolicyMeasurement.kt
@@ -1,8 +1,9 @@
 /*
- * The measurement of the policies on real processes: voters, nine entry VMs, and the engines and services of one user.
+ * The measurement of the policies on real processes: voters, entry VMs, and the engines and services of one user.
  * Each policy serves the same seeded workload; the ratios within one run are the result, the absolute times only
- * describe the machine. Arguments are `name=value`: user, seed, seconds, load, policies (comma-separated), drain (true
- * or false) and output (a folder).
+ * describe the machine. Arguments are `name=value`: users and policies (comma-separated), seed, seconds (of load),
+ * settle (seconds of observation after it), load (times capacity), entries (entry VMs), drain (false leaves out the
+ * phase in which a failure domain is taken out and brought back) and output (a folder).
  */
 package fulmarshunt.measurement
 
@@ -22,6 +23,7 @@
 import fulmarshunt.operator.Service
 import fulmarshunt.operator.ServiceKind
 import fulmarshunt.operator.SetFailureDomainDrained
+import fulmarshunt.standin.runTool
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.knowm.xchart.BitmapEncoder
@@ -30,11 +32,9 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
-import kotlin.system.exitProcess
 
-private const val ENTRY_COUNT = 9
 private const val VOTER_COUNT = 3
-private const val ENGINE_BATCH = 12
+private const val ENGINE_FULL_LIMIT = 36
 private const val ENGINE_MEMORY_TOKENS = 3_000
 private const val ENGINE_STEP_MS = 20
 private const val NANOS_PER_MS = 1_000_000L
@@ -61,63 +61,89 @@
             """.trimIndent(),
     )
 
-private class Options(arguments: Array<String>) {
-    private val values = arguments.associate { it.substringBefore('=') to it.substringAfter('=') }
-    val shape = if (values["user"] == "repasso") repasso else vatuvara
+private const val BASELINE = "least-in-flight"
+
+private val knownArguments =
+    setOf("users", "seed", "seconds", "settle", "load", "entries", "policies", "drain", "output")
+
+private class Options(values: Map<String, String>) {
+    val shapes =
+        (values["users"] ?: "vatuvara,repasso").split(',').map { name ->
+            requireNotNull(listOf(vatuvara, repasso).find { it.name == name }) { "there is no user $name" }
+        }
     val seed = values["seed"]?.toLong() ?: 1L
     val durationMs = (values["seconds"]?.toLong() ?: 30L) * 1_000
+    val settleMs = (values["settle"]?.toLong() ?: 15L) * 1_000
     val load = values["load"]?.toDouble() ?: 1.2
-    val policies = (values["policies"] ?: "least-in-flight,default").split(',')
-    val isDraining = values["drain"] == "true"
+    val entryCount = values["entries"]?.toInt() ?: 9
+    val policies = (values["policies"] ?: "$BASELINE,default").split(',')
+    val phases = if (values["drain"] == "false") listOf(STEADY) else listOf(STEADY, DRAIN)
     val output = File(values["output"] ?: "target/measurements")
 }
 
-/** Runs the measurement and prints one line for each policy. */
-fun main(arguments: Array<String>) {
-    val options = Options(arguments)
-    val results = options.policies.map { measure(options, it) }
+private const val STEADY = "steady"
+
+/** The first failure domain is taken out after 3 tenths of the load and brought back after 6 tenths. */
+private const val DRAIN = "drain"
+
+/** Runs the measurement and prints one line for each user, policy and phase, and the ratios to the baseline. */
+fun main(arguments: Array<String>): Unit = runTool("policies", arguments, knownArguments) { values ->
+    val options = Options(values)
+    val results = options.shapes.flatMap { shape -> options.policies.flatMap { measure(options, shape, it) } }
+    results.groupBy { it.case.user to it.case.phase }.values.forEach(::printRatios)
     options.output.mkdirs()
-    val name = "${options.shape.name}-${options.seed}-${System.currentTimeMillis() / 1_000}"
+    val name = "policies-${options.seed}-${System.currentTimeMillis() / 1_000}"
     val json = Json { prettyPrint = true }
-    File(options.output, "$name.json").writeText(json.encodeToString(ListSerializer(RunResult.serializer()), results))
-    plot(results, File(options.output, name))
-    exitProcess(0)
+    val file = File(options.output, "$name.json")
+    file.writeText(json.encodeToString(ListSerializer(RunResult.serializer()), results))
+    println("results are in $file")
+    results.groupBy { it.case.user to it.case.phase }.forEach { (key, group) ->
+        plot(group, File(options.output, "$name-${key.first}-${key.second}"))
+    }
 }
 
-private fun measure(options: Options, policy: String): RunResult {
+/** Measures all phases of [policy] with one installation. */
+private fun measure(options: Options, shape: UserShape, policy: String): List<RunResult> {
     val directory = File("target/measurement-$policy-${System.nanoTime()}").apply { mkdirs() }
-    val shape = options.shape
-    Site(
-        directory,
-        VOTER_COUNT,
-        ENTRY_COUNT,
-        shape.domains,
-        policySettings.getValue(policy),
-        isProxied = false,
-    ).use { site ->
+    val settings = requireNotNull(policySettings[policy]) { "there is no policy $policy" }
+    val site = Site(directory, VOTER_COUNT, options.entryCount, shape.domains, settings, isProxied = false)
+    return site.use {
         site.start()
         configure(site, shape)
         site.awaitReady()
         val engines = startTargets(site, shape)
         warmUp(site)
-        // The batch is bounded by the engine's limit or by its memory, whichever is smaller for the mean request.
-        val capacity = shape.engineCount * ENGINE_BATCH * 1_000.0 / ENGINE_STEP_MS
-        val arrivals = workload(shape, options.seed, options.durationMs, capacity * options.load, ENTRY_COUNT)
-        val before = engines.sumOf { it.stat("preemptions") }
-        val recorder = Recorder()
-        val startNanos = System.nanoTime()
-        val drain = if (options.isDraining) drainAndRestore(site, shape, options.durationMs) else null
-        offerLoad(site, arrivals, recorder, startNanos)
-        drain?.join()
-        val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
-        val preemptions = engines.sumOf { it.stat("preemptions") } - before
-        val result =
-            recorder.result(shape.name, policy, options.seed, options.load, arrivals.size, preemptions, elapsedMs)
-        println(result.describe())
-        return result
+        options.phases.map { phase -> measurePhase(options, site, engines, shape, policy, phase) }
     }
 }
 
+private fun measurePhase(
+    options: Options,
+    site: Site,
+    engines: List<SiteTarget>,
+    shape: UserShape,
+    policy: String,
+    phase: String,
+): RunResult {
+    val capacity =
+        shape.engineCount * engineTokensPerSecond(shape, options.seed, ENGINE_MEMORY_TOKENS, ENGINE_STEP_MS)
+    val arrivals =
+        workload(shape, options.seed, options.durationMs, capacity * options.load, options.entryCount)
+    val before = engines.sumOf { it.stat("preemptions") }
+    val startNanos = System.nanoTime()
+    val endNanos = startNanos + (options.durationMs + options.settleMs) * NANOS_PER_MS
+    val recorder = Recorder(startNanos, options.durationMs, endNanos)
+    val drain = if (phase == DRAIN) drainAndRestore(site, shape, options.durationMs) else null
+    offerLoad(site, arrivals, recorder, startNanos, endNanos)
+    drain?.join()
+    val preemptions = engines.sumOf { it.stat("preemptions") } - before
+    val case = RunCase(shape.name, phase, policy, options.seed, options.load)
+    val result = recorder.result(case, arrivals.size, preemptions)
+    println(result.describe() + " machine_load=" + File("/proc/loadavg").readText().substringBefore(' '))
+    awaitThat("idle engines") { engines.all { it.stat("running") == 0L } }
+    return result
+}
+
 private fun configure(site: Site, shape: UserShape) {
     val domains = shape.domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it))) }
     val accounts =
@@ -139,7 +165,7 @@
             "memory=$ENGINE_MEMORY_TOKENS",
             "step=$ENGINE_STEP_MS",
             "start_limit=4",
-            "full_limit=${ENGINE_BATCH * 3}",
+            "full_limit=$ENGINE_FULL_LIMIT",
         )
     }
 }
@@ -159,50 +185,81 @@
     site.configure(SetFailureDomainDrained(domain, false))
 }
 
-private fun offerLoad(site: Site, arrivals: List<Arrival>, recorder: Recorder, startNanos: Long) {
+private fun offerLoad(site: Site, arrivals: List<Arrival>, recorder: Recorder, startNanos: Long, endNanos: Long) {
     val callers = accountWeights.keys.associateWith { CallerClient(it) }
     val pool = Executors.newCachedThreadPool()
     for (arrival in arrivals) {
         val scheduled = startNanos + arrival.atMs * NANOS_PER_MS
-        val aheadMs = (scheduled - System.nanoTime()) / NANOS_PER_MS
-        if (aheadMs > 0) Thread.sleep(aheadMs)
+        TimeUnit.NANOSECONDS.sleep(scheduled - System.nanoTime())
         recorder.offer(arrival)
         pool.execute {
             val prompt = "n${arrival.atMs} length=${arrival.outputTokens} " + "word ".repeat(arrival.promptTokens)
             val maxTokens = if (arrival.isTag) TAG_LIMIT_TOKENS else LETTER_LIMIT_TOKENS
             val port = site.entries[arrival.entry].callersPort
-            val stream = callers.getValue(arrival.account).stream(port, prompt, maxTokens = maxTokens)
-            recorder.record(arrival, scheduled, stream.tokens.map { it.atNanos }, stream.isComplete, stream.status)
+            val outcome =
+                runCatching { callers.getValue(arrival.account).stream(port, prompt, maxTokens = maxTokens) }
+                    .fold({ Outcome(it.tokens.map { t -> t.atNanos }, it.isComplete, it.status) }) {
+                        Outcome(emptyList(), isComplete = false, NO_STATUS)
+                    }
+            recorder.record(arrival, scheduled, outcome, System.nanoTime())
         }
     }
     pool.shutdown()
-    pool.awaitTermination(DRAIN_MINUTES, TimeUnit.MINUTES)
+    if (!pool.awaitTermination(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+        // The interrupt closes the connections of the open streams, which are recorded as unfinished.
+        pool.shutdownNow()
+        check(pool.awaitTermination(CUT_LIMIT_S, TimeUnit.SECONDS)) { "streams stay open after an interrupt" }
+    }
 }
 
 private const val TAG_LIMIT_TOKENS = 24
 private const val LETTER_LIMIT_TOKENS = 4_096
-private const val DRAIN_MINUTES = 2L
+private const val CUT_LIMIT_S = 10L
+
+/** The status of a request that got no response. */
+private const val NO_STATUS = 0
+
+private fun Percentiles.describe(name: String): String =
+    "${name}_p50_ms=%.1f ${name}_p99_ms=%.1f ${name}_p999_ms=%.1f".format(p50Ms, p99Ms, p999Ms)
 
 private fun RunResult.describe(): String =
-    "user=$user policy=$policy seed=$seed load=$load requests=$requests completed=$completed rejected=$rejected " +
-        "broken=$broken stall_ms=$stallMs preemptions=$preemptions " +
-        "between_p50_ms=${betweenTokens.p50Ms} between_p99_ms=${betweenTokens.p99Ms} " +
-        "between_p999_ms=${betweenTokens.p999Ms} first_p50_ms=${firstToken.p50Ms} first_p99_ms=${firstToken.p99Ms} " +
-        "tag_p50_ms=${tagWait.p50Ms} tag_p99_ms=${tagWait.p99Ms} " +
-        "jain=%.3f goodput_tokens_s=%.0f".format(jainIndex, goodputTokensPerSecond)
+    "user=${case.user} phase=${case.phase} policy=${case.policy} seed=${case.seed} load=${case.load} " +
+        "requests=$requests completed=$completed rejected=$rejected broken=$broken unfinished=$unfinished " +
+        "stall_ms=$stallMs preemptions=$preemptions ${betweenTokens.describe("between")} " +
+        "${firstToken.describe("first")} ${tagWait.describe("tag")} " +
+        "jain=%.3f least_share=%.2f goodput_tokens_s=%.0f".format(jainIndex, leastShare, goodputTokensPerSecond)
+
+/** Prints each measure relative to the baseline of the same run; the goals are in docs/design.md. */
+private fun printRatios(results: List<RunResult>) {
+    val baseline = results.find { it.case.policy == BASELINE } ?: return
+    for (result in results - baseline) {
+        println(
+            "ratio user=${result.case.user} phase=${result.case.phase} policy=${result.case.policy} " +
+                "preemptions=%.3f stall=%.3f between_p99=%.3f first_p99=%.3f tag_p99=%.3f goodput=%.3f".format(
+                    result.preemptions.toDouble() / baseline.preemptions,
+                    result.stallMs.toDouble() / baseline.stallMs,
+                    result.betweenTokens.p99Ms / baseline.betweenTokens.p99Ms,
+                    result.firstToken.p99Ms / baseline.firstToken.p99Ms,
+                    result.tagWait.p99Ms / baseline.tagWait.p99Ms,
+                    result.goodputTokensPerSecond / baseline.goodputTokensPerSecond,
+                ),
+        )
+    }
+}
 
 private fun plot(results: List<RunResult>, file: File) {
+    val case = results.first().case
     val chart =
         CategoryChartBuilder()
             .width(900)
             .height(500)
-            .title("${results.first().user}, load ${results.first().load}, seed ${results.first().seed}")
+            .title("${case.user}, ${case.phase}, load ${case.load}, seed ${case.seed}")
             .yAxisTitle("milliseconds")
             .build()
     val names = listOf("between tokens p99", "first token p99", "tag wait p99")
     for (result in results) {
         val values = listOf(result.betweenTokens.p99Ms, result.firstToken.p99Ms, result.tagWait.p99Ms)
-        chart.addSeries(result.policy, names, values)
+        chart.addSeries(result.case.policy, names, values)
     }
     BitmapEncoder.saveBitmap(chart, file.path, BitmapEncoder.BitmapFormat.PNG)
 }
--- a/src/test/kotlin/fulmarshunt/measurement/Workload.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/Workload.kt
@@ -44,6 +44,24 @@
 private const val MAX_LONG_TOKENS = 2_000
 private const val LARGE_ACCOUNT_SHARE = 0.6
 
+/**
+ * Returns the output tokens per second of one engine whose [memoryTokens] are always full, at [stepMs] per token.
+ *
+ * A request occupies its prompt and, on average, half of its output for as many steps as it has output tokens.
+ */
+fun engineTokensPerSecond(shape: UserShape, seed: Long, memoryTokens: Int, stepMs: Int): Double {
+    val sample = workload(shape, seed, SAMPLE_MS, SAMPLE_TOKENS_PER_SECOND, entryCount = 1)
+    val occupied = sample.sumOf { it.outputTokens * (promptMemory(it) + it.outputTokens / 2.0) }
+    val batch = memoryTokens * sample.sumOf { it.outputTokens.toDouble() } / occupied
+    return batch * 1_000 / stepMs
+}
+
+/** The memory of a prompt at the stand-in engine, which counts 4 characters as a token; a prompt token has 5. */
+private fun promptMemory(arrival: Arrival): Double = arrival.promptTokens * 1.25
+
+private const val SAMPLE_MS = 1_000_000L
+private const val SAMPLE_TOKENS_PER_SECOND = 2_000.0
+
 /** Returns the arrivals of [durationMs] with [tokensPerSecond] output tokens on average. */
 fun workload(shape: UserShape, seed: Long, durationMs: Long, tokensPerSecond: Double, entryCount: Int): List<Arrival> {
     val random = Random(seed)
--- a/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
+++ b/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
@@ -26,7 +26,9 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -72,6 +74,11 @@
     private fun long(name: String, default: Long): Long = values[name]?.toLong() ?: default
 }
 
+/** How far a generation is. */
+private data class Progress(val tokens: Int = 0, val finish: String? = null, val isCancelled: Boolean = false) {
+    val isOver: Boolean get() = finish != null || isCancelled
+}
+
 private class Generation(
     val id: String,
     val entryVm: String,
@@ -80,9 +87,10 @@
     val maxTokens: Int,
     val priority: Int,
 ) {
-    val tokens = MutableStateFlow(0)
-    val finish = MutableStateFlow<String?>(null)
-    val isCancelled = MutableStateFlow(false)
+    private val mutableProgress = MutableStateFlow(Progress())
+
+    /** One value, so that a stream that waits for the next token also sees the end that comes without one. */
+    val progress: StateFlow<Progress> = mutableProgress
     val total = minOf(length, maxTokens)
 
     /** True while the cache of the generation is evicted. */
@@ -91,7 +99,18 @@
     /** Steps that the engine still spends on computing the evicted cache again. */
     var recomputeSteps = 0
 
-    fun memory(): Long = promptTokens.toLong() + tokens.value
+    fun memory(): Long = promptTokens.toLong() + progress.value.tokens
+
+    fun decode() {
+        mutableProgress.update {
+            val reason = if (length <= maxTokens) "stop" else "length"
+            it.copy(tokens = it.tokens + 1, finish = reason.takeIf { _ -> it.tokens + 1 >= total })
+        }
+    }
+
+    fun cancel() {
+        mutableProgress.update { it.copy(isCancelled = true) }
+    }
 
     fun token(offset: Int): String = "$id:$offset "
 }
@@ -133,7 +152,7 @@
         while (true) {
             delay(if (isCold()) options.stepMs * COLD_FACTOR else options.stepMs)
             synchronized(batch) {
-                batch.removeIf { it.isCancelled.value || it.finish.value != null }
+                batch.removeIf { it.progress.value.isOver }
                 waiting.set(0)
                 var memory = 0L
                 for (generation in batch.sortedByDescending { it.priority }) {
@@ -153,17 +172,14 @@
             generation.recomputeSteps--
             return
         }
-        generation.tokens.value++
-        if (generation.tokens.value >= generation.total) {
-            generation.finish.value = if (generation.length <= generation.maxTokens) "stop" else "length"
-        }
+        generation.decode()
     }
 
     private fun preempt(generation: Generation) {
         waiting.incrementAndGet()
         if (generation.isPreempted) return
         generation.isPreempted = true
-        if (generation.tokens.value > 0) preemptions.incrementAndGet()
+        if (generation.progress.value.tokens > 0) preemptions.incrementAndGet()
     }
 
     private fun isCold(): Boolean = System.currentTimeMillis() < coldUntilMs
@@ -217,7 +233,7 @@
             }
             delete("/v1/generations/{id}") {
                 val generation = all[call.parameters["id"]] ?: return@delete call.respond(HttpStatusCode.NotFound)
-                generation.isCancelled.value = true
+                generation.cancel()
                 call.respond(HttpStatusCode.NoContent)
             }
             post("/standin/{action}") { call.act(call.parameters["action"].orEmpty()) }
@@ -230,9 +246,9 @@
     private fun stats(): JsonObject = buildJsonObject {
         put("started", started.get())
         put("max_concurrent", maxConcurrent.get())
-        put("running", synchronized(batch) { batch.count { it.finish.value == null && !it.isCancelled.value } })
-        put("cancelled", all.values.count { it.isCancelled.value })
-        put("finished", all.values.count { it.finish.value != null })
+        put("running", synchronized(batch) { batch.count { !it.progress.value.isOver } })
+        put("cancelled", all.values.count { it.progress.value.isCancelled })
+        put("finished", all.values.count { it.progress.value.finish != null })
         put("preemptions", preemptions.get())
     }
 
@@ -270,7 +286,7 @@
         val running =
             synchronized(batch) {
                 batch += generation
-                batch.count { it.finish.value == null && !it.isCancelled.value }
+                batch.count { !it.progress.value.isOver }
             }
         started.incrementAndGet()
         maxConcurrent.accumulateAndGet(running, ::maxOf)
@@ -279,7 +295,7 @@
     }
 
     private suspend fun ApplicationCall.list() {
-        val running = synchronized(batch) { batch.filter { it.finish.value == null && !it.isCancelled.value } }
+        val running = synchronized(batch) { batch.filter { !it.progress.value.isOver } }
         val text = running.joinToString(",", "[", "]") { """{"generation_id":"${it.id}","entry_vm":"${it.entryVm}"}""" }
         respondText(text, ContentType.Application.Json)
     }
@@ -292,23 +308,18 @@
                     stalledStreams--
                     delay(Long.MAX_VALUE)
                 }
-                val available = generation.tokens.first { it > next || generation.isOver() }
-                while (next < available) {
+                val seen = generation.progress.first { it.tokens > next || it.isOver }
+                while (next < seen.tokens) {
                     writeStringUtf8("""data: {"offset":$next,"token":"${generation.token(next)}"}""" + "\n\n")
                     next++
                 }
-                val finish = generation.finish.value
-                if (finish != null && next >= generation.total) {
-                    writeStringUtf8("""data: {"offset":$next,"finish":"$finish"}""" + "\n\n")
-                }
+                seen.finish?.let { writeStringUtf8("""data: {"offset":$next,"finish":"$it"}""" + "\n\n") }
                 flush()
-                if (generation.isOver() && next >= generation.tokens.value) return@respondBytesWriter
+                if (seen.isOver) return@respondBytesWriter
             }
         }
     }
 
-    private fun Generation.isOver(): Boolean = finish.value != null || isCancelled.value
-
     private companion object {
         const val COLD_FACTOR = 8
         const val RECOMPUTED_TOKENS_PER_STEP = 100L
--- a/src/test/kotlin/fulmarshunt/standin/Processes.kt
+++ b/src/test/kotlin/fulmarshunt/standin/Processes.kt
@@ -6,25 +6,33 @@
 import java.io.File
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 
 /** The processes of one test. */
 class Processes(private val directory: File) : AutoCloseable {
-    private val started = mutableListOf<Process>()
+    private val started = CopyOnWriteArrayList<Process>()
 
-    /** Starts [mainClass] in a JVM of its own; its output goes to a file named for [name]. */
-    fun start(name: String, mainClass: String, vararg arguments: String): Process {
+    /** Ends the processes also when this one is terminated; nobody else knows of them then. */
+    private val termination = Thread { started.forEach { it.destroyForcibly() } }
+
+    init {
+        Runtime.getRuntime().addShutdownHook(termination)
+    }
+
+    /** Starts [mainClass] in a JVM of its own with [jvmFlags]; its output goes to a file named for [name]. */
+    fun start(
+        name: String,
+        mainClass: String,
+        vararg arguments: String,
+        jvmFlags: List<String> = listOf("-Xmx96m"),
+    ): Process {
         val java = File(System.getProperty("java.home"), "bin/java").path
         val command =
-            listOf(
-                java,
-                "-Xmx96m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-            ) +
-                mainClass + arguments
+            listOf(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1") +
+                jvmFlags +
+                listOf("-cp", System.getProperty("java.class.path"), mainClass) +
+                arguments
         val process =
             ProcessBuilder(command)
                 .redirectErrorStream(true)
@@ -40,6 +48,8 @@
     override fun close() {
         started.forEach { it.destroyForcibly() }
         started.forEach { it.waitFor(5, TimeUnit.SECONDS) }
+        // The hook cannot be removed, and is not needed, once this process is ending itself.
+        runCatching { Runtime.getRuntime().removeShutdownHook(termination) }
     }
 }
 
