--- a/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -44,6 +44,8 @@
     public val list: suspend (Address) -> Map<TicketId, VmId>?,
     /** Reports a death; true if the report is committed. */
     public val reportDeath: suspend (ReportTargetDeath) -> Boolean,
+    /** Orders an engine to load a service; the pool repeats the order while it needs the load. */
+    public val load: suspend (IssueLoad) -> Unit,
 )
 
 /** Hosts pools; functions other than [handle] run on the control thread. */
@@ -199,8 +201,8 @@
                 is CancelGeneration ->
                     if (effect.target in entry.engines) cancelWithRetry(effect.address, effect.ticket)
                 is ReportDeath -> reportDeath(entry, effect)
-                // Load commands are not sent yet: engines announce what they have loaded.
-                is IssueLoad -> Unit
+                is IssueLoad ->
+                    if (hasLease(clock.nowMs()) && !isReleasing) traffic.launch { actions.load(effect) }
             }
         }
         schedule(entry)
--- a/src/main/kotlin/fulmarshunt/entry/PoolMeters.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolMeters.kt
@@ -16,6 +16,7 @@
     gauge("fulmarshunt.pool.queued.short") { it.queuedShort }
     gauge("fulmarshunt.pool.queued.long") { it.queuedLong }
     gauge("fulmarshunt.pool.targets.live") { pool -> pool.targets.count { it.health == TargetHealth.LIVE } }
+    gauge("fulmarshunt.pool.targets.loading") { pool -> pool.targets.count { it.loading != null } }
     gauge("fulmarshunt.pool.in.flight") { pool -> pool.targets.sumOf { it.inFlight } }
     gauge("fulmarshunt.pool.limit") { pool -> pool.targets.sumOf { it.limit } }
     gauge("fulmarshunt.pool.preemptions") { it.preemptions.toInt() }
--- a/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
+++ b/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
@@ -24,6 +24,7 @@
     ?: findRepeated("failure_domains", answers.failureDomains.map { it.name })
     ?: findRepeated("operators", answers.operators.map { it.name } + answers.remove.operators)
     ?: findRepeatedKey(answers)
+    ?: answers.weightStoreBytesPerSecond?.let { outOfRange("weight_store_bytes_per_second", it) }
 
 private fun <T> firstProblem(field: String, answers: List<T>, find: (String, T) -> String?): String? = answers
     .withIndex()
@@ -43,6 +44,7 @@
         ?: findRuleProblem(field, answer)
         ?: outOfRange("$field.short_max_tokens", answer.shortMaxTokens, MAX_TOKENS)
         ?: outOfRange("$field.default_max_tokens", answer.defaultMaxTokens, MAX_TOKENS)
+        ?: outOfRange("$field.weight_bytes", answer.weightBytes)
         ?: if (answer.shortMaxTokens > answer.defaultMaxTokens) {
             "$field.short_max_tokens: ${answer.shortMaxTokens} is greater than default_max_tokens: use at most " +
                 "${answer.defaultMaxTokens}"
@@ -74,6 +76,9 @@
     if (answer.kind == ServiceKind.MODEL && answer.nonRepeatable.isNotEmpty()) {
         return "$field.non_repeatable: a model has none: remove it, or set kind to \"plain\""
     }
+    if (answer.kind == ServiceKind.PLAIN && answer.weightBytes != 0L) {
+        return "$field.weight_bytes: a plain service has none: remove it, or set kind to \"model\""
+    }
     answer.nonRepeatable.forEachIndexed { i, rule ->
         if (rule.method !in methods) {
             val fix = "use one of ${methods.joinToString()}"
@@ -107,5 +112,8 @@
 private fun outOfRange(field: String, value: Double, max: Double): String? =
     if (value > 0 && value <= max) null else "$field: $value is out of range: use more than 0 and at most $max"
 
+private fun outOfRange(field: String, bytes: Long): String? =
+    if (bytes in 0..MAX_BYTES) null else "$field: $bytes is out of range: use 0 to $MAX_BYTES"
+
 private fun outOfRange(field: String, value: Int, max: Int): String? =
     if (value in 1..max) null else "$field: $value is out of range: use 1 to $max"
--- a/src/main/kotlin/fulmarshunt/operator/Answers.kt
+++ b/src/main/kotlin/fulmarshunt/operator/Answers.kt
@@ -44,6 +44,8 @@
     public val shortMaxTokens: Int = 32,
     @SerialName("default_max_tokens")
     public val defaultMaxTokens: Int = 4_096,
+    @SerialName("weight_bytes")
+    public val weightBytes: Long = 0,
 )
 
 /** A failure domain as the team wants it. */
@@ -82,5 +84,8 @@
     @SerialName("failure_domains")
     public val failureDomains: List<FailureDomainAnswer> = emptyList(),
     public val operators: List<OperatorAnswer> = emptyList(),
+    /** The rate of the weight store, which all teams share; without it, the rate stays as it is. */
+    @SerialName("weight_store_bytes_per_second")
+    public val weightStoreBytesPerSecond: Long? = null,
     public val remove: RemovalAnswer = RemovalAnswer(),
 )
--- a/src/main/kotlin/fulmarshunt/operator/AuditText.kt
+++ b/src/main/kotlin/fulmarshunt/operator/AuditText.kt
@@ -32,6 +32,7 @@
     is SetTargetDrained -> "target ${change.id}: drained ${change.id in configuration.drainedTargets}"
     is PutOperator -> configuration.operators[change.operator.id]?.let(::describe)
     is RemoveOperator -> configuration.operators[change.id]?.let(::describe)
+    is SetWeightStoreRate -> "weight store: ${configuration.weightStoreBytesPerSecond} bytes/s"
 }?.take(MAX_DESCRIPTION_CHARS)
 
 private fun describe(account: ClientAccount) =
@@ -40,7 +41,7 @@
 
 private fun describe(service: Service) =
     "service ${service.id}: ${service.kind.name.lowercase()}, short up to ${service.shortMaxTokens} tokens, " +
-        "default ${service.defaultMaxTokens} tokens, not repeatable " +
+        "default ${service.defaultMaxTokens} tokens, ${service.weightBytes} weight bytes, not repeatable " +
         service.nonRepeatable.joinToString(prefix = "[", postfix = "]") { "${it.method} ${it.pathPrefix}" }
 
 private fun describe(domain: FailureDomain) =
--- a/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ChangeValidation.kt
@@ -18,6 +18,9 @@
 /** The number of changes up to which key hashes are searched for instead of indexed. */
 private const val MAX_SEARCHED_CHANGES = 16
 private const val MAX_SHARDS = 64
+
+/** The greatest weight size and store rate, far above real ones, so that sums of them cannot overflow. */
+internal const val MAX_BYTES: Long = 1_000_000_000_000_000
 private val idPattern = Regex("[^\\s\\p{Cntrl}]+")
 private val methodPattern = Regex("\\*|[A-Z]+")
 
@@ -49,6 +52,7 @@
     is SetTargetDrained -> idProblem("id", change.id.value)
     is PutOperator -> problemOf(change.operator)
     is RemoveOperator -> unknown("operator", change.id.value, change.id in operators)
+    is SetWeightStoreRate -> bytesProblem("bytesPerSecond", change.bytesPerSecond)
 }
 
 private fun problemOf(account: ClientAccount): String? = idProblem("account.id", account.id.value)
@@ -60,6 +64,9 @@
 private fun problemOf(service: Service): String? = idProblem("service.id", service.id.value)
     ?: positive("service.shortMaxTokens", service.shortMaxTokens.toDouble())
     ?: positive("service.defaultMaxTokens", service.defaultMaxTokens.toDouble())
+    ?: bytesProblem("service.weightBytes", service.weightBytes)
+    ?: "service.weightBytes: must be 0 for a plain service"
+        .takeIf { service.kind == ServiceKind.PLAIN && service.weightBytes != 0L }
     // The id of a plain service is one segment of the paths of its calls.
     ?: "service.id: must not contain \"/\"".takeIf { service.kind == ServiceKind.PLAIN && '/' in service.id.value }
     ?: "service.nonRepeatable: must be empty for a model"
@@ -106,6 +113,9 @@
 private fun positive(field: String, value: Double): String? =
     if (value > 0 && value.isFinite()) null else "$field: must be greater than 0"
 
+private fun bytesProblem(field: String, bytes: Long): String? =
+    if (bytes in 0..MAX_BYTES) null else "$field: must be between 0 and $MAX_BYTES"
+
 private fun unknown(kind: String, id: String, isKnown: Boolean): String? =
     if (isKnown) null else "id: $kind \"$id\" does not exist"
 
--- a/src/main/kotlin/fulmarshunt/operator/Configuration.kt
+++ b/src/main/kotlin/fulmarshunt/operator/Configuration.kt
@@ -62,6 +62,8 @@
     public val shortMaxTokens: Int = 32,
     /** The output limit for requests that name none. */
     public val defaultMaxTokens: Int = 4_096,
+    /** The size of a model's weights; 0 if it is unknown, and then engines are not ordered to load the model. */
+    public val weightBytes: Long = 0,
 )
 
 /** A failure domain and whether it may receive new work. */
@@ -150,6 +152,11 @@
 @SerialName("remove-operator")
 public data class RemoveOperator(public val id: OperatorId) : ConfigurationChange
 
+/** Sets the rate at which the weight store can be read; 0 means that it is unknown. */
+@Serializable
+@SerialName("set-weight-store-rate")
+public data class SetWeightStoreRate(public val bytesPerSecond: Long) : ConfigurationChange
+
 /** Everything that operators decide. */
 @Serializable
 public data class Configuration(
@@ -159,6 +166,8 @@
     public val domains: Map<FailureDomainId, FailureDomain> = emptyMap(),
     public val operators: Map<OperatorId, Operator> = emptyMap(),
     public val drainedTargets: Set<TargetId> = emptySet(),
+    /** The rate of the store that engines load weights from; 0 if unknown, and then no engine is ordered to load. */
+    public val weightStoreBytesPerSecond: Long = 0,
 )
 
 /** Returns this configuration with [change] applied and the same revision. */
@@ -180,6 +189,7 @@
     )
     is PutOperator -> copy(operators = operators.putting(change.operator.id, change.operator))
     is RemoveOperator -> copy(operators = operators.removing(change.id))
+    is SetWeightStoreRate -> copy(weightStoreBytesPerSecond = change.bytesPerSecond)
 }
 
 /** Returns the permission that [change] needs. */
--- a/src/main/kotlin/fulmarshunt/operator/ConfigurationDifference.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ConfigurationDifference.kt
@@ -13,12 +13,17 @@
         differenceOf("client account", before.accounts, after.accounts, ::describe) +
         differenceOf("operator", before.operators, after.operators, ::describe) +
         (after.drainedTargets - before.drainedTargets).map { "+ drained target $it" } +
-        (before.drainedTargets - after.drainedTargets).map { "- drained target $it" }
+        (before.drainedTargets - after.drainedTargets).map { "- drained target $it" } +
+        differenceOf("weight store", weightStore(before), weightStore(after)) { mapOf("bytes/s" to "$it") }
 
 /** Returns this configuration with all of [changes] applied and the same revision. */
 public fun Configuration.withAll(changes: List<ConfigurationChange>): Configuration =
     changes.fold(this) { current, change -> current.with(change) }
 
+/** The rate of the one weight store as a part that is missing while the rate is unknown. */
+private fun weightStore(configuration: Configuration): Map<String, Long> =
+    mapOf("rate" to configuration.weightStoreBytesPerSecond).filterValues { it != 0L }
+
 private fun <K, V> differenceOf(
     kind: String,
     before: Map<K, V>,
@@ -53,6 +58,7 @@
     "non-repeatable" to service.nonRepeatable.joinToString("; ", "[", "]") { "${it.method} ${it.pathPrefix}" },
     "short up to tokens" to "${service.shortMaxTokens}",
     "default tokens" to "${service.defaultMaxTokens}",
+    "weight bytes" to "${service.weightBytes}",
 )
 
 private fun describe(domain: FailureDomain): Map<String, String> = mapOf(
@@ -77,4 +83,5 @@
     is SetTargetDrained -> "${if (change.isDrained) "drain" else "restore"} target ${change.id}"
     is PutOperator -> "put operator ${change.operator.id}"
     is RemoveOperator -> "remove operator ${change.id}"
+    is SetWeightStoreRate -> "set the weight store rate to ${change.bytesPerSecond} bytes/s"
 }
--- a/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
@@ -24,6 +24,7 @@
     val changes =
         answers.failureDomains.mapNotNull { planDomain(it) } +
             answers.services.mapNotNull { planService(it) } +
+            listOfNotNull(planWeightStore(answers)) +
             answers.accounts.mapNotNull { planAccount(it, issue) } +
             answers.operators.mapNotNull { planOperator(it, issue) } +
             answers.remove.accounts.filter { it in accounts }.map(::RemoveClientAccount) +
@@ -48,10 +49,15 @@
 
 private fun Configuration.planService(answer: ServiceAnswer): ConfigurationChange? {
     val rules = answer.nonRepeatable.map { NonRepeatableRule(it.method, it.pathPrefix) }
-    val wanted = Service(answer.name, answer.kind, rules, answer.shortMaxTokens, answer.defaultMaxTokens)
+    val wanted =
+        Service(answer.name, answer.kind, rules, answer.shortMaxTokens, answer.defaultMaxTokens, answer.weightBytes)
     return if (wanted == services[answer.name]) null else PutService(wanted)
 }
 
+private fun Configuration.planWeightStore(answers: Answers): ConfigurationChange? = answers.weightStoreBytesPerSecond
+    ?.takeIf { it != weightStoreBytesPerSecond }
+    ?.let(::SetWeightStoreRate)
+
 private fun Configuration.planAccount(answer: AccountAnswer, issue: (String) -> String): ConfigurationChange? {
     val existing = accounts[answer.name]
     val hash = answer.keySha256 ?: existing?.keySha256 ?: issue("client account ${answer.name}")
--- a/src/main/kotlin/fulmarshunt/operator/cli/Interview.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/Interview.kt
@@ -41,13 +41,19 @@
     private val serviceDefaults = ServiceAnswer(ServiceId(""), ServiceKind.MODEL)
     private val domainDefaults = FailureDomainAnswer(FailureDomainId(""))
 
-    fun askAll(): Answers = Answers(
-        team = ask("Name of the team"),
-        failureDomains = askEach("failure domain", { findProblem("failure domain", it) }, ::askDomain),
-        services = askEach("service", { findProblem("service", it) }, ::askService),
-        accounts = askEach("client account", { findProblem("client account", it) }, ::askAccount),
-        operators = askEach("operator", { findProblem("operator", it) }, ::askOperator),
-    )
+    fun askAll(): Answers {
+        val team = ask("Name of the team")
+        val domains = askEach("failure domain", { findProblem("failure domain", it) }, ::askDomain)
+        val services = askEach("service", { findProblem("service", it) }, ::askService)
+        return Answers(
+            team = team,
+            failureDomains = domains,
+            services = services,
+            weightStoreBytesPerSecond = if (services.any { it.weightBytes > 0 }) askWeightStoreRate() else null,
+            accounts = askEach("client account", { findProblem("client account", it) }, ::askAccount),
+            operators = askEach("operator", { findProblem("operator", it) }, ::askOperator),
+        )
+    }
 
     private fun askDomain(name: String) = FailureDomainAnswer(
         FailureDomainId(name),
@@ -79,10 +85,16 @@
                     serviceDefaults.defaultMaxTokens,
                     String::toIntOrNull,
                 ),
+                weightBytes = ask("Weight size in bytes", serviceDefaults.weightBytes, String::toLongOrNull),
             )
         }
     }
 
+    private fun askWeightStoreRate(): Long? =
+        ask("Rate of the weight store in bytes per second (empty to keep it)", "") { text ->
+            text.takeIf { it.toLongOrNull() != null }
+        }.toLongOrNull()
+
     private fun askAccount(name: String) = AccountAnswer(
         ClientAccountId(name),
         ask("Weight", accountDefaults.weight, String::toDoubleOrNull),
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -33,6 +33,7 @@
 import fulmarshunt.entry.bindPoolMeters
 import fulmarshunt.entry.hostedPoolOf
 import fulmarshunt.entry.leaseKeeperOf
+import fulmarshunt.entry.reportedLoads
 import fulmarshunt.entry.stateChannel
 import fulmarshunt.entry.stateStoreIn
 import fulmarshunt.link.LinkHandlers
@@ -119,8 +120,11 @@
     @Volatile
     private var isAccepting = true
 
-    suspend fun start(engine: EngineClient, controlClient: ControlClient): Either<String, Unit> = either {
-        val metrics = processMetrics()
+    suspend fun start(
+        engine: EngineClient,
+        controlClient: ControlClient,
+        metrics: PrometheusMeterRegistry,
+    ): Either<String, Unit> = either {
         bindPoolMeters(metrics) { poolViews.value }
         control.scope.launch { keeper.state.collect { host.apply(it) } }
         control.scope.launch { watchLease() }
@@ -250,6 +254,7 @@
     val leases = leaseKeeperOf(vm, leader, control, clock, store).mapLeft { "vm.data_directory: $it" }.bind()
     val controlClient = controlClientOf(leader)
     val engine = httpEngineClient()
+    val metrics = processMetrics()
     val pools =
         PoolHost(
             vm = vm.id,
@@ -260,9 +265,12 @@
             createPool = { id, fence, untilMs ->
                 hostedPoolOf(poolOf(id, fence, untilMs, policiesOf(settings.policies), Random.Default))
             },
-            actions = PoolHostActions(engine.cancel, engine.list) {
-                controlClient.reportDeath(it, DEATH_REPORT_TIMEOUT_MS)
-            },
+            actions = PoolHostActions(
+                cancel = engine.cancel,
+                list = engine.list,
+                reportDeath = { controlClient.reportDeath(it, DEATH_REPORT_TIMEOUT_MS) },
+                load = reportedLoads(engine.load, metrics),
+            ),
         )
     val router =
         AdmissionRouter(
@@ -278,7 +286,7 @@
     keeper.complete(leases)
     host.complete(pools)
     EntryProcess(settings, control, clock, traffic, links, leases, pools, router)
-        .also { it.start(engine, controlClient).bind() }
+        .also { it.start(engine, controlClient, metrics).bind() }
 }
 
 private fun policiesOf(settings: PolicySettings): PoolPolicies = checkNotNull(
--- a/src/main/kotlin/fulmarshunt/target/AnnouncementCheck.kt
+++ b/src/main/kotlin/fulmarshunt/target/AnnouncementCheck.kt
@@ -13,7 +13,10 @@
     address.host.isBlank() -> "address.host: is empty"
     address.port !in PORTS -> "address.port: ${address.port} is not in $PORTS"
     domain !in configuration.domains -> "failure_domain: \"$domain\" is not configured"
-    services.isEmpty() -> "services: is empty"
+    // An engine that takes orders to load may have nothing loaded yet, or be replacing its only service.
+    services.isEmpty() && maxServices == 0 -> "services: is empty"
+    maxServices < 0 -> "max_services: $maxServices is negative"
+    kind == TargetKind.PLAIN && maxServices != 0 -> "max_services: is for engines only"
     startLimit < 1 -> "start_limit: $startLimit is less than 1"
     fullLimit < startLimit -> "full_limit: $fullLimit is less than start_limit"
     memoryTokens < 0 -> "memory_tokens: $memoryTokens is negative"
--- a/src/main/kotlin/fulmarshunt/target/EngineProtocol.kt
+++ b/src/main/kotlin/fulmarshunt/target/EngineProtocol.kt
@@ -40,6 +40,25 @@
     public data object Gone : StreamEnd
 }
 
+/** An order to load [service], in place of [replaces] if the engine has no room for one more. */
+public data class EngineLoad(
+    public val service: ServiceId,
+    public val replaces: ServiceId?,
+    public val fence: FencingNumber,
+)
+
+/** What became of an order to an engine. */
+public sealed interface OrderAnswer {
+    /** The engine has taken the order, now or earlier. */
+    public data object Taken : OrderAnswer
+
+    /** The engine does not carry the order out, for example because its fencing number is old. */
+    public data class Refused(public val reason: String) : OrderAnswer
+
+    /** No answer arrived; the engine may have taken the order. */
+    public data object Unanswered : OrderAnswer
+}
+
 /** What can be asked of engines. */
 public class EngineClient(
     /** Starts a generation and passes its tokens on until the stream ends. */
@@ -50,4 +69,6 @@
     public val cancel: suspend (Address, TicketId) -> Boolean,
     /** Lists the running generations and the entry VMs that started them, or null if the engine does not answer. */
     public val list: suspend (Address) -> Map<TicketId, VmId>?,
+    /** Orders an engine to load a service; the same order may be given again. */
+    public val load: suspend (Address, EngineLoad) -> OrderAnswer,
 )
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/LoadPlanning.kt
@@ -0,0 +1,282 @@
+/*
+ * Which engine of a pool loads which service, and when. The state is an immutable value and the time is passed in;
+ * each call of [plan] compares demand with what the engines announce and returns the orders that are due. Orders are
+ * paced so that the pool never orders more bytes than its share of the weight store's rate allows.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.Address
+import fulmarshunt.Incarnation
+import fulmarshunt.ServiceId
+import fulmarshunt.TargetId
+import kotlin.math.ceil
+
+/** An order is repeated after this time while the engine does not announce the load. */
+internal const val REPEAT_ORDER_MS: Long = 1_000
+
+/** An engine that has not announced the load for this long does not carry it out. */
+internal const val ANNOUNCE_LOAD_MS: Long = 10_000
+
+/** A load may take this long on top of [LOAD_TIME_FACTOR] times the time at the pool's share of the rate. */
+private const val LOAD_LIMIT_MS = 60_000L
+private const val LOAD_TIME_FACTOR = 4
+
+/** An engine that did not carry out an order for a service gets no other one for it during this time. */
+internal const val AVOID_ENGINE_MS: Long = 60_000
+
+/** A loaded service stays at least this long, so that two services do not replace each other in turn. */
+internal const val KEEP_LOADED_MS: Long = 300_000
+
+/** How long nobody may serve a service before a load is ordered; a target may only be restarting. */
+internal const val MISSING_MS: Long = 1_000
+
+/** How long the targets of a service may be too few before a load is ordered; short peaks do not justify one. */
+internal const val CROWDED_MS: Long = 5_000
+
+private const val MS_PER_SECOND = 1_000.0
+
+/** A target of the pool that is neither dead nor about to go. */
+internal data class LoadTarget(
+    val id: TargetId,
+    val address: Address,
+    val incarnation: Incarnation,
+    val services: Set<ServiceId>,
+    /** The number of services that it can hold, 0 if it takes no orders. */
+    val maxServices: Int = 0,
+    val loading: ServiceId? = null,
+    /** False while its announcements are overdue. */
+    val isLive: Boolean = true,
+    /** The services of its granted and running requests. */
+    val busy: Set<ServiceId> = emptySet(),
+    val inFlight: Int = 0,
+)
+
+/** The requests for one service. */
+internal data class ServiceDemand(
+    val queued: Int = 0,
+    /** Recent requests that were rejected because no target serves the service. */
+    val rejected: Int = 0,
+    val running: Int = 0,
+    /** True if the service was asked for recently or may have been. */
+    val isRecent: Boolean = true,
+)
+
+/** What orders are decided on. */
+internal data class LoadView(
+    val targets: List<LoadTarget>,
+    val demands: Map<ServiceId, ServiceDemand>,
+    /** The weight sizes of the services that can be loaded. */
+    val weightBytes: Map<ServiceId, Long>,
+    /** Services that are not replaced, because they could not be loaded again. */
+    val fixed: Set<ServiceId> = emptySet(),
+    /** The pool's share of the weight store's rate. */
+    val bytesPerSecond: Double,
+)
+
+/** The demand for a service beside the number of targets that serve it. */
+internal data class ServicePressure(
+    val service: ServiceId,
+    /** Requests that wait or were turned away. */
+    val unserved: Int,
+    val running: Int,
+    val targets: Int,
+    val isRecent: Boolean,
+) {
+    val hasDemand: Boolean get() = unserved > 0 || running > 0 || isRecent
+}
+
+/** A load that could be ordered. */
+internal data class LoadOption(val target: LoadTarget, val replaced: ServicePressure?)
+
+/** The parts of the decision that vary. */
+internal class LoadPolicy(
+    /** Returns whether a service needs another target. */
+    val lacksTarget: (ServicePressure) -> Boolean,
+    /** Returns whether the first service needs a place so much more than the second that it may take it. */
+    val mayReplace: (ServicePressure, ServicePressure) -> Boolean,
+    /** Chooses one of at least one option. */
+    val choose: (List<LoadOption>) -> LoadOption,
+)
+
+/** A load that was ordered or announced and has not ended. */
+internal data class RunningLoad(
+    val incarnation: Incarnation,
+    val service: ServiceId,
+    val replaces: ServiceId?,
+    val startedMs: Long,
+    /** When the order was sent last. */
+    val sentMs: Long,
+    /** When the engine announced the load last, or the start. */
+    val seenMs: Long = startedMs,
+    val isAnnounced: Boolean = false,
+)
+
+/** The state of the decision. */
+internal data class LoadState(
+    val running: Map<TargetId, RunningLoad> = emptyMap(),
+    /** Until when engines get no order for a service that they did not load. */
+    val avoidedUntilMs: Map<Pair<TargetId, ServiceId>, Long> = emptyMap(),
+    /** Until when nothing is replaced at engines that have loaded a service. */
+    val keptUntilMs: Map<TargetId, Long> = emptyMap(),
+    /** Since when services lack a target. */
+    val lackingSinceMs: Map<ServiceId, Long> = emptyMap(),
+    /** When the bytes that were ordered so far have used up the share of the rate. */
+    val storeFreeMs: Long = Long.MIN_VALUE,
+)
+
+/** An order to the engine [target]. */
+internal data class LoadOrder(
+    val target: LoadTarget,
+    val service: ServiceId,
+    val replaces: ServiceId?,
+    val isRepeat: Boolean,
+)
+
+/** The next state, and the orders to send. */
+internal data class LoadPlan(val state: LoadState, val orders: List<LoadOrder>)
+
+/** A service with targets needs one more when this many requests wait for each of them. */
+private const val CROWDED_PER_TARGET = 4
+
+/** A service takes a place from another one only if its demand for each target is this much greater. */
+private const val REPLACE_FACTOR = 2
+
+/** Returns the policy that compares the demand for each target. */
+internal fun loadPolicy(): LoadPolicy = LoadPolicy(
+    lacksTarget = { it.unserved > 0 && it.unserved >= it.targets * CROWDED_PER_TARGET },
+    mayReplace = { wanted, replaced ->
+        val left = (replaced.targets - 1).coerceAtLeast(1)
+        wanted.targets == 0 ||
+            wanted.unserved.toLong() * left >=
+            REPLACE_FACTOR.toLong() * wanted.targets * (replaced.unserved + replaced.running)
+    },
+    choose = { options ->
+        options.minWith(
+            compareBy({ it.replaced != null }, { it.replaced?.demandPerTarget ?: 0.0 }, { it.target.inFlight }),
+        )
+    },
+)
+
+private val ServicePressure.demandPerTarget: Double
+    get() = (unserved + running).toDouble() / targets.coerceAtLeast(1)
+
+/** Returns what follows from [view]; at most one new load is ordered in a call. */
+internal fun LoadState.plan(view: LoadView, policy: LoadPolicy, nowMs: Long): LoadPlan {
+    val followed = follow(view, nowMs).adopt(view, nowMs)
+    val repeats = view.targets.mapNotNull { followed.repeatOrNull(it, nowMs) }
+    val repeated = repeats.associate { it.target.id to followed.running.getValue(it.target.id).copy(sentMs = nowMs) }
+    return followed.copy(running = followed.running + repeated).order(view, policy, nowMs).let {
+        it.copy(orders = repeats + it.orders)
+    }
+}
+
+/** Takes what the engines announce about the running loads. */
+private fun LoadState.follow(view: LoadView, nowMs: Long): LoadState {
+    val targets = view.targets.associateBy { it.id }
+    val next = HashMap<TargetId, RunningLoad>()
+    val avoided = avoidedUntilMs.filterValues { it > nowMs }.toMutableMap()
+    val kept = keptUntilMs.filterValues { it > nowMs }.toMutableMap()
+    val lacking = lackingSinceMs.toMutableMap()
+    for ((id, load) in running) {
+        val target = targets[id]?.takeIf { it.incarnation == load.incarnation } ?: continue
+        val isAnnounced = target.loading == load.service
+        val seenMs = if (isAnnounced) nowMs else load.seenMs
+        when {
+            !isAnnounced && load.service in target.services -> {
+                kept[id] = nowMs + KEEP_LOADED_MS
+                // The new target has to take a part of the queue before another one can be needed.
+                lacking -= load.service
+            }
+            nowMs - seenMs >= ANNOUNCE_LOAD_MS || nowMs - load.startedMs >= view.limitMs(load.service) ->
+                avoided[id to load.service] = nowMs + AVOID_ENGINE_MS
+            else -> next[id] = load.copy(seenMs = seenMs, isAnnounced = load.isAnnounced || isAnnounced)
+        }
+    }
+    return copy(running = next, avoidedUntilMs = avoided, keptUntilMs = kept, lackingSinceMs = lacking)
+}
+
+/** Takes over loads that engines announce without an order of this owner; they use the weight store as well. */
+private fun LoadState.adopt(view: LoadView, nowMs: Long): LoadState {
+    var state = this
+    for (target in view.targets) {
+        val service = target.loading ?: continue
+        if (target.id in running || (target.id to service) in avoidedUntilMs) continue
+        val load = RunningLoad(target.incarnation, service, null, nowMs, nowMs, isAnnounced = true)
+        state = state.copy(running = state.running + (target.id to load)).charge(view, service, nowMs)
+    }
+    return state
+}
+
+private fun LoadState.repeatOrNull(target: LoadTarget, nowMs: Long): LoadOrder? {
+    val load = running[target.id] ?: return null
+    // An engine that announced the load and stopped has read bytes; a repeat would read them a second time, unpaced.
+    if (load.isAnnounced || nowMs - load.sentMs < REPEAT_ORDER_MS) return null
+    if (!target.isLive || target.loading != null || load.replaces in target.busy) return null
+    return LoadOrder(target, load.service, load.replaces, isRepeat = true)
+}
+
+private fun LoadState.order(view: LoadView, policy: LoadPolicy, nowMs: Long): LoadPlan {
+    val pressures = view.servicesOf(running).associateWith { pressure(view, it) }
+    val underWay = running.values.mapTo(HashSet()) { it.service }
+    val lacking = view.weightBytes.keys.filter { policy.lacksTarget(pressures.getValue(it)) }
+    val state = copy(lackingSinceMs = lacking.associateWith { lackingSinceMs[it] ?: nowMs })
+    if (nowMs < storeFreeMs || view.bytesPerSecond <= 0) return LoadPlan(state, emptyList())
+    val due = lacking.filter { it !in underWay }.map(pressures::getValue)
+        .filter { nowMs - state.lackingSinceMs.getValue(it.service) >= if (it.targets == 0) MISSING_MS else CROWDED_MS }
+        .sortedByDescending { it.unserved.toDouble() / it.targets.coerceAtLeast(1) }
+    for (wanted in due) {
+        val options = view.targets.mapNotNull { state.optionOrNull(it, wanted, view, pressures, policy) }
+        if (options.isEmpty()) continue
+        val (target, replaced) = policy.choose(options)
+        val load = RunningLoad(target.incarnation, wanted.service, replaced?.service, nowMs, nowMs)
+        val next = state.copy(running = running + (target.id to load)).charge(view, wanted.service, nowMs)
+        return LoadPlan(next, listOf(LoadOrder(target, wanted.service, replaced?.service, isRepeat = false)))
+    }
+    return LoadPlan(state, emptyList())
+}
+
+private fun LoadState.optionOrNull(
+    target: LoadTarget,
+    wanted: ServicePressure,
+    view: LoadView,
+    pressures: Map<ServiceId, ServicePressure>,
+    policy: LoadPolicy,
+): LoadOption? {
+    val isFree = target.isLive && target.loading == null && target.id !in running
+    if (!isFree || wanted.service in target.services || (target.id to wanted.service) in avoidedUntilMs) return null
+    if (target.services.size < target.maxServices) return LoadOption(target, null)
+    if (target.maxServices == 0 || target.id in keptUntilMs) return null
+    return target.services
+        .filter { it !in target.busy && it !in view.fixed }
+        .map(pressures::getValue)
+        .filter { !it.hasDemand || view.targets.any { other -> other.id != target.id && keeps(other, it.service) } }
+        .filter { policy.mayReplace(wanted, it) }
+        .minByOrNull { it.demandPerTarget }
+        ?.let { LoadOption(target, it) }
+}
+
+/** Returns whether [target] serves [service] now and is not ordered to replace it. */
+private fun LoadState.keeps(target: LoadTarget, service: ServiceId): Boolean =
+    target.isLive && service in target.services && running[target.id]?.replaces != service
+
+private fun LoadState.pressure(view: LoadView, service: ServiceId): ServicePressure {
+    val demand = view.demands[service] ?: ServiceDemand(isRecent = false)
+    val serving = view.targets.count { service in it.services && running[it.id]?.replaces != service }
+    // A rejected request for a service with targets was excluded or too large, which another target would not change.
+    val unserved = demand.queued + if (serving == 0) demand.rejected else 0
+    return ServicePressure(service, unserved, demand.running, serving, demand.isRecent)
+}
+
+/** Adds the bytes of a load to what the share of the rate has to cover. */
+private fun LoadState.charge(view: LoadView, service: ServiceId, nowMs: Long): LoadState =
+    copy(storeFreeMs = maxOf(storeFreeMs, nowMs) + view.loadMs(service))
+
+private fun LoadView.loadMs(service: ServiceId): Long {
+    val bytes = weightBytes[service] ?: return 0
+    return if (bytesPerSecond > 0) ceil(bytes * MS_PER_SECOND / bytesPerSecond).toLong() else 0
+}
+
+private fun LoadView.limitMs(service: ServiceId): Long = LOAD_LIMIT_MS + LOAD_TIME_FACTOR * loadMs(service)
+
+private fun LoadView.servicesOf(running: Map<TargetId, RunningLoad>): Set<ServiceId> =
+    weightBytes.keys + demands.keys + targets.flatMap { it.services } + running.values.map { it.service }
--- a/src/main/kotlin/fulmarshunt/target/Placement.kt
+++ b/src/main/kotlin/fulmarshunt/target/Placement.kt
@@ -77,6 +77,7 @@
 
     private fun offers(target: TargetState, entry: WaitingEntry): Boolean =
         entry.request.service in target.announcement.services &&
+            entry.request.service != target.replaced &&
             target.id !in entry.request.excluded &&
             fitsAlone(target, entry)
 
--- a/src/main/kotlin/fulmarshunt/target/Pool.kt
+++ b/src/main/kotlin/fulmarshunt/target/Pool.kt
@@ -43,6 +43,7 @@
     private val targets = LinkedHashMap<TargetId, TargetState>()
     private val running = RunningTickets(targets, queue) { effects += it }
     private val dispatcher = Dispatcher(fence, policies, queue, placement, targets.values)
+    private val loads = LoadOrders(fence, targets.values, queue, placement)
 
     private val decided = object : LinkedHashMap<TicketId, Unit>() {
         override fun removeEldestEntry(eldest: Map.Entry<TicketId, Unit>): Boolean = size > REMEMBERED_TICKETS
@@ -76,6 +77,7 @@
         val ticket = request.ticket
         // A resent call must not be decided twice.
         if (ticket in decided || ticket in queue || ticket in running) return@decide
+        loads.countRequest(request.service, nowMs)
         val distribution = lengths.lengthsOf(request.service, request.account, request.maxOutputTokens)
         val shortMax = configuration.shortMaxTokens(request.service)
         val isShort = request.maxOutputTokens <= shortMax || distribution.isLearnedShort(shortMax)
@@ -86,7 +88,7 @@
             return@decide
         }
         queue.add(request, distribution, isShort, nowMs)?.let { rejectOverloaded(it) }
-        if (nowMs >= settlingUntilMs + FIRST_ANNOUNCEMENTS_MS && ticket in queue) rejectIfUnavailable(ticket)
+        if (nowMs >= settlingUntilMs + FIRST_ANNOUNCEMENTS_MS && ticket in queue) rejectIfUnavailable(ticket, nowMs)
     }
 
     /** Takes a request whose caller left out of the queue, or cancels it if a grant is on its way. */
@@ -210,6 +212,8 @@
         running.releaseCancelled(nowMs)
         while (true) rejectOverloaded(queue.expiredOrNull(nowMs) ?: break)
         if (nowMs >= settlingUntilMs) settle(nowMs)
+        // An engine counts as missing a service only after it had time to announce what it has.
+        if (nowMs >= settlingUntilMs + FIRST_ANNOUNCEMENTS_MS) effects += loads.due(configuration, nowMs)
         return effects.also { effects = ArrayList() }
     }
 
@@ -217,7 +221,7 @@
         if (nowMs >= settlingUntilMs + FIRST_ANNOUNCEMENTS_MS && (isOfferReduced || !hasSettled)) {
             hasSettled = true
             isOfferReduced = false
-            queue.entries.map { it.request.ticket }.forEach(::rejectIfUnavailable)
+            queue.entries.map { it.request.ticket }.forEach { rejectIfUnavailable(it, nowMs) }
         }
         dispatcher.grantAll(nowMs) { ticket, granted ->
             running.add(ticket)
@@ -274,13 +278,14 @@
         isOfferReduced = true
     }
 
-    private fun rejectIfUnavailable(ticket: TicketId) {
+    private fun rejectIfUnavailable(ticket: TicketId, nowMs: Long) {
         val entry = queue.getOrNull(ticket) ?: return
         val reason = when (placement.availability(entry, targets.values, configuration)) {
             Availability.SERVED -> return
             Availability.LEAVING -> RejectReason.LEAVING
             Availability.NONE -> RejectReason.NO_TARGET
         }
+        loads.countRejection(entry.request, nowMs)
         queue.remove(ticket)
         reject(ticket, reason, RETRY_LATER_MS)
     }
--- a/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
+++ b/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
@@ -7,7 +7,6 @@
 import fulmarshunt.Address
 import fulmarshunt.Fingerprint
 import fulmarshunt.Incarnation
-import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.entry.AdmissionReply
@@ -32,6 +31,11 @@
     public val running: List<Fingerprint>,
 ) : PoolEffect
 
-/** Orders the engine [target] to load [service] from the weight store. */
-public data class IssueLoad(public val target: TargetId, public val address: Address, public val service: ServiceId) :
-    PoolEffect
+/** Orders the engine [target] to load a service from the weight store. */
+public data class IssueLoad(
+    public val target: TargetId,
+    public val address: Address,
+    public val load: EngineLoad,
+    /** True if the order was issued before and the engine has not announced the load yet. */
+    public val isRepeat: Boolean,
+) : PoolEffect
--- a/src/main/kotlin/fulmarshunt/target/PoolView.kt
+++ b/src/main/kotlin/fulmarshunt/target/PoolView.kt
@@ -5,6 +5,7 @@
 
 import fulmarshunt.Incarnation
 import fulmarshunt.PoolId
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 
 /** Whether a target can receive work. */
@@ -37,6 +38,8 @@
     public val riskBound: Double,
     /** Preemptions that the target reported in its current incarnation while this owner watched. */
     public val preemptions: Long,
+    /** The service that the target is loading. */
+    public val loading: ServiceId? = null,
 )
 
 /** A pool at one moment. */
--- a/src/main/kotlin/fulmarshunt/target/TargetAnnouncement.kt
+++ b/src/main/kotlin/fulmarshunt/target/TargetAnnouncement.kt
@@ -86,4 +86,9 @@
     public val load: TargetLoad = TargetLoad(),
     @SerialName("cache_events")
     public val cacheEvents: List<CacheEvent> = emptyList(),
+    /** The number of services that an engine can hold at once, or 0 if it takes no orders to load. */
+    @SerialName("max_services")
+    public val maxServices: Int = 0,
+    /** The service that an engine is loading now, if any. */
+    public val loading: ServiceId? = null,
 )
--- a/src/main/kotlin/fulmarshunt/target/TargetState.kt
+++ b/src/main/kotlin/fulmarshunt/target/TargetState.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.target
 
 import fulmarshunt.Fingerprint
+import fulmarshunt.ServiceId
 import fulmarshunt.TicketId
 import fulmarshunt.entry.GRANT_VALID_MS
 
@@ -63,6 +64,9 @@
     var announcedMs = nowMs
         private set
     var health = TargetHealth.LIVE
+
+    /** The service that an order replaces, which gets no new work here. */
+    var replaced: ServiceId? = null
     var riskBound = MIN_RISK
         private set
     var preemptions = 0L
@@ -200,6 +204,7 @@
         expectedPeakTokens = forecast.peakTokens(null, 0.0).toLong(),
         riskBound = riskBound,
         preemptions = preemptions,
+        loading = announcement.loading,
     )
 
     /** The expected peak with [added] on top, the risk margin and the drift of our own counts. */
--- a/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
@@ -11,7 +11,9 @@
 import fulmarshunt.caller.FinishReason
 import fulmarshunt.target.EngineClient
 import fulmarshunt.target.EngineGeneration
+import fulmarshunt.target.EngineLoad
 import fulmarshunt.target.EngineToken
+import fulmarshunt.target.OrderAnswer
 import fulmarshunt.target.StreamEnd
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -20,6 +22,7 @@
 import io.ktor.client.request.delete
 import io.ktor.client.request.get
 import io.ktor.client.request.header
+import io.ktor.client.request.post
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.request.url
@@ -82,6 +85,15 @@
     val entryVm: String,
 )
 
+@Serializable
+internal class LoadOrderBody(
+    val order: String,
+    val service: String,
+    val replaces: String?,
+    @SerialName("fencing_number")
+    val fencingNumber: Long,
+)
+
 /** Returns an engine client over HTTP that gives a stream up after [silenceMs] without a byte. */
 public fun httpEngineClient(silenceMs: Long = STREAM_SILENCE_MS): EngineClient {
     val http = engineHttpClient()
@@ -111,6 +123,20 @@
                     .associate { TicketId(it.generationId) to VmId(it.entryVm) }
             }
         },
+        load = { address, load ->
+            val status = http.command {
+                post("http://$address/v1/engine/orders") {
+                    header(HttpHeaders.Connection, "close")
+                    contentType(ContentType.Application.Json)
+                    setBody(engineJson.encodeToString(LoadOrderBody.serializer(), load.toBody()))
+                }.status.value
+            }
+            when (status) {
+                null -> OrderAnswer.Unanswered
+                in SUCCESS_STATUSES -> OrderAnswer.Taken
+                else -> OrderAnswer.Refused("status $status")
+            }
+        },
     )
 }
 
@@ -130,6 +156,8 @@
 private fun EngineGeneration.toBody(): GenerationBody =
     GenerationBody(ticket.value, service.value, messages, maxTokens, priority, fence.value, entryVm.value)
 
+private fun EngineLoad.toBody(): LoadOrderBody = LoadOrderBody("load", service.value, replaces?.value, fence.value)
+
 private suspend fun HttpClient.stream(
     silenceMs: Long,
     onToken: suspend (EngineToken) -> Unit,
--- a/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
@@ -21,6 +21,7 @@
 import fulmarshunt.monotonicClock
 import fulmarshunt.target.EngineClient
 import fulmarshunt.target.EngineToken
+import fulmarshunt.target.OrderAnswer
 import fulmarshunt.target.StreamEnd
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -71,6 +72,7 @@
                 resume = { _, _, _, _ -> StreamEnd.Gone },
                 cancel = { _, ticket -> cancelled.trySend(ticket.value).isSuccess },
                 list = { null },
+                load = { _, _ -> OrderAnswer.Unanswered },
             ),
             traffic = CoroutineScope(Dispatchers.Default),
         )
--- a/src/test/kotlin/fulmarshunt/entry/PoolHostTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/PoolHostTest.kt
@@ -3,15 +3,21 @@
  */
 package fulmarshunt.entry
 
+import fulmarshunt.Address
 import fulmarshunt.FencingNumber
 import fulmarshunt.PoolId
+import fulmarshunt.ServiceId
+import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.monotonicClock
 import fulmarshunt.platform.startControlThread
 import fulmarshunt.target.Decide
+import fulmarshunt.target.EngineLoad
+import fulmarshunt.target.IssueLoad
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -19,6 +25,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 
 class PoolHostTest {
     private val pool = PoolId("suva/0")
@@ -27,6 +34,9 @@
     private val ended = mutableListOf<TicketOutcome>()
     private var hasLease = true
     private var grantsAtOnce = true
+    private val sentLoads = Channel<IssueLoad>(Channel.UNLIMITED)
+    private val load = EngineLoad(ServiceId("letters"), null, FencingNumber(1))
+        .let { IssueLoad(TargetId("e1"), Address("127.0.0.1", 1), it, isRepeat = false) }
 
     private val host = PoolHost(
         vm = vm,
@@ -39,7 +49,7 @@
                 announce = { _, _ -> emptyList() },
                 admit = { request, _ -> if (grantsAtOnce) listOf(Decide(request.ticket, granted())) else emptyList() },
                 withdraw = { _, _ -> emptyList() },
-                progress = { _, _ -> emptyList() },
+                progress = { _, _ -> listOf(load) },
                 end = { _, _, outcome, _ -> emptyList<Decide>().also { ended += outcome } },
                 reregister = { _, _, _ -> emptyList() },
                 vmLost = { _, _ -> emptyList() },
@@ -49,7 +59,7 @@
                 view = { error("no view") },
             )
         },
-        actions = PoolHostActions({ _, _ -> true }, { emptyMap() }, { true }),
+        actions = PoolHostActions({ _, _ -> true }, { emptyMap() }, { true }, { sentLoads.send(it) }),
     )
 
     private fun state(index: Long, owner: VmId): SharedState = SharedState(
@@ -71,6 +81,19 @@
         expectThat(ask()).isEqualTo(notOwner)
     }
 
+    /** Guards against orders to engines by a former owner. */
+    @Test
+    fun `an order to load is sent only with a lease`(): Unit = runBlocking {
+        val report = Progress(pool, admissionRequest().ticket, 1)
+        control.run { host.apply(state(1, vm)) }
+        hasLease = false
+        host.handle(report)
+        hasLease = true
+        host.handle(report)
+        withTimeout(5_000) { expectThat(sentLoads.receive()).isEqualTo(load) }
+        expectThat(sentLoads.tryReceive().isFailure).isTrue()
+    }
+
     /** Guards against callers that wait in the queue of a former owner. */
     @Test
     fun `waiting requests are sent away when the pool gets another owner`(): Unit = runBlocking {
--- a/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
@@ -4,6 +4,7 @@
 package fulmarshunt.operator
 
 import fulmarshunt.ClientAccountId
+import fulmarshunt.ServiceId
 import fulmarshunt.operator.cli.parseAnswers
 import fulmarshunt.operator.cli.runQuestionnaire
 import fulmarshunt.platform.Secret
@@ -135,6 +136,24 @@
         expectThat(questionnaire(null, input = listOf("Vatuvara Labs"))).isEqualTo(2)
     }
 
+    /** Guards against sizes and rates that are lost between the answers and the configuration. */
+    @Test
+    fun `weight sizes and the store rate are planned, shown and kept`() {
+        val model = "[[services]]\nname = \"letters\"\nkind = \"model\"\nweight_bytes = 16000000000\n"
+        val answers = "weight_store_bytes_per_second = 2000000000$ANSWERS$model"
+        expectThat(questionnaire(answers, "--yes")).isEqualTo(0)
+        expectThat(control.configuration.services[ServiceId("letters")]?.weightBytes).isEqualTo(16_000_000_000)
+        expectThat(control.configuration.weightStoreBytesPerSecond).isEqualTo(2_000_000_000)
+        expectThat(recorded.lines).any { isEqualTo("  + weight store rate: bytes/s 2000000000") }
+        expectThat(questionnaire(ANSWERS, "--yes")).isEqualTo(0)
+        expectThat(control.configuration.weightStoreBytesPerSecond).isEqualTo(2_000_000_000)
+        expectThat(control.submissions).hasSize(1)
+        val input = listOf("Vatuvara Labs", "", "letters", "model", "", "", "16000000000", "", "fast", "1000") +
+            listOf("", "", "yes")
+        expectThat(questionnaire(null, input = input)).isEqualTo(0)
+        expectThat(control.submissions.last().changes).single().isEqualTo(SetWeightStoreRate(1_000))
+    }
+
     /** Guards against messages that do not name the answer and the fix. */
     @ParameterizedTest
     @CsvSource(
@@ -153,10 +172,16 @@
                 "one of *, GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS",
             "[\"operate\"] | [] | operators[0].permissions: is empty: give at least one permission",
             "Vatuvara Labs | `` | team: is empty: give the name of the team",
+            "kind = \"plain\" | kind = \"plain\"; weight_bytes = 1 | services[0].weight_bytes: a plain service has " +
+                "none: remove it, or set kind to \"model\"",
+            "team = | weight_store_bytes_per_second = -1; team = | weight_store_bytes_per_second: -1 is out of " +
+                "range: use 0 to 1000000000000000",
         ],
     )
     fun `a bad answer is one line`(good: String, bad: String, expected: String) {
-        expectThat(parseAnswers(ANSWERS.replace(good, bad)).leftOrNull()?.message).isEqualTo(expected)
+        expectThat(
+            parseAnswers(ANSWERS.replace(good, bad.replace("; ", "\n"))).leftOrNull()?.message,
+        ).isEqualTo(expected)
     }
 }
 
--- a/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
+++ b/src/test/kotlin/fulmarshunt/standin/EngineStandIn.kt
@@ -1,7 +1,8 @@
 /*
  * A stand-in for a model engine, run as its own process. It batches running generations in steps, keeps their tokens
  * so that streams can be resumed, preempts the newest low-priority generation when its memory is full, and takes longer
- * steps while it warms up. Control requests under `/standin` make it crash, stall its connections or turn cold.
+ * steps while it warms up. It loads services on orders, one at a time. Control requests under `/standin` make it crash,
+ * stall its connections or turn cold.
  */
 package fulmarshunt.standin
 
@@ -34,6 +35,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
@@ -43,6 +45,7 @@
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -66,6 +69,10 @@
     val checksFencing = values["checks_fencing"] == "true"
     val announceEveryMs = long("announce_every", 500)
 
+    /** The number of services that it holds at once, or 0 if it takes no orders to load. */
+    val maxServices = long("max_services", 0).toInt()
+    val loadMs = long("load", 1_000)
+
     /** Requests above [startLimit] during the warm-up crash the process when set. */
     val isFragile = values["fragile"] == "true"
 
@@ -74,6 +81,7 @@
 
 private class Generation(
     val id: String,
+    val service: String,
     val entryVm: String,
     val promptTokens: Int,
     val length: Int,
@@ -109,6 +117,12 @@
     private val started = AtomicInteger()
     private val maxConcurrent = AtomicInteger()
     private val startedAtMs = System.currentTimeMillis()
+    private val services = CopyOnWriteArrayList(options.services)
+    private val loads = AtomicInteger()
+    private val loadScope = CoroutineScope(Dispatchers.Default)
+
+    @Volatile
+    private var loading: String? = null
 
     @Volatile
     private var highestFence = 0L
@@ -192,7 +206,9 @@
         put("incarnation", options.incarnation)
         put("failure_domain", options.domain)
         put("kind", "engine")
-        putJsonArray("services") { options.services.forEach { add(it) } }
+        putJsonArray("services") { services.forEach { add(it) } }
+        put("max_services", options.maxServices)
+        loading?.let { put("loading", it) }
         put("checks_fencing", options.checksFencing)
         put("memory_tokens", options.memoryTokens)
         put("start_limit", options.startLimit)
@@ -220,6 +236,7 @@
                 generation.isCancelled.value = true
                 call.respond(HttpStatusCode.NoContent)
             }
+            post("/v1/engine/orders") { call.respond(takeOrder(call.receiveText())) }
             post("/standin/{action}") { call.act(call.parameters["action"].orEmpty()) }
             get("/standin/stats") {
                 call.respondText(stats().toString(), ContentType.Application.Json)
@@ -234,6 +251,30 @@
         put("cancelled", all.values.count { it.isCancelled.value })
         put("finished", all.values.count { it.finish.value != null })
         put("preemptions", preemptions.get())
+        put("loads", loads.get())
+    }
+
+    /** Begins a load, unless it is under way or done, and returns the status of the answer. */
+    private fun takeOrder(text: String): HttpStatusCode = synchronized(batch) {
+        val order = Json.parseToJsonElement(text).jsonObject
+        val service = order.getValue("service").jsonPrimitive.content
+        val replaces = order["replaces"]?.jsonPrimitive?.contentOrNull
+        val fence = order.getValue("fencing_number").jsonPrimitive.long
+        if (options.checksFencing && fence < highestFence) return HttpStatusCode.Conflict
+        highestFence = maxOf(highestFence, fence)
+        if (service in services || service == loading) return HttpStatusCode.Accepted
+        val isInUse = batch.any { it.service == replaces && !it.isOver() }
+        val left = services - setOfNotNull(replaces)
+        if (loading != null || isInUse || left.size >= options.maxServices) return HttpStatusCode.Conflict
+        services.remove(replaces)
+        loading = service
+        loads.incrementAndGet()
+        loadScope.launch {
+            delay(options.loadMs)
+            services += service
+            loading = null
+        }
+        return HttpStatusCode.Accepted
     }
 
     private suspend fun ApplicationCall.act(action: String) {
@@ -252,6 +293,8 @@
         val fence = body.getValue("fencing_number").jsonPrimitive.long
         if (options.checksFencing && fence < highestFence) return respond(HttpStatusCode.Conflict)
         highestFence = maxOf(highestFence, fence)
+        val service = body.getValue("service").jsonPrimitive.content
+        if (service !in services) return respond(HttpStatusCode.Conflict)
         val prompt =
             body.getValue("messages").jsonArray.joinToString("\n") {
                 it.jsonObject.getValue("content").jsonPrimitive.content
@@ -260,6 +303,7 @@
         val generation =
             Generation(
                 id = body.getValue("generation_id").jsonPrimitive.content,
+                service = service,
                 entryVm = body.getValue("entry_vm").jsonPrimitive.content,
                 promptTokens = prompt.length / CHARS_PER_TOKEN + 1,
                 length = lengthFor(prompt),
