Withdraw an unannounced order when its engine becomes a last target

Cause: an order that the engine had not announced yet was repeated even if the other targets of the replaced service had died meanwhile, which could cost the pool that service. With the greatest weight and a tiny share of the rate the load time overflowed the sums that pace the orders. Both were found by reading the code. Change: such an order is withdrawn and not repeated, and load times are bounded. Measured: LoadPlanningTest passes with two new tests (10 of 10; they were not run against the former code), and so do LoadCommandFaultTest, PoolTest, PoolPropertyTest and SettingsPageTest.

--- a/src/main/kotlin/fulmarshunt/target/LoadPlanning.kt
+++ b/src/main/kotlin/fulmarshunt/target/LoadPlanning.kt
@@ -35,6 +35,9 @@
 
 private const val MS_PER_SECOND = 1_000.0
 
+/** About 30 years: with the greatest weights and the least rates, sums of load times would overflow otherwise. */
+private const val MAX_LOAD_MS = 1_000_000_000_000L
+
 /** A target of the pool that is neither dead nor about to go. */
 internal data class LoadTarget(
     val id: TargetId,
@@ -59,7 +62,9 @@
     val running: Int = 0,
     /** True if the service was asked for recently or may have been. */
     val isRecent: Boolean = true,
-)
+) {
+    val isPresent: Boolean get() = queued > 0 || rejected > 0 || running > 0 || isRecent
+}
 
 /** What orders are decided on. */
 internal data class LoadView(
@@ -80,10 +85,7 @@
     val unserved: Int,
     val running: Int,
     val targets: Int,
-    val isRecent: Boolean,
-) {
-    val hasDemand: Boolean get() = unserved > 0 || running > 0 || isRecent
-}
+)
 
 /** A load that could be ordered. */
 internal data class LoadOption(val target: LoadTarget, val replaced: ServicePressure?)
@@ -187,6 +189,8 @@
                 // The new target has to take a part of the queue before another one can be needed.
                 lacking -= load.service
             }
+            // The other targets of the replaced service may have gone since the order was sent.
+            !load.isAnnounced && !isAnnounced && load.replaces?.let { isSpare(view, target, it) } == false -> Unit
             nowMs - seenMs >= ANNOUNCE_LOAD_MS || nowMs - load.startedMs >= view.limitMs(load.service) ->
                 avoided[id to load.service] = nowMs + AVOID_ENGINE_MS
             else -> next[id] = load.copy(seenMs = seenMs, isAnnounced = load.isAnnounced || isAnnounced)
@@ -249,12 +253,15 @@
     return target.services
         .filter { it !in target.busy && it !in view.fixed }
         .map(pressures::getValue)
-        .filter { !it.hasDemand || view.targets.any { other -> other.id != target.id && keeps(other, it.service) } }
-        .filter { policy.mayReplace(wanted, it) }
+        .filter { isSpare(view, target, it.service) && policy.mayReplace(wanted, it) }
         .minByOrNull { it.demandPerTarget }
         ?.let { LoadOption(target, it) }
 }
 
+/** Returns whether the pool can do without [service] at [target]. */
+private fun LoadState.isSpare(view: LoadView, target: LoadTarget, service: ServiceId): Boolean =
+    view.demands[service]?.isPresent != true || view.targets.any { it.id != target.id && keeps(it, service) }
+
 /** Returns whether [target] serves [service] now and is not ordered to replace it. */
 private fun LoadState.keeps(target: LoadTarget, service: ServiceId): Boolean =
     target.isLive && service in target.services && running[target.id]?.replaces != service
@@ -264,7 +271,7 @@
     val serving = view.targets.count { service in it.services && running[it.id]?.replaces != service }
     // A rejected request for a service with targets was excluded or too large, which another target would not change.
     val unserved = demand.queued + if (serving == 0) demand.rejected else 0
-    return ServicePressure(service, unserved, demand.running, serving, demand.isRecent)
+    return ServicePressure(service, unserved, demand.running, serving)
 }
 
 /** Adds the bytes of a load to what the share of the rate has to cover. */
@@ -273,7 +280,13 @@
 
 private fun LoadView.loadMs(service: ServiceId): Long {
     val bytes = weightBytes[service] ?: return 0
-    return if (bytesPerSecond > 0) ceil(bytes * MS_PER_SECOND / bytesPerSecond).toLong() else 0
+    return if (bytesPerSecond >
+        0
+    ) {
+        ceil(bytes * MS_PER_SECOND / bytesPerSecond).toLong().coerceAtMost(MAX_LOAD_MS)
+    } else {
+        0
+    }
 }
 
 private fun LoadView.limitMs(service: ServiceId): Long = LOAD_LIMIT_MS + LOAD_TIME_FACTOR * loadMs(service)
--- a/src/test/kotlin/fulmarshunt/target/LoadPlanningTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/LoadPlanningTest.kt
@@ -7,6 +7,7 @@
 import fulmarshunt.Incarnation
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
+import fulmarshunt.operator.MAX_BYTES
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.Size
@@ -83,6 +84,29 @@
         )
     }
 
+    /** Guards against a repeated order that costs the pool a service whose other target has died meanwhile. */
+    @Test
+    fun `an order is withdrawn when its engine becomes the last target`() {
+        val before = view(listOf(engine("e1", letters), engine("e2", letters)), used, missing)
+        expectThat(plan(before, 0) + plan(before, 1_000)).isEqualTo(listOf("e1 tags letters"))
+        expectThat((2_000L..20_000 step 500).flatMap { plan(view(listOf(engine("e1", letters)), used, missing), it) })
+            .isEmpty()
+        expectThat(state.running.keys).isEmpty()
+    }
+
+    /** Guards against pacing that overflows and then lets every order pass. */
+    @Test
+    fun `weights that take years are not ordered twice`() {
+        val weights = mapOf(tags to MAX_BYTES, letters to MAX_BYTES)
+        val view = LoadView(
+            listOf("e1", "e2").map { engine(it) },
+            mapOf(missing, letters to missing.second),
+            weights,
+            bytesPerSecond = 0.001,
+        )
+        expectThat((0L..100_000 step 500).flatMap { plan(view, it) }.filterNot { "again" in it }).hasSize(1)
+    }
+
     /** Guards against repeated orders, a second load at an engine, and a service that is loaded twice at once. */
     @Test
     fun `an announced load ends the repetition`() {
