--- a/src/main/kotlin/fulmarshunt/caller/GenerationAttempt.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationAttempt.kt
@@ -11,11 +11,15 @@
 import fulmarshunt.target.EngineGeneration
 import fulmarshunt.target.EngineToken
 import fulmarshunt.target.StreamEnd
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /** The number of times that a broken stream is resumed without a new token before its engine is asked. */
 internal const val MAX_FRUITLESS_RESUMES: Int = 3
 
+/** A pause between fruitless resumes, so that a reset of all connections at one moment is not taken for a death. */
+private const val RESUME_PAUSE_MS = 200L
+
 /** A generation without a token for this long counts as lost, even if its engine lists it. */
 private const val MAX_STALL_MS = 60_000L
 
@@ -40,7 +44,8 @@
                 when (end) {
                     is StreamEnd.Finished -> TicketOutcome.FINISHED
                     is StreamEnd.Refused -> TicketOutcome.REFUSED
-                    is StreamEnd.Broken, is StreamEnd.Gone -> TicketOutcome.LOST
+                    is StreamEnd.Broken, is StreamEnd.NotFound -> TicketOutcome.LOST
+                    is StreamEnd.Gone -> TicketOutcome.GONE
                 }
             return end
         } finally {
@@ -52,6 +57,12 @@
         if (outcome == TicketOutcome.FINISHED || outcome == TicketOutcome.REFUSED) {
             return parts.admissions.end(grant, relay.next, outcome)
         }
+        if (outcome == TicketOutcome.GONE) {
+            // The owner keeps the place until the generation has ended one way or the other.
+            parts.admissions.end(grant, relay.next, outcome)
+            parts.traffic.launch { retrying { parts.engine.cancel(address, ticket) } }
+            return
+        }
         // The engine is told first, so that the place is not granted again while the generation still uses it.
         parts.traffic.launch {
             val isCancelled = parts.engine.cancel(address, ticket)
@@ -65,10 +76,12 @@
         var fruitless = 0
         while (end is StreamEnd.Broken) {
             if (fruitless >= MAX_FRUITLESS_RESUMES) {
+                val generations = parts.engine.list(address) ?: return StreamEnd.Gone
                 val isStalled = parts.clock.nowMs() - lastTokenMs > MAX_STALL_MS
-                if (isStalled || parts.engine.list(address)?.containsKey(ticket) != true) return end
+                if (isStalled || ticket !in generations) return end
                 fruitless = 0
             }
+            if (fruitless > 0) delay(RESUME_PAUSE_MS)
             val before = relay.next
             parts.meters.resume()
             end = resumeOnce()
--- a/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
@@ -6,15 +6,21 @@
  */
 package fulmarshunt.caller
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import fulmarshunt.Clock
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.entry.AdmissionRequest
+import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.RejectReason
 import fulmarshunt.entry.Rejected
 import fulmarshunt.entry.SharedState
+import fulmarshunt.entry.TargetLife
+import fulmarshunt.entry.TicketOutcome
 import fulmarshunt.operator.ServiceKind
 import fulmarshunt.target.EngineClient
 import fulmarshunt.target.StreamEnd
@@ -89,6 +95,7 @@
 ) {
     private val admission = request.toAdmissionRequest(parts)
     private val excluded = mutableListOf<TargetId>()
+    private val lost = mutableListOf<LostAttempt>()
     private var queuedMs = 0L
     private var asked = 0
 
@@ -97,15 +104,7 @@
         var attempts = 0
         var unused = 0
         while (attempts < MAX_ATTEMPTS && unused < MAX_UNUSED_GRANTS) {
-            parts.gate.check(request.service, ServiceKind.MODEL, admission.fingerprint)?.let {
-                return GenerationFailed(problem ?: it)
-            }
-            if (attempts > 0 && !parts.gate.takeRetry(request.account)) break
-            val startMs = parts.clock.nowMs()
-            val reply = parts.admissions.admit(nextAdmission())
-            queuedMs += parts.clock.nowMs() - startMs
-            val grant = reply.fold({ return GenerationFailed(problem ?: it.toProblem()) }, { it })
-            parts.meters.queuedMs(queuedMs)
+            val grant = place(isRetry = attempts > 0).fold({ return GenerationFailed(problem ?: it) }, { it })
             val obstacle = parts.admissions.use(grant)
             if (obstacle != null) {
                 unused++
@@ -123,19 +122,41 @@
             }
             problem = worse(problem, end.toProblem(relay.next))
             excluded += grant.granted.target
+            if (end !is StreamEnd.Refused) lost += grant.toLostAttempt()
             if (relay.hasRelayed) break
         }
         return GenerationFailed(checkNotNull(problem))
     }
 
+    /** Waits for a place; a quarantine that begins during the wait counts, too. */
+    private suspend fun place(isRetry: Boolean): Either<RequestProblem, PlacedGrant> {
+        quarantineOrNull()?.let { return it.left() }
+        if (isRetry && !parts.gate.takeRetry(request.account)) return unavailable("no retry is left").left()
+        val startMs = parts.clock.nowMs()
+        val reply = parts.admissions.admit(nextAdmission())
+        queuedMs += parts.clock.nowMs() - startMs
+        val grant = reply.fold({ return it.toProblem().left() }, { it })
+        parts.meters.queuedMs(queuedMs)
+        val quarantine = quarantineOrNull() ?: return grant.right()
+        parts.admissions.end(grant, 0, TicketOutcome.UNUSED)
+        return quarantine.left()
+    }
+
+    private fun quarantineOrNull(): RequestProblem? =
+        parts.gate.check(request.service, ServiceKind.MODEL, admission.fingerprint)
+
     private fun nextAdmission(): AdmissionRequest = admission.copy(
         ticket = TicketId("${request.id}.${++asked}"),
         waitedMs = queuedMs,
         maxWaitMs = parts.maxQueueWaitMs,
         excluded = excluded.toList(),
+        lost = lost.toList(),
     )
 }
 
+internal fun PlacedGrant.toLostAttempt(): LostAttempt =
+    LostAttempt(pool, TargetLife(granted.target, granted.incarnation))
+
 /** Returns [later], unless [earlier] says that the request may have run: that cannot be taken back. */
 private fun worse(earlier: RequestProblem?, later: RequestProblem): RequestProblem =
     if (earlier?.ran == RunState.UNKNOWN && later.ran == RunState.NOT_RUN) earlier else later
@@ -174,6 +195,12 @@
     is StreamEnd.Refused -> unavailable(reason)
     is StreamEnd.Broken ->
         RequestProblem(ProblemKind.GENERATION_LOST, RunState.UNKNOWN, "after $relayedTokens tokens: $reason")
+    is StreamEnd.NotFound ->
+        RequestProblem(
+            ProblemKind.GENERATION_LOST,
+            RunState.UNKNOWN,
+            "after $relayedTokens tokens the target did not know the generation",
+        )
     is StreamEnd.Gone ->
         RequestProblem(
             ProblemKind.GENERATION_LOST,
--- a/src/main/kotlin/fulmarshunt/caller/PlainService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlainService.kt
@@ -13,6 +13,7 @@
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.entry.AdmissionRequest
+import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.SharedState
 import fulmarshunt.entry.TicketOutcome
@@ -100,6 +101,7 @@
 /** Finds places for the attempts of one call and stops when attempts or retries are used up. */
 internal class PlaceSearch(private val parts: PlainParts, private val request: PlainRequest) {
     private val excluded = mutableListOf<TargetId>()
+    private val lost = mutableListOf<LostAttempt>()
     private var problem: RequestProblem? = null
     private var queuedMs = 0L
     private var asked = 0
@@ -131,6 +133,7 @@
     /** Notes that the attempt with [grant] failed; an unknown outcome is kept. */
     fun failed(grant: PlacedGrant, why: RequestProblem) {
         excluded += grant.granted.target
+        if (why.ran == RunState.UNKNOWN) lost += grant.toLostAttempt()
         if (problem?.ran != RunState.UNKNOWN) problem = why
     }
 
@@ -145,6 +148,7 @@
         waitedMs = queuedMs,
         maxWaitMs = parts.maxQueueWaitMs,
         excluded = excluded.toList(),
+        lost = lost.toList(),
     )
 }
 
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
@@ -41,8 +41,14 @@
     public val maxWaitMs: Long,
     /** Targets that failed this request before. */
     public val excluded: List<TargetId> = emptyList(),
+    /** Attempts of this request that ended without an answer and without a refusal. */
+    public val lost: List<LostAttempt> = emptyList(),
 )
 
+/** Where an attempt was lost; until the fate of the target is known, the request is placed nowhere else. */
+@Serializable
+public data class LostAttempt(public val pool: PoolId, public val life: TargetLife)
+
 /** A ticket that still runs when a pool changes its owner. */
 @Serializable
 public data class RunningTicket(
@@ -71,6 +77,10 @@
     @SerialName("lost")
     LOST,
 
+    /** The target took no connection, or did not answer the question about the generation. */
+    @SerialName("gone")
+    GONE,
+
     /** The grant was not used. */
     @SerialName("unused")
     UNUSED,
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
@@ -29,6 +29,9 @@
 /** The time on top of the permitted wait after which an owner that does not answer counts as lost. */
 private const val REPLY_MARGIN_MS = 1_000L
 
+/** A pool in which an attempt was lost knows within this time whether its target is alive. */
+private const val FATE_WAIT_MS = 7_000L
+
 private const val REPORT_TIMEOUT_MS = 2_000L
 
 /** Waiting for a change of the state ends after this time even if none comes. */
@@ -74,6 +77,7 @@
         val startMs = clock.nowMs()
         var isPatient = false
         var asked = 0
+        val unsettled = request.lost.mapTo(HashSet()) { it.pool }
         var last = Rejected(RejectReason.NO_TARGET, STATE_WAIT_MS)
         while (true) {
             val snapshot = state.value
@@ -81,19 +85,24 @@
             if (!hasLease(nowMs)) return Rejected(RejectReason.LEAVING, LEASE_RENEWAL_MS).left()
             val order = snapshot.configuration.poolOrder(domain, request, observations, nowMs)
             val rejections = mutableListOf<Rejected>()
-            val candidates = if (isPatient) order.sortedBy { expectedWaitMs(it) }.take(1) + order else order
+            // Another pool does not know the lost target and would place the request at once.
+            val (first, others) = order.partition { it in unsettled }
+            val candidates = first + if (isPatient) order.sortedBy { expectedWaitMs(it) }.take(1) + others else others
             for (pool in candidates.distinct()) {
                 val waitedMs = clock.nowMs() - startMs
                 val remainingMs = request.maxWaitMs - request.waitedMs - waitedMs
                 if (remainingMs <= 0) return last.left()
-                val isSpilling = !isPatient && order.size > 1
+                val patienceMs = when {
+                    unsettled.remove(pool) -> FATE_WAIT_MS
+                    !isPatient && order.size > 1 -> SPILL_WAIT_MS
+                    else -> remainingMs
+                }
                 // Each question has a ticket of its own, so that a late withdrawal cannot hit the next question.
                 val attempt =
                     request.copy(
                         ticket = TicketId("${request.ticket}.${++asked}"),
                         waitedMs = request.waitedMs + waitedMs,
-                        maxWaitMs = request.waitedMs + waitedMs +
-                            if (isSpilling) minOf(SPILL_WAIT_MS, remainingMs) else remainingMs,
+                        maxWaitMs = request.waitedMs + waitedMs + minOf(patienceMs, remainingMs),
                     )
                 when (val outcome = ask(snapshot, pool, attempt)) {
                     is Asked.NoOwner, is Asked.OwnerLost ->
--- a/src/main/kotlin/fulmarshunt/entry/DeathCounts.kt
+++ b/src/main/kotlin/fulmarshunt/entry/DeathCounts.kt
@@ -40,24 +40,31 @@
     public val suspects: Map<Fingerprint, Suspect> = emptyMap(),
 )
 
-/** Returns the counts after the death of [life] with [running] on it, and the requests to quarantine. */
+/**
+ * Returns the counts after the death of [life] with [running] on it, and the requests to quarantine.
+ *
+ * @param alreadyCounted requests that were placed there before their last death was known: several targets died at
+ *   about the same time, as when a failure domain fails, and such deaths count once against them.
+ */
 internal fun DeathCounts.record(
     life: TargetLife,
     running: Set<Fingerprint>,
     nowEpochMs: Long,
+    alreadyCounted: Set<Fingerprint> = emptySet(),
 ): Pair<DeathCounts, List<Fingerprint>> {
     if (life in deaths) return this to emptyList()
     val narrowed =
         running.associateWith { fingerprint ->
             suspects[fingerprint]?.fellows?.intersect(running) ?: (running - fingerprint)
         }
-    val poison = running.filter { it in suspects && narrowed.getValue(it).isEmpty() }
+    fun isCountedAgain(fingerprint: Fingerprint) = fingerprint in suspects && fingerprint !in alreadyCounted
+    val poison = running.filter { isCountedAgain(it) && narrowed.getValue(it).isEmpty() }
     // A death that a poison request explains counts against nobody else.
     val cleared = suspects.filterValues { suspect -> poison.any { it in suspect.fellows } }.keys + poison
     var left = suspects
     cleared.forEach { left = left.dropping(it) }
     if (poison.isEmpty()) {
-        narrowed.forEach { (fingerprint, fellows) ->
+        narrowed.filterKeys { it !in suspects || it !in alreadyCounted }.forEach { (fingerprint, fellows) ->
             // Removed first, so that the order stays that of the last death.
             left = left.dropping(fingerprint).appending(fingerprint, Suspect(fellows, nowEpochMs))
         }
--- a/src/main/kotlin/fulmarshunt/entry/LeaseMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseMessages.kt
@@ -55,6 +55,8 @@
     public val target: TargetId,
     public val incarnation: Incarnation,
     public val running: List<Fingerprint>,
+    /** Those of [running] that were placed before their last death was known; see [DeathCounts.record]. */
+    public val alreadyCounted: Set<Fingerprint> = emptySet(),
 ) : LeaseCall
 
 /** The answer to a [LeaseCall]. */
--- a/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -226,7 +226,15 @@
     }
 
     private fun reportDeath(entry: Hosted, effect: ReportDeath) {
-        val report = ReportTargetDeath(entry.id, entry.fence, effect.target, effect.incarnation, effect.running)
+        val report =
+            ReportTargetDeath(
+                entry.id,
+                entry.fence,
+                effect.target,
+                effect.incarnation,
+                effect.running,
+                effect.alreadyCounted,
+            )
         traffic.launch { retrying { actions.reportDeath(report) } }
     }
 
--- a/src/main/kotlin/fulmarshunt/target/Dispatcher.kt
+++ b/src/main/kotlin/fulmarshunt/target/Dispatcher.kt
@@ -7,6 +7,7 @@
 import fulmarshunt.ClientAccountId
 import fulmarshunt.FencingNumber
 import fulmarshunt.ServiceId
+import fulmarshunt.TargetId
 import fulmarshunt.entry.Granted
 import fulmarshunt.operator.Configuration
 import fulmarshunt.operator.Service
@@ -33,7 +34,7 @@
     private val policies: PoolPolicies,
     private val queue: WaitingQueue,
     private val placement: Placement,
-    private val targets: Collection<TargetState>,
+    private val targets: Map<TargetId, TargetState>,
 ) {
     private val shortRate = ServiceRate()
     private val longRate = ServiceRate()
@@ -52,7 +53,7 @@
     /** Grants places until no waiting request fits. */
     fun grantAll(nowMs: Long, onGrant: (Ticket, Granted) -> Unit) {
         hasStarted = true
-        while (queue.size > 0 && targets.any { it.health == TargetHealth.LIVE && hasPlace(it) }) {
+        while (queue.size > 0 && targets.values.any { it.health == TargetHealth.LIVE && hasPlace(it) }) {
             val entry = grantNext(nowMs, onGrant) ?: break
             shortInRow = if (entry.isShort) shortInRow + 1 else 0
         }
@@ -79,10 +80,10 @@
     private fun grantFirst(isShort: Boolean, nowMs: Long, onGrant: (Ticket, Granted) -> Unit): WaitingEntry? {
         val longWaits = isShort && queue.hasWaiting(isShort = false)
         val blocked = HashSet<ServiceId>()
-        for (entry in queue.heads(isShort).take(TRIED_HEADS)) {
+        for (entry in queue.heads(isShort) { !placement.isHeld(it, targets, nowMs) }.take(TRIED_HEADS)) {
             val service = entry.request.service
             if (service in blocked) continue
-            val target = placement.chooseOrNull(entry, targets, configuration, longWaits, nowMs)
+            val target = placement.chooseOrNull(entry, targets.values, configuration, longWaits, nowMs)
             if (target != null) {
                 grant(entry, target, nowMs, onGrant)
                 return entry
--- a/src/main/kotlin/fulmarshunt/target/EngineProtocol.kt
+++ b/src/main/kotlin/fulmarshunt/target/EngineProtocol.kt
@@ -36,7 +36,10 @@
     /** The connection failed or went silent; the generation may still run. */
     public data class Broken(public val reason: String) : StreamEnd
 
-    /** The engine does not know the generation any more. */
+    /** The engine answers but does not know the generation. */
+    public data object NotFound : StreamEnd
+
+    /** The engine takes no connection, or does not answer the question about its generations. */
     public data object Gone : StreamEnd
 }
 
--- a/src/main/kotlin/fulmarshunt/target/Placement.kt
+++ b/src/main/kotlin/fulmarshunt/target/Placement.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.target
 
+import fulmarshunt.TargetId
 import fulmarshunt.operator.Configuration
 import kotlin.random.Random
 
@@ -37,8 +38,11 @@
     ): TargetState? {
         val candidates = ArrayList<TargetCandidate>()
         val byId = HashMap<String, TargetState>()
+        val lastDeathMs = suspects.lastDeathMsOrNull(entry.request.fingerprint)
         for (target in targets) {
             if (target.health != TargetHealth.LIVE || isLeaving(target, configuration)) continue
+            // Targets that fail together are not known to be dead at once; a suspect would be blamed for each of them.
+            if (lastDeathMs != null && target.announcedMs < lastDeathMs) continue
             val candidate = candidateOrNull(entry, target, longWaits, nowMs)
             if (candidate != null && policies.admissionRule(candidate)) {
                 candidates += candidate
@@ -56,6 +60,28 @@
         return byId.getValue(chosen.target.value)
     }
 
+    /** True while [entry] must not be placed anywhere, whatever room there is. */
+    fun isHeld(entry: WaitingEntry, targets: Map<TargetId, TargetState>, nowMs: Long): Boolean {
+        if (awaitsFate(entry, targets) || isCutOff(entry, targets.values, nowMs)) return true
+        val fingerprint = entry.request.fingerprint
+        if (!suspects.isSuspect(fingerprint)) return false
+        // One target at a time: a request that crashes its targets must not run on several of them.
+        return suspects.isHeld(fingerprint) || targets.values.any { it.runs(fingerprint) }
+    }
+
+    /** True while the entry VM of [entry] can reach none of the targets, which must not keep others waiting. */
+    private fun isCutOff(entry: WaitingEntry, targets: Collection<TargetState>, nowMs: Long): Boolean {
+        val vm = entry.request.vm
+        return targets.none { offers(it, entry) && !it.failures.isUnreachableFrom(vm, nowMs) } &&
+            targets.any { it.failures.isUnreachableFrom(vm, nowMs) }
+    }
+
+    /** True while it is not known whether a target where an attempt of [entry] was lost is alive. */
+    fun awaitsFate(entry: WaitingEntry, targets: Map<TargetId, TargetState>): Boolean = entry.request.lost.any { lost ->
+        val target = targets[lost.life.target]
+        target != null && target.isAlive(lost.life.incarnation) && !target.hasAnnouncedSince(entry.enqueuedMs)
+    }
+
     /** Returns whether the service of [entry] can be had now or soon. */
     fun availability(
         entry: WaitingEntry,
@@ -92,6 +118,7 @@
     ): TargetCandidate? {
         val limit = limitOf(target)
         if (target.inFlight >= limit || !offers(target, entry)) return null
+        if (target.failures.isUnreachableFrom(entry.request.vm, nowMs)) return null
         var memory = target.announcement.memoryTokens
         if (policies.queueOrder.hasShortClass) {
             val reserved = (limit * SHORT_RESERVED_SHARE).toInt()
--- a/src/main/kotlin/fulmarshunt/target/Pool.kt
+++ b/src/main/kotlin/fulmarshunt/target/Pool.kt
@@ -5,7 +5,6 @@
 package fulmarshunt.target
 
 import fulmarshunt.FencingNumber
-import fulmarshunt.Incarnation
 import fulmarshunt.PoolId
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
@@ -42,7 +41,7 @@
     private val queue = WaitingQueue(policies.queueOrder, QUEUE_CAPACITY)
     private val targets = LinkedHashMap<TargetId, TargetState>()
     private val running = RunningTickets(targets, queue) { effects += it }
-    private val dispatcher = Dispatcher(fence, policies, queue, placement, targets.values)
+    private val dispatcher = Dispatcher(fence, policies, queue, placement, targets)
 
     private val decided = object : LinkedHashMap<TicketId, Unit>() {
         override fun removeEldestEntry(eldest: Map.Entry<TicketId, Unit>): Boolean = size > REMEMBERED_TICKETS
@@ -55,6 +54,9 @@
     private var isOfferReduced = false
     private var hasSettled = false
 
+    /** Queued requests whose service may turn out to be absent once the fate of their last target is known. */
+    private val awaitingFate = LinkedHashSet<TicketId>()
+
     /** Takes an announcement of a target. */
     public fun announce(announcement: TargetAnnouncement, nowMs: Long): List<PoolEffect> = decide(nowMs) {
         val target = targets[announcement.target]
@@ -107,7 +109,7 @@
         if (!known.isReported) known.reportedMs = nowMs
         running.count(known, tokens)
         val target = targets[known.target]?.takeIf { ticket in it.tickets } ?: return@decide
-        target.recordProgress(known, firstTokenMs, betweenTokensMs, nowMs)
+        target.recordProgress(known, firstTokenMs, betweenTokensMs, nowMs, peersOf(target))
     }
 
     /** Takes the end of a ticket. */
@@ -117,20 +119,27 @@
             val known = running.getOrNull(ticket) ?: return@decide
             running.count(known, tokens)
             val target = targets[known.target]
+            if (outcome == TicketOutcome.GONE && target != null && target.isAlive(known.incarnation)) {
+                // The generation keeps its place, because it may still run if only the link is broken.
+                running.cancel(known, nowMs)
+                target.failures.recordGone(known, nowMs)
+                checkLiveness(nowMs)
+                return@decide
+            }
             running.release(known)
             val request = known.request
             when (outcome) {
                 TicketOutcome.FINISHED -> {
                     lengths.record(request.service, request.account, known.tokens)
                     suspects.clear(request.fingerprint)
-                    target?.recordFinished(nowMs)
+                    if (target != null) target.recordFinished(known, nowMs, peersOf(target))
                 }
                 TicketOutcome.REFUSED, TicketOutcome.UNUSED ->
                     queue.charge(request.account, -known.chargedPromptTokens)
                 TicketOutcome.LOST -> if (target != null && target.isAlive(known.incarnation)) {
-                    if (target.recordLost(request.fingerprint, nowMs)) die(target, nowMs)
+                    if (target.failures.recordLost(known, nowMs)) die(target, nowMs)
                 }
-                TicketOutcome.CANCELLED -> Unit
+                TicketOutcome.GONE, TicketOutcome.CANCELLED -> Unit
             }
         }
 
@@ -152,6 +161,8 @@
                 tokens = report.tokens,
                 reportedMs = nowMs,
             )
+            // The time of the grant is not known, so the duration is no sample.
+            ticket.hasLatencySample = true
             val target = targets[report.target]
             if (target == null) {
                 running.addUnattached(ticket)
@@ -189,6 +200,7 @@
         running.nextReleaseMsOrNull(),
         (settlingUntilMs + if (dispatcher.hasStarted) FIRST_ANNOUNCEMENTS_MS else 0).takeUnless { hasSettled },
         targets.values.mapNotNull { it.nextCheckMsOrNull() }.minOrNull(),
+        suspects.nextReleaseMsOrNull().takeIf { queue.size > 0 },
     ).minOrNull()
 
     /** Returns a picture of the pool. */
@@ -219,6 +231,9 @@
             isOfferReduced = false
             queue.entries.map { it.request.ticket }.forEach(::rejectIfUnavailable)
         }
+        if (awaitingFate.isNotEmpty()) {
+            awaitingFate.toList().also { awaitingFate.clear() }.forEach(::rejectIfUnavailable)
+        }
         dispatcher.grantAll(nowMs) { ticket, granted ->
             running.add(ticket)
             answer(ticket.request.ticket, granted)
@@ -241,18 +256,18 @@
         val before = target.announcement
         target.announced(announcement, nowMs)
         if (target.health == TargetHealth.DEAD) target.revive(nowMs)
-        target.health = TargetHealth.LIVE
+        target.health = target.healthAt(nowMs)
         if (announcement.leaving != before.leaving || announcement.services != before.services) isOfferReduced = true
         target.takeUnusedGrants(nowMs).forEach(running::release)
     }
 
     private fun checkLiveness(nowMs: Long) {
         for (target in targets.values) {
-            val silentMs = nowMs - target.announcedMs
-            if (target.health == TargetHealth.DEAD || silentMs < SUSPECTED_AFTER_MS) continue
-            target.health = TargetHealth.SUSPECTED
-            if (silentMs >= DEAD_AFTER_MS) die(target, nowMs)
+            if (target.health == TargetHealth.DEAD) continue
+            val health = target.healthAt(nowMs)
+            if (health == TargetHealth.DEAD) die(target, nowMs) else target.health = health
         }
+        suspects.releaseHeld(nowMs)
         val forgotten = targets.values.filter { it.isForgettable(nowMs) }
         for (target in forgotten) {
             pastPreemptions += target.preemptions
@@ -263,19 +278,30 @@
 
     private fun die(target: TargetState, nowMs: Long) {
         // A target that announced its leaving was expected to stop, so its requests are not suspects.
-        val fingerprints = if (target.announcement.leaving) {
-            emptyList()
-        } else {
-            (target.tickets.values.map { it.request.fingerprint } + target.recentlyLost(nowMs)).distinct()
-        }
+        val present = if (target.announcement.leaving) emptyMap() else target.presentAtDeath(nowMs)
+        val alreadyCounted = present.filter { (fingerprint, grantedMs) ->
+            suspects.lastDeathMsOrNull(fingerprint)?.let { grantedMs < it } ?: false
+        }.keys
         target.die(nowMs)
+        val fingerprints = present.keys.toList()
         suspects.recordDeath(fingerprints, nowMs)
-        effects += ReportDeath(target.id, target.announcement.incarnation, fingerprints)
+        effects += ReportDeath(target.id, target.announcement.incarnation, fingerprints, alreadyCounted)
         isOfferReduced = true
     }
 
+    private fun peersOf(target: TargetState): (LatencyKey) -> List<PeerLatency> = { key ->
+        targets.values
+            .filter { it !== target && it.health != TargetHealth.DEAD }
+            .mapNotNull { it.slowStart.latencyOrNull(key) }
+    }
+
     private fun rejectIfUnavailable(ticket: TicketId) {
         val entry = queue.getOrNull(ticket) ?: return
+        // Elsewhere the request could meet further targets before the fate of its last one is known.
+        if (placement.awaitsFate(entry, targets)) {
+            awaitingFate += ticket
+            return
+        }
         val reason = when (placement.availability(entry, targets.values, configuration)) {
             Availability.SERVED -> return
             Availability.LEAVING -> RejectReason.LEAVING
@@ -306,9 +332,6 @@
     }
 }
 
-private fun TargetState.isAlive(incarnation: Incarnation): Boolean =
-    health != TargetHealth.DEAD && announcement.incarnation == incarnation
-
 /**
  * Returns the pool [id] under the fencing number [fence].
  *
--- a/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
+++ b/src/main/kotlin/fulmarshunt/target/PoolEffect.kt
@@ -25,11 +25,15 @@
     public val ticket: TicketId,
 ) : PoolEffect
 
-/** Reports that [target] died while the requests in [running] ran on it. */
+/**
+ * Reports that [target] died while the requests in [running] ran on it. Those in [alreadyCounted] were placed before
+ * their last death was known; several targets that fail together must not count several times against them.
+ */
 public data class ReportDeath(
     public val target: TargetId,
     public val incarnation: Incarnation,
     public val running: List<Fingerprint>,
+    public val alreadyCounted: Set<Fingerprint> = emptySet(),
 ) : PoolEffect
 
 /** Orders the engine [target] to load [service] from the weight store. */
--- a/src/main/kotlin/fulmarshunt/target/SlowStart.kt
+++ b/src/main/kotlin/fulmarshunt/target/SlowStart.kt
@@ -1,6 +1,7 @@
 /*
- * The number of requests that a target has earned. A target that has just started, or turned cold, begins at its start
- * limit and earns one more place for each sign of health, at most doubling in each interval.
+ * The number of requests that a target has earned. A target that has just started, or turned cold, keeps its start
+ * limit until its latency shows that it is warm. From then on it earns one more place for each sign of health, at most
+ * doubling in each interval.
  */
 package fulmarshunt.target
 
@@ -11,11 +12,27 @@
 internal class SlowStart(startLimit: Int, nowMs: Long) {
     var earned: Int = startLimit
         private set
+
+    /** True once a latency has shown that the target is warm. */
+    var isWarm = false
+        private set
     private var intervalStartMs = nowMs
     private var intervalStartLimit = startLimit
+    private val histories = HashMap<LatencyKey, LatencyHistory>()
+
+    /** Adds a latency sample; [peers] returns the same latency of the other targets of the pool. */
+    fun record(key: LatencyKey, sampleMs: Double, nowMs: Long, peers: (LatencyKey) -> List<PeerLatency>) {
+        val history = histories.getOrPut(key) { LatencyHistory() }
+        history.record(sampleMs, nowMs)
+        if (!isWarm && history.showsWarmth(peers(key), nowMs)) isWarm = true
+    }
+
+    /** Returns the latency for comparison with other targets, or null while it is unknown. */
+    fun latencyOrNull(key: LatencyKey): PeerLatency? = histories[key]?.recentMsOrNull()?.let { PeerLatency(it, isWarm) }
 
-    /** Earns one place, as far as [fullLimit] and the doubling interval allow. */
+    /** Earns one place if the target is warm, as far as [fullLimit] and the doubling interval allow. */
     fun grow(fullLimit: Int, nowMs: Long) {
+        if (!isWarm) return
         if (nowMs - intervalStartMs >= DOUBLING_MS) {
             intervalStartMs = nowMs
             intervalStartLimit = earned
@@ -23,8 +40,21 @@
         earned = minOf(earned + 1, 2 * intervalStartLimit, fullLimit).coerceAtLeast(earned)
     }
 
-    /** Returns to [limit]. */
-    fun resetTo(limit: Int, nowMs: Long) {
+    /** Returns to [startLimit] and forgets the evidence, because the target is cold. */
+    fun restart(startLimit: Int, nowMs: Long) {
+        isWarm = false
+        histories.clear()
+        setEarned(startLimit, nowMs)
+    }
+
+    /** Takes over a greater limit that the target had earned under another owner, and so the evidence for it. */
+    fun adopt(limit: Int, nowMs: Long) {
+        if (limit <= earned) return
+        isWarm = true
+        setEarned(limit, nowMs)
+    }
+
+    private fun setEarned(limit: Int, nowMs: Long) {
         earned = limit
         intervalStartMs = nowMs
         intervalStartLimit = limit
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/TargetFailures.kt
@@ -0,0 +1,98 @@
+/*
+ * The attempts that failed at one target lately, and what follows from them. A failed attempt alone is no death: the
+ * link between one entry VM and the target may be broken while the target works.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.Fingerprint
+import fulmarshunt.VmId
+
+/**
+ * After an attempt ended as gone, a target that is silent for this long counts as dead. Targets announce themselves
+ * every second over other connections, so neither a fault of the attempt's link nor one lost announcement reaches this.
+ */
+internal const val GONE_SILENCE_MS: Long = 2_500
+
+/** An announcement that arrives this soon after a failure may have been sent before it. */
+internal const val IN_FLIGHT_MS: Long = 500
+
+/** An entry VM whose link to a target failed gets no further place there for this long. */
+private const val UNREACHABLE_MS = 3_000L
+
+/**
+ * This many lost tickets within [LOST_WINDOW_MS] and without a token between them count as a death; fewer can be the
+ * fault of one connection.
+ */
+private const val LOST_TICKETS = 3
+private const val LOST_WINDOW_MS = 10_000L
+
+private class FailedTicket(val fingerprint: Fingerprint, val grantedMs: Long, val atMs: Long)
+
+/** The failures at one target. */
+internal class TargetFailures {
+    private val failed = ArrayDeque<FailedTicket>()
+    private val unreachableFrom = HashMap<VmId, Long>()
+    private var lostInRow = 0
+
+    /** When an attempt first found the target gone without an announcement since, or -1. */
+    private var goneMs = -1L
+
+    /** True while an attempt has found the target gone and no later announcement has shown that it lives. */
+    val isGoneReported: Boolean get() = goneMs >= 0
+
+    fun recordGone(ticket: Ticket, nowMs: Long) {
+        if (!isGoneReported) goneMs = nowMs
+        unreachableFrom[ticket.request.vm] = nowMs
+        add(ticket, nowMs)
+    }
+
+    /** Returns true if this lost ticket makes the target count as dead. */
+    fun recordLost(ticket: Ticket, nowMs: Long): Boolean {
+        add(ticket, nowMs)
+        lostInRow++
+        return hasLostTooMany(nowMs)
+    }
+
+    /** Takes that tokens or an answer came from the target. */
+    fun recordSuccess() {
+        lostInRow = 0
+    }
+
+    fun recordAnnouncement(nowMs: Long) {
+        if (nowMs - goneMs >= IN_FLIGHT_MS) goneMs = -1
+    }
+
+    fun hasLostTooMany(nowMs: Long): Boolean {
+        dropOld(nowMs)
+        return minOf(failed.size, lostInRow) >= LOST_TICKETS
+    }
+
+    /** True while the link between [vm] and the target may still be broken. */
+    fun isUnreachableFrom(vm: VmId, nowMs: Long): Boolean {
+        val failedMs = unreachableFrom[vm] ?: return false
+        if (nowMs - failedMs < UNREACHABLE_MS) return true
+        unreachableFrom.remove(vm)
+        return false
+    }
+
+    /** Returns the requests that failed so recently that the same fault may have ended them, and their grant times. */
+    fun recent(nowMs: Long): List<Pair<Fingerprint, Long>> {
+        dropOld(nowMs)
+        return failed.map { it.fingerprint to it.grantedMs }
+    }
+
+    /** Forgets what spoke against the target, because it returned to life. */
+    fun clear() {
+        failed.clear()
+        lostInRow = 0
+        goneMs = -1
+    }
+
+    private fun add(ticket: Ticket, nowMs: Long) {
+        failed += FailedTicket(ticket.request.fingerprint, ticket.grantedMs, nowMs)
+    }
+
+    private fun dropOld(nowMs: Long) {
+        while (failed.isNotEmpty() && nowMs - failed.first().atMs > LOST_WINDOW_MS) failed.removeFirst()
+    }
+}
--- a/src/main/kotlin/fulmarshunt/target/TargetState.kt
+++ b/src/main/kotlin/fulmarshunt/target/TargetState.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.target
 
 import fulmarshunt.Fingerprint
+import fulmarshunt.Incarnation
 import fulmarshunt.TicketId
 import fulmarshunt.entry.GRANT_VALID_MS
 
@@ -14,10 +15,6 @@
 /** Without an announcement for this long, a target counts as dead. */
 internal const val DEAD_AFTER_MS: Long = 6_000
 
-/** This many lost tickets within [LOST_WINDOW_MS] count as a death; fewer can be the fault of one connection. */
-private const val LOST_TICKETS = 3
-private const val LOST_WINDOW_MS = 10_000L
-
 /** The margin for the delay of load reports and progress reports. */
 private const val REPORT_MARGIN_MS = 3_000L
 
@@ -46,8 +43,6 @@
 /** Computing this many prompt tokens takes about as long as the rest of the way to the first token. */
 private const val PROMPT_TOKENS_PER_STEP = 512.0
 
-internal class LostTicket(val fingerprint: Fingerprint, val atMs: Long)
-
 internal class TargetState(announcement: TargetAnnouncement, nowMs: Long) {
     var announcement: TargetAnnouncement = announcement
         private set
@@ -69,7 +64,7 @@
         private set
     private val firstToken = LatencyNorm()
     private val betweenTokens = LatencyNorm()
-    private val lost = ArrayDeque<LostTicket>()
+    val failures = TargetFailures()
     private var driftTokens = 0L
     private var diedMs = 0L
     private var grewMs = nowMs
@@ -94,6 +89,9 @@
         private set
     val inFlight: Int get() = tickets.size + foreign
 
+    /** True if a request with this content runs here. */
+    fun runs(fingerprint: Fingerprint): Boolean = tickets.values.any { it.request.fingerprint == fingerprint }
+
     fun add(ticket: Ticket) {
         if (ticket.countsAsShort) shortCount++
         tickets[ticket.request.ticket] = ticket
@@ -138,6 +136,7 @@
         countedBefore = estimate
         announcement = next
         announcedMs = nowMs
+        failures.recordAnnouncement(nowMs)
         prefixes.apply(next.cacheEvents)
         if (foreign > 0) {
             // Tickets that were reported before the count was taken are part of it, the rest may be foreign.
@@ -150,7 +149,7 @@
     fun adopt(registered: List<Ticket>, raisesLimit: Boolean, nowMs: Long) {
         registered.forEach(::add)
         foreign = (foreign - registered.size).coerceAtLeast(0)
-        if (raisesLimit && tickets.size > slowStart.earned) slowStart.resetTo(minOf(tickets.size, fullLimit), nowMs)
+        if (raisesLimit) slowStart.adopt(minOf(tickets.size, fullLimit), nowMs)
     }
 
     /** Takes the target as dead; its tickets may still turn out to run. */
@@ -165,7 +164,7 @@
     }
 
     /** A target that lost tickets while it announced itself stays dead until the connections had time to recover. */
-    fun mayRevive(nowMs: Long): Boolean = recentlyLost(nowMs).size < LOST_TICKETS
+    fun mayRevive(nowMs: Long): Boolean = !failures.hasLostTooMany(nowMs)
 
     /** True when a dead target is not expected to return. */
     fun isForgettable(nowMs: Long): Boolean =
@@ -174,15 +173,29 @@
     /** Returns when silence of the target has its next consequence, or null if it is dead. */
     fun nextCheckMsOrNull(): Long? = when (health) {
         TargetHealth.LIVE -> announcedMs + SUSPECTED_AFTER_MS
-        TargetHealth.SUSPECTED -> announcedMs + DEAD_AFTER_MS
+        TargetHealth.SUSPECTED -> announcedMs + if (failures.isGoneReported) GONE_SILENCE_MS else DEAD_AFTER_MS
         TargetHealth.DEAD -> null
     }
 
+    /** Returns the health that follows from the time since the last announcement and from attempts that were gone. */
+    fun healthAt(nowMs: Long): TargetHealth {
+        val silentMs = nowMs - announcedMs
+        return when {
+            health == TargetHealth.DEAD -> TargetHealth.DEAD
+            silentMs >= DEAD_AFTER_MS || (failures.isGoneReported && silentMs >= GONE_SILENCE_MS) -> TargetHealth.DEAD
+            silentMs >= SUSPECTED_AFTER_MS || failures.isGoneReported -> TargetHealth.SUSPECTED
+            else -> TargetHealth.LIVE
+        }
+    }
+
+    /** True if the target has announced itself after what happened at [sinceMs]. */
+    fun hasAnnouncedSince(sinceMs: Long): Boolean = announcedMs - sinceMs >= IN_FLIGHT_MS
+
     /** Returns to life in the same incarnation, at the start limit and with the tickets that never ended. */
     fun revive(nowMs: Long) {
         health = TargetHealth.LIVE
-        lost.clear()
-        slowStart.resetTo(startLimit, nowMs)
+        failures.clear()
+        slowStart.restart(startLimit, nowMs)
         orphans.values.forEach(::add)
         orphans.clear()
         foreign = (announcement.load.running + announcement.load.waiting - tickets.size).coerceAtLeast(0)
@@ -214,7 +227,14 @@
     }
 
     /** Adds latency samples; a healthy interval earns a place, and a cold target returns to its start limit. */
-    fun recordProgress(ticket: Ticket, firstTokenMs: Long, betweenTokensMs: Double, nowMs: Long) {
+    fun recordProgress(
+        ticket: Ticket,
+        firstTokenMs: Long,
+        betweenTokensMs: Double,
+        nowMs: Long,
+        peers: (LatencyKey) -> List<PeerLatency>,
+    ) {
+        failures.recordSuccess()
         countedMsSum += nowMs - ticket.countedMs
         ticket.countedMs = nowMs
         var isCold = false
@@ -223,31 +243,44 @@
             // The prompt has to be computed before the first token, so the norm is per amount of prompt.
             isCold = firstToken.record(firstTokenMs / (1.0 + ticket.request.promptTokens / PROMPT_TOKENS_PER_STEP))
         }
-        if (betweenTokensMs >= 0) isCold = betweenTokens.record(betweenTokensMs) || isCold
+        if (betweenTokensMs >= 0) {
+            isCold = betweenTokens.record(betweenTokensMs) || isCold
+            ticket.hasLatencySample = true
+            val key = LatencyKey(ticket.request.service, LatencyKind.BETWEEN_TOKENS)
+            slowStart.record(key, betweenTokensMs, nowMs, peers)
+        }
         if (isCold) {
-            slowStart.resetTo(startLimit, nowMs)
+            slowStart.restart(startLimit, nowMs)
             grewMs = nowMs
         } else if (betweenTokensMs >= 0 && nowMs - grewMs >= HEALTHY_INTERVAL_MS) {
             grewMs = nowMs
-            recordFinished(nowMs)
+            grow(nowMs)
         }
     }
 
     /** Earns a place, unless the target is slow now. */
-    fun recordFinished(nowMs: Long) {
-        if (!firstToken.isSlow && !betweenTokens.isSlow) slowStart.grow(fullLimit, nowMs)
+    fun recordFinished(ticket: Ticket, nowMs: Long, peers: (LatencyKey) -> List<PeerLatency>) {
+        failures.recordSuccess()
+        if (!ticket.hasLatencySample) {
+            val key = LatencyKey(ticket.request.service, LatencyKind.WHOLE)
+            slowStart.record(key, (nowMs - ticket.grantedMs) / (1.0 + ticket.tokens), nowMs, peers)
+        }
+        grow(nowMs)
     }
 
-    /** Returns true if this lost ticket makes the target count as dead. */
-    fun recordLost(fingerprint: Fingerprint, nowMs: Long): Boolean {
-        lost += LostTicket(fingerprint, nowMs)
-        return recentlyLost(nowMs).size >= LOST_TICKETS
+    private fun grow(nowMs: Long) {
+        if (!firstToken.isSlow && !betweenTokens.isSlow) slowStart.grow(fullLimit, nowMs)
     }
 
-    /** The requests that were lost here so recently that the same fault may have ended them. */
-    fun recentlyLost(nowMs: Long): List<Fingerprint> {
-        while (lost.isNotEmpty() && nowMs - lost.first().atMs > LOST_WINDOW_MS) lost.removeFirst()
-        return lost.map { it.fingerprint }
+    /**
+     * Returns the requests that may have to do with a death now, with the latest time at which each was placed here:
+     * those that run here, and those that were lost so recently that the same fault may have ended them.
+     */
+    fun presentAtDeath(nowMs: Long): Map<Fingerprint, Long> {
+        val present = LinkedHashMap<Fingerprint, Long>()
+        tickets.values.forEach { present.merge(it.request.fingerprint, it.grantedMs, ::maxOf) }
+        failures.recent(nowMs).forEach { (fingerprint, grantedMs) -> present.merge(fingerprint, grantedMs, ::maxOf) }
+        return present
     }
 
     /**
@@ -278,3 +311,7 @@
         return unused
     }
 }
+
+/** True if the target lives in [incarnation]. */
+internal fun TargetState.isAlive(incarnation: Incarnation): Boolean =
+    health != TargetHealth.DEAD && announcement.incarnation == incarnation
--- a/src/main/kotlin/fulmarshunt/target/Ticket.kt
+++ b/src/main/kotlin/fulmarshunt/target/Ticket.kt
@@ -32,6 +32,9 @@
     /** Reports repeat the first-token time, which counts once. */
     var hasFirstTokenSample: Boolean = false
 
+    /** False while the ticket has shown no latency; its whole duration is a sample then. */
+    var hasLatencySample: Boolean = false
+
     /** When the generation was cancelled, or -1. */
     var cancelledMs: Long = -1
 
--- a/src/main/kotlin/fulmarshunt/target/WaitingQueue.kt
+++ b/src/main/kotlin/fulmarshunt/target/WaitingQueue.kt
@@ -113,10 +113,10 @@
     fun expiredOrNull(nowMs: Long): WaitingEntry? =
         nextDeadlineMsOrNull()?.takeIf { it <= nowMs }?.let { byDeadline.peek() }
 
-    /** Returns the first waiting request of each account in the class, in queue order. */
-    fun heads(isShort: Boolean): List<WaitingEntry> = backlogged
+    /** Returns the first waiting request of each account in the class that [mayRun], in queue order. */
+    fun heads(isShort: Boolean, mayRun: (WaitingEntry) -> Boolean): List<WaitingEntry> = backlogged
         .mapNotNull { account ->
-            val head = account.entries(isShort).values.firstOrNull() ?: return@mapNotNull null
+            val head = account.entries(isShort).values.firstOrNull(mayRun) ?: return@mapNotNull null
             head to order.key(QueueHead(head.arrival, account.virtualTime))
         }.sortedBy { it.second }
         .map { it.first }
--- a/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
@@ -162,7 +162,7 @@
     silenceMs: Long,
     onToken: suspend (EngineToken) -> Unit,
 ): StreamEnd {
-    if (response.status == HttpStatusCode.NotFound) return StreamEnd.Gone
+    if (response.status == HttpStatusCode.NotFound) return StreamEnd.NotFound
     if (response.status in REFUSAL_STATUSES) return StreamEnd.Refused("status ${response.status.value}")
     if (response.status != HttpStatusCode.OK) return StreamEnd.Broken("status ${response.status.value}")
     val body = response.bodyAsChannel()
--- a/src/main/kotlin/fulmarshunt/voter/ControlState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ControlState.kt
@@ -120,7 +120,8 @@
     // A former owner may take a target for dead because it is isolated itself.
     if (shared.pools[report.pool]?.fence != report.fence) return Applied(copy(nowEpochMs = now), listOf(Done))
     val counted = report.running.filter { it !in shared.quarantine }.toSet()
-    val (next, poison) = deaths.expire(now).record(TargetLife(report.target, report.incarnation), counted, now)
+    val life = TargetLife(report.target, report.incarnation)
+    val (next, poison) = deaths.expire(now).record(life, counted, now, report.alreadyCounted)
     val changes = poison.map { Quarantined(it, now + QUARANTINE_MS) }
     return Applied(copy(deaths = next, nowEpochMs = now), listOf(Done), changes)
 }
--- a/src/test/kotlin/fulmarshunt/target/PoolTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/PoolTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.target
 
+import fulmarshunt.Fingerprint
 import fulmarshunt.Incarnation
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
@@ -13,6 +14,7 @@
 import fulmarshunt.operator.Configuration
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -89,6 +91,165 @@
         expectThat(death.running.map { it.value }).containsExactlyInAnyOrder("r0", "r1", "r2", "r3")
     }
 
+    private fun Pool.deaths(nowMs: Long) = tick(nowMs).filterIsInstance<ReportDeath>()
+
+    /** Guards against a death that is known only after the silence of a target that nobody tried to reach. */
+    @Test
+    fun `an attempt that found the target gone shortens the silence until its death`() {
+        val pool = pool()
+        pool.announce(announcement("t1", startLimit = 2), 0)
+        pool.admitAll(2, 1)
+        expectThat(pool.end("r0", TicketOutcome.GONE, 100)).containsExactly(
+            CancelGeneration(TargetId("t1"), announcement().address, TicketId("r0")),
+        )
+        expectThat(pool.nextTickMs()).isEqualTo(GONE_SILENCE_MS)
+        val death = pool.deaths(GONE_SILENCE_MS).single()
+        expectThat(death.running.map { it.value }).containsExactlyInAnyOrder("r0", "r1")
+        expectThat(pool.deaths(DEAD_AFTER_MS)).isEmpty()
+    }
+
+    /** Guards against healthy targets that count as dead because the links of entry VMs to them are broken. */
+    @Test
+    fun `a target that announces itself is not dead however many attempts found it gone`() {
+        val pool = pool()
+        pool.announce(announcement("t1", startLimit = 8), 0)
+        pool.admitAll(8, 1)
+        for (i in 0 until 8) {
+            expectThat(pool.end("r$i", TicketOutcome.GONE, 10L + i).filterIsInstance<ReportDeath>()).isEmpty()
+        }
+        expectThat(pool.target("t1").health).isEqualTo(TargetHealth.SUSPECTED)
+        expectThat(pool.inFlight("t1")).isEqualTo(8)
+        for (second in 1..10L) {
+            val effects = pool.announce(announcement("t1", startLimit = 8), second * 1_000)
+            expectThat(effects.filterIsInstance<ReportDeath>()).isEmpty()
+            expectThat(pool.target("t1").health).isEqualTo(TargetHealth.LIVE)
+        }
+        expectThat(pool.view().suspects).isEqualTo(0)
+    }
+
+    /** Guards against requests that are sent again and again over a link that is broken. */
+    @Test
+    fun `an entry VM that cannot reach a target gets other targets for a while`() {
+        val pool = pool()
+        pool.announce(announcement("t1", startLimit = 2), 0)
+        pool.admit(request("r1", vm = "vm1"), 1)
+        pool.end("r1", TicketOutcome.GONE, 10)
+        pool.announce(announcement("t1", startLimit = 2), 1_000)
+        expectThat(pool.admit(request("r2", vm = "vm1"), 1_001).granted()).isEqualTo(emptyMap())
+        expectThat(pool.admit(request("r3", vm = "vm2"), 1_002).granted()).isEqualTo(mapOf("r3" to "t1"))
+        expectThat(pool.announce(announcement("t1", startLimit = 2), 3_100).granted()).isEqualTo(mapOf("r2" to "t1"))
+    }
+
+    /** Guards against blame for a request that is sent to one target of a failing failure domain after another. */
+    @Test
+    fun `a suspect is placed only at targets that announced themselves after the death`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        pool.admit(request("r1", fingerprint = "f"), 1)
+        pool.announce(announcement("t2"), 2)
+        pool.end("r1", TicketOutcome.GONE, 100)
+        pool.admit(request("r2", fingerprint = "f", lostAt = listOf("t1")), 101)
+        expectThat(pool.tick(2_500).filterIsInstance<ReportDeath>().single().target).isEqualTo(TargetId("t1"))
+        expectThat(pool.target("t2").health).isEqualTo(TargetHealth.LIVE)
+        expectThat(pool.inFlight("t2")).isEqualTo(0)
+        expectThat(pool.announce(announcement("t2"), 2_600).granted()).isEqualTo(mapOf("r2" to "t2"))
+    }
+
+    /** Guards against a request that reaches further targets before it is known whether it killed the last one. */
+    @Test
+    fun `a lost request waits until its target has announced itself or is dead`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        pool.announce(announcement("t2", startLimit = 4), 0)
+        // The report of the loss may arrive after the next request.
+        expectThat(pool.admit(request("r1", lostAt = listOf("t1")), 2_000)).isEmpty()
+        // This announcement may have been sent before the loss.
+        expectThat(pool.announce(announcement("t1"), 2_100)).isEmpty()
+        expectThat(pool.admit(request("r2"), 2_101).granted().size).isEqualTo(1)
+        pool.announce(announcement("t2"), 2_102)
+        expectThat(pool.announce(announcement("t1"), 3_000).granted()).isEqualTo(mapOf("r1" to "t2"))
+
+        pool.admit(request("r3", lostAt = listOf("t1")), 3_001)
+        expectThat(pool.announce(announcement("t2"), 8_000)).isEmpty()
+        expectThat(pool.tick(9_000).granted()).isEqualTo(mapOf("r3" to "t2"))
+    }
+
+    /** Guards against a lost request that waits for a target although no other one has its service. */
+    @Test
+    fun `a lost request is rejected once its target is the only one and alive`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        expectThat(pool.admit(request("r1", lostAt = listOf("t1")), 2_000)).isEmpty()
+        val rejected = pool.announce(announcement("t1"), 3_000).rejected()
+        expectThat(rejected["r1"]?.reason).isEqualTo(RejectReason.NO_TARGET)
+    }
+
+    /** Guards against a third target being killed while the quarantine after the second death is on its way. */
+    @Test
+    fun `a request is placed nowhere for a time after its second death`() {
+        val pool = pool()
+        for (t in 1..3) pool.announce(announcement("t$t"), 0)
+        for (n in 1..2) {
+            val target = pool.admit(request("r$n", fingerprint = "f"), 10L * n).granted().getValue("r$n")
+            pool.announce(announcement(target, incarnation = 2), 10L * n + 1)
+            for (t in 1..3) pool.announce(announcement("t$t", incarnation = if ("t$t" == target) 2 else 1), 10L * n + 2)
+        }
+        expectThat(pool.admit(request("r3", fingerprint = "f"), 30)).isEmpty()
+        expectThat(pool.nextTickMs()).isEqualTo(2_021)
+        expectThat(pool.admit(request("r4"), 31).granted().size).isEqualTo(1)
+        expectThat(pool.tick(2_021).granted().keys).isEqualTo(setOf("r3"))
+    }
+
+    /** Guards against a suspect that runs on several targets at once and kills them all. */
+    @Test
+    fun `a suspect runs on one target at a time`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        pool.admit(request("r1", fingerprint = "f"), 1)
+        pool.announce(announcement("t1", incarnation = 2), 10)
+        pool.announce(announcement("t2"), 10)
+        expectThat(pool.admit(request("r2", fingerprint = "f"), 11).granted().size).isEqualTo(1)
+        expectThat(pool.admit(request("r3", fingerprint = "f"), 12)).isEmpty()
+        expectThat(pool.end("r2", TicketOutcome.FINISHED, 20).granted().keys).isEqualTo(setOf("r3"))
+    }
+
+    /** Guards against blame for a request that ran on several targets of a failure domain when it failed. */
+    @Test
+    fun `targets that die together count once against a request on several of them`() {
+        val pool = pool()
+        pool.announce(announcement("t1"), 0)
+        pool.announce(announcement("t2"), 0)
+        pool.admit(request("r1", fingerprint = "f"), 1)
+        pool.admit(request("r2", fingerprint = "f"), 1)
+        pool.announce(announcement("t2"), 1_000)
+        expectThat(pool.deaths(6_000).single().alreadyCounted).isEqualTo(emptySet())
+        expectThat(pool.admit(request("r3", fingerprint = "f"), 6_001)).isEmpty()
+        // A suspect waits while it may still run elsewhere.
+        expectThat(pool.announce(announcement("t3"), 6_500)).isEmpty()
+        val second = pool.deaths(7_000).single()
+        expectThat(second.running).isEqualTo(listOf(Fingerprint("f")))
+        expectThat(second.alreadyCounted).isEqualTo(setOf(Fingerprint("f")))
+        expectThat(pool.announce(announcement("t3"), 8_000)).isEmpty()
+        expectThat(pool.tick(9_000).granted()).isEqualTo(mapOf("r3" to "t3"))
+        pool.announce(announcement("t3", incarnation = 2), 10_000).filterIsInstance<ReportDeath>().single().let {
+            expectThat(it.running).isEqualTo(listOf(Fingerprint("f")))
+            expectThat(it.alreadyCounted).isEqualTo(emptySet())
+        }
+    }
+
+    /** Guards against a target that is taken for dead although tokens come from it between losses. */
+    @Test
+    fun `lost tickets with tokens between them are no death`() {
+        val pool = pool()
+        pool.announce(announcement(startLimit = 5), 0)
+        pool.admitAll(5, 1)
+        for (i in 0..3) {
+            expectThat(pool.end("r$i", TicketOutcome.LOST, 10L + i).filterIsInstance<ReportDeath>()).isEmpty()
+            pool.progress(TicketId("r4"), 20 + i, 50, 20.0, 10L + i)
+        }
+        expectThat(pool.target("t1").health).isEqualTo(TargetHealth.LIVE)
+    }
+
     /** Guards against one bad request being hidden among the same companions at each death. */
     @Test
     fun `suspects of one death are not placed together`() {
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/target/SlowStartTest.kt
@@ -0,0 +1,106 @@
+/*
+ * What raises the limit of a target that has just started or turned cold, and what does not.
+ */
+package fulmarshunt.target
+
+import fulmarshunt.TicketId
+import fulmarshunt.entry.TicketOutcome
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+private const val START_LIMIT = 2
+private const val FULL_LIMIT = 16
+
+class SlowStartTest {
+    private val pool = pool()
+    private val current = HashMap<String, String>()
+    private var next = 0
+
+    private fun limit(target: String) = pool.target(target).limit
+
+    /** Keeps a request running at each target, with the given times between tokens, and ends one each second. */
+    private fun second(nowMs: Long, latenciesMs: Map<String, Double>) {
+        for (target in latenciesMs.keys) pool.announce(announcement(target, 1, START_LIMIT, FULL_LIMIT), nowMs)
+        for ((target, latencyMs) in latenciesMs) {
+            current[target]?.let {
+                pool.progress(TicketId(it), 20, 100, latencyMs, nowMs)
+                pool.end(TicketId(it), 20, TicketOutcome.FINISHED, nowMs)
+            }
+            val others = latenciesMs.keys - target
+            val ticket = "r${next++}"
+            val granted = pool.admit(request(ticket, excluded = others.toList()), nowMs).granted()
+            expectThat(granted[ticket]).isEqualTo(target)
+            current[target] = ticket
+        }
+    }
+
+    private fun seconds(range: LongRange, latenciesMs: (Long) -> Map<String, Double>) =
+        range.forEach { second(it * 1_000, latenciesMs(it)) }
+
+    /** Guards against growth with finished requests and with time alone while warm targets are much faster. */
+    @Test
+    fun `a cold target beside a warm one keeps its start limit until it is as fast`() {
+        seconds(0L..30L) { mapOf("warm" to 10.0) }
+        expectThat(limit("warm")).isGreaterThan(START_LIMIT)
+        seconds(31L..80L) {
+            mapOf("warm" to 10.0, "fresh" to 80.0)
+        }
+        expectThat(limit("fresh")).isEqualTo(START_LIMIT)
+        seconds(81L..90L) { mapOf("warm" to 10.0, "fresh" to 12.0) }
+        expectThat(limit("fresh")).isGreaterThan(START_LIMIT)
+    }
+
+    /** Guards against a cold target that passes for warm because the faster one beside it is not known to be warm. */
+    @Test
+    fun `a target that is slower than its peers is not warm by its own constancy`() {
+        seconds(0L..20L) { mapOf("one" to 10.0, "two" to 80.0) }
+        expectThat(limit("one")).isGreaterThan(START_LIMIT)
+        expectThat(limit("two")).isEqualTo(START_LIMIT)
+    }
+
+    /** Guards against a pool with one target that stays at the start limit for ever or grows while it warms up. */
+    @Test
+    fun `a target alone grows once its latency has stopped improving`() {
+        seconds(0L..30L) { mapOf("only" to 400.0 - 10.0 * it) }
+        expectThat(limit("only")).isEqualTo(START_LIMIT)
+        seconds(31L..35L) { mapOf("only" to 100.0) }
+        expectThat(limit("only")).isEqualTo(START_LIMIT)
+        seconds(36L..60L) { mapOf("only" to 100.0) }
+        expectThat(limit("only")).isGreaterThan(2 * START_LIMIT)
+    }
+
+    /** Guards against a slower machine that is held at its start limit for ever by faster ones. */
+    @Test
+    fun `a target that stays slower than warm ones for a minute counts as a slower machine`() {
+        seconds(0L..30L) { mapOf("fast" to 10.0) }
+        seconds(31L..90L) { mapOf("fast" to 10.0, "slow" to 30.0) }
+        expectThat(limit("slow")).isEqualTo(START_LIMIT)
+        seconds(91L..105L) { mapOf("fast" to 10.0, "slow" to 30.0) }
+        expectThat(limit("slow")).isGreaterThan(START_LIMIT)
+    }
+
+    /** Guards against a target that turned cold growing again with finished requests. */
+    @Test
+    fun `a target that turned cold is held to the same evidence`() {
+        seconds(0L..30L) { mapOf("one" to 10.0, "two" to 10.0) }
+        expectThat(limit("two")).isGreaterThan(START_LIMIT)
+        seconds(31L..60L) { mapOf("one" to 10.0, "two" to 80.0) }
+        expectThat(limit("two")).isEqualTo(START_LIMIT)
+        seconds(61L..70L) { mapOf("one" to 10.0, "two" to 10.0) }
+        expectThat(limit("two")).isGreaterThan(START_LIMIT)
+    }
+
+    /** Guards against targets of requests without progress reports that stay at the start limit for ever. */
+    @Test
+    fun `requests too short for reports give evidence by their whole duration`() {
+        for (n in 0L..30L) {
+            pool.announce(announcement("only", 1, START_LIMIT, FULL_LIMIT), n * 1_000)
+            pool.admit(request("s$n"), n * 1_000)
+            pool.end(TicketId("s$n"), 3, TicketOutcome.FINISHED, n * 1_000 + 40)
+            if (n < 9) expectThat(limit("only")).isEqualTo(START_LIMIT)
+        }
+        expectThat(limit("only")).isGreaterThan(START_LIMIT)
+    }
+}
