Test that a gone target is reported and named in the retry

Cause: only the pool's side of the outcome GONE had a test. Change: a test of the caller's side: GONE is reported, and the retry names the lost attempt but not a refused one.

--- a/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
@@ -128,6 +128,17 @@
         )
     }
 
+    /** Guards against a death that the owner hears of late, and against a retry that hides the lost target from it. */
+    @Test
+    fun `an attempt whose target is gone is reported as such and named in the retry`(): Unit = runBlocking {
+        run(parts(mutableListOf(), diesAfterToken, refuses, answers), isStreamed = false)
+        expectThat(List(3) { withTimeout(5_000) { ended.receive() } })
+            .isEqualTo(listOf(TicketOutcome.GONE, TicketOutcome.REFUSED, TicketOutcome.FINISHED))
+        // A refused attempt did not run, so nothing about its target is open.
+        expectThat(asked.last().lost.map { it.life.target }).isEqualTo(listOf(TargetId("e1")))
+        expectThat(asked.last().excluded).isEqualTo(listOf(TargetId("e1"), TargetId("e2")))
+    }
+
     /** Guards against "not run" for a request whose earlier attempt may have run. */
     @Test
     fun `an unknown attempt is not forgotten when later ones are refused`() {
