Share log entries and pushes among entry VMs that register together

Cause: each registration was a log entry of its own and was pushed to every entry VM, so that the pushes grew with the square of the number of VMs that start together. Change: registrations are collected into one log entry, at once after an idle time and then every 100 ms. Pushes go out in rounds with a pause of 100 ms; the first after an idle time goes out at once, and each VM gets all changes since its last one. bin/measure capacity prints the pushes while the VMs start and takes spacing, the time between two starts.

--- a/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.entry
 
+import arrow.core.Either
 import fulmarshunt.Clock
 import fulmarshunt.LogIndex
 import fulmarshunt.Term
@@ -35,6 +36,9 @@
 /** How long a pushed change may take; a VM that is slower gets it with its next renewal. */
 private const val PUSH_TIMEOUT_MS = 1_000L
 
+/** The time between two rounds of pushes. Changes within it share a push; it is far below the 5 s for a change. */
+private const val PUSH_PAUSE_MS = 100L
+
 /** How long a renewal waits for a pool move that concerns the VM; less than [RENEWAL_TIMEOUT_MS]. */
 private const val WITHHELD_TIMEOUT_MS = 400L
 
@@ -52,6 +56,8 @@
     private val progress = MutableStateFlow(0L)
 
     private val pushes = HashMap<VmId, PushTarget>()
+    private val pushRounds = PacedAction(PUSH_PAUSE_MS) { pushes.keys.toList().forEach(::push) }
+    private val registrations = Registrations(control, ::proposeRegistrations)
 
     private var table: LeaseTable? = null
 
@@ -65,9 +71,11 @@
 
     /** Starts pushing changes and waking the duties of the leader. */
     internal fun start() {
+        registrations.start()
+        control.scope.launch { pushRounds.serve() }
         control.scope.launch {
             machine.state.map { it.shared.index }.distinctUntilChanged().collect {
-                pushes.keys.toList().forEach(::push)
+                pushRounds.request()
                 wake.trySend(Unit)
                 signalProgress()
             }
@@ -153,14 +161,17 @@
         if (!awaitNotWithheld(call.vm.id)) return notLeader()
         val state = machine.state.value
         if (state.shared.entryVms[call.vm.id] != call.vm) {
-            val registration = RegisterVm(call.vm)
-            proposer.propose(ApplyRegistry(registration)).onLeft { return refusal(it) }
-            report(registration)
+            registrations.register(call.vm).onLeft { return refusal(it) }
         }
         if (call.isShuttingDown && call.vm.id in state.shutdowns) proposer.propose(ShutdownBegun(call.vm.id))
         return control.run { grant(connection, call) }
     }
 
+    private suspend fun proposeRegistrations(vms: List<EntryVm>): Either<ProposeFailure, Unit> {
+        val changes = vms.map { RegisterVm(it) }
+        return proposer.proposeTogether(changes.map { ApplyRegistry(it) }).map { changes.forEach(::report) }
+    }
+
     private suspend fun awaitNotWithheld(vm: VmId): Boolean = withContext(control.dispatch) {
         withTimeoutOrNull(WITHHELD_TIMEOUT_MS) { progress.first { table?.isWithheld(vm) != true } } != null
     }
@@ -217,7 +228,7 @@
                 table?.acknowledge(vm, applied)
                 if (table?.hasVacancies == true) wake.trySend(Unit)
                 signalProgress()
-                push(vm)
+                if (applied < machine.state.value.shared.index) pushRounds.request()
             }
         }
     }
--- a/src/main/kotlin/fulmarshunt/voter/LogProposer.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LogProposer.kt
@@ -46,7 +46,7 @@
 
     /** Proposes [command] as an entry of its own. */
     public suspend fun propose(command: LogCommand): Either<ProposeFailure, LogReply> =
-        proposeAll(listOf(command)).map { it.single() }
+        proposeTogether(listOf(command)).map { it.single() }
 
     /** Proposes [command] in an entry that it may share with other grouped commands. */
     public suspend fun proposeGrouped(command: LogCommand): Either<ProposeFailure, LogReply> {
@@ -59,11 +59,12 @@
     }
 
     private suspend fun commit(group: List<Waiting>) {
-        val replies = proposeAll(group.map { it.command })
+        val replies = proposeTogether(group.map { it.command })
         group.forEachIndexed { position, waiting -> waiting.result.complete(replies.map { it[position] }) }
     }
 
-    private suspend fun proposeAll(commands: List<LogCommand>): Either<ProposeFailure, List<LogReply>> {
+    /** Proposes [commands] as one entry and returns their replies in order. */
+    public suspend fun proposeTogether(commands: List<LogCommand>): Either<ProposeFailure, List<LogReply>> {
         val entry = encodeCommands(commands)
         if (entry.size > MAX_ENTRY_BYTES) {
             return ProposeFailure.Undecided("${commands.size} commands take ${entry.size} bytes").left()
--- a/src/test/kotlin/fulmarshunt/measurement/CapacityMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/CapacityMeasurement.kt
@@ -1,7 +1,8 @@
 /*
  * The slopes from which docs/CAPACITY.md is worked out: processor time, memory and bytes of the leader and of a
  * follower by the number of entry VMs that renew their leases, by the number of client accounts, and by the rate of
- * changes. Arguments are `name=value`: entries, accounts and rates (comma-separated lists) and seconds.
+ * changes. Arguments are `name=value`: entries, accounts and rates (comma-separated lists), seconds, and spacing (the
+ * milliseconds between the starts of two entry VMs).
  */
 package fulmarshunt.measurement
 
@@ -47,8 +48,9 @@
     val entries = (values["entries"] ?: "20,110,330").split(',').map { it.toInt() }
     val accounts = (values["accounts"] ?: "500,2000,5500").split(',').map { it.toInt() }
     val rates = (values["rates"] ?: "1,5,20").split(',').map { it.toInt() }
+    val spacingMs = values["spacing"]?.toLong() ?: 0L
     withSite { site ->
-        entries.forEach { measureEntries(site, it, seconds) }
+        entries.forEach { measureEntries(site, it, seconds, spacingMs) }
         rates.forEach { measureRate(site, entries.last(), it, seconds) }
         accounts.forEach { measureAccounts(site, it) }
     }
@@ -65,7 +67,7 @@
 }
 
 /** Entry VMs that only renew their leases and take pushes, one link each. */
-private class LeaseHolders(site: Site, count: Int) : AutoCloseable {
+private class LeaseHolders(site: Site, count: Int, spacingMs: Long = 0) : AutoCloseable {
     private val scope = CoroutineScope(Dispatchers.IO)
     private val links = mutableListOf<Links>()
     val pushes = AtomicLong()
@@ -84,6 +86,7 @@
             val own = linksOf("holder-$number", Site.SECRET, handlers).also { links += it }
             val vm = EntryVm(VmId("holder-$number"), Address("127.0.0.1", 1), FailureDomainId("suva"))
             scope.launch {
+                delay(number * spacingMs)
                 while (true) {
                     val reply = own.call(
                         leader,
@@ -108,9 +111,11 @@
     }
 }
 
-private fun measureEntries(site: Site, count: Int, seconds: Long) {
-    LeaseHolders(site, count).use { holders ->
-        Thread.sleep(SETTLE_MS)
+private fun measureEntries(site: Site, count: Int, seconds: Long, spacingMs: Long) {
+    LeaseHolders(site, count, spacingMs).use { holders ->
+        val startMs = SETTLE_MS + count * spacingMs
+        report(site, startMs / 1_000, "entry_vms=$count start") { Thread.sleep(startMs) }
+        println("  pushes=${holders.pushes.get()}")
         val renewals = holders.renewals.get()
         report(site, seconds, "entry_vms=$count") { Thread.sleep(seconds * 1_000) }
         println("  renewals_per_s=${(holders.renewals.get() - renewals) / seconds}")
