Grant no lease between giving it back and the removal of the VM

Cause: a lease was withheld only from the moment at which the leader proposed the removal of a VM that had given its lease back. A renewal that came in between, of a new process on that VM, was granted; the removal then gave the VM's pools to others without a wait. A late renewal that came after the removal registered the VM again. Change: the lease is withheld from the moment at which it is given back until the removal is committed. A VM that is shutting down and is not registered is not registered again. One that was lost for 60 s during its shutdown therefore gets no lease any more; it finishes its streams without one. The random event orders include a lease that is given back.

--- a/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -161,6 +161,8 @@
         if (!awaitNotWithheld(call.vm.id)) return notLeader()
         val state = machine.state.value
         if (state.shared.entryVms[call.vm.id] != call.vm) {
+            // A late renewal of a VM that gave its lease back would register it again.
+            if (call.isShuttingDown) return notLeader()
             registrations.register(call.vm).onLeft { return refusal(it) }
         }
         if (call.isShuttingDown && call.vm.id in state.shutdowns) proposer.propose(ShutdownBegun(call.vm.id))
--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -49,7 +49,7 @@
 
     /** Records that [renewal] is answered with a lease at [nowMs]; the VM must not be withheld. */
     fun grant(renewal: RenewLease, nowMs: Long) {
-        check(renewal.vm.id !in withheld) { "a lease is granted to ${renewal.vm.id} while it is withheld" }
+        check(!isWithheld(renewal.vm.id)) { "a lease is granted to ${renewal.vm.id} while it is withheld" }
         val until = nowMs + LEASE_WITH_MARGIN_MS
         val lease = leases.getOrPut(renewal.vm.id) { Lease(until, nowMs) }
         lease.mayHoldUntilMs = maxOf(lease.mayHoldUntilMs, until)
@@ -65,13 +65,16 @@
         leases[vm]?.let { if (applied > it.applied) it.applied = applied }
     }
 
-    /** Records that [vm] has given its lease back; it is removed from the registry next. */
+    /**
+     * Records that [vm] has given its lease back. It is removed from the registry next and gets no lease before that,
+     * because its pools go to other VMs without a wait.
+     */
     fun giveBack(vm: VmId) {
         givenBack += vm
     }
 
     /** Returns whether [vm] must not get a lease, as a change that takes something from it may be committed. */
-    fun isWithheld(vm: VmId): Boolean = vm in withheld
+    fun isWithheld(vm: VmId): Boolean = vm in withheld || vm in givenBack
 
     /**
      * Returns the change that is due at [nowMs], or null. The VMs that it takes something from get no lease until
@@ -97,7 +100,10 @@
         withheld.clear()
         when (change) {
             is RegisterVm -> Unit
-            is RemoveVms -> change.vms.forEach(leases::remove)
+            is RemoveVms -> change.vms.forEach {
+                leases.remove(it)
+                givenBack.remove(it)
+            }
             is MovePools -> change.moves.forEach { if (it.vm != null) vacancies.remove(it.pool) }
         }
         recordVacancies(shared, nowMs)
--- a/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
@@ -3,11 +3,13 @@
  */
 package fulmarshunt.entry
 
+import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
 import fulmarshunt.CommandId
 import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.IdempotencyKey
+import fulmarshunt.LogIndex
 import fulmarshunt.Revision
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
@@ -24,6 +26,7 @@
 import fulmarshunt.operator.ShutDownVm
 import fulmarshunt.operator.SubmitCommand
 import fulmarshunt.platform.Secret
+import fulmarshunt.voter.LeaderAnswer
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -74,7 +77,7 @@
         }
     }
 
-    /** Guards against a shutdown that the VM is never asked for, or that leaves the VM registered. */
+    /** Guards against a shutdown that the VM is never asked for, or after which the VM is or becomes registered. */
     @Test
     fun `a requested shutdown is reported and the lease released`(): Unit = runBlocking {
         ControlCluster(1).use { cluster ->
@@ -86,6 +89,10 @@
             withTimeout(10_000) { keeper.shutdownRequested.first { it } }
             keeper.reportShutdown(emptyList())
             expectThat(keeper.release(5_000)).isTrue()
+            val vm = EntryVm(VmId("a"), Address("127.0.0.1", 1), FailureDomainId("suva"))
+            val late = RenewLease(vm, LogIndex(0), isShuttingDown = true)
+            val answer = cluster.client("late").tryOnce(leaseChannel, late, 2_000, redirect = { null })
+            expectThat(answer).isEqualTo(LeaderAnswer.Replied(LeaseNotLeader()))
             expectThat(cluster.voters[0].machine.state.value.shared.entryVms.size).isEqualTo(0)
         }
     }
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -55,7 +55,8 @@
             78 -> electLeader(commits = event / 1_000 % 2 == 0)
             79 -> shutDown(vm)
             80 -> restart(vm)
-            in 81..84 -> settle()
+            81 -> giveBackAndRestart(vm)
+            in 82..84 -> settle()
             // The lease of one VM runs out while the others renew.
             in 85..87 -> repeat(34) { roundWithout(vm, proposes = event / 1_000 % 2 == 0) }
             in 88..92 -> pass(1_500)
@@ -127,6 +128,25 @@
         expectThat(simulation.admitting(pool)).hasSize(1)
     }
 
+    /** Guards against a lease for a VM that has restarted before the end of its former process removes it. */
+    @Test
+    fun `a VM that gave its lease back gets none until it is removed`() {
+        val simulation = LeaseSimulation(3)
+        simulation.settleFor(5_000)
+        val stopping = simulation.vms[0]
+        val pool = simulation.shared.pools.filterValues { it.vm == stopping.entry.id }.keys.first()
+        simulation.giveBackAndRestart(stopping)
+        simulation.renew(stopping)
+        repeat(2) {
+            simulation.propose()
+            simulation.commitProposal()
+        }
+        simulation.vms.drop(1).forEach(simulation::push)
+        expectThat(simulation.admitting(pool)).hasSize(1)
+        simulation.renew(stopping)
+        expectThat(simulation.hasLease(stopping)).isTrue()
+    }
+
     /** Guards against pools that stay unbalanced after a VM joined, and against moves of more pools than needed. */
     @Test
     fun `a joining VM gets only the pools that balance needs`() {
--- a/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
@@ -115,6 +115,12 @@
         vm.stopped = vm.state.pools.filterValues { it.vm == vm.entry.id }.keys
     }
 
+    /** The process of [vm] gives its lease back as the last thing it does, and another one starts. */
+    fun giveBackAndRestart(vm: Vm) {
+        table.giveBack(vm.entry.id)
+        restart(vm)
+    }
+
     fun restart(vm: Vm) {
         vm.state = SharedState()
         vm.leaseUntilMs = Long.MIN_VALUE
