Move several pools at a time when entry VMs join together

Cause: pools moved for balance one by one, each with two log entries that go to all entry VMs, so that the pushes grew with the product of pools and VMs. With pushes at most every 100 ms, one move at a time would also take far longer. Change: up to one pool in eight, at least one, is withdrawn in one log entry. The share is bounded because the new owner of a pool admits nothing for a second. The random event orders use 18 pools instead of 6, so that they move two at a time.

--- a/src/main/kotlin/fulmarshunt/entry/PoolAssignment.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolAssignment.kt
@@ -40,9 +40,12 @@
     }
     // A pool without owner that is not vacant yet is on its way to another VM; its move comes first.
     if (view.pools.any { it !in view.owners }) return moves
-    return moves + listOfNotNull(spread.balancingMoveOrNull())
+    return moves + spread.balancingMoves()
 }
 
+/** One pool in this many may be on its way for balance at a time, because its new owner admits nothing for a second. */
+private const val BALANCING_SHARE = 8
+
 /** The number of configured pools of each usable VM while they are placed. */
 private class Spread(private val view: AssignmentView, lost: Set<PoolId>) {
     private val kept =
@@ -63,15 +66,24 @@
         return due.map { placed.getValue(it) }
     }
 
-    /** Returns a move of one pool away from the most loaded VM if the loads differ by two or more. */
-    fun balancingMoveOrNull(): PoolMove? {
-        val byLoad = load.keys.sortedWith(compareBy({ load.getValue(it) }, { it.value }))
-        val least = byLoad.first()
-        val most = byLoad.last()
+    /** Returns moves of pools away from the most loaded VMs while the loads differ by two or more. */
+    fun balancingMoves(): List<PoolMove> {
+        val movable = kept.toMutableMap()
+        return generateSequence { balancingMoveOrNull(movable) }
+            .take(maxOf(1, view.pools.size / BALANCING_SHARE))
+            .toList()
+    }
+
+    private fun balancingMoveOrNull(movable: MutableMap<PoolId, PoolOwner>): PoolMove? {
+        val order = compareBy<VmId>({ load.getValue(it) }, { it.value })
+        val least = load.keys.minWith(order)
+        val most = load.keys.maxWith(order)
         if (load.getValue(most) - load.getValue(least) < 2) return null
-        val order = compareBy<PoolId>({ !isNear(it, least) }, { isNear(it, most) }, { it.value })
-        val pool = kept.filterValues { it.vm == most }.keys.minWith(order)
-        return PoolMove(pool, null, kept.getValue(pool))
+        val nearest = compareBy<PoolId>({ !isNear(it, least) }, { isNear(it, most) }, { it.value })
+        val pool = movable.filterValues { it.vm == most }.keys.minWith(nearest)
+        load.merge(most, -1, Int::plus)
+        take(least)
+        return PoolMove(pool, null, movable.remove(pool))
     }
 
     private fun bestOrNull(limit: Int, accept: (VmId) -> Boolean): VmId? = load.keys
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -28,7 +28,7 @@
     /** Guards against two VMs admitting to one pool, and against a command reported in effect that is not. */
     @Property(tries = 500)
     fun noPoolHasTwoOwnersAndNothingIsInEffectTooEarly(@ForAll("events") events: List<Int>) {
-        val simulation = LeaseSimulation(4)
+        val simulation = LeaseSimulation(4, shards = 6)
         for (event in events) {
             simulation.perform(event)
             val pools = simulation.shared.configuration.allPools()
@@ -160,6 +160,17 @@
         expectThat(after.filter { (pool, owner) -> before[pool] != owner }).hasSize(2)
     }
 
+    /** Guards against balance that takes two rounds of pushes to all VMs for each pool. */
+    @Test
+    fun `pools move several at a time to VMs that join together`() {
+        val simulation = LeaseSimulation(8, shards = 8)
+        val joining = simulation.vms.drop(1).toTypedArray()
+        repeat(50) { simulation.roundWithout(*joining) }
+        expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(24))
+        simulation.settleFor(2_000)
+        expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(List(8) { 3 })
+    }
+
     /** Guards against pools of a stopping VM that wait for its lease to run out. */
     @Test
     fun `released pools move while the lease holds`() {
@@ -184,15 +195,15 @@
         deliverAnswer()
     }
 
-    private fun LeaseSimulation.roundWithout(absent: LeaseSimulation.Vm, proposes: Boolean = true) {
-        vms.filter { it !== absent }.forEach(::sendRenewal)
+    private fun LeaseSimulation.roundWithout(vararg absent: LeaseSimulation.Vm, proposes: Boolean = true) {
+        vms.filter { it !in absent }.forEach(::sendRenewal)
         repeat(vms.size) { deliverRenewal() }
         repeat(vms.size) { deliverAnswer() }
         if (proposes) {
             propose()
             commitProposal()
         }
-        vms.filter { it !== absent && hasLease(it) }.forEach(::push)
+        vms.filter { it !in absent && hasLease(it) }.forEach(::push)
         pass(ROUND_MS)
     }
 }
--- a/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
@@ -14,7 +14,7 @@
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.PutFailureDomain
 
-class LeaseSimulation(vmCount: Int) {
+class LeaseSimulation(vmCount: Int, shards: Int = 2) {
     class Vm(val entry: EntryVm) {
         var state = SharedState()
         var leaseUntilMs = Long.MIN_VALUE
@@ -48,7 +48,7 @@
     private val answers = ArrayDeque<Answer>()
 
     init {
-        val changes = domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it), shards = 2)) }
+        val changes = domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it), shards = shards)) }
         commit(listOf(Configured(Revision(1), changes)))
     }
 
