--- a/src/main/kotlin/fulmarshunt/voter/ControlMachine.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ControlMachine.kt
@@ -40,7 +40,10 @@
         return linkCbor.encodeToByteArray(repliesSerializer, applied.replies)
     }
 
-    private fun snapshot(): ByteArray = linkCbor.encodeToByteArray(ControlState.serializer(), current.value)
+    private fun snapshot(): () -> ByteArray {
+        val captured = current.value
+        return { linkCbor.encodeToByteArray(ControlState.serializer(), captured) }
+    }
 
     private fun restore(index: LogIndex, bytes: ByteArray) {
         val restored = linkCbor.decodeFromByteArray(ControlState.serializer(), bytes)
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -17,12 +17,14 @@
 import fulmarshunt.operator.VoterStatus
 import fulmarshunt.platform.ControlThread
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
@@ -51,6 +53,7 @@
     private val waiters = Waiters()
     private val writer = DiskWriter(open.storage, ::sendNow, ::onStored, ::onWriteFailure)
     private var writing: Job? = null
+    private var encoding: Job? = null
     private var timer: Job? = null
     private var timerAtMs = 0L
 
@@ -212,7 +215,14 @@
     }
 
     private fun takeSnapshot() {
-        if (state.isSnapshotDue) dispatch(SnapshotTaken(state.commit, machine.snapshot()))
+        if (!state.isSnapshotDue || encoding?.isActive == true) return
+        val point = state.snapshotPoint
+        val encode = machine.snapshot()
+        encoding =
+            control.scope.launch {
+                val data = withContext(Dispatchers.Default) { encode() }
+                dispatch(SnapshotTaken(point, data))
+            }
     }
 
     private fun applyEntry(entry: LogEntry) {
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedStateMachine.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedStateMachine.kt
@@ -7,12 +7,15 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.Term
 
-/** A deterministic state machine. All functions are called on the control thread. */
+/** A deterministic state machine. All functions, except what [snapshot] returns, are called on the control thread. */
 public class ReplicatedStateMachine(
     /** Applies a committed command, in log order; the result goes to the proposer. */
     public val apply: (LogIndex, ByteArray) -> ByteArray,
-    /** Captures the state after the last applied command. */
-    public val snapshot: () -> ByteArray,
+    /**
+     * Captures the state after the last applied command, and returns a function that encodes it on another thread;
+     * encoding a large state takes most of an election timeout.
+     */
+    public val snapshot: () -> () -> ByteArray,
     /** Replaces the state by one that was captured after the entry at the index. */
     public val restore: (LogIndex, ByteArray) -> Unit,
 )
--- a/src/main/kotlin/fulmarshunt/voter/Snapshot.kt
+++ b/src/main/kotlin/fulmarshunt/voter/Snapshot.kt
@@ -16,6 +16,9 @@
     val sizeBytes: Int,
 )
 
+/** The last entry that a snapshot covers, and the membership that is committed there. */
+internal data class SnapshotPoint(val position: LogPosition, val membership: Membership)
+
 /** The state of the state machine after the entry at the position of the header. */
 internal class Snapshot(val header: SnapshotHeader, val data: ByteArray)
 
--- a/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
@@ -8,14 +8,15 @@
 
 internal fun Draft.onSnapshotTaken(event: SnapshotTaken) {
     val current = checkNotNull(state.snapshot).header
-    if (event.index <= current.position.index) return
-    check(event.index == state.commit) { "the snapshot at ${event.index} is not that of entry ${state.commit}" }
-    val term = checkNotNull(state.log.termAtOrNull(event.index)) { "entry ${event.index} is not in the log" }
-    val membership = checkNotNull(state.committedMembershipOrNull)
-    val position = LogPosition(event.index, term)
-    val snapshot = Snapshot(SnapshotHeader(current.cluster, position, membership, event.data.size), event.data)
+    val position = event.point.position
+    // A snapshot from the leader can be installed while this one is encoded.
+    if (position.index <= current.position.index) return
+    check(position.index <= state.commit) { "the snapshot at ${position.index} is beyond entry ${state.commit}" }
+    check(state.log.termAtOrNull(position.index) == position.term) { "entry ${position.index} is not in the log" }
+    val header = SnapshotHeader(current.cluster, position, event.point.membership, event.data.size)
+    val snapshot = Snapshot(header, event.data)
     // Entries that slow followers may still need are kept for a while, because a snapshot costs far more to send.
-    val log = state.log.compactedTo(event.index - state.timing.snapshotEveryEntries / KEPT_FRACTION)
+    val log = state.log.compactedTo(position.index - state.timing.snapshotEveryEntries / KEPT_FRACTION)
     state = state.copy(snapshot = snapshot, log = log)
     storeSnapshot(snapshot)
 }
--- a/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
@@ -31,8 +31,8 @@
 
 internal data class RemoveMember(val id: VoterId) : VoterEvent
 
-/** The state machine was captured after the entry at [index]. */
-internal class SnapshotTaken(val index: LogIndex, val data: ByteArray) : VoterEvent
+/** The state machine was captured at [point], possibly some entries ago, and encoded as [data]. */
+internal class SnapshotTaken(val point: SnapshotPoint, val data: ByteArray) : VoterEvent
 
 /** The blank voter takes part in the cluster that starts with [initial]. */
 internal class JoinInitial(val initial: SnapshotHeader) : VoterEvent
@@ -61,7 +61,7 @@
 /** Replaces the state of the state machine. */
 internal class Restore(val snapshot: Snapshot) : Action
 
-/** Captures the state machine, and answers with [SnapshotTaken]. */
+/** Captures the state machine unless one is being encoded already, and answers with [SnapshotTaken]. */
 internal data object TakeSnapshot : Action
 
 /** The immediate answer to a request. */
--- a/src/main/kotlin/fulmarshunt/voter/VoterState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterState.kt
@@ -99,6 +99,13 @@
             return commit.value - covered.value >= timing.snapshotEveryEntries
         }
 
+    /** The point of a snapshot that is captured now; only a voter that is not blank has one. */
+    val snapshotPoint: SnapshotPoint
+        get() {
+            val term = checkNotNull(log.termAtOrNull(commit)) { "entry $commit is not in the log" }
+            return SnapshotPoint(LogPosition(commit, term), checkNotNull(committedMembershipOrNull))
+        }
+
     /** The newest membership that is committed, or null while blank. */
     val committedMembershipOrNull: Membership? get() = memberships.lastOrNull { it.index <= commit }?.membership
 }
--- a/src/test/kotlin/fulmarshunt/voter/ApplyRateTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ApplyRateTest.kt
@@ -44,8 +44,8 @@
         val claims = CLAIMS - 10_000
         measure("claims up to $claims", claims) { claimGroups(0, claims) }
         val claim = measure("claims from $claims to $CLAIMS", 10_000) { claimGroups(claims, CLAIMS) }
-        val snapshot = measure("snapshot of ${machine.asReplicated.snapshot().size} bytes", 1) {
-            machine.asReplicated.snapshot()
+        val snapshot = measure("snapshot of ${machine.asReplicated.snapshot()().size} bytes", 1) {
+            machine.asReplicated.snapshot()()
         }
         expectThat(command).isLessThan(20_000.0)
         expectThat(claim).isLessThan(2_000.0)
--- a/src/test/kotlin/fulmarshunt/voter/ControlMachineTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ControlMachineTest.kt
@@ -95,9 +95,11 @@
         for (position in all.indices) {
             val first = controlMachineOf().apply { run(all.take(position)) }
             val restored = controlMachineOf()
-            restored.asReplicated.restore(LogIndex(position.toLong()), first.asReplicated.snapshot())
+            restored.asReplicated.restore(LogIndex(position.toLong()), first.asReplicated.snapshot()())
             restored.run(all, after = position)
-            expectThat(restored.asReplicated.snapshot().toList()).isEqualTo(replayed.asReplicated.snapshot().toList())
+            expectThat(
+                restored.asReplicated.snapshot()().toList(),
+            ).isEqualTo(replayed.asReplicated.snapshot()().toList())
         }
         expectThat(replayed.state.value.shared.quarantine[Fingerprint("p")]).isEqualTo(31_000L + 3_600_000L)
     }
@@ -120,7 +122,7 @@
     fun `changes before a restored snapshot are not known`() {
         val source = controlMachineOf().apply { run(entries()) }
         val restored = controlMachineOf()
-        restored.asReplicated.restore(LogIndex(100), source.asReplicated.snapshot())
+        restored.asReplicated.restore(LogIndex(100), source.asReplicated.snapshot()())
         expectThat(restored.changesAfterOrNull(LogIndex(5))).isNull()
         expectThat(restored.changesAfterOrNull(source.state.value.shared.index)).isEqualTo(emptyList())
     }
--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -14,11 +14,18 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import strikt.assertions.none
+import strikt.assertions.startsWith
 import java.io.IOException
+import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.measureTime
 
@@ -147,6 +154,32 @@
         voter.close()
     }
 
+    /** Guards against a control thread that encodes a large state and misses heartbeats meanwhile. */
+    @Test
+    fun `commands commit while a snapshot is encoded`(): Unit = runBlocking {
+        val encoded = CountDownLatch(1)
+        val single = addresses.filterKeys { it == vms[0] }
+        val folder = directory.resolve("a")
+        val encoders = ConcurrentHashMap.newKeySet<String>()
+        val voter = startVoter(vms[0], single, folder, 20) {
+            encoders += Thread.currentThread().name
+            encoded.await(10, TimeUnit.SECONDS)
+        }
+        commit(listOf(voter), "first")
+        val initialBytes = Files.size(folder.resolve("snapshot"))
+        repeat(59) { commit(listOf(voter), "command $it") }
+        encoded.countDown()
+        eventually("a stored snapshot") { Files.size(folder.resolve("snapshot")) > initialBytes }
+        voter.close()
+        expectThat(encoders).isNotEmpty().none { startsWith("control-state") }
+        val restarted = startVoter(vms[0], single, folder, 20)
+        leaderOf(listOf(restarted))
+        expectThat(restarted.machine.restoredBytes).isGreaterThan(0)
+        expectEqualStates(listOf(restarted), 60)
+        expectThat(restarted.machine.hash).isEqualTo(voter.machine.hash)
+        restarted.close()
+    }
+
     /** Guards against a learner whose snapshot is larger than a frame. */
     @Test
     fun `a snapshot of several chunks reaches a new member`(): Unit = runBlocking {
--- a/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
@@ -41,6 +41,9 @@
     var nowMs = 0L
     var state = initialState(settings, disk, nowMs)
     var machine = HashMachine()
+
+    /** A snapshot that is being encoded, while other events happen. */
+    private var captured: SnapshotTaken? = null
     val sent = mutableListOf<Envelope>()
     private val waiting = ArrayDeque<Action>()
     private val votes = HashMap<Term, VoterId>()
@@ -66,8 +69,12 @@
         handle(Tick)
     }
 
-    /** Writes [count] waiting actions to disk, or all. */
+    /** Ends the encoding of a snapshot, and writes [count] waiting actions to disk, or all. */
     fun sync(count: Int = Int.MAX_VALUE) {
+        captured?.let { encoded ->
+            captured = null
+            handle(encoded)
+        }
         var left = count
         while (left > 0 && waiting.isNotEmpty()) {
             left -= 1
@@ -91,6 +98,7 @@
     /** Loses everything that was not synced. */
     fun restart() {
         waiting.clear()
+        captured = null
         state = initialState(settings, disk, nowMs)
         machine = HashMachine()
         disk.snapshot?.takeIf { it.data.isNotEmpty() }?.let {
@@ -107,7 +115,8 @@
                 if (action.snapshot.data.isNotEmpty()) {
                     machine.machine.restore(action.snapshot.header.position.index, action.snapshot.data)
                 }
-            is TakeSnapshot -> handle(SnapshotTaken(state.commit, machine.machine.snapshot()))
+            is TakeSnapshot ->
+                if (captured == null) captured = SnapshotTaken(state.snapshotPoint, machine.machine.snapshot()())
         }
     }
 
--- a/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
@@ -100,7 +100,7 @@
         val entries = (1..count).map { command(it, 1) }
         val stamp = Stamp(1, 0)
         full.receive(peerB, 1, Append(LogPosition.START, entries.take(covered.toInt()), LogIndex(covered), stamp))
-        val data = full.machine.machine.snapshot()
+        val data = full.machine.machine.snapshot()()
         val position = LogPosition(LogIndex(covered), Term(1))
         val header = SnapshotHeader(threeVoters.header.cluster, position, threeVoters.header.membership, data.size)
         val rest = Append(position, entries.drop(covered.toInt()), LogIndex(count), stamp)
--- a/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -20,7 +20,7 @@
 internal const val TEST_TIMEOUT_MS = 30_000L
 
 /** Counts its commands and folds them into a hash, so that another order or a gap gives another state. */
-internal class HashMachine(private val paddingBytes: Int = 0) {
+internal class HashMachine(private val paddingBytes: Int = 0, private val onEncode: () -> Unit = {}) {
     @Volatile
     var count = 0L
 
@@ -37,7 +37,7 @@
                 hash = hash * 31 + command.contentHashCode()
                 encode(0)
             },
-            snapshot = { encode(paddingBytes) },
+            snapshot = ::capture,
             restore = { _, bytes ->
                 val buffer = ByteBuffer.wrap(bytes)
                 restoredBytes = bytes.size
@@ -46,6 +46,11 @@
             },
         )
 
+    private fun capture(): () -> ByteArray {
+        val captured = encode(paddingBytes)
+        return { captured.also { onEncode() } }
+    }
+
     private fun encode(padding: Int): ByteArray = ByteBuffer.allocate(16 + padding).putLong(count).putLong(hash).array()
 }
 
@@ -70,9 +75,10 @@
     bootstrap: Boolean = true,
     sync: Sync = forceToDisk,
     paddingBytes: Int = 0,
+    onEncode: () -> Unit = {},
 ): TestVoter {
     val control = startControlThread()
-    val machine = HashMachine(paddingBytes)
+    val machine = HashMachine(paddingBytes, onEncode)
     val address = voters.getValue(vm)
     val settings =
         VoterSettings(vm, address, directory, bootstrap, voters, snapshotEveryEntries = snapshotEveryEntries)
