--- a/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
@@ -3,11 +3,13 @@
  */
 package fulmarshunt.entry
 
+import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
 import fulmarshunt.CommandId
 import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.IdempotencyKey
+import fulmarshunt.LogIndex
 import fulmarshunt.Revision
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
@@ -23,6 +25,8 @@
 import fulmarshunt.operator.PutFailureDomain
 import fulmarshunt.operator.ShutDownVm
 import fulmarshunt.operator.SubmitCommand
+import fulmarshunt.platform.Secret
+import fulmarshunt.voter.LeaderAnswer
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -37,7 +41,7 @@
 class LeaseKeeperTest {
     private fun submit(id: String, revision: Long, domain: String) = SubmitCommand(
         ADMIN,
-        ADMIN_KEY,
+        Secret(ADMIN_KEY),
         OperatorCommand(
             CommandId(id),
             ADMIN,
@@ -73,7 +77,7 @@
         }
     }
 
-    /** Guards against a shutdown that the VM is never asked for, or that leaves the VM registered. */
+    /** Guards against a shutdown that the VM is never asked for, or after which the VM is or becomes registered. */
     @Test
     fun `a requested shutdown is reported and the lease released`(): Unit = runBlocking {
         ControlCluster(1).use { cluster ->
@@ -81,10 +85,14 @@
             val keeper = cluster.entryVm("a", "suva")
             val client = cluster.operator()
             withTimeout(10_000) { keeper.state.first { it.entryVms.size == 1 } }
-            expectThat(client(ShutDownVm(ADMIN, ADMIN_KEY, VmId("a"))).getOrNull()).isEqualTo(CallDone)
+            expectThat(client(ShutDownVm(ADMIN, Secret(ADMIN_KEY), VmId("a"))).getOrNull()).isEqualTo(CallDone)
             withTimeout(10_000) { keeper.shutdownRequested.first { it } }
             keeper.reportShutdown(emptyList())
             expectThat(keeper.release(5_000)).isTrue()
+            val vm = EntryVm(VmId("a"), Address("127.0.0.1", 1), FailureDomainId("suva"))
+            val late = RenewLease(vm, LogIndex(0), isShuttingDown = true)
+            val answer = cluster.client("late").tryOnce(leaseChannel, late, 2_000, redirect = { null })
+            expectThat(answer).isEqualTo(LeaderAnswer.Replied(LeaseNotLeader()))
             expectThat(cluster.voters[0].machine.state.value.shared.entryVms.size).isEqualTo(0)
         }
     }
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -31,7 +31,7 @@
     /** Guards against two VMs admitting to one pool, and against a command reported in effect that is not. */
     @Property(tries = 5_000, seed = SEED)
     fun noPoolHasTwoOwnersAndNothingIsInEffectTooEarly(@ForAll("events") events: List<Int>) {
-        val simulation = LeaseSimulation(4)
+        val simulation = LeaseSimulation(4, shards = 6)
         for (event in events) {
             simulation.perform(event)
             val pools = simulation.shared.configuration.allPools()
@@ -58,7 +58,8 @@
             78 -> electLeader(commits = event / 1_000 % 2 == 0)
             79 -> shutDown(vm)
             80 -> restart(vm)
-            in 81..84 -> settle()
+            81 -> giveBackAndRestart(vm)
+            in 82..84 -> settle()
             // The lease of one VM runs out while the others renew.
             in 85..87 -> repeat(34) { roundWithout(vm, proposes = event / 1_000 % 2 == 0) }
             in 88..92 -> pass(1_500)
@@ -130,6 +131,25 @@
         expectThat(simulation.admitting(pool)).hasSize(1)
     }
 
+    /** Guards against a lease for a VM that has restarted before the end of its former process removes it. */
+    @Test
+    fun `a VM that gave its lease back gets none until it is removed`() {
+        val simulation = LeaseSimulation(3)
+        simulation.settleFor(5_000)
+        val stopping = simulation.vms[0]
+        val pool = simulation.shared.pools.filterValues { it.vm == stopping.entry.id }.keys.first()
+        simulation.giveBackAndRestart(stopping)
+        simulation.renew(stopping)
+        repeat(2) {
+            simulation.propose()
+            simulation.commitProposal()
+        }
+        simulation.vms.drop(1).forEach(simulation::push)
+        expectThat(simulation.admitting(pool)).hasSize(1)
+        simulation.renew(stopping)
+        expectThat(simulation.hasLease(stopping)).isTrue()
+    }
+
     /** Guards against pools that stay unbalanced after a VM joined, and against moves of more pools than needed. */
     @Test
     fun `a joining VM gets only the pools that balance needs`() {
@@ -143,6 +163,17 @@
         expectThat(after.filter { (pool, owner) -> before[pool] != owner }).hasSize(2)
     }
 
+    /** Guards against balance that takes two rounds of pushes to all VMs for each pool. */
+    @Test
+    fun `pools move several at a time to VMs that join together`() {
+        val simulation = LeaseSimulation(8, shards = 8)
+        val joining = simulation.vms.drop(1).toTypedArray()
+        repeat(50) { simulation.roundWithout(*joining) }
+        expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(listOf(24))
+        simulation.settleFor(2_000)
+        expectThat(simulation.shared.pools.values.groupBy { it.vm }.map { it.value.size }).isEqualTo(List(8) { 3 })
+    }
+
     /** Guards against pools of a stopping VM that wait for its lease to run out. */
     @Test
     fun `released pools move while the lease holds`() {
@@ -167,15 +198,15 @@
         deliverAnswer()
     }
 
-    private fun LeaseSimulation.roundWithout(absent: LeaseSimulation.Vm, proposes: Boolean = true) {
-        vms.filter { it !== absent }.forEach(::sendRenewal)
+    private fun LeaseSimulation.roundWithout(vararg absent: LeaseSimulation.Vm, proposes: Boolean = true) {
+        vms.filter { it !in absent }.forEach(::sendRenewal)
         repeat(vms.size) { deliverRenewal() }
         repeat(vms.size) { deliverAnswer() }
         if (proposes) {
             propose()
             commitProposal()
         }
-        vms.filter { it !== absent && hasLease(it) }.forEach(::push)
+        vms.filter { it !in absent && hasLease(it) }.forEach(::push)
         pass(ROUND_MS)
     }
 }
--- a/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseSimulation.kt
@@ -14,7 +14,7 @@
 import fulmarshunt.operator.FailureDomain
 import fulmarshunt.operator.PutFailureDomain
 
-class LeaseSimulation(vmCount: Int) {
+class LeaseSimulation(vmCount: Int, shards: Int = 2) {
     class Vm(val entry: EntryVm) {
         var state = SharedState()
         var leaseUntilMs = Long.MIN_VALUE
@@ -48,7 +48,7 @@
     private val answers = ArrayDeque<Answer>()
 
     init {
-        val changes = domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it), shards = 2)) }
+        val changes = domains.map { PutFailureDomain(FailureDomain(FailureDomainId(it), shards = shards)) }
         commit(listOf(Configured(Revision(1), changes)))
     }
 
@@ -115,6 +115,12 @@
         vm.stopped = vm.state.pools.filterValues { it.vm == vm.entry.id }.keys
     }
 
+    /** The process of [vm] gives its lease back as the last thing it does, and another one starts. */
+    fun giveBackAndRestart(vm: Vm) {
+        table.giveBack(vm.entry.id)
+        restart(vm)
+    }
+
     fun restart(vm: Vm) {
         vm.state = SharedState()
         vm.leaseUntilMs = Long.MIN_VALUE
--- a/src/test/kotlin/fulmarshunt/faults/ConfigurationFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/ConfigurationFaultTest.kt
@@ -132,7 +132,10 @@
             val revision = site.configure(account("while-frozen"))
             frozen.process.thaw()
             repeat(20) {
-                val reply = site.askOnce(frozen, ReadConfiguration(Site.OPERATOR, Site.OPERATOR_KEY)).getOrNull()
+                val reply = site.askOnce(
+                    frozen,
+                    ReadConfiguration(Site.OPERATOR, Site.OPERATOR_KEY),
+                ).getOrNull()
                 if (reply is ConfigurationReply) {
                     expectThat(reply.configuration.revision).isGreaterThanOrEqualTo(revision)
                 }
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -25,6 +25,7 @@
 import fulmarshunt.operator.StatusReply
 import fulmarshunt.operator.SubmitCommand
 import fulmarshunt.operator.operatorChannel
+import fulmarshunt.platform.Secret
 import fulmarshunt.sha256Hex
 import fulmarshunt.standin.Processes
 import fulmarshunt.standin.awaitPort
@@ -223,7 +224,9 @@
     }
 
     /** Returns the status that the leader answers. */
-    fun status(): StatusReply = eventually("a status") { ask(ReadStatus(OPERATOR, OPERATOR_KEY)) as? StatusReply }
+    fun status(): StatusReply = eventually("a status") {
+        ask(ReadStatus(OPERATOR, OPERATOR_KEY)) as? StatusReply
+    }
 
     /** Returns the voter that leads. */
     fun leader(): SiteVoter = eventually("a leader") {
@@ -346,7 +349,7 @@
             listen = "127.0.0.1:$platformPort"
             [operator]
             bootstrap_operator = "${OPERATOR.value}"
-            bootstrap_operator_key_sha256 = "${sha256Hex(OPERATOR_KEY)}"
+            bootstrap_operator_key_sha256 = "${sha256Hex(OPERATOR_KEY.value)}"
         """.trimIndent()
     }
 
@@ -389,7 +392,7 @@
 
     companion object {
         const val SECRET = "site-link-secret"
-        const val OPERATOR_KEY = "operator-key"
+        val OPERATOR_KEY = Secret("operator-key")
         val OPERATOR = OperatorId("ops")
         private val VOTER_ID = Regex("Started as voter (\\S+)")
         private const val ASK_TIMEOUT_MS = 8_000L
--- a/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.operator.cli.runOrders
+import fulmarshunt.platform.Secret
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
@@ -138,7 +139,7 @@
                         control.configuration.revision,
                         listOf(SetTargetDrained(TargetId("engine-9"), true)),
                     )
-                    control.answer(SubmitCommand(testOperator, OPERATOR_KEY, other, 0))
+                    control.answer(SubmitCommand(testOperator, Secret(OPERATOR_KEY), other, 0))
                 }
                 null
             }
