Take only as many requests as the heap of an entry VM bears

Cause: with 1,000 streams an entry process ended with "OutOfMemoryError: Java heap space" under its heap of 64 MB, and all streams broke. Nothing bounded the requests of all client accounts together. Change: an entry VM admits one request for each 192 KiB of heap beyond 24 MiB and refuses more as overloaded and not run. `bin/entry` allows a heap of 256 MB (1,237 requests), which it uses only when streams need it.

--- a/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
+++ b/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
@@ -27,14 +27,20 @@
     public val reportSuccess: suspend (ClientAccountId) -> Unit,
 )
 
-/** Returns a gate with limits and budgets on [control]; [isAccepting] is false during a graceful shutdown. */
+/**
+ * Returns a gate with limits and budgets on [control].
+ *
+ * @param capacity the number of requests that may be queued or running at a time.
+ * @param isAccepting false during a graceful shutdown.
+ */
 public fun callerGate(
     control: ControlThread,
     clock: Clock,
     state: () -> SharedState,
+    capacity: Int,
     isAccepting: () -> Boolean,
 ): CallerGate {
-    val limits = AccountLimits()
+    val limits = AccountLimits(capacity)
     val budgets = RetryBudgets()
     return CallerGate(
         enter = { id ->
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -22,6 +22,7 @@
 import fulmarshunt.caller.http.chatRoutes
 import fulmarshunt.caller.http.serviceRoutes
 import fulmarshunt.caller.plainService
+import fulmarshunt.caller.requestCapacity
 import fulmarshunt.entry.AdmissionRouter
 import fulmarshunt.entry.EntryVm
 import fulmarshunt.entry.LEASE_RENEWAL_MS
@@ -187,7 +188,7 @@
         metrics: PrometheusMeterRegistry,
     ): Either<String, Unit> {
         val state = { keeper.state.value }
-        val gate = callerGate(control, clock, state) { isAccepting }
+        val gate = callerGate(control, clock, state, requestCapacity(Runtime.getRuntime().maxMemory())) { isAccepting }
         val meters = callerMeters(metrics)
         val admissions = Admissions(router::admit, router::use, router::progress, router::end)
         val generate =
--- a/src/test/kotlin/fulmarshunt/caller/LimitsTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/LimitsTest.kt
@@ -26,7 +26,7 @@
     @Test
     fun `the rate allows one second of burst and then refills`() {
         val account = ClientAccount(id, "", maxRequestsPerSecond = 4.0)
-        val limits = AccountLimits()
+        val limits = AccountLimits(capacity = 100)
         repeat(4) { expectThat(limits.enter(account, 0)).isNull() }
         val problem = limits.enter(account, 0)
         expectThat(problem?.kind).isEqualTo(ProblemKind.RATE_LIMITED)
@@ -38,13 +38,27 @@
     @Test
     fun `concurrent requests are limited until one leaves`() {
         val account = ClientAccount(id, "", maxConcurrentRequests = 2)
-        val limits = AccountLimits()
+        val limits = AccountLimits(capacity = 100)
         repeat(2) { limits.enter(account, 0) }
         expectThat(limits.enter(account, 0)?.kind).isEqualTo(ProblemKind.RATE_LIMITED)
         limits.leave(id)
         expectThat(limits.enter(account, 0)).isNull()
     }
 
+    /** Guards against an entry VM that takes more requests than its memory bears and breaks all of them. */
+    @Test
+    fun `requests of all accounts are limited by the memory`() {
+        val limits = AccountLimits(capacity = 3)
+        repeat(3) { expectThat(limits.enter(ClientAccount(ClientAccountId("b$it"), ""), 0)).isNull() }
+        val problem = limits.enter(ClientAccount(id, ""), 0)
+        expectThat(problem?.kind).isEqualTo(ProblemKind.OVERLOADED)
+        expectThat(problem?.ran).isEqualTo(RunState.NOT_RUN)
+        limits.leave(ClientAccountId("b0"))
+        expectThat(limits.enter(ClientAccount(id, ""), 0)).isNull()
+        expectThat(requestCapacity(64L shl 20)).isEqualTo(213)
+        expectThat(requestCapacity(1)).isEqualTo(16)
+    }
+
     /** Guards against a retry storm after the loss of a failure domain. */
     @Test
     fun `retries are limited per account and in total and earned by successes`() {
--- a/src/test/kotlin/fulmarshunt/measurement/OverheadMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/OverheadMeasurement.kt
@@ -42,7 +42,7 @@
 
 /** The JVM flags of `bin/entry`. */
 private val entryFlags =
-    "-Xms16m -Xmx64m -Xss256k -XX:MaxMetaspaceSize=64m -XX:ReservedCodeCacheSize=32m -XX:+ExitOnOutOfMemoryError"
+    "-Xms16m -Xmx256m -Xss256k -XX:MaxMetaspaceSize=64m -XX:ReservedCodeCacheSize=32m -XX:+ExitOnOutOfMemoryError"
         .split(' ')
 
 private class Load(val streams: Int, val ratePerSecond: Int, val tokens: Int)
