Keep an entry VM that registers long after the election

Cause: the leader counted the time without a renewal of a VM that has no lease yet from its own election. Change: the time counts from when the leader first sees the VM registered.

--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -82,6 +82,7 @@
      */
     fun nextChangeOrNull(shared: SharedState, shutdowns: Set<VmId>, nowMs: Long): RegistryChange? {
         recordVacancies(shared, nowMs)
+        recordNew(shared.entryVms.keys, nowMs)
         givenBack.retainAll(shared.entryVms.keys)
         val gone = (givenBack + goneAt(nowMs, shared.entryVms.keys)).sortedBy { it.value }
         if (gone.isNotEmpty()) return RemoveVms(gone).also { withheld += gone }
@@ -110,6 +111,14 @@
         withdrawals.clear()
     }
 
+    /**
+     * Starts the registration time of VMs that are registered since the election. Without it, a VM that registers long
+     * after the election counts as gone before its first lease is granted, and is removed and registered in turn.
+     */
+    private fun recordNew(registered: Set<VmId>, nowMs: Long) {
+        registered.forEach { leases.getOrPut(it) { Lease(electedAtMs + LEASE_WITH_MARGIN_MS, nowMs) } }
+    }
+
     /**
      * Starts the vacancy of each pool whose withdrawal turns out to be committed. The leader may never learn the
      * outcome of its proposal; grants since the change was applied carry it, so that the wait counts from now.
@@ -165,7 +174,7 @@
 
     /** Returns those of [registered] that have not renewed for [REGISTRATION_MS]. */
     private fun goneAt(nowMs: Long, registered: Set<VmId>): List<VmId> = registered
-        .filter { nowMs >= (leases[it]?.renewedAtMs ?: electedAtMs) + REGISTRATION_MS }
+        .filter { nowMs >= (leases[it]?.renewedAtMs ?: nowMs) + REGISTRATION_MS }
         .sortedBy { it.value }
 
     /** Returns the next time after [nowMs] at which a lease or a vacancy ends, or null if there is none. */
--- a/src/main/kotlin/fulmarshunt/target/LoadPlanning.kt
+++ b/src/main/kotlin/fulmarshunt/target/LoadPlanning.kt
@@ -5,8 +5,6 @@
  */
 package fulmarshunt.target
 
-import fulmarshunt.Address
-import fulmarshunt.Incarnation
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import kotlin.math.ceil
@@ -38,130 +36,6 @@
 /** About 30 years: with the greatest weights and the least rates, sums of load times would overflow otherwise. */
 private const val MAX_LOAD_MS = 1_000_000_000_000L
 
-/** A target of the pool that is neither dead nor about to go. */
-internal data class LoadTarget(
-    val id: TargetId,
-    val address: Address,
-    val incarnation: Incarnation,
-    val services: Set<ServiceId>,
-    /** The number of services that it can hold, 0 if it takes no orders. */
-    val maxServices: Int = 0,
-    val loading: ServiceId? = null,
-    /** False while its announcements are overdue. */
-    val isLive: Boolean = true,
-    /** The services of its granted and running requests. */
-    val busy: Set<ServiceId> = emptySet(),
-    val inFlight: Int = 0,
-)
-
-/** The requests for one service. */
-internal data class ServiceDemand(
-    val queued: Int = 0,
-    /** Recent requests that were rejected because no target serves the service. */
-    val rejected: Int = 0,
-    val running: Int = 0,
-    /** True if the service was asked for recently or may have been. */
-    val isRecent: Boolean = true,
-) {
-    val isPresent: Boolean get() = queued > 0 || rejected > 0 || running > 0 || isRecent
-}
-
-/** What orders are decided on. */
-internal data class LoadView(
-    val targets: List<LoadTarget>,
-    val demands: Map<ServiceId, ServiceDemand>,
-    /** The weight sizes of the services that can be loaded. */
-    val weightBytes: Map<ServiceId, Long>,
-    /** Services that are not replaced, because they could not be loaded again. */
-    val fixed: Set<ServiceId> = emptySet(),
-    /** The pool's share of the weight store's rate. */
-    val bytesPerSecond: Double,
-)
-
-/** The demand for a service beside the number of targets that serve it. */
-internal data class ServicePressure(
-    val service: ServiceId,
-    /** Requests that wait or were turned away. */
-    val unserved: Int,
-    val running: Int,
-    val targets: Int,
-)
-
-/** A load that could be ordered. */
-internal data class LoadOption(val target: LoadTarget, val replaced: ServicePressure?)
-
-/** The parts of the decision that vary. */
-internal class LoadPolicy(
-    /** Returns whether a service needs another target. */
-    val lacksTarget: (ServicePressure) -> Boolean,
-    /** Returns whether the first service needs a place so much more than the second that it may take it. */
-    val mayReplace: (ServicePressure, ServicePressure) -> Boolean,
-    /** Chooses one of at least one option. */
-    val choose: (List<LoadOption>) -> LoadOption,
-)
-
-/** A load that was ordered or announced and has not ended. */
-internal data class RunningLoad(
-    val incarnation: Incarnation,
-    val service: ServiceId,
-    val replaces: ServiceId?,
-    val startedMs: Long,
-    /** When the order was sent last. */
-    val sentMs: Long,
-    /** When the engine announced the load last, or the start. */
-    val seenMs: Long = startedMs,
-    val isAnnounced: Boolean = false,
-)
-
-/** The state of the decision. */
-internal data class LoadState(
-    val running: Map<TargetId, RunningLoad> = emptyMap(),
-    /** Until when engines get no order for a service that they did not load. */
-    val avoidedUntilMs: Map<Pair<TargetId, ServiceId>, Long> = emptyMap(),
-    /** Until when nothing is replaced at engines that have loaded a service. */
-    val keptUntilMs: Map<TargetId, Long> = emptyMap(),
-    /** Since when services lack a target. */
-    val lackingSinceMs: Map<ServiceId, Long> = emptyMap(),
-    /** When the bytes that were ordered so far have used up the share of the rate. */
-    val storeFreeMs: Long = Long.MIN_VALUE,
-)
-
-/** An order to the engine [target]. */
-internal data class LoadOrder(
-    val target: LoadTarget,
-    val service: ServiceId,
-    val replaces: ServiceId?,
-    val isRepeat: Boolean,
-)
-
-/** The next state, and the orders to send. */
-internal data class LoadPlan(val state: LoadState, val orders: List<LoadOrder>)
-
-/** A service with targets needs one more when this many requests wait for each of them. */
-private const val CROWDED_PER_TARGET = 4
-
-/** A service takes a place from another one only if its demand for each target is this much greater. */
-private const val REPLACE_FACTOR = 2
-
-/** Returns the policy that compares the demand for each target. */
-internal fun loadPolicy(): LoadPolicy = LoadPolicy(
-    lacksTarget = { it.unserved > 0 && it.unserved >= it.targets * CROWDED_PER_TARGET },
-    mayReplace = { wanted, replaced ->
-        val left = (replaced.targets - 1).coerceAtLeast(1)
-        wanted.targets == 0 ||
-            wanted.unserved.toLong() * left >=
-            REPLACE_FACTOR.toLong() * wanted.targets * (replaced.unserved + replaced.running)
-    },
-    choose = { options ->
-        options.minWith(
-            compareBy({ it.replaced != null }, { it.replaced?.demandPerTarget ?: 0.0 }, { it.target.inFlight }),
-        )
-    },
-)
-
-private val ServicePressure.demandPerTarget: Double
-    get() = (unserved + running).toDouble() / targets.coerceAtLeast(1)
-
 /** Returns what follows from [view]; at most one new load is ordered in a call. */
 internal fun LoadState.plan(view: LoadView, policy: LoadPolicy, nowMs: Long): LoadPlan {
     val followed = follow(view, nowMs).adopt(view, nowMs)
@@ -280,13 +154,8 @@
 
 private fun LoadView.loadMs(service: ServiceId): Long {
     val bytes = weightBytes[service] ?: return 0
-    return if (bytesPerSecond >
-        0
-    ) {
-        ceil(bytes * MS_PER_SECOND / bytesPerSecond).toLong().coerceAtMost(MAX_LOAD_MS)
-    } else {
-        0
-    }
+    if (bytesPerSecond <= 0) return 0
+    return ceil(bytes * MS_PER_SECOND / bytesPerSecond).toLong().coerceAtMost(MAX_LOAD_MS)
 }
 
 private fun LoadView.limitMs(service: ServiceId): Long = LOAD_LIMIT_MS + LOAD_TIME_FACTOR * loadMs(service)
--- a/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeasePropertiesTest.kt
@@ -3,6 +3,10 @@
  */
 package fulmarshunt.entry
 
+import fulmarshunt.Address
+import fulmarshunt.FailureDomainId
+import fulmarshunt.Term
+import fulmarshunt.VmId
 import net.jqwik.api.Arbitraries
 import net.jqwik.api.Arbitrary
 import net.jqwik.api.ForAll
@@ -17,6 +21,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 /** A fixed seed, so that each run of the build tries the same cases. */
@@ -131,6 +136,19 @@
         expectThat(simulation.admitting(pool)).hasSize(1)
     }
 
+    /** Guards against a VM that registers long after the election and is removed before its first lease is granted. */
+    @Test
+    fun `a VM that has just registered is not removed`() {
+        val table = LeaseTable(Term(1), emptySet(), electedAtMs = 0)
+        val vm = EntryVm(VmId("entry-1"), Address("127.0.0.1", 1), FailureDomainId("suva"))
+        val shared = SharedState(entryVms = mapOf(vm.id to vm))
+        val registeredMs = 10 * REGISTRATION_MS
+        expectThat(table.nextChangeOrNull(shared, emptySet(), registeredMs)).isNull()
+        val lateMs = registeredMs + REGISTRATION_MS
+        expectThat(table.nextChangeOrNull(shared, emptySet(), lateMs - 1)).isNull()
+        expectThat(table.nextChangeOrNull(shared, emptySet(), lateMs)).isEqualTo(RemoveVms(listOf(vm.id)))
+    }
+
     /** Guards against a lease for a VM that has restarted before the end of its former process removes it. */
     @Test
     fun `a VM that gave its lease back gets none until it is removed`() {
