Serve requests and look for places by one piece of code

Cause: a reading of the whole change. Generations and plain calls each had their own copy of the account's limits and the count of outcomes, and of the asks for a place with the queued time, excluded targets and lost attempts. The body of a plain call was hashed again for the quarantine, the claim and each ask. Two lists of connection headers and their filter, and five checked readings of an address, stood side by side. Placement built an index of targets that its caller already has. Change: AnswerFlow, PlaceRequests, ForwardedHeaders and checkedAddress; the fingerprint of a plain call is computed once; `beginStream` in the fault tests. Behaviour, bounds and assertions are unchanged: the loops of generations and plain calls keep their different bounds on unused grants.

--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/AnswerFlow.kt
@@ -0,0 +1,41 @@
+/*
+ * What serving a request has in common for all kinds of services: the limits of its client account, and the count of
+ * its outcome.
+ */
+package fulmarshunt.caller
+
+import fulmarshunt.ClientAccountId
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+
+/** How the last event of an answer and a problem are turned into each other. */
+internal class ProblemEvents<E : Any>(val failed: (RequestProblem) -> E, val problemOrNull: (E) -> RequestProblem?)
+
+/**
+ * Returns the answer to a request of [account]: what [serve] emits, and the event that it returns.
+ *
+ * @param events makes the only event of a request that [gate] refuses.
+ */
+internal fun <E : Any> answerFlow(
+    account: ClientAccountId,
+    gate: CallerGate,
+    meters: CallerMeters,
+    events: ProblemEvents<E>,
+    serve: suspend (emit: suspend (E) -> Unit) -> E,
+): Flow<E> = // Clients of targets emit from coroutines of their own, which a plain flow does not permit.
+    channelFlow {
+        var outcome = "cancelled"
+        try {
+            val last = gate.enter(account)?.let(events.failed) ?: gate.leaveAfter(account) { serve(::send) }
+            outcome = events.problemOrNull(last)?.kind?.slug ?: "finished"
+            send(last)
+        } finally {
+            meters.request(outcome)
+        }
+    }
+
+private suspend fun <E> CallerGate.leaveAfter(account: ClientAccountId, block: suspend () -> E): E = try {
+    block()
+} finally {
+    leave(account)
+}
--- a/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
@@ -36,7 +36,7 @@
         var isSent = false
         var isOurs = true
         try {
-            val reply = parts.claims(RecordClaim(claimKey, request.fingerprint(), parts.vm, ticket))
+            val reply = parts.claims(RecordClaim(claimKey, request.fingerprint, parts.vm, ticket))
             isOurs = reply !is AlreadyAnswered && reply !is AlreadyClaimed &&
                 reply !is KeyReused && reply !is ClaimsFull
             return when (reply) {
--- a/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
@@ -10,23 +10,18 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Clock
-import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.entry.AdmissionRequest
-import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.RejectReason
 import fulmarshunt.entry.Rejected
 import fulmarshunt.entry.SharedState
-import fulmarshunt.entry.TargetLife
 import fulmarshunt.entry.TicketOutcome
 import fulmarshunt.operator.ServiceKind
 import fulmarshunt.target.EngineClient
 import fulmarshunt.target.StreamEnd
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.flow.Flow
-import kotlinx.coroutines.flow.channelFlow
 import net.openhft.hashing.LongHashFunction
 
 /** The time that a request may spend in queues, all attempts together. */
@@ -60,30 +55,13 @@
     public val maxQueueWaitMs: Long = MAX_QUEUE_WAIT_MS,
 )
 
+private val problemEvents =
+    ProblemEvents<GenerationEvent>(::GenerationFailed) { (it as? GenerationFailed)?.problem }
+
 /** Returns a service that answers requests for generated text. */
 public fun generationService(parts: GenerationParts): Generate = { request ->
-    // The engine client emits from coroutines of its own, which a plain flow does not permit.
-    channelFlow {
-        var outcome = "cancelled"
-        try {
-            val last = parts.serve(request, ::send)
-            outcome = if (last is GenerationFailed) last.problem.kind.slug else "finished"
-            send(last)
-        } finally {
-            parts.meters.request(outcome)
-        }
-    }
-}
-
-private suspend fun GenerationParts.serve(
-    request: GenerationRequest,
-    emit: suspend (GenerationEvent) -> Unit,
-): GenerationEvent {
-    gate.enter(request.account)?.let { return GenerationFailed(it) }
-    try {
-        return GenerationRun(this, request, emit).run()
-    } finally {
-        gate.leave(request.account)
+    answerFlow(request.account, parts.gate, parts.meters, problemEvents) { emit ->
+        GenerationRun(parts, request, emit).run()
     }
 }
 
@@ -94,10 +72,7 @@
     private val emit: suspend (GenerationEvent) -> Unit,
 ) {
     private val admission = request.toAdmissionRequest(parts)
-    private val excluded = mutableListOf<TargetId>()
-    private val lost = mutableListOf<LostAttempt>()
-    private var queuedMs = 0L
-    private var asked = 0
+    private val places = PlaceRequests(admission, parts.admissions, parts.clock, parts.meters)
 
     suspend fun run(): GenerationEvent {
         var problem: RequestProblem? = null
@@ -121,8 +96,7 @@
                 return GenerationCompleted(end.reason, admission.promptTokens, end.tokens)
             }
             problem = worse(problem, end.toProblem(relay.next))
-            excluded += grant.granted.target
-            if (end !is StreamEnd.Refused) lost += grant.toLostAttempt()
+            places.exclude(grant, isLost = end !is StreamEnd.Refused)
             if (relay.hasRelayed) break
         }
         return GenerationFailed(checkNotNull(problem))
@@ -132,11 +106,7 @@
     private suspend fun place(isRetry: Boolean): Either<RequestProblem, PlacedGrant> {
         quarantineOrNull()?.let { return it.left() }
         if (isRetry && !parts.gate.takeRetry(request.account)) return unavailable("no retry is left").left()
-        val startMs = parts.clock.nowMs()
-        val reply = parts.admissions.admit(nextAdmission())
-        queuedMs += parts.clock.nowMs() - startMs
-        val grant = reply.fold({ return it.toProblem().left() }, { it })
-        parts.meters.queuedMs(queuedMs)
+        val grant = places.next().fold({ return it.toProblem().left() }, { it })
         val quarantine = quarantineOrNull() ?: return grant.right()
         parts.admissions.end(grant, 0, TicketOutcome.UNUSED)
         return quarantine.left()
@@ -144,19 +114,8 @@
 
     private fun quarantineOrNull(): RequestProblem? =
         parts.gate.check(request.service, ServiceKind.MODEL, admission.fingerprint)
-
-    private fun nextAdmission(): AdmissionRequest = admission.copy(
-        ticket = TicketId("${request.id}.${++asked}"),
-        waitedMs = queuedMs,
-        maxWaitMs = parts.maxQueueWaitMs,
-        excluded = excluded.toList(),
-        lost = lost.toList(),
-    )
 }
 
-internal fun PlacedGrant.toLostAttempt(): LostAttempt =
-    LostAttempt(pool, TargetLife(granted.target, granted.incarnation))
-
 /** Returns [later], unless [earlier] says that the request may have run: that cannot be taken back. */
 private fun worse(earlier: RequestProblem?, later: RequestProblem): RequestProblem =
     if (earlier?.ran == RunState.UNKNOWN && later.ran == RunState.NOT_RUN) earlier else later
--- a/src/main/kotlin/fulmarshunt/caller/PlainRequest.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlainRequest.kt
@@ -22,7 +22,17 @@
     public val path: String,
     public val call: PlainCall,
     public val key: IdempotencyKey?,
-)
+) {
+    /** The hash of service, method, path and body; computed once, because bodies can be large. */
+    public val fingerprint: Fingerprint by lazy {
+        fingerprintOf(
+            service.value.encodeToByteArray(),
+            call.method.encodeToByteArray(),
+            call.pathAndQuery.encodeToByteArray(),
+            call.body,
+        )
+    }
+}
 
 /** What the caller learns: a start, bytes and a completion, or a failure at any point. */
 public sealed interface PlainEvent
@@ -52,11 +62,3 @@
 public fun Service?.isNonRepeatable(request: PlainRequest): Boolean = this?.nonRepeatable.orEmpty().any { rule ->
     (rule.method == "*" || rule.method == request.call.method) && request.path.startsWith(rule.pathPrefix)
 }
-
-/** Returns the hash of service, method, path and body. */
-public fun PlainRequest.fingerprint(): Fingerprint = fingerprintOf(
-    service.value.encodeToByteArray(),
-    call.method.encodeToByteArray(),
-    call.pathAndQuery.encodeToByteArray(),
-    call.body,
-)
--- a/src/main/kotlin/fulmarshunt/caller/PlainService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlainService.kt
@@ -9,11 +9,9 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Clock
-import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.entry.AdmissionRequest
-import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.SharedState
 import fulmarshunt.entry.TicketOutcome
@@ -22,7 +20,6 @@
 import fulmarshunt.target.PlainReceiver
 import fulmarshunt.target.SendPlainCall
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.flow.channelFlow
 
 /** Asks the voters about a claim; null if they did not answer. */
 public typealias AskClaims = suspend (ClaimCall) -> ClaimReply?
@@ -45,39 +42,27 @@
 /** Passes events to the caller. */
 internal typealias EmitPlain = suspend (PlainEvent) -> Unit
 
+private val problemEvents = ProblemEvents<PlainEvent>(::PlainFailed) { (it as? PlainFailed)?.problem }
+
 /** Returns a service that answers plain calls. */
 public fun plainService(parts: PlainParts): ServePlain = { request ->
-    channelFlow {
-        var outcome = "cancelled"
-        try {
-            val last = parts.serve(request, ::send)
-            outcome = if (last is PlainFailed) last.problem.kind.slug else "finished"
-            send(last)
-        } finally {
-            parts.meters.request(outcome)
-        }
-    }
+    answerFlow(request.account, parts.gate, parts.meters, problemEvents) { emit -> parts.serve(request, emit) }
 }
 
 private suspend fun PlainParts.serve(request: PlainRequest, emit: EmitPlain): PlainEvent {
-    gate.enter(request.account)?.let { return PlainFailed(it) }
-    try {
-        gate.check(request.service, ServiceKind.PLAIN, request.fingerprint())?.let { return PlainFailed(it) }
-        if (state().configuration.services[request.service].isNonRepeatable(request)) {
-            return ClaimedCall(this, request, emit).run()
-        }
-        val places = PlaceSearch(this, request)
-        while (true) {
-            val grant = places.next().fold({ return PlainFailed(it) }, { it })
-            val end = runAt(grant, request, passOn(emit))
-            if (end is PlainEnd.Answered) return PlainCompleted.also { gate.reportSuccess(request.account) }
-            val isRepeatable = end is PlainEnd.Refused || request.isIdempotent
-            val hasStarted = end is PlainEnd.Broken && end.hasAnswerStarted
-            places.failed(grant, end.toProblem())
-            if (!isRepeatable || hasStarted) return PlainFailed(end.toProblem())
-        }
-    } finally {
-        gate.leave(request.account)
+    gate.check(request.service, ServiceKind.PLAIN, request.fingerprint)?.let { return PlainFailed(it) }
+    if (state().configuration.services[request.service].isNonRepeatable(request)) {
+        return ClaimedCall(this, request, emit).run()
+    }
+    val places = PlaceSearch(this, request)
+    while (true) {
+        val grant = places.next().fold({ return PlainFailed(it) }, { it })
+        val end = runAt(grant, request, passOn(emit))
+        if (end is PlainEnd.Answered) return PlainCompleted.also { gate.reportSuccess(request.account) }
+        val isRepeatable = end is PlainEnd.Refused || request.isIdempotent
+        val hasStarted = end is PlainEnd.Broken && end.hasAnswerStarted
+        places.failed(grant, end.toProblem())
+        if (!isRepeatable || hasStarted) return PlainFailed(end.toProblem())
     }
 }
 
@@ -100,11 +85,8 @@
 
 /** Finds places for the attempts of one call and stops when attempts or retries are used up. */
 internal class PlaceSearch(private val parts: PlainParts, private val request: PlainRequest) {
-    private val excluded = mutableListOf<TargetId>()
-    private val lost = mutableListOf<LostAttempt>()
+    private val places = PlaceRequests(request.toAdmissionRequest(parts), parts.admissions, parts.clock, parts.meters)
     private var problem: RequestProblem? = null
-    private var queuedMs = 0L
-    private var asked = 0
     private var attempts = 0
 
     /** Returns a grant that was checked and may be used at once, or why there is none. */
@@ -114,11 +96,7 @@
             return checkNotNull(problem).left()
         }
         repeat(MAX_UNUSED_GRANTS) {
-            val startMs = parts.clock.nowMs()
-            val reply = parts.admissions.admit(admission())
-            queuedMs += parts.clock.nowMs() - startMs
-            val grant = reply.fold({ return (problem ?: it.toProblem()).left() }, { it })
-            parts.meters.queuedMs(queuedMs)
+            val grant = places.next().fold({ return (problem ?: it.toProblem()).left() }, { it })
             val obstacle = parts.admissions.use(grant)
             if (obstacle == null) {
                 attempts++
@@ -132,26 +110,22 @@
 
     /** Notes that the attempt with [grant] failed; an unknown outcome is kept. */
     fun failed(grant: PlacedGrant, why: RequestProblem) {
-        excluded += grant.granted.target
-        if (why.ran == RunState.UNKNOWN) lost += grant.toLostAttempt()
+        places.exclude(grant, isLost = why.ran == RunState.UNKNOWN)
         if (problem?.ran != RunState.UNKNOWN) problem = why
     }
-
-    private fun admission(): AdmissionRequest = AdmissionRequest(
-        ticket = TicketId("${request.id}.${++asked}"),
-        vm = parts.vm,
-        account = request.account,
-        service = request.service,
-        promptTokens = 1,
-        maxOutputTokens = 1,
-        fingerprint = request.fingerprint(),
-        waitedMs = queuedMs,
-        maxWaitMs = parts.maxQueueWaitMs,
-        excluded = excluded.toList(),
-        lost = lost.toList(),
-    )
 }
 
+private fun PlainRequest.toAdmissionRequest(parts: PlainParts): AdmissionRequest = AdmissionRequest(
+    ticket = TicketId(id.value),
+    vm = parts.vm,
+    account = account,
+    service = service,
+    promptTokens = 1,
+    maxOutputTokens = 1,
+    fingerprint = fingerprint,
+    maxWaitMs = parts.maxQueueWaitMs,
+)
+
 private fun passOn(emit: EmitPlain): PlainReceiver =
     PlainReceiver(onHead = { emit(PlainStarted(it)) }, onBytes = { emit(PlainBytes(it)) })
 
--- a/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
@@ -21,6 +21,8 @@
 import fulmarshunt.caller.RequestProblem
 import fulmarshunt.caller.RunState
 import fulmarshunt.caller.ServePlain
+import fulmarshunt.platform.http.connectionHeaders
+import fulmarshunt.platform.http.pairsWithout
 import fulmarshunt.target.PlainCall
 import fulmarshunt.target.PlainHead
 import io.ktor.http.ContentType
@@ -52,21 +54,7 @@
 private const val MAX_KEY_CHARS = 200
 
 /** Headers that end at the entry VM. The API key must not reach targets. */
-private val droppedHeaders =
-    setOf(
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
+private val droppedHeaders = connectionHeaders + setOf("authorization", "expect")
 
 /** Adds the interface to plain services; answers come from [serve]. */
 public fun Route.serviceRoutes(authenticate: Authenticate, serve: ServePlain) {
@@ -89,11 +77,6 @@
         return malformed("Idempotency-Key must have 1 to $MAX_KEY_CHARS characters").left()
     }
     val query = request.queryString().let { if (it.isEmpty()) "" else "?$it" }
-    val headers =
-        request.headers
-            .entries()
-            .filter { (name, _) -> name.lowercase() !in droppedHeaders }
-            .flatMap { (name, values) -> values.map { name to it } }
     return PlainRequest(
         id = RequestId(UUID.randomUUID().toString()),
         account = account,
@@ -102,7 +85,7 @@
         call = PlainCall(
             method = request.httpMethod.value.uppercase(),
             pathAndQuery = "/" + segments.joinToString("/") { it.encodeURLPathPart() } + query,
-            headers = headers,
+            headers = request.headers.pairsWithout(droppedHeaders),
             body = body,
         ),
         key = key?.let { IdempotencyKey(it) },
--- a/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseTable.kt
@@ -44,7 +44,7 @@
     private val givenBack = HashSet<VmId>()
 
     init {
-        registered.forEach { leases[it] = Lease(electedAtMs + LEASE_WITH_MARGIN_MS, electedAtMs) }
+        recordNew(registered, electedAtMs)
     }
 
     /** Records that [renewal] is answered with a lease at [nowMs]; the VM must not be withheld. */
@@ -174,8 +174,7 @@
 
     /** Returns those of [registered] that have not renewed for [REGISTRATION_MS]. */
     private fun goneAt(nowMs: Long, registered: Set<VmId>): List<VmId> = registered
-        .filter { nowMs >= (leases[it]?.renewedAtMs ?: nowMs) + REGISTRATION_MS }
-        .sortedBy { it.value }
+        .filter { nowMs >= leases.getValue(it).renewedAtMs + REGISTRATION_MS }
 
     /** Returns the next time after [nowMs] at which a lease or a vacancy ends, or null if there is none. */
     fun nextEndOrNull(nowMs: Long): Long? =
--- a/src/main/kotlin/fulmarshunt/program/Control.kt
+++ b/src/main/kotlin/fulmarshunt/program/Control.kt
@@ -8,16 +8,15 @@
 import arrow.core.left
 import arrow.core.raise.either
 import arrow.core.right
-import fulmarshunt.Address
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
-import fulmarshunt.parseAddress
 import fulmarshunt.platform.ControlSettings
 import fulmarshunt.platform.ExitCode
 import fulmarshunt.platform.FirstOperatorSettings
 import fulmarshunt.platform.ProgramEnd
+import fulmarshunt.platform.checkedAddress
 import fulmarshunt.platform.controlSettingsCheck
 import fulmarshunt.platform.http.PlatformServer
 import fulmarshunt.platform.http.startPlatformServer
@@ -100,7 +99,7 @@
             settings.reachableAddress(),
             directory,
             settings.voters.bootstrap,
-            settings.voters.members.associate { it.vm to checked(it.address) },
+            settings.voters.members.associate { it.vm to checkedAddress(it.address) },
         )
     val log =
         openReplicatedLog(voter, machine.asReplicated, control, clock)
@@ -111,11 +110,11 @@
         controlServiceOf(control, machine, log.access(), firstOperator(settings.operator), clock, wallClock())
     val handlers = service.handlers(log.handlers(LinkHandlers()))
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
-    links.listen(checked(settings.link.listen)).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.listen: $it")) }
+    links.listen(checkedAddress(settings.link.listen)).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.listen: $it")) }
     val metrics = processMetrics()
     bindMetrics(metrics, machine, log.leadership)
     val platform =
-        startPlatformServer(checked(settings.platform.listen), metrics) {
+        startPlatformServer(checkedAddress(settings.platform.listen), metrics) {
             if (log.leadership.value.leader == null) "no leader is known" else null
         }.getOrElse { raise(ProgramEnd(ExitCode.USAGE, "platform.listen: $it")) }
     log.start(links)
@@ -134,6 +133,3 @@
 } catch (e: IOException) {
     "$directory cannot be created (${e::class.simpleName}): give the path of a writable directory".left()
 }
-
-private fun checked(address: String): Address =
-    checkNotNull(parseAddress(address).getOrNull()) { "unchecked address $address" }
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -41,10 +41,10 @@
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
-import fulmarshunt.parseAddress
 import fulmarshunt.platform.ControlThread
 import fulmarshunt.platform.EntrySettings
 import fulmarshunt.platform.PolicySettings
+import fulmarshunt.platform.checkedAddress
 import fulmarshunt.platform.http.HttpServer
 import fulmarshunt.platform.http.PlatformServer
 import fulmarshunt.platform.http.httpServer
@@ -143,7 +143,7 @@
         }.bind()
         listenForCallers(engine, controlClient, metrics).bind()
         platform =
-            startPlatformServer(address(settings.platform.listen), metrics, ::obstacleToReadiness)
+            startPlatformServer(checkedAddress(settings.platform.listen), metrics, ::obstacleToReadiness)
                 .mapLeft { "platform.listen: $it" }
                 .bind()
         keeper.start()
@@ -223,7 +223,7 @@
     }
 
     private suspend fun listen(field: String, text: String, create: (Address) -> HttpServer): Either<String, Unit> {
-        val address = address(text)
+        val address = checkedAddress(text)
         val server = create(address)
         return server.startAt(address).mapLeft { "$field: $it" }.map { servers += server }
     }
@@ -241,7 +241,7 @@
             .with(stateChannel) { _, push -> keeper.await().receive(push) }
             .with(admissionChannel) { _, call -> host.await().handle(call) }
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
-    links.listen(address(settings.link.listen)).mapLeft { "link.listen: $it" }.bind()
+    links.listen(checkedAddress(settings.link.listen)).mapLeft { "link.listen: $it" }.bind()
     val leader = leaderCallsOf(links, settings.control.parsed())
     val vm = EntryVm(settings.vm.id, settings.reachableAddress(), settings.vm.failureDomain)
     val store = settings.vm.dataDirectory?.let { stateStoreIn(Path.of(it)) }
@@ -286,5 +286,3 @@
 private fun policiesOf(settings: PolicySettings): PoolPolicies = checkNotNull(
     poolPolicies(settings.queue, settings.routing, settings.admission, settings.slowStart).getOrNull(),
 ) { "unchecked policies" }
-
-private fun address(text: String): Address = checkNotNull(parseAddress(text).getOrNull()) { "unchecked address $text" }
--- a/src/main/kotlin/fulmarshunt/target/Dispatcher.kt
+++ b/src/main/kotlin/fulmarshunt/target/Dispatcher.kt
@@ -83,7 +83,7 @@
         for (entry in queue.heads(isShort) { !placement.isHeld(it, targets, nowMs) }.take(TRIED_HEADS)) {
             val service = entry.request.service
             if (service in blocked) continue
-            val target = placement.chooseOrNull(entry, targets.values, configuration, longWaits, nowMs)
+            val target = placement.chooseOrNull(entry, targets, configuration, longWaits, nowMs)
             if (target != null) {
                 grant(entry, target, nowMs, onGrant)
                 return entry
--- a/src/main/kotlin/fulmarshunt/target/Placement.kt
+++ b/src/main/kotlin/fulmarshunt/target/Placement.kt
@@ -31,23 +31,19 @@
     /** Returns the target for [entry], or null if none can take it now. */
     fun chooseOrNull(
         entry: WaitingEntry,
-        targets: Collection<TargetState>,
+        targets: Map<TargetId, TargetState>,
         configuration: Configuration,
         longWaits: Boolean,
         nowMs: Long,
     ): TargetState? {
         val candidates = ArrayList<TargetCandidate>()
-        val byId = HashMap<String, TargetState>()
         val lastDeathMs = suspects.lastDeathMsOrNull(entry.request.fingerprint)
-        for (target in targets) {
+        for (target in targets.values) {
             if (target.health != TargetHealth.LIVE || isLeaving(target, configuration)) continue
             // Targets that fail together are not known to be dead at once; a suspect would be blamed for each of them.
             if (lastDeathMs != null && target.announcedMs < lastDeathMs) continue
             val candidate = candidateOrNull(entry, target, longWaits, nowMs)
-            if (candidate != null && policies.admissionRule(candidate)) {
-                candidates += candidate
-                byId[candidate.target.value] = target
-            }
+            if (candidate != null && policies.admissionRule(candidate)) candidates += candidate
         }
         if (candidates.isEmpty()) return null
         // Policies take the first of equals, which must not always be the same target.
@@ -57,7 +53,7 @@
         } else {
             policies.targetChoice(candidates)
         }
-        return byId.getValue(chosen.target.value)
+        return targets.getValue(chosen.target)
     }
 
     /** True while [entry] must not be placed anywhere, whatever room there is. */
--- a/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpEngineClient.kt
@@ -215,13 +215,8 @@
 /** A line that no event stream contains, because lines end at a line feed. */
 private const val END_OF_STREAM = "\n"
 
-private fun finishReasonOf(label: String): FinishReason = if (label ==
-    "length"
-) {
-    FinishReason.LENGTH
-} else {
-    FinishReason.STOP
-}
+private fun finishReasonOf(label: String): FinishReason =
+    if (label == "length") FinishReason.LENGTH else FinishReason.STOP
 
 private suspend fun <T> HttpClient.command(block: suspend HttpClient.() -> T): T? = try {
     withTimeoutOrNull(COMMAND_TIMEOUT_MS) { block() }
--- a/src/main/kotlin/fulmarshunt/target/http/HttpPlainClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpPlainClient.kt
@@ -4,6 +4,8 @@
  */
 package fulmarshunt.target.http
 
+import fulmarshunt.platform.http.connectionHeaders
+import fulmarshunt.platform.http.pairsWithout
 import fulmarshunt.target.PlainCall
 import fulmarshunt.target.PlainEnd
 import fulmarshunt.target.PlainHead
@@ -34,21 +36,7 @@
 private const val CHUNK_BYTES = 8_192
 
 /** Headers that concern one connection only, and those that the client sets itself. */
-internal val hopByHopHeaders: Set<String> =
-    setOf(
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-        "content-type",
-    )
+private val hopByHopHeaders = connectionHeaders + setOf("content-type", "proxy-authenticate")
 
 /** Returns a client that gives a call up after [limitMs] without a byte of the answer. */
 public fun httpPlainClient(limitMs: Long = ANSWER_LIMIT_MS): SendPlainCall {
@@ -93,11 +81,7 @@
     ?.let { (_, value) -> runCatching { ContentType.parse(value) }.getOrNull() }
 
 private suspend fun receive(response: HttpResponse, receiver: PlainReceiver, limitMs: Long) {
-    val headers =
-        response.headers
-            .entries()
-            .filter { (name, _) -> name.lowercase() !in hopByHopHeaders }
-            .flatMap { (name, values) -> values.map { name to it } }
+    val headers = response.headers.pairsWithout(hopByHopHeaders)
     receiver.onHead(PlainHead(response.status.value, response.headers[HttpHeaders.ContentType], headers))
     val body = response.bodyAsChannel()
     val chunk = ByteArray(CHUNK_BYTES)
--- a/src/test/kotlin/fulmarshunt/faults/FaultPairTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/FaultPairTest.kt
@@ -24,7 +24,6 @@
 import strikt.assertions.isGreaterThan
 import java.io.File
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 
 private fun account(name: String) = PutClientAccount(ClientAccount(ClientAccountId(name), sha256Hex(name)))
@@ -107,9 +106,7 @@
         withSite { site ->
             val engine = site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=900", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=900")
             site.leader().process.kill()
             engine.proxy.silenceOpenConnections()
             Thread.sleep(3_500)
@@ -124,9 +121,7 @@
         withSite(voterCount = 1) { site ->
             val leaving = site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=600", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=600")
             val other = site.engine("engine-2")
             leaving.act("leave")
             awaitThat("work on the other engine") {
--- a/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
+++ b/src/test/kotlin/fulmarshunt/faults/GenerationFaultTest.kt
@@ -5,7 +5,6 @@
 
 import fulmarshunt.FailureDomainId
 import fulmarshunt.operator.SetFailureDomainDrained
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
@@ -38,9 +37,7 @@
         withSite { site ->
             val engine = site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=300", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=300")
             engine.proxy.silenceOpenConnections()
             stream.get().expectWhole(300)
             expectThat(engine.stat("started")).isEqualTo(1L + site.entries.size)
@@ -53,9 +50,7 @@
         withSite { site ->
             val engine = site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=300", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=300")
             repeat(4) {
                 engine.proxy.resetOpenConnections()
                 Thread.sleep(300)
@@ -70,9 +65,7 @@
         withSite { site ->
             val engines = listOf(site.engine("engine-1"), site.engine("engine-2"))
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=2000", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=2000")
             engines.first { it.stat("running") > 0 }.process.kill()
             val received = stream.get()
             expectThat(received.isComplete).isFalse()
@@ -196,9 +189,7 @@
                 caller.stream(site.entries[0].callersPort, "x length=2")
                 inSuva.stat("started") > 0
             }
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=600", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=600")
             site.configure(SetFailureDomainDrained(FailureDomainId("suva"), true))
             val before = inSuva.stat("started")
             repeat(10) { n -> caller.stream(site.entries[n % 2].callersPort, "y$n length=3").expectWhole(3) }
@@ -219,9 +210,7 @@
         withSite { site ->
             site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=500", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=500")
             site.entries[0].process.terminate()
             eventually("the end of readiness") {
                 true.takeIf { runCatching { !site.isReady(site.entries[0]) }.getOrDefault(true) }
@@ -238,9 +227,7 @@
         withSite { site ->
             site.engine("engine-1")
             site.awaitService()
-            val started = CountDownLatch(1)
-            val stream = streamInBackground(site.entries[0], "letter length=800", started)
-            started.awaitFirst()
+            val stream = beginStream(site.entries[0], "letter length=800")
             site.voters.forEach { it.process.kill() }
             awaitThat("the end of readiness") { !site.isReady(site.entries[0]) }
             val refused = caller.stream(site.entries[0].callersPort, "x length=2")
--- a/src/test/kotlin/fulmarshunt/faults/GenerationSite.kt
+++ b/src/test/kotlin/fulmarshunt/faults/GenerationSite.kt
@@ -56,11 +56,12 @@
     expectThat(generations).hasSize(1)
 }
 
-/** Reads a stream on another thread; [started] is released at its fifth token. */
-fun streamInBackground(
-    entry: SiteEntry,
-    prompt: String,
-    started: CountDownLatch = CountDownLatch(1),
-): CompletableFuture<ReceivedStream> = CompletableFuture.supplyAsync {
-    caller.stream(entry.callersPort, prompt) { count -> if (count == 5) started.countDown() }
+/** Asks [entry] for a generation of [prompt], waits for its fifth token and returns the rest of the stream. */
+fun beginStream(entry: SiteEntry, prompt: String): CompletableFuture<ReceivedStream> {
+    val started = CountDownLatch(1)
+    val stream = CompletableFuture.supplyAsync {
+        caller.stream(entry.callersPort, prompt) { count -> if (count == 5) started.countDown() }
+    }
+    started.awaitFirst()
+    return stream
 }
