--- a/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
+++ b/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
@@ -10,7 +10,7 @@
 import fulmarshunt.ServiceId
 import fulmarshunt.entry.SharedState
 import fulmarshunt.operator.ServiceKind
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 
--- a/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
@@ -6,7 +6,7 @@
 package fulmarshunt.caller
 
 import fulmarshunt.TicketId
-import fulmarshunt.platform.retrying
+import fulmarshunt.process.retrying
 import fulmarshunt.target.PlainEnd
 import fulmarshunt.target.PlainHead
 import fulmarshunt.target.PlainReceiver
--- a/src/main/kotlin/fulmarshunt/caller/GenerationAttempt.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationAttempt.kt
@@ -7,7 +7,7 @@
 
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.TicketOutcome
-import fulmarshunt.platform.retrying
+import fulmarshunt.process.retrying
 import fulmarshunt.target.EngineGeneration
 import fulmarshunt.target.EngineToken
 import fulmarshunt.target.StreamEnd
--- a/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -6,8 +6,8 @@
 package fulmarshunt.caller.http
 
 import fulmarshunt.Address
-import fulmarshunt.platform.http.HttpServer
-import fulmarshunt.platform.http.httpServer
+import fulmarshunt.process.http.HttpServer
+import fulmarshunt.process.http.httpServer
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.install
 import io.ktor.server.http.HttpRequestLifecycle
--- a/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/ServiceRoutes.kt
@@ -21,8 +21,8 @@
 import fulmarshunt.caller.RequestProblem
 import fulmarshunt.caller.RunState
 import fulmarshunt.caller.ServePlain
-import fulmarshunt.platform.http.connectionHeaders
-import fulmarshunt.platform.http.pairsWithout
+import fulmarshunt.process.http.connectionHeaders
+import fulmarshunt.process.http.pairsWithout
 import fulmarshunt.target.PlainCall
 import fulmarshunt.target.PlainHead
 import io.ktor.http.ContentType
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionRouter.kt
@@ -14,7 +14,7 @@
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
 import fulmarshunt.link.LinkFailure
-import fulmarshunt.platform.retrying
+import fulmarshunt.process.retrying
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.flow.StateFlow
--- a/src/main/kotlin/fulmarshunt/entry/LeaseKeeper.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseKeeper.kt
@@ -9,7 +9,7 @@
 import fulmarshunt.PoolId
 import fulmarshunt.Term
 import fulmarshunt.link.LinkHandlers
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import fulmarshunt.voter.LeaderAnswer
 import fulmarshunt.voter.LeaderCalls
 import fulmarshunt.voter.Redirect
--- a/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -13,7 +13,7 @@
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.LinkPeer
 import fulmarshunt.operator.EntryVmStatus
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import fulmarshunt.voter.ApplyDeath
 import fulmarshunt.voter.ApplyRegistry
 import fulmarshunt.voter.ControlMachine
--- a/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
+++ b/src/main/kotlin/fulmarshunt/entry/PoolHost.kt
@@ -12,8 +12,8 @@
 import fulmarshunt.TargetId
 import fulmarshunt.TicketId
 import fulmarshunt.VmId
-import fulmarshunt.platform.ControlThread
-import fulmarshunt.platform.retrying
+import fulmarshunt.process.ControlThread
+import fulmarshunt.process.retrying
 import fulmarshunt.target.CancelGeneration
 import fulmarshunt.target.Decide
 import fulmarshunt.target.IssueLoad
--- a/src/main/kotlin/fulmarshunt/entry/Registrations.kt
+++ b/src/main/kotlin/fulmarshunt/entry/Registrations.kt
@@ -6,7 +6,7 @@
 
 import arrow.core.Either
 import fulmarshunt.VmId
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import fulmarshunt.voter.ProposeFailure
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.launch
--- a/src/main/kotlin/fulmarshunt/operator/ApiKeys.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ApiKeys.kt
@@ -4,7 +4,7 @@
  */
 package fulmarshunt.operator
 
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import fulmarshunt.sha256Hex
 import java.security.SecureRandom
 import java.util.Base64
--- a/src/main/kotlin/fulmarshunt/operator/CommandSubmission.kt
+++ b/src/main/kotlin/fulmarshunt/operator/CommandSubmission.kt
@@ -6,7 +6,7 @@
 import fulmarshunt.CommandId
 import fulmarshunt.OperatorId
 import fulmarshunt.Revision
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import java.util.UUID
 
 /** Who gives a command. */
--- a/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
@@ -5,7 +5,7 @@
 package fulmarshunt.operator
 
 import fulmarshunt.ClientAccountId
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 
 /** A new key, to be shown once. */
 public data class IssuedKey(
--- a/src/main/kotlin/fulmarshunt/operator/OperatorMessages.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorMessages.kt
@@ -12,7 +12,7 @@
 import fulmarshunt.VmId
 import fulmarshunt.VoterId
 import fulmarshunt.link.Channel
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/src/main/kotlin/fulmarshunt/operator/cli/AnswersFile.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/AnswersFile.kt
@@ -8,10 +8,10 @@
 import arrow.core.right
 import fulmarshunt.operator.Answers
 import fulmarshunt.operator.findProblem
-import fulmarshunt.platform.SettingsCheck
-import fulmarshunt.platform.SettingsProblem
-import fulmarshunt.platform.parseSettings
-import fulmarshunt.platform.readSettings
+import fulmarshunt.process.SettingsCheck
+import fulmarshunt.process.SettingsProblem
+import fulmarshunt.process.parseSettings
+import fulmarshunt.process.readSettings
 import java.nio.file.Path
 
 private val answersCheck: SettingsCheck<Answers> = { answers ->
--- a/src/main/kotlin/fulmarshunt/operator/cli/OperatorSession.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/OperatorSession.kt
@@ -15,12 +15,12 @@
 import fulmarshunt.operator.OperatorClientLimits
 import fulmarshunt.operator.OperatorPort
 import fulmarshunt.operator.operatorClient
-import fulmarshunt.platform.OperatorSettings
-import fulmarshunt.platform.Secret
-import fulmarshunt.platform.SettingsProblem
-import fulmarshunt.platform.operatorSettingsCheck
-import fulmarshunt.platform.parsed
-import fulmarshunt.platform.readSettings
+import fulmarshunt.process.OperatorSettings
+import fulmarshunt.process.Secret
+import fulmarshunt.process.SettingsProblem
+import fulmarshunt.process.operatorSettingsCheck
+import fulmarshunt.process.parsed
+import fulmarshunt.process.readSettings
 import java.nio.file.Path
 
 /** The environment variable that overrides `operator.id`. */
--- a/src/main/kotlin/fulmarshunt/operator/cli/OrdersProgram.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/OrdersProgram.kt
@@ -8,11 +8,11 @@
 import arrow.core.getOrElse
 import fulmarshunt.operator.DrainOrder
 import fulmarshunt.operator.carryOut
-import fulmarshunt.platform.Console
-import fulmarshunt.platform.ExitCode
-import fulmarshunt.platform.ProgramEnd
-import fulmarshunt.platform.ProgramOptions
-import fulmarshunt.platform.runProgram
+import fulmarshunt.process.Console
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.ProgramEnd
+import fulmarshunt.process.ProgramOptions
+import fulmarshunt.process.runProgram
 import kotlinx.cli.ExperimentalCli
 
 /** Runs `orders` with [args] and returns its exit code. */
--- a/src/main/kotlin/fulmarshunt/operator/cli/QuestionnaireProgram.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/QuestionnaireProgram.kt
@@ -26,11 +26,11 @@
 import fulmarshunt.operator.readConfiguration
 import fulmarshunt.operator.submitCommand
 import fulmarshunt.operator.withAll
-import fulmarshunt.platform.Console
-import fulmarshunt.platform.ExitCode
-import fulmarshunt.platform.ProgramEnd
-import fulmarshunt.platform.ProgramOptions
-import fulmarshunt.platform.runProgram
+import fulmarshunt.process.Console
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.ProgramEnd
+import fulmarshunt.process.ProgramOptions
+import fulmarshunt.process.runProgram
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
--- a/src/main/kotlin/fulmarshunt/operator/cli/ResultText.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/ResultText.kt
@@ -16,8 +16,8 @@
 import fulmarshunt.operator.OrderUnanswered
 import fulmarshunt.operator.StatusReply
 import fulmarshunt.operator.describeDifference
-import fulmarshunt.platform.ExitCode
-import fulmarshunt.platform.ProgramEnd
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.ProgramEnd
 import java.time.Instant
 
 /** Returns the lines for standard output. */
--- a/src/main/kotlin/fulmarshunt/platform/CommandLine.kt
+++ b/src/main/kotlin/fulmarshunt/process/CommandLine.kt
@@ -4,7 +4,7 @@
  */
 @file:OptIn(ExperimentalCli::class)
 
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import arrow.core.Either
 import arrow.core.left
--- a/src/main/kotlin/fulmarshunt/platform/ControlThread.kt
+++ b/src/main/kotlin/fulmarshunt/process/ControlThread.kt
@@ -3,7 +3,7 @@
  * threads asks for changes with [ControlThread.run] and reads immutable snapshots. Blocks that run here must be short
  * and must neither block nor perform input or output.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExecutorCoroutineDispatcher
--- a/src/main/kotlin/fulmarshunt/platform/ExitCode.kt
+++ b/src/main/kotlin/fulmarshunt/process/ExitCode.kt
@@ -1,7 +1,7 @@
 /*
  * How a program ends: the exit code is the same for all programs.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 /** The exit codes of the programs. */
 public enum class ExitCode(
--- a/src/main/kotlin/fulmarshunt/platform/Metrics.kt
+++ b/src/main/kotlin/fulmarshunt/process/Metrics.kt
@@ -1,7 +1,7 @@
 /*
  * The metrics of a process: what the JVM measures about itself, and what the parts of the system register.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
--- a/src/main/kotlin/fulmarshunt/platform/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
@@ -4,7 +4,7 @@
  */
 @file:OptIn(ExperimentalCli::class)
 
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
@@ -118,7 +118,7 @@
  */
 public fun shutDownOnTermination(limitMs: Long, shutDown: suspend () -> Unit) {
     // Log4j cannot be started once the JVM is shutting down, so the logger is not first asked for in the hook.
-    val log = LogManager.getLogger("fulmarshunt.platform.ProcessMain")
+    val log = LogManager.getLogger("fulmarshunt.process.ProcessMain")
     Runtime.getRuntime().addShutdownHook(Thread({ haltAfter(limitMs, log, shutDown) }, "graceful-shutdown"))
 }
 
--- a/src/main/kotlin/fulmarshunt/platform/ProgramSettings.kt
+++ b/src/main/kotlin/fulmarshunt/process/ProgramSettings.kt
@@ -2,7 +2,7 @@
  * The settings of the programs. Each section of a file is a class of its own, so that programs share the sections that
  * they have in common. docs/settings.md lists every key, and a test compares the list with these classes.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import arrow.core.Either
 import arrow.core.left
--- a/src/main/kotlin/fulmarshunt/platform/Retrying.kt
+++ b/src/main/kotlin/fulmarshunt/process/Retrying.kt
@@ -1,7 +1,7 @@
 /*
  * Repetition of calls that must arrive but whose peer may be down for a while.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.coroutines.delay
 
--- a/src/main/kotlin/fulmarshunt/platform/Secret.kt
+++ b/src/main/kotlin/fulmarshunt/process/Secret.kt
@@ -1,7 +1,7 @@
 /*
  * A secret value that does not appear in text made from the objects that hold it.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.serialization.Serializable
 
--- a/src/main/kotlin/fulmarshunt/platform/Settings.kt
+++ b/src/main/kotlin/fulmarshunt/process/Settings.kt
@@ -3,7 +3,7 @@
  * mistake is found at the start and not in production. Every error is one line that names the file, the field and the
  * fix.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/src/main/kotlin/fulmarshunt/platform/SettingsChecks.kt
+++ b/src/main/kotlin/fulmarshunt/process/SettingsChecks.kt
@@ -2,7 +2,7 @@
  * Checks of settings values. A check is a function from the settings to the same settings or a problem; [checkAll]
  * combines checks of single fields.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import arrow.core.Either
 import arrow.core.left
--- a/src/main/kotlin/fulmarshunt/platform/SettingsStructure.kt
+++ b/src/main/kotlin/fulmarshunt/process/SettingsStructure.kt
@@ -2,7 +2,7 @@
  * Comparing a parsed settings file with the structure that a program expects: unknown and missing keys, wrong units and
  * wrong types. The parser's own messages name neither the field nor the fix.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.SerialDescriptor
--- a/src/main/kotlin/fulmarshunt/platform/http/ForwardedHeaders.kt
+++ b/src/main/kotlin/fulmarshunt/process/http/ForwardedHeaders.kt
@@ -1,7 +1,7 @@
 /*
  * Which headers of an HTTP message are passed on to the other side of this process.
  */
-package fulmarshunt.platform.http
+package fulmarshunt.process.http
 
 import io.ktor.http.Headers
 
--- a/src/main/kotlin/fulmarshunt/platform/http/HttpServers.kt
+++ b/src/main/kotlin/fulmarshunt/process/http/HttpServers.kt
@@ -2,7 +2,7 @@
  * HTTP servers of a process, whose failure to listen is an error value. The engine's accept job would otherwise also
  * report the failed bind as an uncaught exception, after which the process looked like one with a broken invariant.
  */
-package fulmarshunt.platform.http
+package fulmarshunt.process.http
 
 import arrow.core.Either
 import arrow.core.left
--- a/src/main/kotlin/fulmarshunt/platform/http/PlatformServer.kt
+++ b/src/main/kotlin/fulmarshunt/process/http/PlatformServer.kt
@@ -2,7 +2,7 @@
  * The HTTP server for the platform: the load balancer asks /readyz, the host asks /livez, and the monitoring system
  * reads /metrics.
  */
-package fulmarshunt.platform.http
+package fulmarshunt.process.http
 
 import arrow.core.Either
 import fulmarshunt.Address
--- a/src/main/kotlin/fulmarshunt/program/Entry.kt
+++ b/src/main/kotlin/fulmarshunt/program/Entry.kt
@@ -4,13 +4,13 @@
 package fulmarshunt.program
 
 import arrow.core.getOrElse
-import fulmarshunt.platform.EntrySettings
-import fulmarshunt.platform.ExitCode
-import fulmarshunt.platform.ProgramEnd
-import fulmarshunt.platform.entrySettingsCheck
-import fulmarshunt.platform.processMain
-import fulmarshunt.platform.readSettings
-import fulmarshunt.platform.serveUntilTerminated
+import fulmarshunt.process.EntrySettings
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.ProgramEnd
+import fulmarshunt.process.entrySettingsCheck
+import fulmarshunt.process.processMain
+import fulmarshunt.process.readSettings
+import fulmarshunt.process.serveUntilTerminated
 
 /** What a graceful shutdown may take beyond the configured times. */
 private const val SHUTDOWN_MARGIN_MS = 15_000L
--- a/src/main/kotlin/fulmarshunt/program/Orders.kt
+++ b/src/main/kotlin/fulmarshunt/program/Orders.kt
@@ -4,7 +4,7 @@
 package fulmarshunt.program
 
 import fulmarshunt.operator.cli.runOrders
-import fulmarshunt.platform.standardConsole
+import fulmarshunt.process.standardConsole
 import kotlin.system.exitProcess
 
 /** Starts the program. */
--- a/src/main/kotlin/fulmarshunt/target/http/HttpPlainClient.kt
+++ b/src/main/kotlin/fulmarshunt/target/http/HttpPlainClient.kt
@@ -4,8 +4,8 @@
  */
 package fulmarshunt.target.http
 
-import fulmarshunt.platform.http.connectionHeaders
-import fulmarshunt.platform.http.pairsWithout
+import fulmarshunt.process.http.connectionHeaders
+import fulmarshunt.process.http.pairsWithout
 import fulmarshunt.target.PlainCall
 import fulmarshunt.target.PlainEnd
 import fulmarshunt.target.PlainHead
--- a/src/main/kotlin/fulmarshunt/voter/ControlService.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ControlService.kt
@@ -9,7 +9,7 @@
 import fulmarshunt.entry.LeaseService
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.operator.OperatorService
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.collectLatest
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -15,7 +15,7 @@
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
 import fulmarshunt.operator.VoterStatus
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
--- a/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
@@ -9,7 +9,7 @@
 import fulmarshunt.Clock
 import fulmarshunt.VmId
 import fulmarshunt.VoterId
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.HexFormat
--- a/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
+++ b/src/test/kotlin/fulmarshunt/entry/ControlCluster.kt
@@ -13,8 +13,8 @@
 import fulmarshunt.monotonicClock
 import fulmarshunt.operator.OperatorPort
 import fulmarshunt.operator.operatorClient
-import fulmarshunt.platform.ControlThread
-import fulmarshunt.platform.startControlThread
+import fulmarshunt.process.ControlThread
+import fulmarshunt.process.startControlThread
 import fulmarshunt.sha256Hex
 import fulmarshunt.voter.AddFirstOperator
 import fulmarshunt.voter.LeaderCalls
--- a/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/LeaseKeeperTest.kt
@@ -25,7 +25,7 @@
 import fulmarshunt.operator.PutFailureDomain
 import fulmarshunt.operator.ShutDownVm
 import fulmarshunt.operator.SubmitCommand
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import fulmarshunt.voter.LeaderAnswer
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
--- a/src/test/kotlin/fulmarshunt/entry/PoolHostTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/PoolHostTest.kt
@@ -10,7 +10,7 @@
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.monotonicClock
-import fulmarshunt.platform.startControlThread
+import fulmarshunt.process.startControlThread
 import fulmarshunt.target.Decide
 import fulmarshunt.target.EngineLoad
 import fulmarshunt.target.IssueLoad
--- a/src/test/kotlin/fulmarshunt/faults/Site.kt
+++ b/src/test/kotlin/fulmarshunt/faults/Site.kt
@@ -25,7 +25,7 @@
 import fulmarshunt.operator.StatusReply
 import fulmarshunt.operator.SubmitCommand
 import fulmarshunt.operator.operatorChannel
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import fulmarshunt.sha256Hex
 import fulmarshunt.standin.Processes
 import fulmarshunt.standin.awaitPort
--- a/src/test/kotlin/fulmarshunt/operator/ExamplesTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/ExamplesTest.kt
@@ -6,11 +6,11 @@
 import arrow.core.Either
 import fulmarshunt.operator.cli.readAnswers
 import fulmarshunt.operator.cli.readOperatorSettings
-import fulmarshunt.platform.ControlSettings
-import fulmarshunt.platform.EntrySettings
-import fulmarshunt.platform.controlSettingsCheck
-import fulmarshunt.platform.entrySettingsCheck
-import fulmarshunt.platform.readSettings
+import fulmarshunt.process.ControlSettings
+import fulmarshunt.process.EntrySettings
+import fulmarshunt.process.controlSettingsCheck
+import fulmarshunt.process.entrySettingsCheck
+import fulmarshunt.process.readSettings
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
--- a/src/test/kotlin/fulmarshunt/operator/FakeControl.kt
+++ b/src/test/kotlin/fulmarshunt/operator/FakeControl.kt
@@ -12,7 +12,7 @@
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
-import fulmarshunt.platform.Console
+import fulmarshunt.process.Console
 import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.io.path.writeText
--- a/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/OrdersTest.kt
@@ -8,7 +8,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.operator.cli.runOrders
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
--- a/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
@@ -7,7 +7,7 @@
 import fulmarshunt.ServiceId
 import fulmarshunt.operator.cli.parseAnswers
 import fulmarshunt.operator.cli.runQuestionnaire
-import fulmarshunt.platform.Secret
+import fulmarshunt.process.Secret
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
--- a/src/test/kotlin/fulmarshunt/platform/PlatformServerTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/PlatformServerTest.kt
@@ -1,10 +1,10 @@
 /*
  * The platform server over loopback HTTP.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import fulmarshunt.Address
-import fulmarshunt.platform.http.startPlatformServer
+import fulmarshunt.process.http.startPlatformServer
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
--- a/src/test/kotlin/fulmarshunt/platform/ProcessMainTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/ProcessMainTest.kt
@@ -3,7 +3,7 @@
  */
 @file:OptIn(ExperimentalCli::class)
 
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import fulmarshunt.operator.RecordedConsole
 import kotlinx.cli.ExperimentalCli
@@ -89,7 +89,7 @@
                 "-Xmx32m",
                 "-cp",
                 System.getProperty("java.class.path"),
-                "fulmarshunt.platform.ProcessMainTestKt",
+                "fulmarshunt.process.ProcessMainTestKt",
             ).redirectErrorStream(true).start()
         try {
             val output = process.inputStream.bufferedReader()
--- a/src/test/kotlin/fulmarshunt/platform/SettingsPageTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/SettingsPageTest.kt
@@ -1,7 +1,7 @@
 /*
  * Compares docs/settings.md with the structure of the settings that the programs read.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import fulmarshunt.operator.Answers
 import kotlinx.serialization.descriptors.PrimitiveKind
--- a/src/test/kotlin/fulmarshunt/platform/SettingsTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/SettingsTest.kt
@@ -1,7 +1,7 @@
 /*
  * Each kind of mistake in a settings file and the line that it leads to.
  */
-package fulmarshunt.platform
+package fulmarshunt.process
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/src/test/kotlin/fulmarshunt/voter/MemoryLog.kt
+++ b/src/test/kotlin/fulmarshunt/voter/MemoryLog.kt
@@ -8,7 +8,7 @@
 import fulmarshunt.Address
 import fulmarshunt.LogIndex
 import fulmarshunt.Term
-import fulmarshunt.platform.ControlThread
+import fulmarshunt.process.ControlThread
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
--- a/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -10,7 +10,7 @@
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
-import fulmarshunt.platform.startControlThread
+import fulmarshunt.process.startControlThread
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import java.net.ServerSocket
