--- a/src/main/kotlin/fulmarshunt/Ids.kt
+++ b/src/main/kotlin/fulmarshunt/Ids.kt
@@ -148,3 +148,12 @@
 
     override fun toString(): String = value.toString()
 }
+
+/** Numbers the serving configurations that operators send; the highest one takes effect. */
+@Serializable
+@JvmInline
+public value class ConfigurationVersion(public val value: Long) : Comparable<ConfigurationVersion> {
+    override fun compareTo(other: ConfigurationVersion): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -0,0 +1,80 @@
+/*
+ * Cuts the bytes of an event stream into whole events. Only whole events are passed on, so that a stream whose target
+ * is lost in the middle of an event can go on at another target.
+ */
+package fulmarshunt.caller.relay
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+private const val NEW_LINE = '\n'.code.toByte()
+private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private val ID_FIELD = "id:".encodeToByteArray()
+
+/** The events of one stream, in order. */
+internal class EventFramer {
+    private var rest: ByteBuf = Unpooled.EMPTY_BUFFER
+
+    /** The id of the last event that was returned whole, or null before the first or if ids are no numbers. */
+    var lastId: Long? = null
+        private set
+
+    /** Whether events without a usable id were returned; such a stream cannot be continued. */
+    var hasUnnumbered: Boolean = false
+        private set
+
+    /** The number of events that were returned. */
+    var events: Long = 0
+        private set
+
+    /** Takes [bytes], which it releases, and returns the events that are now whole, or null. */
+    fun feedOrNull(bytes: ByteBuf): ByteBuf? {
+        val all = if (rest.isReadable) Unpooled.wrappedBuffer(rest, bytes) else bytes
+        rest = Unpooled.EMPTY_BUFFER
+        var end = -1
+        var lineStart = all.readerIndex()
+        var eventId: Long? = null
+        while (true) {
+            val newLine = all.indexOf(lineStart, all.writerIndex(), NEW_LINE)
+            if (newLine < 0) break
+            val length = newLine - lineStart
+            val isBlank = length == 0 || (length == 1 && all.getByte(lineStart) == CARRIAGE_RETURN)
+            if (isBlank) {
+                end = newLine + 1
+                noteEvent(eventId)
+                eventId = null
+            } else {
+                idOrNull(all, lineStart, newLine)?.let { eventId = it }
+            }
+            lineStart = newLine + 1
+        }
+        if (end < 0) {
+            rest = all
+            return null
+        }
+        val whole = all.readRetainedSlice(end - all.readerIndex())
+        // The rest is copied, so that it does not keep a large buffer in memory.
+        if (all.isReadable) rest = Unpooled.copiedBuffer(all)
+        all.release()
+        return whole
+    }
+
+    /** Returns the bytes after the last whole event. */
+    fun takeRest(): ByteBuf = rest.also { rest = Unpooled.EMPTY_BUFFER }
+
+    /** Forgets the bytes after the last whole event. */
+    fun dropRest() {
+        takeRest().release()
+    }
+
+    private fun noteEvent(id: Long?) {
+        events += 1
+        if (id == null) hasUnnumbered = true else lastId = id
+    }
+
+    private fun idOrNull(bytes: ByteBuf, from: Int, to: Int): Long? {
+        if (to - from <= ID_FIELD.size) return null
+        if (ID_FIELD.indices.any { bytes.getByte(from + it) != ID_FIELD[it] }) return null
+        return bytes.toString(from + ID_FIELD.size, to - from - ID_FIELD.size, Charsets.US_ASCII).trim().toLongOrNull()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -0,0 +1,377 @@
+/*
+ * The life of one request: it is routed and admitted, gets a place at a target, is sent there, and its answer is passed
+ * on; or its caller is told at once what happened instead.
+ */
+package fulmarshunt.caller.relay
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Clock
+import fulmarshunt.FailureDomainId
+import fulmarshunt.caller.fingerprintOf
+import fulmarshunt.operator.serving.AccountKeys
+import fulmarshunt.operator.serving.Repeatability
+import fulmarshunt.operator.serving.Route
+import fulmarshunt.operator.serving.RoutingTable
+import fulmarshunt.operator.serving.ServiceProfile
+import fulmarshunt.operator.serving.serviceFor
+import fulmarshunt.process.ControlThread
+import fulmarshunt.target.fleet.Fleet
+import fulmarshunt.target.fleet.FleetView
+import fulmarshunt.target.fleet.KnownTarget
+import fulmarshunt.target.fleet.PlaceResult
+import fulmarshunt.target.fleet.Placement
+import fulmarshunt.target.fleet.Suspect
+import fulmarshunt.target.fleet.TargetConnections
+import fulmarshunt.target.fleet.UseEnd
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+/** How a request ended for its caller. */
+internal sealed interface ExchangeEnd {
+    data class Own(val answer: OwnAnswer) : ExchangeEnd
+
+    /** An answer of a target was passed on whole. */
+    data class Relayed(val keepsOpen: Boolean) : ExchangeEnd
+
+    /** An answer broke off; the caller sees that by the end of its connection. */
+    data object Broken : ExchangeEnd
+}
+
+/** The parts of an entry VM that exchanges use. */
+internal class ExchangeParts(
+    val domain: FailureDomainId,
+    val views: StateFlow<FleetView>,
+    val fleet: Fleet,
+    val control: ControlThread,
+    val connections: TargetConnections,
+    val dialect: Dialect,
+    val meters: RelayMeters,
+    val clock: Clock,
+    /** Uniform in 0 until 1. */
+    val draw: () -> Double,
+    /** Outlives requests; finds out whether a target has died. */
+    val background: CoroutineScope,
+)
+
+/** Time that is left for the answer of a target to travel. */
+private const val TRAVEL_MS = 10L
+
+/** Failed statuses that an idempotent request is sent to another target for. */
+private val SERVER_FAILURES = 500..599
+
+/** Runs exchanges. Confined to the traffic thread. */
+internal class Exchanges(private val parts: ExchangeParts) {
+    private val log = LogManager.getLogger(Exchanges::class.java)
+    private val calls = TargetCalls(parts.connections, parts.dialect, parts.clock)
+
+    suspend fun run(request: CallerRequest): ExchangeEnd {
+        request.body.readBeginning()
+        if (request.body.isComplete) request.pipe.watchForEnd()
+        bodyProblemOrNull(request)?.let { return it.also { end -> logUnrouted(request, end) } }
+        val job = admit(request).getOrElse { answer ->
+            return ExchangeEnd.Own(answer).also { logUnrouted(request, it) }
+        }
+        val places = JobPlaces(parts.fleet, parts.control)
+        parts.control.scope.launch { parts.fleet.noteRequest(job.service.id) }
+        var end: ExchangeEnd? = null
+        try {
+            end = withTimeoutOrNull(job.deadlineAtMs - parts.clock.nowMs()) { serve(job, places) } ?: timedOut(job)
+            return end
+        } finally {
+            places.endAll()
+            logEnd(job, end)
+        }
+    }
+
+    private fun admit(request: CallerRequest): Either<OwnAnswer, RelayJob> {
+        val table = parts.views.value.table ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_MS).left()
+        val host = request.head.headers().get(HttpHeaderNames.HOST).substringBefore(':')
+        val route = table.routeOrNull(host, request.path)
+            ?: return OwnAnswer(HttpResponseStatus.NOT_FOUND, "no route leads there").left()
+        val account = accountOf(table, route, request.facts.key)
+            .getOrElse { return it.left() }
+        val id = request.facts.id ?: return OwnAnswer(HttpResponseStatus.BAD_REQUEST, "the request has no id").left()
+        val service = table.serviceOrNull(route.serviceFor(parts.draw()))
+            ?: return notRun("the service of the route is not defined").left()
+        val patienceMs = minOf(request.facts.patienceMs ?: route.timeoutMs, route.timeoutMs)
+        val job = RelayJob(
+            request, id, route, service, account?.account, account?.rank ?: route.rank,
+            fingerprintOrNull(request, account, service), request.arrivedAtMs + patienceMs,
+        )
+        if (job.fingerprint in parts.views.value.refused) {
+            log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
+            return notRun("the request has crashed several targets").left()
+        }
+        return job.right()
+    }
+
+    private fun accountOf(table: RoutingTable, route: Route, key: String?): Either<OwnAnswer, AccountKeys?> {
+        val account = key?.let { table.accountOrNull(it) }
+        if (account != null || route.isPublic || !table.hasAccounts) return account.right()
+        return OwnAnswer(HttpResponseStatus.UNAUTHORIZED, "the key is not known").left()
+    }
+
+    private fun fingerprintOrNull(request: CallerRequest, account: AccountKeys?, service: ServiceProfile) =
+        if (service.engine == null || !request.body.isRepeatable) {
+            null
+        } else {
+            fingerprintOf(
+                request.head.method().name().encodeToByteArray(),
+                request.head.uri().encodeToByteArray(),
+                account?.account?.value.orEmpty().encodeToByteArray(),
+                request.body.beginning,
+            )
+        }
+
+    private suspend fun serve(job: RelayJob, places: JobPlaces): ExchangeEnd {
+        while (true) {
+            val askedAtMs = parts.clock.nowMs()
+            val placement = when (val result = places.place(job.ask(), waitLimitMs(job))) {
+                is PlaceResult.Placed -> result.placement
+                is PlaceResult.Full -> return unplaced(job, "no target has room", result)
+                PlaceResult.NoTarget -> return unplaced(job, "no target is known", null)
+            }
+            parts.meters.placed(job.service.id.value, parts.clock.nowMs() - askedAtMs)
+            job.trace.append(" ${placement.target.id}")
+            job.tried += placement.target.id
+            val failure = attempt(job, places, placement).fold({ it }, { return it })
+            parts.meters.attemptFailed(failure::class.simpleName.orEmpty(), job.service.id.value)
+            log.info("attempt failed request={} target={} failure={}", job.id, placement.target.id, failure)
+            note(job, failure)
+            val canSendAgain = job.request.body.isRepeatable
+            var hasBudget = false
+            if (canSendAgain && job.soFar.arrivals > 0) hasBudget = places.tryRepeat(job)
+            val step = nextStep(failure, job.route.repeatability, job.soFar, job.unsent, job.route.maxTargets) { hasBudget }
+            if (step == NextStep.TRY_ANOTHER && canSendAgain) continue
+            return ExchangeEnd.Own(
+                if (step == NextStep.ANSWER_UNKNOWN || job.soFar.runs > 0) {
+                    OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "the target failed: $failure")
+                } else {
+                    notRun("no target took the request: $failure", returnAfterMs(job, null, parts.draw()))
+                },
+            )
+        }
+    }
+
+    /** Sends the request to one target; returns the failure if nothing was passed on to the caller. */
+    private suspend fun attempt(
+        job: RelayJob,
+        places: JobPlaces,
+        placement: Placement,
+    ): Either<AttemptFailure, ExchangeEnd> = coroutineScope {
+        val copy = if (wantsCopy(job)) places.placeCopy(placement) else null
+        val nowMs = parts.clock.nowMs()
+        val dispatch = dispatchOf(job, placement.target, copy?.target, null, nowMs)
+        val opened = calls.open(job, placement.target, dispatch, this)
+        opened.fold(
+            { failure ->
+                copy?.let { places.end(it, UseEnd.ABANDONED) }
+                places.end(placement, useEndOf(failure))
+                if (failure is AttemptFailure.Lost) suspectIfDead(job, placement.target)
+                failure.left()
+            },
+            { answer ->
+                var isFinished = false
+                try {
+                    val end = relay(job, places, Run(answer, placement, copy))
+                    isFinished = true
+                    end
+                } finally {
+                    // The caller has left or its time is up: the target must not work on.
+                    if (!isFinished) answer.abandon()
+                }
+            },
+        )
+    }
+
+    private suspend fun relay(job: RelayJob, places: JobPlaces, run: Run): Either<AttemptFailure, ExchangeEnd> {
+        val status = run.answer.response.status().code()
+        if (status in SERVER_FAILURES && mayRepeat(job, places)) {
+            run.answer.abandon()
+            places.end(run.placement, UseEnd.FAILED)
+            return AttemptFailure.Failed(status).left()
+        }
+        val keepsOpen = HttpUtil.isKeepAlive(job.request.head)
+        val head = callerHead(run.answer.response, parts.dialect, keepsOpen, job.request.isHead)
+        return if (job.isStream && status == HttpResponseStatus.OK.code()) {
+            relayStream(job, places, run, head, keepsOpen).right()
+        } else {
+            relayPlain(job, places, run, head, keepsOpen)
+        }
+    }
+
+    private suspend fun relayStream(
+        job: RelayJob,
+        places: JobPlaces,
+        run: Run,
+        head: HttpResponse,
+        keepsOpen: Boolean,
+    ): ExchangeEnd {
+        val caller = job.request.pipe
+        head.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
+        HttpUtil.setTransferEncodingChunked(head, true)
+        job.hasAnswered = true
+        caller.send(head)
+        val streamParts = StreamParts(calls, parts.dialect, parts.views, places, parts.meters, parts.clock)
+        val relay = StreamRelay(job, streamParts, caller, run)
+        var isComplete = false
+        try {
+            isComplete = relay.passOn()
+        } finally {
+            if (!isComplete) relay.current.answer.abandon()
+        }
+        places.end(relay.current.placement, if (isComplete) UseEnd.SUCCEEDED else UseEnd.FAILED)
+        if (!isComplete) suspectIfDead(job, relay.current.placement.target)
+        return if (isComplete) ExchangeEnd.Relayed(keepsOpen) else ExchangeEnd.Broken
+    }
+
+    private suspend fun relayPlain(
+        job: RelayJob,
+        places: JobPlaces,
+        run: Run,
+        head: HttpResponse,
+        keepsOpen: Boolean,
+    ): Either<AttemptFailure, ExchangeEnd> {
+        val passed = passOn(run.answer, job.request.pipe, head) {
+            job.hasAnswered = true
+            parts.meters.firstByte(job.service.id.value, parts.clock.nowMs() - job.request.arrivedAtMs)
+        }
+        run.copy?.let { places.end(it, UseEnd.ABANDONED) }
+        if (passed == Passed.COMPLETE) {
+            run.answer.finish()
+            val isFailure = run.answer.response.status().code() in SERVER_FAILURES
+            places.end(run.placement, if (isFailure) UseEnd.FAILED else UseEnd.SUCCEEDED)
+            return ExchangeEnd.Relayed(keepsOpen).right()
+        }
+        run.answer.abandon()
+        places.end(run.placement, UseEnd.FAILED)
+        return when (passed) {
+            Passed.BROKEN_BEFORE -> AttemptFailure.Lost("the answer broke off").left()
+            else -> ExchangeEnd.Broken.right()
+        }
+    }
+
+    private suspend fun mayRepeat(job: RelayJob, places: JobPlaces): Boolean =
+        job.route.repeatability == Repeatability.IDEMPOTENT &&
+            job.request.body.isRepeatable &&
+            job.soFar.runs + 1 < job.route.maxTargets &&
+            places.tryRepeat(job)
+
+    private fun wantsCopy(job: RelayJob): Boolean =
+        job.isStream && job.service.engine?.canBackUp == true && job.expectedOutputTokens >= COPY_MIN_OUTPUT_TOKENS
+
+    private fun note(job: RelayJob, failure: AttemptFailure) {
+        val soFar = job.soFar
+        when (failure) {
+            is AttemptFailure.NotSent -> job.unsent += 1
+            is AttemptFailure.Refused -> job.soFar = soFar.copy(arrivals = soFar.arrivals + 1)
+            is AttemptFailure.Lost, is AttemptFailure.Failed ->
+                job.soFar = AttemptsSoFar(soFar.runs + 1, soFar.arrivals + 1)
+        }
+    }
+
+    /** A target that takes no connection right after it lost a request has probably died of it. */
+    private fun suspectIfDead(job: RelayJob, target: KnownTarget) {
+        val request = job.fingerprint ?: return
+        parts.background.launch {
+            val pipe = parts.connections.open(target.record.address, mayBeStale = false)
+            pipe.fold(
+                { reason ->
+                    log.warn("target died request={} target={} fingerprint={} reason={}", job.id, target.id, request, reason)
+                    parts.control.run { parts.fleet.suspect(Suspect(request, target.id, target.record.bornAtMs)) }
+                },
+                { it.close() },
+            )
+        }
+    }
+
+    private fun unplaced(job: RelayJob, reason: String, full: PlaceResult.Full?): ExchangeEnd = ExchangeEnd.Own(
+        if (job.soFar.runs > 0) {
+            OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "$reason after a target failed")
+        } else {
+            notRun(reason, returnAfterMs(job, full, parts.draw()))
+        },
+    )
+
+    private fun timedOut(job: RelayJob): ExchangeEnd =
+        if (job.hasAnswered) ExchangeEnd.Broken else ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, "time is up"))
+
+    private fun bodyProblemOrNull(request: CallerRequest): ExchangeEnd? = when (request.body.problem) {
+        null -> null
+        BodyProblem.CONNECTION_ENDED -> ExchangeEnd.Broken
+        BodyProblem.TOO_LONG ->
+            ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long", isLast = true))
+        BodyProblem.MALFORMED ->
+            ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.BAD_REQUEST, "the body cannot be read", isLast = true))
+    }
+
+    private fun logUnrouted(request: CallerRequest, end: ExchangeEnd) {
+        val answer = (end as? ExchangeEnd.Own)?.answer
+        answer?.let { parts.meters.refused(it) }
+        log.info(
+            "request ended id={} outcome=unrouted status={} reason={} path={} revision={}",
+            request.facts.id, answer?.status?.code(), answer?.reason ?: "the caller left", request.path,
+            parts.views.value.revision,
+        )
+    }
+
+    private fun logEnd(job: RelayJob, end: ExchangeEnd?) {
+        val elapsedMs = parts.clock.nowMs() - job.request.arrivedAtMs
+        val outcome = when (end) {
+            null -> "caller-left"
+            is ExchangeEnd.Own -> "own"
+            is ExchangeEnd.Relayed -> "relayed"
+            ExchangeEnd.Broken -> "broken"
+        }
+        val answer = (end as? ExchangeEnd.Own)?.answer
+        parts.meters.ended(outcome, job.service.id.value, elapsedMs)
+        log.info(
+            "request ended id={} outcome={} status={} reason={} route={} service={} account={} targets=[{}] " +
+                "runs={} tookMs={} retryAfterMs={} revision={}",
+            job.id, outcome, answer?.status?.code(), answer?.reason, job.route.name, job.service.id, job.account,
+            job.trace.trim(), job.soFar.runs, elapsedMs, answer?.retryAfterMs, parts.views.value.revision,
+        )
+    }
+
+    private companion object {
+        /** A caller without an answer is told to come back this soon while the first configuration is on its way. */
+        const val NO_CONFIGURATION_MS = 500L
+
+        /** Shorter generations are over before a copy would help. */
+        const val COPY_MIN_OUTPUT_TOKENS = 64
+    }
+}
+
+private fun useEndOf(failure: AttemptFailure): UseEnd = when (failure) {
+    is AttemptFailure.NotSent -> UseEnd.UNREACHABLE
+    is AttemptFailure.Refused -> UseEnd.REFUSED
+    is AttemptFailure.Lost, is AttemptFailure.Failed -> UseEnd.FAILED
+}
+
+/** Returns what is added to [job] for [target]. */
+internal fun dispatchOf(
+    job: RelayJob,
+    target: KnownTarget,
+    copyAt: KnownTarget?,
+    resume: ResumePoint?,
+    nowMs: Long,
+): Dispatch = Dispatch(
+    target = target.id,
+    timeLeftMs = (job.deadlineAtMs - nowMs - TRAVEL_MS).coerceAtLeast(1),
+    account = job.account,
+    priority = if (job.service.engine == null) null else priorityOf(job.rank),
+    copyAt = copyAt?.record?.address,
+    resume = resume,
+    allowsCallerResume = job.route.isResumable,
+)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/http/HttpEndpoints.kt
@@ -0,0 +1,156 @@
+/*
+ * Listening for HTTP/1.1 and dialing it. Everything runs on the event loop of one traffic thread; coroutines that use
+ * a connection run on the same loop, so that they need no locks.
+ */
+package fulmarshunt.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Address
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.suspendCancellableCoroutine
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ThreadFactory
+import kotlin.coroutines.resume
+
+/** The longest request or status line. */
+private const val MAX_LINE_BYTES = 8_192
+private const val MAX_RESPONSE_HEADER_BYTES = 65_536
+
+/** The piece in which a body is relayed at most. */
+private const val MAX_PIECE_BYTES = 16_384
+
+/** Bytes that wait to be written before the writer is held up. */
+private const val WRITE_LOW_BYTES = 16_384
+private const val WRITE_HIGH_BYTES = 65_536
+
+private const val ACCEPT_BACKLOG = 1_024
+
+/** The thread that moves callers' and targets' bytes. */
+public class Traffic : AutoCloseable {
+    private val log = LogManager.getLogger(Traffic::class.java)
+    private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(
+        1,
+        ThreadFactory { task -> Thread(task, "traffic").apply { isDaemon = true } },
+        NioIoHandler.newFactory(),
+    )
+    private val dispatcher: CoroutineDispatcher = group.next().asCoroutineDispatcher()
+
+    /** The scope of coroutines that run on the traffic thread. */
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
+
+    /**
+     * Accepts connections at [address] and runs [serve] for each; the connection is closed when it returns.
+     *
+     * @return the listening channel, or why the address cannot be used.
+     */
+    public suspend fun listen(
+        address: Address,
+        maxHeaderBytes: () -> Int,
+        serve: suspend (HttpPipe) -> Unit,
+    ): Either<String, Channel> {
+        val bootstrap = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+            .childHandler(
+                initializer { channel ->
+                    val pipe = HttpPipe(channel)
+                    channel.pipeline().addLast(strictRequestDecoder(maxHeaderBytes()), HttpResponseEncoder())
+                    channel.pipeline().addLast(PipeHandler(pipe))
+                    scope.launch { serveSafely(pipe, serve) }
+                },
+            )
+        val future = bootstrap.bind(address.host, address.port)
+        return if (future.awaitDone()) future.channel().right() else "cannot listen at $address: ${future.cause()?.message}".left()
+    }
+
+    /** Opens a connection to [address] within [timeoutMs], or says why it cannot be opened. */
+    public suspend fun dial(address: Address, timeoutMs: Int): Either<String, HttpPipe> {
+        var pipe: HttpPipe? = null
+        val bootstrap = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
+            .handler(
+                initializer { channel ->
+                    channel.pipeline().addLast(HttpClientCodec(decoderConfig(MAX_RESPONSE_HEADER_BYTES), false, false))
+                    pipe = HttpPipe(channel).also { channel.pipeline().addLast(PipeHandler(it)) }
+                },
+            )
+        val future = bootstrap.connect(address.host, address.port)
+        val isOpen = future.awaitDone()
+        return pipe?.takeIf { isOpen }?.right() ?: "no connection to $address: ${future.cause()?.message}".left()
+    }
+
+    /** Closes all connections. */
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully()
+    }
+
+    private suspend fun serveSafely(pipe: HttpPipe, serve: suspend (HttpPipe) -> Unit) {
+        try {
+            serve(pipe)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.error("connection failed peer={}", pipe.channel.remoteAddress(), e)
+        } finally {
+            pipe.close()
+        }
+    }
+}
+
+private fun initializer(prepare: (Channel) -> Unit) = object : ChannelInitializer<Channel>() {
+    override fun initChannel(channel: Channel) = prepare(channel)
+}
+
+private fun decoderConfig(maxHeaderBytes: Int) = HttpDecoderConfig()
+    .setMaxInitialLineLength(MAX_LINE_BYTES)
+    .setMaxHeaderSize(maxHeaderBytes)
+    .setMaxChunkSize(MAX_PIECE_BYTES)
+
+/** A decoder that fails on a request with both a length and chunks, whose end two readers could see differently. */
+private fun strictRequestDecoder(maxHeaderBytes: Int) = object : HttpRequestDecoder(decoderConfig(maxHeaderBytes)) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        throw IllegalArgumentException("the request has both a length and chunks")
+    }
+}
+
+/** Waits for the end of this operation and returns whether it succeeded; a cancelled wait closes the channel. */
+private suspend fun ChannelFuture.awaitDone(): Boolean = suspendCancellableCoroutine { continuation ->
+    addListener { if (continuation.isActive) continuation.resume(isSuccess) else channel().close() }
+    continuation.invokeOnCancellation { channel().close() }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/http/HttpPipe.kt
@@ -0,0 +1,150 @@
+/*
+ * One HTTP/1.1 connection as a sequence of decoded messages in each direction. It reads from the socket only when
+ * asked, so that a slow reader holds up its writer and nothing else. Confined to its event loop.
+ */
+package fulmarshunt.http
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.HttpObject
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.io.IOException
+import kotlin.coroutines.resume
+
+/** How a connection has ended. */
+public enum class PipeEnd {
+    /** The peer closed it in order, or this side did. */
+    CLOSED,
+
+    /** It was reset, or failed in another way. */
+    BROKEN,
+}
+
+/** One connection. */
+public class HttpPipe internal constructor(public val channel: Channel) {
+    private val inbox = ArrayDeque<HttpObject>()
+    private var reader: CancellableContinuation<Unit>? = null
+    private var writer: CancellableContinuation<Unit>? = null
+
+    /** How the connection has ended, or null while it is open. */
+    public var end: PipeEnd? = null
+        private set
+
+    /** Called once when the connection ends. */
+    public var onEnd: (() -> Unit)? = null
+
+    /** True while the connection is open and nothing has arrived that was not asked for. */
+    public val isIdleClean: Boolean get() = end == null && inbox.isEmpty()
+
+    /** True while nothing that has arrived is waiting to be taken. */
+    public val isInboxEmpty: Boolean get() = inbox.isEmpty()
+
+    /**
+     * Returns the next message, or null at the end of the connection or once [isInterrupted], which is asked after each
+     * [wake]. The caller releases the message.
+     */
+    public suspend fun receiveOrNull(isInterrupted: () -> Boolean = { false }): HttpObject? {
+        while (true) {
+            inbox.removeFirstOrNull()?.let { return it }
+            if (end != null || isInterrupted()) return null
+            channel.read()
+            awaitInput()
+        }
+    }
+
+    /** Lets a waiting reader ask whether it is interrupted. */
+    public fun wake() {
+        reader?.let {
+            reader = null
+            it.resume(Unit)
+        }
+    }
+
+    /** Asks the socket for more, so that the end of the connection is noticed while nobody receives. */
+    public fun watchForEnd() {
+        if (end == null && inbox.isEmpty()) channel.read()
+    }
+
+    /** Writes [message] and waits while the peer takes no more; false if the connection has ended. */
+    public suspend fun send(message: Any): Boolean {
+        if (end != null) {
+            ReferenceCountUtil.release(message)
+            return false
+        }
+        channel.writeAndFlush(message)
+        while (end == null && !channel.isWritable) {
+            suspendCancellableCoroutine { writer = it }
+        }
+        return end == null
+    }
+
+    /** Writes [message] without flushing or waiting. */
+    public fun put(message: Any) {
+        if (end == null) channel.write(message) else ReferenceCountUtil.release(message)
+    }
+
+    /** Closes the connection. */
+    public fun close() {
+        channel.close()
+        dropInbox()
+    }
+
+    internal fun onMessage(message: HttpObject) {
+        inbox.addLast(message)
+        wake()
+    }
+
+    internal fun onWritable() {
+        writer?.let {
+            writer = null
+            it.resume(Unit)
+        }
+    }
+
+    internal fun onEnded(how: PipeEnd) {
+        if (end != null) return
+        end = how
+        wake()
+        onWritable()
+        onEnd?.invoke()
+    }
+
+    private suspend fun awaitInput() {
+        suspendCancellableCoroutine { continuation ->
+            reader = continuation
+            continuation.invokeOnCancellation { if (reader === continuation) reader = null }
+        }
+    }
+
+    private fun dropInbox() {
+        while (true) ReferenceCountUtil.release(inbox.removeFirstOrNull() ?: return)
+    }
+}
+
+/** Hands what a channel decodes to its pipe. */
+internal class PipeHandler(private val pipe: HttpPipe) : ChannelInboundHandlerAdapter() {
+    private var isBroken = false
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message is HttpObject) pipe.onMessage(message) else ReferenceCountUtil.release(message)
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) pipe.onWritable()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        pipe.onEnded(if (isBroken) PipeEnd.BROKEN else PipeEnd.CLOSED)
+    }
+
+    /** The codec reports a body that ends with its connection as complete, also after a reset; the pipe knows better. */
+    @Deprecated("Netty deprecates the handler of errors on outbound handlers only")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        isBroken = true
+        if (cause !is IOException) pipe.onEnded(PipeEnd.BROKEN)
+        context.close()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingOrders.kt
@@ -0,0 +1,127 @@
+/*
+ * Changes and reads of the durable state from any control VM. They are carried out by the leader; the other VMs pass
+ * them on. An order is acknowledged once a majority has it on disk, and a read is answered once a majority has confirmed
+ * that nothing newer exists.
+ */
+package fulmarshunt.operator.serving
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.link.Channel
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linkCbor
+import fulmarshunt.voter.LogAccess
+import fulmarshunt.voter.ProposeFailure
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.apache.logging.log4j.LogManager
+
+/** How long an order is tried. Operators go on to another VM after a second without an answer. */
+private const val ORDER_LIMIT_MS = 950L
+private const val RETRY_PAUSE_MS = 60L
+private const val LOCAL_READ_LIMIT_MS = 700L
+
+@Serializable
+internal sealed interface LeaderCall {
+    @Serializable
+    @SerialName("p")
+    class Propose(val command: ServingCommand) : LeaderCall
+
+    @Serializable
+    @SerialName("r")
+    data object Read : LeaderCall
+}
+
+@Serializable
+internal sealed interface LeaderReply {
+    @Serializable
+    @SerialName("d")
+    data object Done : LeaderReply
+
+    @Serializable
+    @SerialName("s")
+    data class State(val snapshot: ServingSnapshot) : LeaderReply
+
+    @Serializable
+    @SerialName("n")
+    data class NotLeader(val leader: Address?) : LeaderReply
+
+    @Serializable
+    @SerialName("u")
+    data class Unclear(val reason: String) : LeaderReply
+}
+
+private val leaderChannel: Channel<LeaderCall, LeaderReply> =
+    Channel("serving", LeaderCall.serializer(), LeaderReply.serializer())
+
+/** Submits changes and reads of the durable state. */
+public class ServingOrders internal constructor(
+    private val access: LogAccess,
+    private val machine: ServingMachine,
+    private val clock: Clock,
+    private val own: Address,
+) {
+    private val log = LogManager.getLogger(ServingOrders::class.java)
+
+    /** Returns [base] with the handler for calls of other control VMs. */
+    internal fun handlers(base: LinkHandlers): LinkHandlers = base.with(leaderChannel) { _, call -> answer(call) }
+
+    /** Carries out [command]; on the left, it may or may not take effect. */
+    public suspend fun submit(command: ServingCommand, links: Links): Either<String, Unit> =
+        callLeader(LeaderCall.Propose(command), links).map { }
+
+    /** Returns the newest state, or why it cannot be known now. */
+    public suspend fun read(links: Links): Either<String, ServingSnapshot> =
+        callLeader(LeaderCall.Read, links).map { (it as LeaderReply.State).snapshot }
+
+    private suspend fun callLeader(call: LeaderCall, links: Links): Either<String, LeaderReply> {
+        val endsAtMs = clock.nowMs() + ORDER_LIMIT_MS
+        var reason = "no leader is known"
+        while (true) {
+            val leftMs = endsAtMs - clock.nowMs()
+            if (leftMs <= 0) break
+            val leader = access.leadership.value.leader
+            val reply = when {
+                access.leadership.value.isLeader || leader == own -> answer(call)
+                leader == null -> LeaderReply.NotLeader(null)
+                else -> links.call(leader, leaderChannel, call, leftMs).fold({ LeaderReply.Unclear(it.reason) }, { it })
+            }
+            when (reply) {
+                LeaderReply.Done, is LeaderReply.State -> return reply.right()
+                is LeaderReply.NotLeader -> reason = "no leader answers, last heard of ${reply.leader ?: leader}"
+                is LeaderReply.Unclear -> reason = reply.reason
+            }
+            delay(RETRY_PAUSE_MS)
+        }
+        log.warn("order unclear call={} reason={}", call::class.simpleName, reason)
+        return reason.left()
+    }
+
+    private suspend fun answer(call: LeaderCall): LeaderReply = when (call) {
+        is LeaderCall.Propose -> propose(call.command)
+        LeaderCall.Read ->
+            if (access.confirmLeadership(LOCAL_READ_LIMIT_MS)) {
+                LeaderReply.State(machine.snapshots.value)
+            } else {
+                LeaderReply.NotLeader(access.leadership.value.leader)
+            }
+    }
+
+    private suspend fun propose(command: ServingCommand): LeaderReply {
+        val bytes = linkCbor.encodeToByteArray(ServingCommand.serializer(), command)
+        return access.propose(bytes, ORDER_LIMIT_MS).fold(
+            { failure ->
+                when (failure) {
+                    is ProposeFailure.NotLeader -> LeaderReply.NotLeader(failure.leader)
+                    is ProposeFailure.Undecided -> LeaderReply.Unclear(failure.reason)
+                }
+            },
+            { LeaderReply.Done },
+        )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -0,0 +1,105 @@
+/*
+ * The durable state of a deployment: the newest serving configuration and the drained failure domains. It is the state
+ * machine of the replicated log, so that every change has a log index, by which entry VMs order what they learn.
+ */
+package fulmarshunt.operator.serving
+
+import fulmarshunt.ConfigurationVersion
+import fulmarshunt.FailureDomainId
+import fulmarshunt.LogIndex
+import fulmarshunt.link.linkCbor
+import fulmarshunt.voter.ReplicatedStateMachine
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import org.apache.logging.log4j.LogManager
+
+/** A serving configuration as the operator sent it; it is read back unchanged. */
+@Serializable
+public class ConfigurationDocument(public val version: ConfigurationVersion, @ByteString public val bytes: ByteArray)
+
+/** A change of the durable state. */
+@Serializable
+public sealed interface ServingCommand {
+    /** Puts a configuration in force unless one of the same or a higher version is. */
+    @Serializable
+    @SerialName("c")
+    public class Replace(public val document: ConfigurationDocument) : ServingCommand
+
+    /** Takes a failure domain out of service, or brings it back. */
+    @Serializable
+    @SerialName("d")
+    public data class SetDrained(public val domain: FailureDomainId, public val isDrained: Boolean) : ServingCommand
+}
+
+/** The durable state after the log entry at [revision]. Immutable. */
+@Serializable
+public data class ServingSnapshot(
+    /** The index of the last entry that changed something; 0 before the first change. */
+    public val revision: LogIndex = LogIndex(0),
+    public val document: ConfigurationDocument? = null,
+    public val drained: Set<FailureDomainId> = emptySet(),
+)
+
+/** Returns the state after [command], which is the log entry at [index]. */
+public fun ServingSnapshot.after(index: LogIndex, command: ServingCommand): ServingSnapshot = when (command) {
+    is ServingCommand.Replace -> {
+        val current = document?.version
+        if (current != null && command.document.version <= current) {
+            this
+        } else {
+            copy(revision = index, document = command.document)
+        }
+    }
+    is ServingCommand.SetDrained -> {
+        val next = if (command.isDrained) drained + command.domain else drained - command.domain
+        if (next == drained) this else copy(revision = index, drained = next)
+    }
+}
+
+/** The state machine of a control VM; its functions run on the control thread. */
+public class ServingMachine {
+    private val log = LogManager.getLogger(ServingMachine::class.java)
+    private val state = MutableStateFlow(ServingSnapshot())
+
+    /** The state as far as this VM has applied it. */
+    public val snapshots: StateFlow<ServingSnapshot> = state.asStateFlow()
+
+    /** What the replicated log calls. */
+    public val asReplicated: ReplicatedStateMachine =
+        ReplicatedStateMachine(
+            apply = ::apply,
+            snapshot = { state.value.let { captured -> { encode(captured) } } },
+            restore = { _, bytes -> if (bytes.isNotEmpty()) state.value = decode(bytes) },
+        )
+
+    private fun apply(index: LogIndex, bytes: ByteArray): ByteArray {
+        val command = linkCbor.decodeFromByteArray(ServingCommand.serializer(), bytes)
+        val former = state.value
+        val next = former.after(index, command)
+        state.value = next
+        log.info(
+            "change index={} command={} version={} changed={} drained={}",
+            index,
+            describe(command),
+            next.document?.version,
+            next !== former,
+            next.drained,
+        )
+        return ByteArray(0)
+    }
+
+    private fun encode(snapshot: ServingSnapshot): ByteArray =
+        linkCbor.encodeToByteArray(ServingSnapshot.serializer(), snapshot)
+
+    private fun decode(bytes: ByteArray): ServingSnapshot =
+        linkCbor.decodeFromByteArray(ServingSnapshot.serializer(), bytes)
+}
+
+private fun describe(command: ServingCommand): String = when (command) {
+    is ServingCommand.Replace -> "replace:${command.document.version}"
+    is ServingCommand.SetDrained -> "drained:${command.domain}=${command.isDrained}"
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -0,0 +1,103 @@
+/*
+ * The calls that operators and targets make at a control VM.
+ */
+package fulmarshunt.platform
+
+import arrow.core.Either
+import fulmarshunt.FailureDomainId
+import fulmarshunt.TargetId
+import fulmarshunt.entry.watch.WatchService
+import fulmarshunt.http.HttpCall
+import fulmarshunt.http.HttpReply
+import fulmarshunt.link.Links
+import fulmarshunt.operator.serving.ConfigurationDocument
+import fulmarshunt.operator.serving.ServingCommand
+import fulmarshunt.operator.serving.ServingOrders
+import io.micrometer.core.instrument.MeterRegistry
+import org.apache.logging.log4j.LogManager
+
+/** The greatest body of a call; a replicated command must fit into one message between voters. */
+internal const val MAX_CALL_BYTES: Int = 1_000_000
+
+private const val OK = 200
+private const val BAD_REQUEST = 400
+private const val NOT_FOUND = 404
+private const val UNAVAILABLE = 503
+
+private val beatPath = Regex("/api/instances/([^/]+)/heartbeat")
+private val leavePath = Regex("/api/instances/([^/]+)/deregister")
+private val drainPath = Regex("/api/evacuation/([^/]+)/(start|end)")
+
+/** Answers calls of operators and targets. */
+internal class ControlApi(
+    private val orders: ServingOrders,
+    private val watches: WatchService,
+    private val links: Links,
+    private val meters: MeterRegistry,
+) {
+    private val log = LogManager.getLogger(ControlApi::class.java)
+
+    suspend fun answer(call: HttpCall): HttpReply {
+        val beat = beatPath.matchEntire(call.path)
+        val leave = leavePath.matchEntire(call.path)
+        val drain = drainPath.matchEntire(call.path)
+        val reply = when {
+            call.method == "POST" && beat != null -> announce(TargetId(beat.groupValues[1]), call.body)
+            call.method == "POST" && leave != null -> leave(TargetId(leave.groupValues[1]), call.body)
+            call.method == "POST" && call.path == "/api/config/replace" -> replace(call.body)
+            call.method == "GET" && call.path == "/api/config/get" -> read()
+            call.method == "POST" && drain != null ->
+                drain(FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
+            else -> reply(NOT_FOUND, "no such call")
+        }
+        meters.counter("fulmarshunt_control_calls", "status", reply.status.toString()).increment()
+        return reply
+    }
+
+    private suspend fun announce(id: TargetId, body: ByteArray): HttpReply = decodeAnnouncement(id, body).fold(
+        { problem ->
+            log.warn("announcement refused id={} problem={}", id, problem)
+            reply(BAD_REQUEST, problem)
+        },
+        { record ->
+            watches.announce(record)
+            reply(OK, "")
+        },
+    )
+
+    private suspend fun leave(id: TargetId, body: ByteArray): HttpReply {
+        watches.leave(id, decodeLeaveOrNull(body))
+        return reply(OK, "")
+    }
+
+    private suspend fun replace(body: ByteArray): HttpReply = decodeConfiguration(body).fold(
+        { problem ->
+            log.warn("configuration refused bytes={} problem={}", body.size, problem)
+            reply(BAD_REQUEST, problem)
+        },
+        { configuration ->
+            val command = ServingCommand.Replace(ConfigurationDocument(configuration.version, body))
+            submit("replace:${configuration.version}", command)
+        },
+    )
+
+    private suspend fun drain(domain: FailureDomainId, isDrained: Boolean): HttpReply =
+        submit("drained:$domain=$isDrained", ServingCommand.SetDrained(domain, isDrained))
+
+    private suspend fun submit(what: String, command: ServingCommand): HttpReply {
+        val result = orders.submit(command, links)
+        log.info("order ended command={} result={}", what, result.fold({ "unclear: $it" }, { "done" }))
+        return result.fold({ reply(UNAVAILABLE, it) }, { reply(OK, "") })
+    }
+
+    private suspend fun read(): HttpReply {
+        val document = when (val result = orders.read(links)) {
+            is Either.Left -> return reply(UNAVAILABLE, result.value)
+            is Either.Right -> result.value.document
+        }
+        return if (document == null) reply(NOT_FOUND, "no configuration yet") else HttpReply(OK, document.bytes)
+    }
+}
+
+private fun reply(status: Int, reason: String): HttpReply =
+    if (reason.isEmpty()) HttpReply(status, "{}".encodeToByteArray()) else HttpReply(status, reason.encodeToByteArray(), "text/plain")
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -0,0 +1,142 @@
+/*
+ * The program of a control VM: a voter of the replicated state that answers operators and targets, and is watched by
+ * entry VMs.
+ */
+package fulmarshunt.platform
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.raise.either
+import fulmarshunt.Address
+import fulmarshunt.entry.watch.WatchService
+import fulmarshunt.entry.watch.WatchServiceParts
+import fulmarshunt.http.HttpReply
+import fulmarshunt.http.Traffic
+import fulmarshunt.http.serveWhole
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ServingMachine
+import fulmarshunt.operator.serving.ServingOrders
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.FleetControlSettings
+import fulmarshunt.process.ProgramEnd
+import fulmarshunt.process.checkedAddress
+import fulmarshunt.process.fleetControlSettingsCheck
+import fulmarshunt.process.linkAddressOf
+import fulmarshunt.process.processMain
+import fulmarshunt.process.processMetrics
+import fulmarshunt.process.readSettings
+import fulmarshunt.process.seedAddresses
+import fulmarshunt.process.shutDownOnTermination
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.TargetDirectory
+import fulmarshunt.voter.ControlVm
+import fulmarshunt.voter.ReplicatedLog
+import fulmarshunt.voter.VoterSettings
+import fulmarshunt.voter.access
+import fulmarshunt.voter.controlDirectoryOf
+import fulmarshunt.voter.keepMembership
+import fulmarshunt.voter.openReplicatedLog
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.flow.filterNotNull
+import kotlinx.coroutines.flow.first
+import org.apache.logging.log4j.LogManager
+import java.nio.file.Path
+
+/** How long a shutdown may take; it waits only for the disk. */
+private const val SHUTDOWN_LIMIT_MS = 2_000L
+
+private const val HEADER_BYTES = 16_384
+
+/** Starts the program. */
+public fun main(args: Array<String>): Unit = processMain("fleet-control", args) { path ->
+    val settings = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck)
+        .getOrElse { return@processMain ProgramEnd(ExitCode.USAGE, it.message) }
+    startFleetControl(settings, path).fold({ it }) { log ->
+        val failure = log.failure.filterNotNull().first()
+        ProgramEnd(ExitCode.BROKEN_INVARIANT, "the replicated log has stopped: $failure")
+    }
+}
+
+private suspend fun startFleetControl(
+    settings: FleetControlSettings,
+    path: Path,
+): Either<ProgramEnd, ReplicatedLog> = either {
+    val logger = LogManager.getLogger("fulmarshunt.platform.FleetControl")
+    val control = startControlThread()
+    val clock = monotonicClock()
+    val own = linkAddressOf(settings.vm, settings.link)
+    val machine = ServingMachine()
+    lateinit var directory: fulmarshunt.voter.ControlDirectory
+    val voter = VoterSettings(
+        settings.vm.id, own, Path.of(settings.data.directory), settings.formation.bootstrap,
+        initialVoters = { directory.initialVotersOrNull() },
+    )
+    val log = openReplicatedLog(voter, machine.asReplicated, control, clock)
+        .getOrElse { raise(ProgramEnd(if (it.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE, it.message)) }
+    directory = controlDirectoryOf(ControlVm(settings.vm.id, log.id, own), control, clock) { seedsAt(path, settings) }
+    val access = log.access()
+    val orders = ServingOrders(access, machine, clock, own)
+    val watches = WatchService(
+        WatchServiceParts(
+            vm = settings.vm.id,
+            snapshots = machine.snapshots,
+            controls = { directory.known.value.map { it.linkAddress } },
+            own = own,
+            isCurrent = { log.isInContact(clock.nowMs()) },
+            directory = TargetDirectory(settings.targets.periodMs),
+        ),
+        control,
+        clock,
+    )
+    val handlers = watches.handlers(orders.handlers(directory.handlers(log.handlers(LinkHandlers()))))
+    val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
+    links.listen(own).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.port: $it")) }
+    val meters = processMetrics()
+    listen(settings, ControlApi(orders, watches, links, meters), meters)
+        .onLeft { raise(ProgramEnd(ExitCode.USAGE, it)) }
+    log.start(links)
+    directory.start(links) { log.leadership.value.leader != null }
+    watches.start(links)
+    keepMembership(log, directory, control)
+    shutDownOnTermination(SHUTDOWN_LIMIT_MS) {
+        logger.info("process stops reason=SIGTERM")
+        log.close()
+        links.close()
+    }
+    logger.info("process started vm={} voter={} link={} seeds={}", settings.vm.id, log.id, own, settings.control.seeds)
+    log
+}
+
+private suspend fun listen(
+    settings: FleetControlSettings,
+    api: ControlApi,
+    meters: PrometheusMeterRegistry,
+): Either<String, Unit> = either {
+    val traffic = Traffic()
+    val requests = checkedAddress(settings.listen.requests)
+    traffic.listen(requests, { HEADER_BYTES }) { it.serveWhole(MAX_CALL_BYTES, api::answer) }.bind()
+    listenForMetrics(traffic, checkedAddress(settings.listen.metrics), meters).bind()
+}
+
+/** Serves the metrics of this process as text. */
+internal suspend fun listenForMetrics(
+    traffic: Traffic,
+    address: Address,
+    meters: PrometheusMeterRegistry,
+): Either<String, Unit> = traffic.listen(address, { HEADER_BYTES }) { pipe ->
+    pipe.serveWhole(0) { HttpReply(OK, meters.scrape().encodeToByteArray(), "text/plain; version=0.0.4") }
+}.map { }
+
+private const val OK = 200
+
+/** The seeds in the settings file, which may change; those at the start if it cannot be read. */
+private fun seedsAt(path: Path, atStart: FleetControlSettings): List<Address> {
+    val settings = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck).getOrElse { problem ->
+        LogManager.getLogger("fulmarshunt.platform.FleetControl").warn("settings unreadable problem={}", problem)
+        atStart
+    }
+    return seedAddresses(settings.control, settings.link)
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -0,0 +1,145 @@
+/*
+ * The program of an entry VM: it takes callers' requests and relays them to targets.
+ */
+package fulmarshunt.platform
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.raise.either
+import fulmarshunt.Address
+import fulmarshunt.caller.relay.CallerConnections
+import fulmarshunt.caller.relay.ExchangeParts
+import fulmarshunt.caller.relay.Exchanges
+import fulmarshunt.caller.relay.RelayMeters
+import fulmarshunt.entry.watch.FleetWatcher
+import fulmarshunt.http.HttpReply
+import fulmarshunt.http.Traffic
+import fulmarshunt.http.serveWhole
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.process.ExitCode
+import fulmarshunt.process.FleetBoundsSettings
+import fulmarshunt.process.FleetEntrySettings
+import fulmarshunt.process.ProgramEnd
+import fulmarshunt.process.checkedAddress
+import fulmarshunt.process.fleetEntrySettingsCheck
+import fulmarshunt.process.processMain
+import fulmarshunt.process.processMetrics
+import fulmarshunt.process.readSettings
+import fulmarshunt.process.seedAddresses
+import fulmarshunt.process.shutDownOnTermination
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.Fleet
+import fulmarshunt.target.fleet.RepeatBudget
+import fulmarshunt.target.fleet.RepeatLimits
+import fulmarshunt.target.fleet.TargetConnections
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
+
+private const val HEADER_BYTES = 16_384
+private const val MS_PER_S = 1_000
+
+/** Time that a stopping process leaves before the host kills it. */
+private const val KILL_MARGIN_MS = 400L
+
+/** The balancer asks each second and takes a VM out after two misses; until then, new connections arrive. */
+private const val LEAVE_BALANCER_MS = 2_600L
+private const val STOP_CHECK_MS = 50L
+private const val EXPIRE_PERIOD_MS = 1_000L
+
+/** Starts the program. */
+public fun main(args: Array<String>): Unit = processMain("fleet-entry", args) { path ->
+    val settings = readSettings(path, FleetEntrySettings.serializer(), fleetEntrySettingsCheck)
+        .getOrElse { return@processMain ProgramEnd(ExitCode.USAGE, it.message) }
+    startFleetEntry(settings, path).fold({ it }) { awaitCancellation() }
+}
+
+private suspend fun startFleetEntry(settings: FleetEntrySettings, path: Path): Either<ProgramEnd, Unit> = either {
+    val logger = LogManager.getLogger("fulmarshunt.platform.FleetEntry")
+    val control = startControlThread()
+    val clock = monotonicClock()
+    val meters = processMetrics()
+    val traffic = Traffic()
+    val links = linksOf(settings.vm.id.value, settings.link.secret.value, LinkHandlers())
+    val limits = repeatLimits(settings.bounds)
+    val fleet = Fleet(clock, settings.vm.failureDomain, RepeatBudget(limits)) { service ->
+        if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
+    }
+    val watcher = FleetWatcher(
+        settings.vm.id, settings.vm.failureDomain, { seedsAt(path, settings) }, ::decodeDocument, fleet, links, control, clock,
+    )
+    val connections = TargetConnections(traffic, clock)
+    val relayMeters = RelayMeters(meters)
+    val dialect = platformDialect(EngineCalls(connections))
+    val exchanges = Exchanges(
+        ExchangeParts(
+            settings.vm.failureDomain, watcher.views, fleet, control, connections, dialect, relayMeters, clock,
+            Random.Default::nextDouble, traffic.scope,
+        ),
+    )
+    val callers = CallerConnections({ watcher.views.value }, dialect, relayMeters, clock, exchanges::run)
+    val isStopping = AtomicBoolean()
+    val headerBytes = { watcher.views.value.table?.configuration?.limits?.maxHeaderBytes ?: HEADER_BYTES }
+    traffic.listen(checkedAddress(settings.listen.callers), headerBytes, callers::serve)
+        .onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.callers: $it")) }
+    listenForReadiness(traffic, checkedAddress(settings.listen.readiness)) {
+        if (isStopping.get()) "stopping" else if (watcher.views.value.table == null) "no configuration" else null
+    }.onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.readiness: $it")) }
+    listenForMetrics(traffic, checkedAddress(settings.listen.metrics), meters)
+        .onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.metrics: $it")) }
+    control.run { watcher.start() }
+    traffic.scope.launch {
+        while (true) {
+            delay(EXPIRE_PERIOD_MS)
+            connections.expire()
+        }
+    }
+    val graceMs = (settings.shutdown.graceS * MS_PER_S).toLong() - KILL_MARGIN_MS
+    shutDownOnTermination(graceMs) {
+        isStopping.set(true)
+        logger.info("process stops reason=SIGTERM active={}", callers.active)
+        delay(LEAVE_BALANCER_MS)
+        withContext(traffic.scope.coroutineContext) {
+            callers.stop()
+            while (callers.active > 0) delay(STOP_CHECK_MS)
+        }
+        logger.info("process stopped")
+    }
+    logger.info("process started vm={} callers={} seeds={}", settings.vm.id, settings.listen.callers, settings.control.seeds)
+}
+
+private suspend fun listenForReadiness(
+    traffic: Traffic,
+    address: Address,
+    problem: () -> String?,
+): Either<String, Unit> = traffic.listen(address, { HEADER_BYTES }) { pipe ->
+    pipe.serveWhole(0) { call ->
+        val reason = if (call.path == "/api/ready") problem() else "no such path"
+        if (reason == null) HttpReply(OK) else HttpReply(UNAVAILABLE, reason.encodeToByteArray(), "text/plain")
+    }
+}.map { }
+
+private const val OK = 200
+private const val UNAVAILABLE = 503
+
+private fun repeatLimits(bounds: FleetBoundsSettings) =
+    RepeatLimits(bounds.repeatRatio, bounds.repeatAllowance, (bounds.repeatWindowS * MS_PER_S).toLong())
+
+private fun coldLimitPerS(configuredPerS: Double, bounds: FleetBoundsSettings): Double =
+    configuredPerS * bounds.coldFactor + bounds.coldAllowance
+
+/** The seeds in the settings file, which may change; those at the start if it cannot be read. */
+private fun seedsAt(path: Path, atStart: FleetEntrySettings): List<Address> {
+    val settings = readSettings(path, FleetEntrySettings.serializer(), fleetEntrySettingsCheck).getOrElse { problem ->
+        LogManager.getLogger("fulmarshunt.platform.FleetEntry").warn("settings unreadable problem={}", problem)
+        atStart
+    }
+    return seedAddresses(settings.control, settings.link)
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/platform/HeaderDialect.kt
@@ -0,0 +1,78 @@
+/*
+ * Translates the headers of requests and answers.
+ */
+package fulmarshunt.platform
+
+import fulmarshunt.RequestId
+import fulmarshunt.caller.relay.AnswerFacts
+import fulmarshunt.caller.relay.Dialect
+import fulmarshunt.caller.relay.Dispatch
+import fulmarshunt.caller.relay.GenerationFacts
+import fulmarshunt.caller.relay.RequestFacts
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Headers that concern one connection only. */
+private val connectionHeaders = setOf(
+    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade", "content-length", "expect",
+)
+
+/** Returns the dialect of the platform. */
+internal fun platformDialect(engines: EngineCalls): Dialect = Dialect(
+    readRequest = ::readRequest,
+    forTarget = ::headersForTarget,
+    forCaller = { headers -> headers.copyWithout(connectionNames(headers)) },
+    readAnswer = ::readAnswer,
+    move = engines::move,
+    copyHandle = { it.value },
+)
+
+private fun readRequest(headers: HttpHeaders): RequestFacts = RequestFacts(
+    id = headers.get(HeaderName.REQUEST_ID)?.takeIf { it.isNotBlank() }?.let(::RequestId),
+    key = headers.get(HeaderName.KEY)?.trim(),
+    patienceMs = headers.get(HeaderName.DEADLINE_MS)?.trim()?.toLongOrNull()?.coerceAtLeast(0),
+    generation = readGenerationOrNull(headers),
+)
+
+private fun readGenerationOrNull(headers: HttpHeaders): GenerationFacts? {
+    val counts = headers.get(HeaderName.TOKEN_COUNTS)?.split(',') ?: return null
+    val promptTokens = counts.getOrNull(0)?.trim()?.toIntOrNull() ?: return null
+    val maxOutputTokens = counts.getOrNull(1)?.trim()?.toIntOrNull() ?: return null
+    val hint = headers.get(HeaderName.LENGTH_HINT)?.trim()?.toDoubleOrNull()?.toInt()
+    return GenerationFacts(promptTokens.coerceAtLeast(0), maxOutputTokens.coerceAtLeast(0), hint)
+}
+
+private fun headersForTarget(headers: HttpHeaders, dispatch: Dispatch): HttpHeaders {
+    val copy = headers.copyWithout(connectionNames(headers) + systemHeaders)
+    copy.set(HeaderName.DEADLINE_MS, dispatch.timeLeftMs)
+    copy.set(HeaderName.EXPECTED_TARGET, dispatch.target.value)
+    dispatch.account?.let { copy.set(HeaderName.ACCOUNT, it.value) }
+    dispatch.priority?.let { copy.set(HeaderName.PRIORITY, it) }
+    dispatch.copyAt?.let { copy.set(HeaderName.COPY_AT, it.toString()) }
+    val resume = dispatch.resume
+    if (resume != null) {
+        copy.set(HeaderName.RESUME_FROM, "${resume.holder}/${resume.handle}")
+        resume.lastEventId?.let { copy.set(HeaderName.LAST_EVENT_ID, it) }
+    } else if (dispatch.allowsCallerResume) {
+        headers.get(HeaderName.LAST_EVENT_ID)?.let { copy.set(HeaderName.LAST_EVENT_ID, it) }
+    }
+    return copy
+}
+
+private fun readAnswer(headers: HttpHeaders): AnswerFacts = AnswerFacts(
+    request = headers.get(HeaderName.REQUEST_ID),
+    isStamped = headers.contains(HeaderName.STAMP),
+    isNotRun = headers.contains(HeaderName.NOT_RUN),
+    retryAfterS = headers.get(HeaderName.RETRY_AFTER)?.trim()?.toDoubleOrNull(),
+)
+
+/** The names of headers that concern the connection, in lower case: the usual ones and those that it names itself. */
+private fun connectionNames(headers: HttpHeaders): Set<String> =
+    connectionHeaders + headers.getAll("connection").flatMap { it.split(',') }.map { it.trim().lowercase() }
+
+private fun HttpHeaders.copyWithout(names: Set<String>): HttpHeaders {
+    val copy = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+    entries().forEach { (name, value) -> if (name.lowercase() !in names) copy.add(name, value) }
+    return copy
+}
--- a/src/main/kotlin/fulmarshunt/process/SettingsChecks.kt
+++ b/src/main/kotlin/fulmarshunt/process/SettingsChecks.kt
@@ -28,6 +28,10 @@
 public fun positive(field: String, value: Double): Either<SettingsProblem, Unit> =
     ensure(value.isFinite() && value > 0) { "$field: $value is out of range: use a number greater than 0" }
 
+/** Checks that [value] is at least zero and finite. */
+public fun notNegative(field: String, value: Double): Either<SettingsProblem, Unit> =
+    ensure(value.isFinite() && value >= 0) { "$field: $value is out of range: use a number of at least 0" }
+
 /** Checks that [text] is not blank. */
 public fun notBlank(field: String, text: String): Either<SettingsProblem, Unit> =
     ensure(text.isNotBlank()) { "$field: is empty: give a value" }
--- a/src/main/kotlin/fulmarshunt/program/Control.kt
+++ b/src/main/kotlin/fulmarshunt/program/Control.kt
@@ -33,6 +33,7 @@
 import fulmarshunt.voter.bindMetrics
 import fulmarshunt.voter.controlMachineOf
 import fulmarshunt.voter.controlServiceOf
+import fulmarshunt.voter.fixedInitialVoters
 import fulmarshunt.voter.openReplicatedLog
 import fulmarshunt.wallClock
 import kotlinx.coroutines.coroutineScope
@@ -99,7 +100,7 @@
             settings.reachableAddress(),
             directory,
             settings.voters.bootstrap,
-            settings.voters.members.associate { it.vm to checkedAddress(it.address) },
+            fixedInitialVoters(settings.voters.members.associate { it.vm to checkedAddress(it.address) }),
         )
     val log =
         openReplicatedLog(voter, machine.asReplicated, control, clock)
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -0,0 +1,80 @@
+/*
+ * Connections to targets. A connection is kept for another request only after a complete answer with nothing behind it,
+ * and only for a short time, because targets and devices on the way drop idle connections without notice. Confined to
+ * the traffic thread.
+ */
+package fulmarshunt.target.fleet
+
+import arrow.core.Either
+import arrow.core.right
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.http.HttpPipe
+import fulmarshunt.http.Traffic
+
+/** How long opening a connection may take; a lost packet costs a second, and another target is closer than that. */
+private const val DIAL_TIMEOUT_MS = 600
+
+/** Idle connections to one target. */
+private const val MAX_IDLE = 6
+
+/** How long an idle connection is used for requests that must not be repeated, and for others. */
+private const val FRESH_MS = 1_500L
+private const val IDLE_MS = 4_000L
+
+/** Opens and keeps connections to targets. */
+public class TargetConnections(private val traffic: Traffic, private val clock: Clock) {
+    private class Idle(val pipe: HttpPipe, val sinceMs: Long)
+
+    private val idle = mutableMapOf<Address, ArrayDeque<Idle>>()
+
+    /**
+     * Returns an idle connection to [address] or a new one.
+     *
+     * @param mayBeStale whether a connection will do that may have been dropped without notice.
+     */
+    public suspend fun open(address: Address, mayBeStale: Boolean): Either<String, HttpPipe> {
+        val kept = idle[address]
+        val nowMs = clock.nowMs()
+        val bound = if (mayBeStale) IDLE_MS else FRESH_MS
+        while (kept != null) {
+            val last = kept.lastOrNull() ?: break
+            if (!last.pipe.isIdleClean || nowMs - last.sinceMs > IDLE_MS) {
+                kept.removeLast()
+                last.pipe.close()
+            } else if (nowMs - last.sinceMs > bound) {
+                break
+            } else {
+                kept.removeLast()
+                last.pipe.onEnd = null
+                return last.pipe.right()
+            }
+        }
+        return traffic.dial(address, DIAL_TIMEOUT_MS)
+    }
+
+    /** Keeps [pipe] for another request, if it is clean. */
+    public fun giveBack(address: Address, pipe: HttpPipe) {
+        val kept = idle.getOrPut(address) { ArrayDeque() }
+        if (!pipe.isIdleClean || kept.size >= MAX_IDLE) {
+            pipe.close()
+            return
+        }
+        kept.addLast(Idle(pipe, clock.nowMs()))
+        pipe.onEnd = { drop(address, pipe) }
+        pipe.watchForEnd()
+    }
+
+    /** Closes connections that have been idle for too long. */
+    public fun expire() {
+        val nowMs = clock.nowMs()
+        for ((address, kept) in idle.entries.toList()) {
+            while (kept.isNotEmpty() && nowMs - kept.first().sinceMs > IDLE_MS) kept.removeFirst().pipe.close()
+            if (kept.isEmpty()) idle.remove(address)
+        }
+    }
+
+    private fun drop(address: Address, pipe: HttpPipe) {
+        idle[address]?.removeIf { it.pipe === pipe }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/voter/ControlDirectory.kt
@@ -0,0 +1,152 @@
+/*
+ * How control VMs find each other. Each introduces itself to the seeds and to every control VM that it has heard of,
+ * and learns whom those know. Nothing but the seeds is configured.
+ */
+package fulmarshunt.voter
+
+import fulmarshunt.Address
+import fulmarshunt.Clock
+import fulmarshunt.VmId
+import fulmarshunt.VoterId
+import fulmarshunt.link.Channel
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.Links
+import fulmarshunt.process.ControlThread
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import org.apache.logging.log4j.LogManager
+
+/** How often a control VM introduces itself before and after it belongs to a cluster. */
+private const val FORMING_PERIOD_MS = 250L
+private const val FORMED_PERIOD_MS = 1_000L
+private const val INTRODUCTION_TIMEOUT_MS = 700L
+
+/** Control VMs that were not heard of for this long are forgotten; a frozen VM comes back sooner. */
+private const val FORGET_MS = 60_000L
+
+/** How long no new control VM may appear before a cluster forms: all start within 0.3 s of each other. */
+private const val SETTLING_MS = 1_000L
+
+/** A control VM as it introduces itself. */
+@Serializable
+public data class ControlVm(
+    public val vm: VmId,
+    public val voter: VoterId,
+    /** Where its links are accepted. */
+    public val linkAddress: Address,
+)
+
+@Serializable
+internal data class Introduction(val self: ControlVm, val known: List<ControlVm>)
+
+private val introductionChannel: Channel<Introduction, Introduction> =
+    Channel("introduce", Introduction.serializer(), Introduction.serializer())
+
+/** The initial voters that a blank voter may form a cluster with; [former] alone forms it. */
+public data class InitialVoters(public val members: Map<VmId, Address>, public val former: VmId)
+
+/** The control VMs that one of them knows. Its state is confined to the control thread. */
+public class ControlDirectory internal constructor(
+    private val self: ControlVm,
+    private val control: ControlThread,
+    private val clock: Clock,
+    /** Reads the link addresses of the seeds; settings may change them. */
+    private val seeds: () -> List<Address>,
+) {
+    private val log = LogManager.getLogger(ControlDirectory::class.java)
+    private val heardAtMs = mutableMapOf<ControlVm, Long>()
+    private var lastNewAtMs = clock.nowMs()
+    private val knownState = MutableStateFlow(listOf(self))
+
+    /** The known control VMs, this one included. */
+    public val known: StateFlow<List<ControlVm>> = knownState.asStateFlow()
+
+    /** Returns [base] with the handler for introductions. */
+    public fun handlers(base: LinkHandlers): LinkHandlers = base.with(introductionChannel) { _, introduction ->
+        control.run {
+            learn(introduction)
+            Introduction(self, knownState.value)
+        }
+    }
+
+    /** Introduces this VM again and again until the control thread ends. */
+    public fun start(links: Links, isFormed: () -> Boolean) {
+        control.scope.launch {
+            while (true) {
+                introduceToAll(links)
+                delay(if (isFormed()) FORMED_PERIOD_MS else FORMING_PERIOD_MS)
+            }
+        }
+    }
+
+    /** Returns the control VMs other than this one that were heard of within [periodMs], and this one. */
+    internal fun present(periodMs: Long): List<ControlVm> {
+        val sinceMs = clock.nowMs() - periodMs
+        return heardAtMs.filterValues { it >= sinceMs }.keys.toList() + self
+    }
+
+    /** Returns with whom a cluster can form, or null while VMs still appear or a seed is unknown. */
+    internal fun initialVotersOrNull(): InitialVoters? {
+        if (clock.nowMs() - lastNewAtMs < SETTLING_MS) return null
+        val vms = knownState.value
+        val seedVms = seeds().map { seed -> vms.find { it.linkAddress == seed } ?: return null }
+        val former = seedVms.minByOrNull { it.linkAddress.toString() } ?: return null
+        return InitialVoters(vms.associate { it.vm to it.linkAddress }, former.vm)
+    }
+
+    private fun introduceToAll(links: Links) {
+        val addresses = (seeds() + knownState.value.map { it.linkAddress }).toSet() - self.linkAddress
+        val introduction = Introduction(self, knownState.value)
+        for (address in addresses) {
+            control.scope.launch {
+                links
+                    .call(address, introductionChannel, introduction, INTRODUCTION_TIMEOUT_MS)
+                    .onRight { learn(it) }
+                    .onLeft { log.debug("introduction to={} failed reason={}", address, it.reason) }
+            }
+        }
+    }
+
+    private fun learn(introduction: Introduction) {
+        val nowMs = clock.nowMs()
+        if (introduction.self != self) hear(introduction.self, nowMs)
+        for (vm in introduction.known) {
+            // Others' knowledge is only a hint where to ask; it does not say that the VM lives.
+            if (vm != self && vm !in heardAtMs && !isSuperseded(vm)) addKnown(vm, nowMs - FORGET_MS / 2)
+        }
+        heardAtMs.entries.removeIf { nowMs - it.value > FORGET_MS }
+        publish()
+    }
+
+    /** Says whether the address of [vm] is known to belong to another voter. */
+    private fun isSuperseded(vm: ControlVm): Boolean =
+        vm.linkAddress == self.linkAddress || heardAtMs.keys.any { it.linkAddress == vm.linkAddress }
+
+    private fun hear(vm: ControlVm, nowMs: Long) {
+        heardAtMs.keys.removeIf { it.linkAddress == vm.linkAddress && it != vm }
+        if (vm in heardAtMs) heardAtMs[vm] = nowMs else addKnown(vm, nowMs)
+    }
+
+    private fun addKnown(vm: ControlVm, heardMs: Long) {
+        heardAtMs[vm] = heardMs
+        lastNewAtMs = clock.nowMs()
+        log.info("control-vm learned vm={} voter={} address={}", vm.vm, vm.voter, vm.linkAddress)
+    }
+
+    private fun publish() {
+        val vms = (heardAtMs.keys + self).sortedBy { it.linkAddress.toString() }
+        if (vms != knownState.value) knownState.value = vms
+    }
+}
+
+/** Returns the directory of the control VM [self]. */
+public fun controlDirectoryOf(
+    self: ControlVm,
+    control: ControlThread,
+    clock: Clock,
+    seeds: () -> List<Address>,
+): ControlDirectory = ControlDirectory(self, control, clock, seeds)
--- a/src/main/kotlin/fulmarshunt/voter/Formation.kt
+++ b/src/main/kotlin/fulmarshunt/voter/Formation.kt
@@ -3,7 +3,7 @@
  * voters only by VM. The rules that keep a second cluster from forming are:
  *
  * - A voter without a snapshot is blank. It neither votes nor campaigns, and it forgets nothing by being wiped.
- * - Only the initial voter with the least VM id forms a cluster, only while it is blank, and only after every initial
+ * - Only one initial voter, the former, forms a cluster, only while it is blank, and only after every initial
  *   voter has answered that it is blank too and was started with the bootstrap flag. The initial membership consists of
  *   the ids in these answers, so that a voter wiped later is not in it.
  * - A blank voter takes part in a cluster only if the initial membership contains its own id, or if a leader sends it a
@@ -16,7 +16,6 @@
  */
 package fulmarshunt.voter
 
-import fulmarshunt.Address
 import fulmarshunt.ClusterId
 import fulmarshunt.VmId
 
@@ -27,18 +26,18 @@
  */
 internal fun initialMembershipOrNull(
     self: Identity,
-    initialVoters: Map<VmId, Address>,
+    initialVoters: InitialVoters,
     answers: Map<VmId, Identity>,
 ): SnapshotHeader? {
     val joinable = answers.values.mapNotNull { it.initial }.find { it.membership.isVoter(self.id) }
     if (joinable != null) return joinable
     val all = answers + (self.vm to self)
     val mayForm =
-        self.vm == initialVoters.keys.minByOrNull { it.value } &&
-            all.keys == initialVoters.keys &&
+        self.vm == initialVoters.former &&
+            all.keys == initialVoters.members.keys &&
             all.all { (vm, identity) -> identity.vm == vm && identity.isBlank && identity.isBootstrapping } &&
             all.values.distinctBy { it.id }.size == all.size
     if (!mayForm) return null
-    val members = initialVoters.map { (vm, address) -> Member(all.getValue(vm).id, vm, address) }
+    val members = initialVoters.members.map { (vm, address) -> Member(all.getValue(vm).id, vm, address) }
     return initialSnapshot(ClusterId(self.id.value), Membership(members.sortedBy { it.vm.value })).header
 }
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -131,6 +131,16 @@
     public suspend fun removeVoter(id: VoterId, timeoutMs: Long): Either<String, Unit> =
         changeMembers(RemoveMember(id), timeoutMs) { it.memberOrNull(id) == null }
 
+    /**
+     * Says whether this voter leads with a quorum, or has heard a leader within the last election timeouts. Call it on
+     * the control thread.
+     */
+    public fun isInContact(nowMs: Long): Boolean =
+        holdsQuorum(nowMs) || (state.leader != null && nowMs - state.heardLeaderAtMs < state.timing.electionTimeoutMaxMs)
+
+    /** The newest membership that this voter knows, or null while it is blank. Call it on the control thread. */
+    internal val membershipOrNull: Membership? get() = if (state.snapshot == null) null else state.membership
+
     /** Returns the members; `lastHeardMs` is the age of the last message, -1 if there is none or this is no leader. */
     public suspend fun status(): List<VoterStatus> = control.run { statusOf(state, clock.nowMs()) }
 
@@ -169,14 +179,11 @@
 
     private suspend fun awaitFormation(transport: VoterTransport) {
         while (state.snapshot == null && failure.value == null) {
-            val others = settings.initialVoters - settings.vm
-            val answers = others.mapNotNull { (vm, address) -> transport.probe(address)?.let { vm to it } }.toMap()
-            initialMembershipOrNull(
-                identityOf(state, settings, isSnapshotStored),
-                settings.initialVoters,
-                answers,
-            )?.let {
-                dispatch(JoinInitial(it))
+            settings.initialVoters()?.let { voters ->
+                val others = voters.members - settings.vm
+                val answers = others.mapNotNull { (vm, address) -> transport.probe(address)?.let { vm to it } }.toMap()
+                initialMembershipOrNull(identityOf(state, settings, isSnapshotStored), voters, answers)
+                    ?.let { dispatch(JoinInitial(it)) }
             }
             delay(FORMATION_PERIOD_MS)
         }
--- a/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
@@ -23,8 +23,8 @@
     public val dataDirectory: Path,
     /** Lets this voter take part in forming a new cluster; see [initialVoters]. Clear it after the first start. */
     public val bootstrap: Boolean,
-    /** All voters of a new cluster, this one included. */
-    public val initialVoters: Map<VmId, Address>,
+    /** Returns all voters of a new cluster, this one included, or null while they are not all known. */
+    public val initialVoters: () -> InitialVoters?,
     public val electionTimeoutMinMs: Long = 500,
     public val electionTimeoutMaxMs: Long = 1_000,
     public val heartbeatMs: Long = 100,
@@ -33,6 +33,12 @@
 
 private const val ID_BYTES = 16
 
+/** Returns initial voters that are configured; the one with the least VM id forms the cluster. */
+public fun fixedInitialVoters(members: Map<VmId, Address>): () -> InitialVoters? {
+    val former = members.keys.minByOrNull { it.value }
+    return { former?.let { InitialVoters(members, it) } }
+}
+
 /**
  * Opens the replicated log in the data directory of [settings]. It reads from disk and must not be called on the
  * control thread.
@@ -71,7 +77,5 @@
     settings.heartbeatMs !in 1 until settings.electionTimeoutMinMs ->
         "heartbeatMs must be between 1 and electionTimeoutMinMs"
     settings.snapshotEveryEntries < 1 -> "snapshotEveryEntries must be positive"
-    settings.bootstrap && settings.initialVoters[settings.vm] != settings.address ->
-        "initialVoters must contain ${settings.vm} at ${settings.address} when bootstrap is set"
     else -> null
 }
