--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
@@ -103,8 +103,8 @@
             return false
         }
         val maxBytes = view().table?.configuration?.limits?.maxBodyBytes ?: Long.MAX_VALUE
-        val request =
-            CallerRequest(head, dialect.readRequest(head.headers()), RequestBody(pipe, maxBytes), pipe, clock.nowMs())
+        val body = RequestBody(pipe, maxBytes, HttpUtil.getContentLength(head, -1L))
+        val request = CallerRequest(head, dialect.readRequest(head.headers()), body, pipe, clock.nowMs())
         if (HttpUtil.is100ContinueExpected(head)) sendContinue(pipe)
         active += 1
         try {
--- a/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -95,7 +95,8 @@
     }
 
     private fun admit(request: CallerRequest): Either<OwnAnswer, RelayJob> {
-        val table = parts.views.value.table ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_MS).left()
+        val table = parts.views.value.table
+            ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_MS).left()
         val host = request.head.headers().get(HttpHeaderNames.HOST).substringBefore(':')
         val route = table.routeOrNull(host, request.path)
             ?: return OwnAnswer(HttpResponseStatus.NOT_FOUND, "no route leads there").left()
@@ -149,10 +150,13 @@
             parts.meters.attemptFailed(failure::class.simpleName.orEmpty(), job.service.id.value)
             log.info("attempt failed request={} target={} failure={}", job.id, placement.target.id, failure)
             note(job, failure)
+            // The rest of a long body is read while the target has the request.
+            bodyProblemOrNull(job.request)?.let { return it }
             val canSendAgain = job.request.body.isRepeatable
             var hasBudget = false
             if (canSendAgain && job.soFar.arrivals > 0) hasBudget = places.tryRepeat(job)
-            val step = nextStep(failure, job.route.repeatability, job.soFar, job.unsent, job.route.maxTargets) { hasBudget }
+            val route = job.route
+            val step = nextStep(failure, route.repeatability, job.soFar, job.unsent, route.maxTargets) { hasBudget }
             if (step == NextStep.TRY_ANOTHER && canSendAgain) continue
             return ExchangeEnd.Own(
                 if (step == NextStep.ANSWER_UNKNOWN || job.soFar.runs > 0) {
@@ -288,7 +292,9 @@
             val pipe = parts.connections.open(target.record.address, mayBeStale = false)
             pipe.fold(
                 { reason ->
-                    log.warn("target died request={} target={} fingerprint={} reason={}", job.id, target.id, request, reason)
+                    log.warn(
+                        "target died request={} target={} fingerprint={} reason={}", job.id, target.id, request, reason,
+                    )
                     parts.control.run { parts.fleet.suspect(Suspect(request, target.id, target.record.bornAtMs)) }
                 },
                 { it.close() },
@@ -305,13 +311,19 @@
     )
 
     private fun timedOut(job: RelayJob): ExchangeEnd =
-        if (job.hasAnswered) ExchangeEnd.Broken else ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, "time is up"))
+        if (job.hasAnswered) {
+            ExchangeEnd.Broken
+        } else {
+            ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, "time is up"))
+        }
 
     private fun bodyProblemOrNull(request: CallerRequest): ExchangeEnd? = when (request.body.problem) {
         null -> null
         BodyProblem.CONNECTION_ENDED -> ExchangeEnd.Broken
         BodyProblem.TOO_LONG ->
-            ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long", isLast = true))
+            ExchangeEnd.Own(
+                OwnAnswer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long", isLast = true),
+            )
         BodyProblem.MALFORMED ->
             ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.BAD_REQUEST, "the body cannot be read", isLast = true))
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestBody.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestBody.kt
@@ -21,7 +21,12 @@
 internal enum class BodyProblem { TOO_LONG, CONNECTION_ENDED, MALFORMED }
 
 /** The body of one request. */
-internal class RequestBody(private val pipe: HttpPipe, private val maxBytes: Long) {
+internal class RequestBody(
+    private val pipe: HttpPipe,
+    private val maxBytes: Long,
+    /** The length that the head gives, or -1. */
+    declaredBytes: Long,
+) {
     private val kept: ByteBuf = Unpooled.buffer()
     private var readBytes = 0L
 
@@ -30,7 +35,7 @@
         private set
 
     /** Why the body cannot be read on, or null. */
-    var problem: BodyProblem? = null
+    var problem: BodyProblem? = if (declaredBytes > maxBytes) BodyProblem.TOO_LONG else null
         private set
 
     /** Whether the whole body is kept and can be sent again. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -2,8 +2,8 @@
  * Passes on the events of one run, and lets the run go on at another target when its own is about to leave, is lost or
  * stalls. The caller sees one stream: each event once, in order, from a single run.
  *
- * A run goes on from a copy of its memory that its target keeps elsewhere, or is moved explicitly: first copied while it
- * runs, then stopped and copied again, which takes only what is new.
+ * A run goes on from a copy of its memory that its target keeps elsewhere, or is moved explicitly: first copied while
+ * it runs, then stopped and copied again, which takes only what is new.
  */
 package fulmarshunt.caller.relay
 
@@ -132,7 +132,8 @@
 
     private fun mustAct(): Boolean {
         if (!isLeaving || framer.lastId == null || framer.hasUnnumbered) return false
-        return (current.copy != null && !isCopyTried) || (canMove() && (moving == Moving.NONE || moving == Moving.COPIED))
+        val isMoveDue = canMove() && (moving == Moving.NONE || moving == Moving.COPIED)
+        return isMoveDue || (current.copy != null && !isCopyTried)
     }
 
     private fun canMove() = job.service.engine?.canMove == true
--- a/src/main/kotlin/fulmarshunt/caller/relay/Waiting.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Waiting.kt
@@ -2,8 +2,8 @@
  * How long a request waits for room, how urgent it is at an engine, and when a caller that was refused should return.
  *
  * These decisions answer overload. A caller is refused while it still has time to come back: waiting longer than a part
- * of the objective makes most answers late anyway, and keeps others waiting behind them. Returns are spread, so that the
- * callers refused in one burst do not come back as the next.
+ * of the objective makes most answers late anyway, and keeps others waiting behind them. Returns are spread, so that
+ * the callers refused in one burst do not come back as the next.
  */
 package fulmarshunt.caller.relay
 
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -38,6 +38,9 @@
 /** The least time between two calls to one control VM, so that a series of changes costs a bounded number of calls. */
 private const val MIN_WATCH_PERIOD_MS = 20L
 
+/** How long a control VM that failed is not preferred to one that works without contact to a leader. */
+private const val RETRY_FAILED_MS = 3_000L
+
 /** How long a target stays known that no watched control VM lists: several announcements. */
 private const val FORGET_UNLISTED_MS = 6_000L
 
@@ -141,10 +144,14 @@
             reportedUse = reported
         }
         publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = reply.refused))
-        if (!reply.isCurrent && hasOther()) lose(slot, "it is out of contact with a leader")
+        if (!reply.isCurrent && hasUntried()) lose(slot, "it is out of contact with a leader")
     }
 
-    private fun hasOther(): Boolean = controls.size > WATCHED_CONTROL_VMS
+    /** Says whether a control VM is left that has not failed lately; while an election runs, all are out of contact. */
+    private fun hasUntried(): Boolean {
+        val sinceMs = clock.nowMs() - RETRY_FAILED_MS
+        return (controls - slots.mapNotNull { it.address }.toSet()).any { (failedAtMs[it] ?: 0) < sinceMs }
+    }
 
     private suspend fun tableOf(state: ServingSnapshot): RoutingTable? {
         val document = state.document ?: return null
@@ -162,7 +169,9 @@
 
     private fun FleetView.after(state: ServingSnapshot, table: RoutingTable?): FleetView {
         if (state.revision <= revision) return this
-        log.info("state applied revision={} version={} drained={}", state.revision, state.document?.version, state.drained)
+        log.info(
+            "state applied revision={} version={} drained={}", state.revision, state.document?.version, state.drained,
+        )
         return copy(revision = state.revision, drained = state.drained, table = table ?: this.table)
     }
 
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -111,7 +111,9 @@
     private suspend fun passOn(record: TargetRecord, isAwaited: Boolean) {
         val exchange = Exchange(parts.vm, listOf(AgedRecord(record, 0)), emptyList(), null, null)
         val calls = others().map { address ->
-            control.scope.async { links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS)?.isRight() == true }
+            control.scope.async {
+                links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS)?.isRight() == true
+            }
         }
         if (!isAwaited || calls.isEmpty()) return
         withTimeoutOrNull(PASS_ON_LIMIT_MS) {
@@ -129,7 +131,11 @@
     private suspend fun answer(watch: Watch): WatchReply {
         val nowMs = clock.nowMs()
         entryVmsSeenAtMs[watch.vm] = nowMs
-        if (watch.isReporting) reportsOfEntryVms[watch.vm] = Report(watch.use, nowMs) else reportsOfEntryVms.remove(watch.vm)
+        if (watch.isReporting) {
+            reportsOfEntryVms[watch.vm] = Report(watch.use, nowMs)
+        } else {
+            reportsOfEntryVms.remove(watch.vm)
+        }
         takeSuspects(watch.suspects)
         val change = if (watch.source == source) watch.targetChange else 0
         val knownSuspects = suspectChange.value
--- a/src/main/kotlin/fulmarshunt/http/HttpEndpoints.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpEndpoints.kt
@@ -90,7 +90,8 @@
                 },
             )
         val future = bootstrap.bind(address.host, address.port)
-        return if (future.awaitDone()) future.channel().right() else "cannot listen at $address: ${future.cause()?.message}".left()
+        if (future.awaitDone()) return future.channel().right()
+        return "cannot listen at $address: ${future.cause()?.message}".left()
     }
 
     /** Opens a connection to [address] within [timeoutMs], or says why it cannot be opened. */
--- a/src/main/kotlin/fulmarshunt/http/HttpPipe.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpPipe.kt
@@ -140,7 +140,7 @@
         pipe.onEnded(if (isBroken) PipeEnd.BROKEN else PipeEnd.CLOSED)
     }
 
-    /** The codec reports a body that ends with its connection as complete, also after a reset; the pipe knows better. */
+    /** The codec reports a body that ends with its connection as complete, also after a reset. */
     @Deprecated("Netty deprecates the handler of errors on outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         isBroken = true
--- a/src/main/kotlin/fulmarshunt/operator/serving/RoutingTable.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/RoutingTable.kt
@@ -8,7 +8,9 @@
 /** Finds routes, services and client accounts of one configuration. Immutable. */
 public class RoutingTable(public val configuration: ServingConfiguration) {
     private val routesByHost: Map<String, Map<String, Route>> =
-        configuration.routes.groupBy { it.host.lowercase() }.mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
+        configuration.routes
+            .groupBy { it.host.lowercase() }
+            .mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
     private val accountsByKey: Map<String, AccountKeys> =
         configuration.accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
     private val services: Map<ServiceId, ServiceProfile> = configuration.services.associateBy { it.id }
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingConfiguration.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingConfiguration.kt
@@ -98,7 +98,7 @@
 
 /** Returns what makes this configuration unusable, or null. */
 public fun ServingConfiguration.problemOrNull(): String? = routes.firstNotNullOfOrNull { routeProblemOrNull(it) }
-    ?: duplicateOrNull(routes.map { it.host.lowercase() to it.pathPrefix })?.let { "two routes share ${it.first}${it.second}" }
+    ?: duplicateOrNull(routes.map { it.host.lowercase() + it.pathPrefix })?.let { "two routes share $it" }
     ?: duplicateOrNull(services.map { it.id })?.let { "service $it is defined twice" }
     ?: duplicateOrNull(accounts.map { it.account })?.let { "client account $it is defined twice" }
     ?: duplicateOrNull(accounts.flatMap { it.keys.distinct() })?.let { "two client accounts share a key" }
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingOrders.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingOrders.kt
@@ -1,7 +1,7 @@
 /*
  * Changes and reads of the durable state from any control VM. They are carried out by the leader; the other VMs pass
- * them on. An order is acknowledged once a majority has it on disk, and a read is answered once a majority has confirmed
- * that nothing newer exists.
+ * them on. An order is acknowledged once a majority has it on disk, and a read is answered once a majority has
+ * confirmed that nothing newer exists.
  */
 package fulmarshunt.operator.serving
 
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -32,6 +32,7 @@
 import fulmarshunt.process.shutDownOnTermination
 import fulmarshunt.process.startControlThread
 import fulmarshunt.target.fleet.TargetDirectory
+import fulmarshunt.voter.ControlDirectory
 import fulmarshunt.voter.ControlVm
 import fulmarshunt.voter.ReplicatedLog
 import fulmarshunt.voter.VoterSettings
@@ -69,14 +70,17 @@
     val clock = monotonicClock()
     val own = linkAddressOf(settings.vm, settings.link)
     val machine = ServingMachine()
-    lateinit var directory: fulmarshunt.voter.ControlDirectory
+    lateinit var directory: ControlDirectory
     val voter = VoterSettings(
         settings.vm.id, own, Path.of(settings.data.directory), settings.formation.bootstrap,
         initialVoters = { directory.initialVotersOrNull() },
     )
-    val log = openReplicatedLog(voter, machine.asReplicated, control, clock)
-        .getOrElse { raise(ProgramEnd(if (it.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE, it.message)) }
-    directory = controlDirectoryOf(ControlVm(settings.vm.id, log.id, own), control, clock) { seedsAt(path, settings) }
+    val log = openReplicatedLog(voter, machine.asReplicated, control, clock).getOrElse { problem ->
+        val code = if (problem.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE
+        raise(ProgramEnd(code, problem.message))
+    }
+    val self = ControlVm(settings.vm.id, log.id, own)
+    directory = controlDirectoryOf(self, control, clock) { seedsAt(path, settings) }
     val access = log.access()
     val orders = ServingOrders(access, machine, clock, own)
     val watches = WatchService(
@@ -134,7 +138,8 @@
 
 /** The seeds in the settings file, which may change; those at the start if it cannot be read. */
 private fun seedsAt(path: Path, atStart: FleetControlSettings): List<Address> {
-    val settings = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck).getOrElse { problem ->
+    val read = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck)
+    val settings = read.getOrElse { problem ->
         LogManager.getLogger("fulmarshunt.platform.FleetControl").warn("settings unreadable problem={}", problem)
         atStart
     }
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -73,7 +73,8 @@
         if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
     }
     val watcher = FleetWatcher(
-        settings.vm.id, settings.vm.failureDomain, { seedsAt(path, settings) }, ::decodeDocument, fleet, links, control, clock,
+        settings.vm.id, settings.vm.failureDomain, { seedsAt(path, settings) },
+        ::decodeDocument, fleet, links, control, clock,
     )
     val connections = TargetConnections(traffic, clock)
     val relayMeters = RelayMeters(meters)
@@ -112,7 +113,8 @@
         }
         logger.info("process stopped")
     }
-    logger.info("process started vm={} callers={} seeds={}", settings.vm.id, settings.listen.callers, settings.control.seeds)
+    val listen = settings.listen
+    logger.info("process started vm={} callers={} seeds={}", settings.vm.id, listen.callers, settings.control.seeds)
 }
 
 private suspend fun listenForReadiness(
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -136,7 +136,8 @@
      * the control thread.
      */
     public fun isInContact(nowMs: Long): Boolean =
-        holdsQuorum(nowMs) || (state.leader != null && nowMs - state.heardLeaderAtMs < state.timing.electionTimeoutMaxMs)
+        holdsQuorum(nowMs) ||
+            (state.leader != null && nowMs - state.heardLeaderAtMs < state.timing.electionTimeoutMaxMs)
 
     /** The newest membership that this voter knows, or null while it is blank. Call it on the control thread. */
     internal val membershipOrNull: Membership? get() = if (state.snapshot == null) null else state.membership
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/OutcomesTest.kt
@@ -0,0 +1,71 @@
+/*
+ * What follows a failed attempt, for every kind of request and failure.
+ */
+package fulmarshunt.caller.relay
+
+import fulmarshunt.operator.serving.Repeatability
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+
+class OutcomesTest {
+    private val failures = listOf(
+        AttemptFailure.NotSent("refused"),
+        AttemptFailure.Refused(503, null),
+        AttemptFailure.Lost("reset"),
+        AttemptFailure.Failed(500),
+    )
+
+    private fun step(
+        failure: AttemptFailure,
+        repeatability: Repeatability,
+        soFar: AttemptsSoFar,
+        maxTargets: Int = 2,
+        hasBudget: Boolean = true,
+        unsent: Int = 0,
+    ) = nextStep(failure, repeatability, soFar, unsent, maxTargets) { hasBudget }
+
+    private fun after(failure: AttemptFailure) = when (failure) {
+        is AttemptFailure.NotSent -> AttemptsSoFar(0, 0)
+        is AttemptFailure.Refused -> AttemptsSoFar(0, 1)
+        is AttemptFailure.Lost, is AttemptFailure.Failed -> AttemptsSoFar(1, 1)
+    }
+
+    /** Guards against a request that runs twice although it must not. */
+    @Test
+    fun `what may have run is sent again only if it may run again`() {
+        for (failure in failures.filter { after(it).runs > 0 }) {
+            for (repeatability in listOf(Repeatability.AT_MOST_ONCE, Repeatability.STREAM)) {
+                expectThat(step(failure, repeatability, after(failure))).isEqualTo(NextStep.ANSWER_UNKNOWN)
+            }
+            expectThat(step(failure, Repeatability.IDEMPOTENT, after(failure))).isEqualTo(NextStep.TRY_ANOTHER)
+        }
+    }
+
+    /** Guards against "not run" said of a request that has run. */
+    @Test
+    fun `not run is said only if no attempt can have run`() {
+        for (failure in failures) {
+            for (repeatability in Repeatability.entries) {
+                val ran = AttemptsSoFar(1, 2)
+                expectThat(step(failure, repeatability, ran, hasBudget = false)).isNotEqualTo(NextStep.ANSWER_NOT_RUN)
+            }
+        }
+        val refused = AttemptFailure.Refused(503, null)
+        expectThat(step(refused, Repeatability.STREAM, AttemptsSoFar(0, 1), hasBudget = false))
+            .isEqualTo(NextStep.ANSWER_NOT_RUN)
+    }
+
+    /** Guards against more targets than the route allows, and against tries without end. */
+    @Test
+    fun `attempts are bounded`() {
+        val lost = AttemptFailure.Lost("reset")
+        expectThat(step(lost, Repeatability.IDEMPOTENT, AttemptsSoFar(2, 2))).isEqualTo(NextStep.ANSWER_UNKNOWN)
+        val unsent = AttemptFailure.NotSent("refused")
+        expectThat(step(unsent, Repeatability.AT_MOST_ONCE, AttemptsSoFar(0, 0), unsent = MAX_UNSENT))
+            .isEqualTo(NextStep.ANSWER_NOT_RUN)
+        val refused = AttemptFailure.Refused(503, null)
+        expectThat(step(refused, Repeatability.AT_MOST_ONCE, AttemptsSoFar(0, 3))).isEqualTo(NextStep.ANSWER_NOT_RUN)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
@@ -0,0 +1,263 @@
+/*
+ * One entry VM's relay between scripted targets and callers on loopback sockets, in one process.
+ */
+package fulmarshunt.caller.relay
+
+import arrow.core.left
+import fulmarshunt.Address
+import fulmarshunt.ConfigurationVersion
+import fulmarshunt.RequestId
+import fulmarshunt.ServiceId
+import fulmarshunt.http.Traffic
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.CallerLimits
+import fulmarshunt.operator.serving.Repeatability
+import fulmarshunt.operator.serving.Route
+import fulmarshunt.operator.serving.RoutingTable
+import fulmarshunt.operator.serving.ServiceShare
+import fulmarshunt.operator.serving.ServingConfiguration
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.Fleet
+import fulmarshunt.target.fleet.FleetView
+import fulmarshunt.target.fleet.RepeatBudget
+import fulmarshunt.target.fleet.RepeatLimits
+import fulmarshunt.target.fleet.TargetConnections
+import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.engines
+import fulmarshunt.target.fleet.here
+import fulmarshunt.target.fleet.known
+import fulmarshunt.target.fleet.plain
+import fulmarshunt.target.fleet.record
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.runBlocking
+import java.io.BufferedInputStream
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+private const val SOCKET_TIMEOUT_MS = 10_000
+
+/** The head and body of a message on a socket. */
+internal class RawMessage(val startLine: String, val headers: Map<String, String>, val body: String) {
+    fun header(name: String): String? = headers[name.lowercase()]
+}
+
+/** Reads a message with a length, or without a body; null at the end of the input. */
+internal fun InputStream.readMessageOrNull(): RawMessage? {
+    val startLine = readLineOrNull() ?: return null
+    val headers = generateSequence { readLineOrNull()?.takeIf { it.isNotEmpty() } }
+        .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+    val body = when {
+        headers["transfer-encoding"] == "chunked" -> readChunks()
+        else -> readNBytes(headers["content-length"]?.toInt() ?: 0).decodeToString()
+    }
+    return RawMessage(startLine, headers, body)
+}
+
+/** Reads chunks to their end; what was read ends with [BROKEN_OFF] if the connection ends before. */
+private fun InputStream.readChunks(): String {
+    val body = StringBuilder()
+    while (true) {
+        val size = readLineOrNull()?.toIntOrNull(16) ?: return "$body$BROKEN_OFF"
+        body.append(readNBytes(size).decodeToString())
+        readLineOrNull()
+        if (size == 0) return body.toString()
+    }
+}
+
+internal const val BROKEN_OFF: String = "<broken off>"
+
+private fun InputStream.readLineOrNull(): String? {
+    val line = StringBuilder()
+    while (true) {
+        val byte = try {
+            read()
+        } catch (_: java.io.IOException) {
+            -1
+        }
+        if (byte < 0) return if (line.isEmpty()) null else line.toString()
+        if (byte == '\n'.code) return line.removeSuffix("\r").toString()
+        line.append(byte.toChar())
+    }
+}
+
+/** A target whose answers a test writes. */
+internal class ScriptedTarget(val name: String, private val serve: Visit.() -> Unit) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    val requests: MutableList<RawMessage> = CopyOnWriteArrayList()
+    val port: Int get() = server.localPort
+
+    /** One request at the target. */
+    inner class Visit(val socket: Socket, val request: RawMessage, val number: Int) {
+        fun write(text: String) {
+            socket.getOutputStream().run {
+                write(text.encodeToByteArray())
+                flush()
+            }
+        }
+
+        /** Answers with [body]; the id of the request is echoed. */
+        fun answer(status: String, body: String, vararg headers: String) = write(
+            "HTTP/1.1 $status\r\nid: ${request.header("id")}\r\nstamp: 1\r\n" +
+                headers.joinToString("") { "$it\r\n" } + "content-length: ${body.length}\r\n\r\n$body",
+        )
+
+        fun startStream() = write(
+            "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nstamp: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        )
+
+        fun event(id: Int) {
+            val text = "id: $id\ndata: token $id\n\n"
+            write("${text.length.toString(16)}\r\n$text\r\n")
+        }
+
+        fun endStream() = write("0\r\n\r\n")
+
+        fun reset() {
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+    }
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                sockets += socket
+                thread(isDaemon = true) { visit(socket) }
+            }
+        }
+    }
+
+    private fun visit(socket: Socket) {
+        runCatching {
+            val input = BufferedInputStream(socket.getInputStream())
+            while (true) {
+                val request = input.readMessageOrNull() ?: break
+                requests += request
+                Visit(socket, request, requests.size).serve()
+            }
+        }
+        socket.close()
+    }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+}
+
+/** The relay of one entry VM. Routes `/safe/`, `/once/` and `/stream/` lead to [targets]. */
+internal class RelaySite(vararg targets: ScriptedTarget) : AutoCloseable {
+    private val control = startControlThread()
+    private val traffic = Traffic()
+    private val clock = monotonicClock()
+    private val fleet = Fleet(clock, here, RepeatBudget(RepeatLimits(1.0, 100.0, 10_000))) { 0.0 }
+    private val records = targets.flatMap { target ->
+        listOf(plain, engines).map { record("${it.id}-${target.name}", service = it, port = target.port) }
+    }
+    private val views = MutableStateFlow(FleetView(table(), targets = records.associate { it.id to known(it) }))
+    private val connections = TargetConnections(traffic, clock)
+
+    /** The paths that may be moved by [moves] are those of the targets themselves. */
+    var moves: suspend (Address, RequestId, Address, Boolean) -> arrow.core.Either<MoveFailure, Moved> =
+        { _, _, _, _ -> MoveFailure("not scripted", null).left() }
+
+    private val meters = RelayMeters(SimpleMeterRegistry())
+    private val dialect = Dialect(
+        readRequest = { headers ->
+            val generation = headers.get("tokens")?.let { GenerationFacts(it.toInt(), 400, 400) }
+            val patienceMs = headers.getInt("patience")?.toLong()
+            RequestFacts(headers.get("id")?.let(::RequestId), headers.get("key"), patienceMs, generation)
+        },
+        forTarget = ::headersForTarget,
+        forCaller = { headers ->
+            DefaultHttpHeaders().also { copy -> headers.get("stamp")?.let { copy.set("stamp", it) } }
+        },
+        readAnswer = { AnswerFacts(it.get("id"), it.contains("stamp"), it.contains("not-run"), null) },
+        move = { source, run, destination, isLast -> moves(source, run, destination, isLast) },
+        copyHandle = { it.value },
+    )
+    private val exchanges = Exchanges(
+        ExchangeParts(here, views, fleet, control, connections, dialect, meters, clock, { 0.5 }, traffic.scope),
+    )
+    private val callers = CallerConnections({ views.value }, dialect, meters, clock, exchanges::run)
+    private val address: Address = runBlocking {
+        control.run { fleet.update(views.value) }
+        val channel = traffic.listen(Address("127.0.0.1", 0), { 8_192 }, callers::serve).fold({ error(it) }, { it })
+        Address("127.0.0.1", (channel.localAddress() as java.net.InetSocketAddress).port)
+    }
+
+    /** The requests that are being served. */
+    val active: Int get() = callers.active
+
+    /** What the fleet has given out. */
+    fun use() = runBlocking { control.run { fleet.use() } }
+
+    /** Says that [target] leaves. */
+    fun leave(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.LEAVING)
+
+    /** Says that [target] takes work. */
+    fun ready(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.READY)
+
+    private fun setPhase(target: ScriptedTarget, phase: TargetPhase) {
+        val next = views.value.targets.mapValues { (id, known) ->
+            if (id.value.endsWith("-${target.name}")) known(known.record.copy(phase = phase)) else known
+        }
+        views.value = views.value.copy(targets = next)
+        runBlocking { control.run { fleet.update(views.value) } }
+    }
+
+    fun connect(): Socket = Socket("127.0.0.1", address.port).also { it.soTimeout = SOCKET_TIMEOUT_MS }
+
+    /** Sends one request on a connection of its own and returns the answer, or null if there is none. */
+    fun call(path: String, body: String = "", vararg headers: String): RawMessage? = connect().use { socket ->
+        socket.getOutputStream().write(requestText(path, body, *headers).encodeToByteArray())
+        BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+    }
+
+    fun addressOf(target: ScriptedTarget): Address = Address("127.0.0.1", target.port)
+
+    override fun close() {
+        traffic.close()
+        control.close()
+    }
+
+    private fun headersForTarget(headers: HttpHeaders, dispatch: Dispatch): HttpHeaders {
+        val copy = DefaultHttpHeaders()
+        copy.set("host", "h").set("id", headers.get("id")).set("time-left", dispatch.timeLeftMs)
+        dispatch.copyAt?.let { copy.set("copy-at", it.toString()) }
+        dispatch.resume?.let { copy.set("resume", "${it.holder}/${it.handle}@${it.lastEventId}") }
+        return copy
+    }
+}
+
+internal fun requestText(path: String, body: String, vararg headers: String): String =
+    "POST $path HTTP/1.1\r\nHost: h\r\nid: r1\r\n" + headers.joinToString("") { "$it\r\n" } +
+        "content-length: ${body.length}\r\n\r\n$body"
+
+private fun table() = RoutingTable(
+    ServingConfiguration(
+        ConfigurationVersion(1),
+        listOf(
+            route("/safe/", Repeatability.IDEMPOTENT, plain.id, 2),
+            route("/once/", Repeatability.AT_MOST_ONCE, plain.id, 1),
+            route("/stream/", Repeatability.STREAM, engines.id, 1),
+        ),
+        listOf(plain, engines),
+        CallerLimits(8_192, 200_000, 3_000, 15_000),
+        emptyList(),
+    ),
+)
+
+private fun route(prefix: String, repeatability: Repeatability, service: ServiceId, maxTargets: Int) = Route(
+    prefix, "h", prefix, repeatability, 8_000, 1_000, 180, 0,
+    listOf(ServiceShare(service, 1.0)), maxTargets, true, false,
+)
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
@@ -0,0 +1,101 @@
+/*
+ * Decoding what operators, targets and callers send, good and bad.
+ */
+package fulmarshunt.platform
+
+import fulmarshunt.ClientAccountId
+import fulmarshunt.ServiceId
+import fulmarshunt.TargetId
+import fulmarshunt.caller.relay.Dispatch
+import fulmarshunt.http.Traffic
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.Repeatability
+import fulmarshunt.target.fleet.TargetConnections
+import fulmarshunt.target.fleet.TargetPhase
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+private const val ROUTE =
+    """{"name":"r","host":"h.example","path_prefix":"/p/","type":"stream","timeout_ms":6000,"slo_ms":1500,""" +
+        """"priority":1,"service":"s","max_attempts":1,"public":false,"gap_slo_ms":180}"""
+private const val SERVICE =
+    """{"name":"s","health_path":"/health","max_conns":9,"cold_start_s":1.0,"cold_per_s":31.0,"engine":{"slots":24,""" +
+        """"kv_capacity":34244,"moves":true,"backups":true,"stride":4,"models":[{"name":"m"}]}}"""
+private const val BEAT =
+    """{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":24,"state":"draining",""" +
+        """"cold_remaining_ms":12.5,"seq":4,"born":17}"""
+
+class PlatformJsonTest {
+    private fun configuration(routes: String = ROUTE, tail: String = "") =
+        decodeConfiguration("""{"version":7,"routes":[$routes],"services":[$SERVICE]$tail}""".encodeToByteArray())
+
+    /** Guards against fields that are read as something else than they hold. */
+    @Test
+    fun `a configuration is read`() {
+        val tenants = ""","tenants":[{"name":"t","api_keys":["k"],"priority":2}],"new_field":1"""
+        val read = checkNotNull(configuration(tail = tenants).getOrNull())
+        expectThat(read.version.value).isEqualTo(7L)
+        expectThat(read.routes.single()) {
+            get { repeatability }.isEqualTo(Repeatability.STREAM)
+            get { objectiveMs }.isEqualTo(1_500L)
+            get { shares.single().service }.isEqualTo(ServiceId("s"))
+        }
+        expectThat(read.services.single().engine?.memoryTokens).isEqualTo(34_244)
+        expectThat(read.accounts.single().rank).isEqualTo(2)
+    }
+
+    /** Guards against bad input that is acknowledged, or that ends the process. */
+    @Test
+    fun `a configuration that cannot be read is refused`() {
+        val whole = """{"version":7,"routes":[$ROUTE],"services":[$SERVICE]}"""
+        for (length in 0 until whole.length) {
+            expectThat(decodeConfiguration(whole.take(length).encodeToByteArray()).isLeft()).isTrue()
+        }
+        val bad = listOf("[]", "null", """{"version":"x"}""", whole.replace("stream", "other"), "\u0000")
+        bad.forEach { expectThat(decodeConfiguration(it.encodeToByteArray()).isLeft()).isTrue() }
+        expectThat(decodeConfiguration(byteArrayOf(-1, -2)).isLeft()).isTrue()
+        expectThat(configuration(ROUTE.replace("6000", "0")).isLeft()).isTrue()
+    }
+
+    /** Guards against announcements of other writers that replace what is known of a target. */
+    @Test
+    fun `announcements are read or refused`() {
+        val id = TargetId("i")
+        val record = checkNotNull(decodeAnnouncement(id, BEAT.encodeToByteArray()).getOrNull())
+        expectThat(record.phase).isEqualTo(TargetPhase.LEAVING)
+        expectThat(record.bornAtMs).isEqualTo(17L)
+        expectThat(record.coldForMs).isEqualTo(12L)
+        val bad = listOf("", "{}", BEAT.replace("draining", "asleep"), BEAT.replace("10.0.0.1:80", "x"), BEAT.drop(1))
+        bad.forEach { expectThat(decodeAnnouncement(id, it.encodeToByteArray()).isLeft()).isTrue() }
+        expectThat(decodeLeaveOrNull("""{"born":17}""".encodeToByteArray())).isEqualTo(17L)
+        expectThat(decodeLeaveOrNull("{".encodeToByteArray())).isNull()
+    }
+
+    /** Guards against keys that reach targets, and against callers that set what only the system may set. */
+    @Test
+    fun `targets get no keys and no system headers of callers`() {
+        Traffic().use { traffic ->
+            val dialect = platformDialect(EngineCalls(TargetConnections(traffic, monotonicClock())))
+            val headers = DefaultHttpHeaders()
+            val forged = listOf(
+                "Api-Key", "fulmarshunt-tenant", "Fulmarshunt-Hold", "Fulmarshunt-Pin-Ms", "Fulmarshunt-Kv-Backup",
+                "Kv-From", "Kv-Fetch", "Last-Event-Id", "Connection", "Keep-Alive", "X-Hop",
+            )
+            forged.forEach { headers.set(it, if (it == "Connection") "X-Hop, close" else "forged") }
+            headers.set("X-Kept", "kept").set("Fulmarshunt-Request-Id", "id-1")
+            val dispatch = Dispatch(TargetId("i"), 900, ClientAccountId("t"), 4, null, null, allowsCallerResume = false)
+            val sent = dialect.forTarget(headers, dispatch)
+            expectThat(sent.entries().none { "forged" in it.value }).isTrue()
+            expectThat(sent.get("Fulmarshunt-Tenant")).isEqualTo("t")
+            expectThat(sent.get("Fulmarshunt-Expect-Instance")).isEqualTo("i")
+            expectThat(sent.get("Fulmarshunt-Deadline-Ms")).isEqualTo("900")
+            expectThat(sent.get("X-Kept")).isNotNull()
+            expectThat(sent.get("Fulmarshunt-Request-Id")).isEqualTo("id-1")
+        }
+    }
+}
--- a/src/test/kotlin/fulmarshunt/process/SettingsPageTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/SettingsPageTest.kt
@@ -26,6 +26,8 @@
             mapOf(
                 "entry" to EntrySettings.serializer().descriptor,
                 "control" to ControlSettings.serializer().descriptor,
+                "fleet-entry" to FleetEntrySettings.serializer().descriptor,
+                "fleet-control" to FleetControlSettings.serializer().descriptor,
                 "orders and questionnaire" to OperatorSettings.serializer().descriptor,
                 "Answers file of the questionnaire" to Answers.serializer().descriptor,
             )
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/target/fleet/TargetDirectoryTest.kt
@@ -0,0 +1,66 @@
+/*
+ * What a control VM believes of targets when announcements are late, repeated or come from a former target.
+ */
+package fulmarshunt.target.fleet
+
+import fulmarshunt.TargetId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import strikt.assertions.single
+
+class TargetDirectoryTest {
+    private val directory = TargetDirectory(1_000)
+
+    private fun phaseOf(id: String) = directory.changedAfter(0).find { it.record.id == TargetId(id) }?.record?.phase
+
+    /** Guards against a late announcement that makes a leaving target ready again. */
+    @Test
+    fun `an older announcement changes nothing`() {
+        directory.take(record("a", 5, phase = TargetPhase.LEAVING), 0)
+        expectThat(directory.take(record("a", 4), 10)).isFalse()
+        expectThat(phaseOf("a")).isEqualTo(TargetPhase.LEAVING)
+    }
+
+    /** Guards against a restart under the same id that is taken for an old announcement: its count starts anew. */
+    @Test
+    fun `a later start under the same id is newer`() {
+        directory.take(record("a", 90, bornAtMs = 1, phase = TargetPhase.LEAVING), 0)
+        expectThat(directory.take(record("a", 1, bornAtMs = 2), 10)).isTrue()
+        expectThat(phaseOf("a")).isEqualTo(TargetPhase.READY)
+        expectThat(directory.leave(TargetId("a"), 1, 20)).isNull()
+        expectThat(phaseOf("a")).isEqualTo(TargetPhase.READY)
+    }
+
+    /** Guards against requests to a crashed target whose delayed announcement arrives after its successor's. */
+    @Test
+    fun `an address belongs to the target that started there last`() {
+        directory.take(record("old", bornAtMs = 1, port = 80), 0)
+        directory.take(record("new", bornAtMs = 2, port = 80), 10)
+        expectThat(phaseOf("old")).isEqualTo(TargetPhase.LEFT)
+        expectThat(directory.take(record("older", 9, bornAtMs = 1, port = 80), 20)).isFalse()
+    }
+
+    /** Guards against watchers that are woken by each announcement. */
+    @Test
+    fun `an announcement that only confirms is no change`() {
+        directory.take(record("a", 1), 0)
+        val change = directory.lastChange.value
+        expectThat(directory.take(record("a", 2), 10)).isFalse()
+        expectThat(directory.lastChange.value).isEqualTo(change)
+        expectThat(directory.changedAfter(change)).isEqualTo(emptyList())
+    }
+
+    /** Guards against a silent target that is never noticed, or stays silent after it came back. */
+    @Test
+    fun `a target is silent until it announces itself again`() {
+        directory.take(record("a", 1), 0)
+        directory.expire(4_001)
+        expectThat(directory.changedAfter(0)).single().get { isSilent }.isTrue()
+        expectThat(directory.take(record("a", 2), 4_500)).isTrue()
+        expectThat(directory.changedAfter(0)).single().get { isSilent }.isFalse()
+    }
+}
--- a/src/test/kotlin/fulmarshunt/voter/FormationTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/FormationTest.kt
@@ -14,7 +14,7 @@
 import java.nio.file.Path
 
 class FormationTest {
-    private val voters = listOf(self, peerB, peerC).associate { it.vm to it.address }
+    private val voters = InitialVoters(listOf(self, peerB, peerC).associate { it.vm to it.address }, self.vm)
 
     private fun blank(member: Member) = Identity(member.id, member.vm, isBlank = true, isBootstrapping = true)
 
@@ -57,7 +57,7 @@
     /** Guards against a membership that others adopt and its former loses in a crash, and then forms anew. */
     @Test
     fun `the initial membership is told once it is on disk`() {
-        val settings = VoterSettings(self.vm, self.address, Path.of("unused"), true, voters)
+        val settings = VoterSettings(self.vm, self.address, Path.of("unused"), true, { voters })
         val stored = StoredState(self.id, HardState(Term(0)), threeVoters, EntryLog(LogPosition.START))
         val state = initialState(settings, stored, 0)
         expectThat(identityOf(state, settings, isSnapshotStored = false).initial).isNull()
--- a/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
@@ -34,7 +34,7 @@
             self.address,
             Path.of("unused"),
             false,
-            emptyMap(),
+            fixedInitialVoters(emptyMap()),
             snapshotEveryEntries = snapshotEveryEntries,
         )
     var disk = StoredState(self.id, HardState(Term(0)), initial, EntryLog(LogPosition.START))
--- a/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -81,7 +81,14 @@
     val machine = HashMachine(paddingBytes, onEncode)
     val address = voters.getValue(vm)
     val settings =
-        VoterSettings(vm, address, directory, bootstrap, voters, snapshotEveryEntries = snapshotEveryEntries)
+        VoterSettings(
+            vm,
+            address,
+            directory,
+            bootstrap,
+            fixedInitialVoters(voters),
+            snapshotEveryEntries = snapshotEveryEntries,
+        )
     val log =
         openReplicatedLog(settings, machine.machine, control, monotonicClock(), sync).fold({
             error(it.message)
