--- a/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -107,8 +107,14 @@
             ?: return notRun("the service of the route is not defined").left()
         val patienceMs = minOf(request.facts.patienceMs ?: route.timeoutMs, route.timeoutMs)
         val job = RelayJob(
-            request, id, route, service, account?.account, account?.rank ?: route.rank,
-            fingerprintOrNull(request, account, service), request.arrivedAtMs + patienceMs,
+            request,
+            id,
+            route,
+            service,
+            account?.account,
+            account?.rank ?: route.rank,
+            fingerprintOrNull(request, account, service),
+            request.arrivedAtMs + patienceMs,
         )
         if (job.fingerprint in parts.views.value.refused) {
             log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
@@ -293,7 +299,11 @@
             pipe.fold(
                 { reason ->
                     log.warn(
-                        "target died request={} target={} fingerprint={} reason={}", job.id, target.id, request, reason,
+                        "target died request={} target={} fingerprint={} reason={}",
+                        job.id,
+                        target.id,
+                        request,
+                        reason,
                     )
                     parts.control.run { parts.fleet.suspect(Suspect(request, target.id, target.record.bornAtMs)) }
                 },
@@ -310,12 +320,11 @@
         },
     )
 
-    private fun timedOut(job: RelayJob): ExchangeEnd =
-        if (job.hasAnswered) {
-            ExchangeEnd.Broken
-        } else {
-            ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, "time is up"))
-        }
+    private fun timedOut(job: RelayJob): ExchangeEnd = if (job.hasAnswered) {
+        ExchangeEnd.Broken
+    } else {
+        ExchangeEnd.Own(OwnAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, "time is up"))
+    }
 
     private fun bodyProblemOrNull(request: CallerRequest): ExchangeEnd? = when (request.body.problem) {
         null -> null
@@ -333,7 +342,10 @@
         answer?.let { parts.meters.refused(it) }
         log.info(
             "request ended id={} outcome=unrouted status={} reason={} path={} revision={}",
-            request.facts.id, answer?.status?.code(), answer?.reason ?: "the caller left", request.path,
+            request.facts.id,
+            answer?.status?.code(),
+            answer?.reason ?: "the caller left",
+            request.path,
             parts.views.value.revision,
         )
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/PlainRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/PlainRelay.kt
@@ -56,12 +56,7 @@
 }
 
 /** Passes [answer] on to [caller]; [onFirst] is called before the first byte goes out. */
-internal suspend fun passOn(
-    answer: OpenedAnswer,
-    caller: HttpPipe,
-    head: HttpResponse,
-    onFirst: () -> Unit,
-): Passed {
+internal suspend fun passOn(answer: OpenedAnswer, caller: HttpPipe, head: HttpResponse, onFirst: () -> Unit): Passed {
     val pieces = mutableListOf<HttpContent>()
     var bytes = 0
     var hasSent = false
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -59,6 +59,7 @@
     run: Run,
 ) {
     private val log = LogManager.getLogger(StreamRelay::class.java)
+
     /** Where the run is now. */
     var current: Run = run
         private set
@@ -91,7 +92,7 @@
                 isComplete = when (val next = next()) {
                     is Next.Piece -> take(next.content)
                     Next.Act -> leave(this)
-                    Next.Stalled -> if (continueFromCopy("stalled")) null else wait()
+                    Next.Stalled -> null.also { continueFromCopy("stalled") }
                     Next.Ended -> if (continueFromCopy("lost")) null else false
                 }
                 if (current !== former) {
@@ -127,9 +128,6 @@
         }
     }
 
-    /** Without another way, a silent target is waited for. */
-    private fun wait(): Boolean? = null
-
     private fun mustAct(): Boolean {
         if (!isLeaving || framer.lastId == null || framer.hasUnnumbered) return false
         val isMoveDue = canMove() && (moving == Moving.NONE || moving == Moving.COPIED)
@@ -192,7 +190,10 @@
         val source = current
         scope.launch {
             val result = parts.dialect.move(
-                source.answer.target.record.address, job.id, place.target.record.address, false,
+                source.answer.target.record.address,
+                job.id,
+                place.target.record.address,
+                false,
             )
             if (current !== source) return@launch
             result.fold({ giveUpMove("copy failed: ${it.reason}") }, { moving = Moving.COPIED })
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCall.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -26,7 +27,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -120,7 +120,12 @@
             }
             pipe.send(
                 DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1, head.method(), head.uri(), beginning, headers, EmptyHttpHeaders.INSTANCE,
+                    HttpVersion.HTTP_1_1,
+                    head.method(),
+                    head.uri(),
+                    beginning,
+                    headers,
+                    EmptyHttpHeaders.INSTANCE,
                 ),
             )
             return null
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -102,8 +102,14 @@
             slot.address = address
             val use = fleet.use()
             val request = Watch(
-                vm, domain, slot.number == 0, if (slot.number == 0) use else emptyMap(), fleet.suspects(),
-                viewState.value.revision, slot.source, slot.targetChange,
+                vm,
+                domain,
+                slot.number == 0,
+                if (slot.number == 0) use else emptyMap(),
+                fleet.suspects(),
+                viewState.value.revision,
+                slot.source,
+                slot.targetChange,
             )
             val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
             reply.fold({ lose(slot, it.reason) }, { take(slot, it, use) })
@@ -170,7 +176,10 @@
     private fun FleetView.after(state: ServingSnapshot, table: RoutingTable?): FleetView {
         if (state.revision <= revision) return this
         log.info(
-            "state applied revision={} version={} drained={}", state.revision, state.document?.version, state.drained,
+            "state applied revision={} version={} drained={}",
+            state.revision,
+            state.document?.version,
+            state.drained,
         )
         return copy(revision = state.revision, drained = state.drained, table = table ?: this.table)
     }
--- a/src/main/kotlin/fulmarshunt/http/HttpEndpoints.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpEndpoints.kt
@@ -145,9 +145,8 @@
 
 /** A decoder that fails on a request with both a length and chunks, whose end two readers could see differently. */
 private fun strictRequestDecoder(maxHeaderBytes: Int) = object : HttpRequestDecoder(decoderConfig(maxHeaderBytes)) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("the request has both a length and chunks")
-    }
 }
 
 /** Waits for the end of this operation and returns whether it succeeded; a cancelled wait closes the channel. */
--- a/src/main/kotlin/fulmarshunt/http/WholeCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/WholeCalls.kt
@@ -67,7 +67,10 @@
     limitMs: Long,
 ): HttpReply? {
     val request = DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, Unpooled.wrappedBuffer(body),
+        HttpVersion.HTTP_1_1,
+        HttpMethod.valueOf(method),
+        path,
+        Unpooled.wrappedBuffer(body),
     )
     request.headers().set(HttpHeaderNames.HOST, host)
     request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
@@ -103,7 +106,9 @@
 
 private suspend fun HttpPipe.sendReply(reply: HttpReply, keepsOpen: Boolean) {
     val response = DefaultFullHttpResponse(
-        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(reply.body),
+        HttpVersion.HTTP_1_1,
+        HttpResponseStatus.valueOf(reply.status),
+        Unpooled.wrappedBuffer(reply.body),
     )
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body.size)
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -14,8 +14,8 @@
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
 import kotlinx.serialization.SerialName
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 
 @Serializable
 private class WireAnnouncement(
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -99,9 +99,8 @@
     }
 }
 
-private fun reply(status: Int, reason: String): HttpReply =
-    if (reason.isEmpty()) {
-        HttpReply(status, "{}".encodeToByteArray())
-    } else {
-        HttpReply(status, reason.encodeToByteArray(), "text/plain")
-    }
+private fun reply(status: Int, reason: String): HttpReply = if (reason.isEmpty()) {
+    HttpReply(status, "{}".encodeToByteArray())
+} else {
+    HttpReply(status, reason.encodeToByteArray(), "text/plain")
+}
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -61,58 +61,60 @@
     }
 }
 
-private suspend fun startFleetControl(
-    settings: FleetControlSettings,
-    path: Path,
-): Either<ProgramEnd, ReplicatedLog> = either {
-    val logger = LogManager.getLogger("fulmarshunt.platform.FleetControl")
-    val control = startControlThread()
-    val clock = monotonicClock()
-    val own = linkAddressOf(settings.vm, settings.link)
-    val machine = ServingMachine()
-    lateinit var directory: ControlDirectory
-    val voter = VoterSettings(
-        settings.vm.id, own, Path.of(settings.data.directory), settings.formation.bootstrap,
-        initialVoters = { directory.initialVotersOrNull() },
-    )
-    val log = openReplicatedLog(voter, machine.asReplicated, control, clock).getOrElse { problem ->
-        val code = if (problem.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE
-        raise(ProgramEnd(code, problem.message))
-    }
-    val self = ControlVm(settings.vm.id, log.id, own)
-    directory = controlDirectoryOf(self, control, clock) { seedsAt(path, settings) }
-    val access = log.access()
-    val orders = ServingOrders(access, machine, clock, own)
-    val watches = WatchService(
-        WatchServiceParts(
-            vm = settings.vm.id,
-            snapshots = machine.snapshots,
-            controls = { directory.known.value.map { it.linkAddress } },
-            own = own,
-            isCurrent = { log.isInContact(clock.nowMs()) },
-            directory = TargetDirectory(settings.targets.periodMs),
-        ),
-        control,
-        clock,
-    )
-    val handlers = watches.handlers(orders.handlers(directory.handlers(log.handlers(LinkHandlers()))))
-    val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
-    links.listen(own).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.port: $it")) }
-    val meters = processMetrics()
-    listen(settings, ControlApi(orders, watches, links, meters), meters)
-        .onLeft { raise(ProgramEnd(ExitCode.USAGE, it)) }
-    log.start(links)
-    directory.start(links) { log.leadership.value.leader != null }
-    watches.start(links)
-    keepMembership(log, directory, control)
-    shutDownOnTermination(SHUTDOWN_LIMIT_MS) {
-        logger.info("process stops reason=SIGTERM")
-        log.close()
-        links.close()
+private suspend fun startFleetControl(settings: FleetControlSettings, path: Path): Either<ProgramEnd, ReplicatedLog> =
+    either {
+        val logger = LogManager.getLogger("fulmarshunt.platform.FleetControl")
+        val control = startControlThread()
+        val clock = monotonicClock()
+        val own = linkAddressOf(settings.vm, settings.link)
+        val machine = ServingMachine()
+        lateinit var directory: ControlDirectory
+        val voter = VoterSettings(
+            settings.vm.id,
+            own,
+            Path.of(settings.data.directory),
+            settings.formation.bootstrap,
+            initialVoters = { directory.initialVotersOrNull() },
+        )
+        val log = openReplicatedLog(voter, machine.asReplicated, control, clock).getOrElse { problem ->
+            val code = if (problem.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE
+            raise(ProgramEnd(code, problem.message))
+        }
+        val self = ControlVm(settings.vm.id, log.id, own)
+        directory = controlDirectoryOf(self, control, clock) { seedsAt(path, settings) }
+        val access = log.access()
+        val orders = ServingOrders(access, machine, clock, own)
+        val watches = WatchService(
+            WatchServiceParts(
+                vm = settings.vm.id,
+                snapshots = machine.snapshots,
+                controls = { directory.known.value.map { it.linkAddress } },
+                own = own,
+                isCurrent = { log.isInContact },
+                directory = TargetDirectory(settings.targets.periodMs),
+            ),
+            control,
+            clock,
+        )
+        val handlers = watches.handlers(orders.handlers(directory.handlers(log.handlers(LinkHandlers()))))
+        val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
+        links.listen(own).onLeft { raise(ProgramEnd(ExitCode.USAGE, "link.port: $it")) }
+        val meters = processMetrics()
+        listen(settings, ControlApi(orders, watches, links, meters), meters)
+            .onLeft { raise(ProgramEnd(ExitCode.USAGE, it)) }
+        log.start(links)
+        directory.start(links) { log.leadership.value.leader != null }
+        watches.start(links)
+        keepMembership(log, directory, control)
+        shutDownOnTermination(SHUTDOWN_LIMIT_MS) {
+            logger.info("process stops reason=SIGTERM")
+            log.close()
+            links.close()
+        }
+        val seeds = settings.control.seeds
+        logger.info("process started vm={} voter={} link={} seeds={}", settings.vm.id, log.id, own, seeds)
+        log
     }
-    logger.info("process started vm={} voter={} link={} seeds={}", settings.vm.id, log.id, own, settings.control.seeds)
-    log
-}
 
 private suspend fun listen(
     settings: FleetControlSettings,
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -73,8 +73,14 @@
         if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
     }
     val watcher = FleetWatcher(
-        settings.vm.id, settings.vm.failureDomain, { seedsAt(path, settings) },
-        ::decodeDocument, fleet, links, control, clock,
+        settings.vm.id,
+        settings.vm.failureDomain,
+        { seedsAt(path, settings) },
+        ::decodeDocument,
+        fleet,
+        links,
+        control,
+        clock,
     )
     val connections = TargetConnections(traffic, clock)
     val relayMeters = RelayMeters(meters)
@@ -91,7 +97,13 @@
     traffic.listen(checkedAddress(settings.listen.callers), headerBytes, callers::serve)
         .onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.callers: $it")) }
     listenForReadiness(traffic, checkedAddress(settings.listen.readiness)) {
-        if (isStopping.get()) "stopping" else if (watcher.views.value.table == null) "no configuration" else null
+        if (isStopping.get()) {
+            "stopping"
+        } else if (watcher.views.value.table == null) {
+            "no configuration"
+        } else {
+            null
+        }
     }.onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.readiness: $it")) }
     listenForMetrics(traffic, checkedAddress(settings.listen.metrics), meters)
         .onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.metrics: $it")) }
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -132,12 +132,15 @@
         changeMembers(RemoveMember(id), timeoutMs) { it.memberOrNull(id) == null }
 
     /**
-     * Says whether this voter leads with a quorum, or has heard a leader within the last election timeouts. Call it on
-     * the control thread.
+     * Whether this voter leads with a quorum, or has heard a leader within the last election timeout. Read it on the
+     * control thread.
      */
-    public fun isInContact(nowMs: Long): Boolean =
-        holdsQuorum(nowMs) ||
-            (state.leader != null && nowMs - state.heardLeaderAtMs < state.timing.electionTimeoutMaxMs)
+    public val isInContact: Boolean
+        get() {
+            val nowMs = clock.nowMs()
+            val isHeard = state.leader != null && nowMs - state.heardLeaderAtMs < state.timing.electionTimeoutMaxMs
+            return isHeard || holdsQuorum(nowMs)
+        }
 
     /** The newest membership that this voter knows, or null while it is blank. Call it on the control thread. */
     internal val membershipOrNull: Membership? get() = if (state.snapshot == null) null else state.membership
