--- a/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -33,6 +33,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
@@ -79,6 +80,7 @@
         request.body.readBeginning()
         if (request.body.isComplete) request.pipe.watchForEnd()
         bodyProblemOrNull(request)?.let { return it.also { end -> logUnrouted(request, end) } }
+        awaitConfiguration(request)
         val job = admit(request).getOrElse { answer ->
             return ExchangeEnd.Own(answer).also { logUnrouted(request, it) }
         }
@@ -94,6 +96,13 @@
         }
     }
 
+    /** A process that has just started gets its configuration within a moment, which is sooner than a return. */
+    private suspend fun awaitConfiguration(request: CallerRequest) {
+        if (parts.views.value.table != null) return
+        val limitMs = (request.facts.patienceMs ?: 0) / CONFIGURATION_WAIT_DIVISOR
+        withTimeoutOrNull(limitMs.coerceAtMost(MAX_CONFIGURATION_WAIT_MS)) { parts.views.first { it.table != null } }
+    }
+
     private fun admit(request: CallerRequest): Either<OwnAnswer, RelayJob> {
         val table = parts.views.value.table
             ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_MS).left()
@@ -369,8 +378,12 @@
     }
 
     private companion object {
-        /** A caller without an answer is told to come back this soon while the first configuration is on its way. */
-        const val NO_CONFIGURATION_MS = 500L
+        /** A caller is told to come back this soon while the first configuration is on its way. */
+        const val NO_CONFIGURATION_MS = 800L
+
+        /** The part of a caller's patience, and the time, for which its request waits for the first configuration. */
+        const val CONFIGURATION_WAIT_DIVISOR = 8
+        const val MAX_CONFIGURATION_WAIT_MS = 3_000L
 
         /** Shorter generations are over before a copy would help. */
         const val COPY_MIN_OUTPUT_TOKENS = 64
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** How many control VMs an entry VM watches: one may be lost and another out of contact at the same time. */
@@ -127,7 +128,9 @@
 
     private fun lose(slot: Slot, reason: String) {
         val address = slot.address ?: return
-        log.warn("control-vm lost address={} slot={} reason={}", address, slot.number, reason)
+        // One line for each control VM that was watched; those that never answered are not news.
+        val level = if (slot.source.isEmpty()) Level.DEBUG else Level.WARN
+        log.log(level, "control-vm lost address={} slot={} reason={}", address, slot.number, reason)
         failedAtMs[address] = clock.nowMs()
         slot.leave()
         publish(viewState.value)
--- a/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.Logger
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.Properties
 import kotlin.reflect.KClass
@@ -56,12 +57,22 @@
 ): Nothing {
     Thread.setDefaultUncaughtExceptionHandler { thread, e -> haltOnBrokenInvariant(name, thread, e) }
     limitIoThreads(System.getProperties())
+    keepRunningOnHangup()
     // The servers' own hook would stop them on SIGTERM at once and cut off the requests that a shutdown must finish.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val code = runProgram(name, args.toList(), standardConsole(), options, run)
     exitProcess(code.number)
 }
 
+/**
+ * Lets SIGHUP say only that the settings file has changed; the JVM would end the process. Programs read what may change
+ * while they run from the file whenever they need it.
+ */
+private fun keepRunningOnHangup() {
+    val log = LogManager.getLogger("fulmarshunt.process.ProcessMain")
+    Signal.handle(Signal("HUP")) { log.info("settings changed reason=SIGHUP") }
+}
+
 /** Returns the console of the process. */
 public fun standardConsole(): Console = Console(::println, System.err::println)
 
