--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
@@ -0,0 +1,176 @@
+/*
+ * The fleet programs as real processes: control VMs that find each other by their seeds, an entry VM, and targets that
+ * announce themselves.
+ */
+package fulmarshunt.platform
+
+import fulmarshunt.caller.relay.RawMessage
+import fulmarshunt.caller.relay.ScriptedTarget
+import fulmarshunt.caller.relay.readMessageOrNull
+import fulmarshunt.faults.awaitThat
+import fulmarshunt.standin.Processes
+import fulmarshunt.standin.freePort
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.io.BufferedInputStream
+import java.io.File
+import java.net.Socket
+
+private const val CONTROL_VMS = 3
+private const val SOCKET_TIMEOUT_MS = 8_000
+
+@Timeout(120)
+class FleetProcessTest {
+    @TempDir
+    lateinit var directory: File
+
+    private val processes by lazy { Processes(directory) }
+    private val linkPort = freePort()
+    private val requestPort = freePort()
+    private val readinessPort = freePort()
+    private val metricsPort = freePort()
+    private val callerPort = freePort()
+
+    /** Each control VM has a loopback address of its own, because all use one link port. */
+    private fun ip(number: Int) = "127.0.0.${number + 1}"
+
+    private val seeds = (1..CONTROL_VMS).joinToString { "\"${ip(it)}:$requestPort\"" }
+
+    @AfterEach
+    fun endProcesses(): Unit = processes.close()
+
+    private fun common(number: Int, id: String) = """
+        [vm]
+        id = "$id"
+        failure_domain = "here"
+        ip = "${ip(number)}"
+        [link]
+        port = $linkPort
+        secret = "secret-of-this-test"
+        [control]
+        seeds = [$seeds]
+    """.trimIndent()
+
+    private fun startControl(number: Int, bootstrap: Boolean): Process {
+        val settings = """
+            ${common(number, "control-$number").prependIndent("            ").trim()}
+            [data]
+            directory = "$directory/data-$number"
+            [listen]
+            requests = "${ip(number)}:$requestPort"
+            metrics = "${ip(number)}:$metricsPort"
+            [formation]
+            bootstrap = $bootstrap
+            [targets]
+            period_ms = 500
+        """.trimIndent()
+        val path = processes.settings("control-$number.toml", settings)
+        return processes.start("control-$number", "fulmarshunt.platform.FleetControlKt", "--settings", path)
+    }
+
+    private fun startEntry(): Process {
+        val settings = """
+            ${common(CONTROL_VMS + 1, "entry").prependIndent("            ").trim()}
+            [listen]
+            callers = "127.0.0.1:$callerPort"
+            readiness = "127.0.0.1:$readinessPort"
+            metrics = "127.0.0.1:$metricsPort"
+            [shutdown]
+            grace_s = 6.0
+        """.trimIndent()
+        val path = processes.settings("entry.toml", settings)
+        return processes.start("entry", "fulmarshunt.platform.FleetEntryKt", "--settings", path)
+    }
+
+    private fun call(host: String, port: Int, method: String, path: String, body: String = ""): RawMessage? = runCatching {
+        Socket(host, port).use { socket ->
+            socket.soTimeout = SOCKET_TIMEOUT_MS
+            val text = "$method $path HTTP/1.1\r\nHost: h\r\nFulmarshunt-Request-Id: r1\r\nConnection: close\r\n" +
+                "Content-Length: ${body.length}\r\n\r\n$body"
+            socket.getOutputStream().write(text.encodeToByteArray())
+            BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+        }
+    }.getOrNull()
+
+    private fun RawMessage?.isOk() = this?.startLine?.contains(" 200 ") == true
+
+    private fun configuration(version: Int, prefix: String) =
+        """{"version":$version,"routes":[{"name":"r","host":"h","path_prefix":"$prefix","type":"unsafe",""" +
+            """"timeout_ms":4000,"slo_ms":1000,"service":"s"}],"services":[{"name":"s"}]}"""
+
+    private fun announce(number: Int, target: ScriptedTarget, sequence: Int, state: String = "ready") = call(
+        ip(number), requestPort, "POST", "/api/instances/${target.name}/heartbeat",
+        """{"service":"s","address":"127.0.0.1:${target.port}","zone":"here","slots":4,"state":"$state",""" +
+            """"cold_remaining_ms":0,"seq":$sequence,"born":1}""",
+    )
+
+    private fun target(name: String) = ScriptedTarget(name) {
+        write(
+            "HTTP/1.1 200 OK\r\nFulmarshunt-Request-Id: ${request.header("fulmarshunt-request-id")}\r\n" +
+                "Fulmarshunt-Server-Stamp: 1\r\nContent-Length: ${name.length}\r\n\r\n$name",
+        )
+    }
+
+    private fun replace(number: Int, version: Int, prefix: String) = awaitThat("version $version accepted") {
+        call(ip(number), requestPort, "POST", "/api/config/replace", configuration(version, prefix)).isOk()
+    }
+
+    private fun request(path: String) = call("127.0.0.1", callerPort, "POST", path)
+
+    private fun signal(process: Process, name: String) {
+        ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+    }
+
+    /**
+     * Guards against processes that do not find each other, configurations that are lost with a process or a disk, and
+     * processes that end when their settings change.
+     */
+    @Test
+    fun `a fleet forms, serves, and survives signals and a lost disk`() {
+        val controls = (1..CONTROL_VMS).map { startControl(it, bootstrap = true) }.toMutableList()
+        val entry = startEntry()
+        target("a").use { a ->
+            target("b").use { b ->
+                replace(1, 1, "/one/")
+                awaitThat("target a announced") { announce(2, a, 1).isOk() }
+                awaitThat("the first answer") { request("/one/x")?.body == "a" }
+                expectThat(call("127.0.0.1", readinessPort, "GET", "/api/ready").isOk()).isTrue()
+
+                (controls + entry).forEach { signal(it, "HUP") }
+                replace(3, 2, "/two/")
+                awaitThat("the second configuration in force") { request("/two/x")?.body == "a" }
+                expectThat(request("/one/x")?.startLine).isNotNull().contains(" 404 ")
+                expectThat((controls + entry).all { it.isAlive }).isTrue()
+
+                announce(1, b, 1)
+                announce(1, a, 2, "draining")
+                awaitThat("only target b gets work") { request("/two/x")?.body == "b" }
+                val before = a.requests.size
+                repeat(5) { expectThat(request("/two/x")?.body).isEqualTo("b") }
+                expectThat(a.requests.size).isEqualTo(before)
+
+                controls[0].destroyForcibly().waitFor()
+                File(directory, "data-1").deleteRecursively()
+                controls[0] = startControl(1, bootstrap = false)
+                awaitThat("the VM with the empty disk votes") {
+                    processes.output("control-2").plus(processes.output("control-3")).contains("step=Add(vm=ControlVm(vm=control-1")
+                }
+                awaitThat("version 2 is read at the VM with the empty disk") {
+                    call(ip(1), requestPort, "GET", "/api/config/get")?.body == configuration(2, "/two/")
+                }
+                expectThat(call("127.0.0.1", metricsPort, "GET", "/metrics")?.body).isNotNull().contains("fulmarshunt_requests")
+
+                signal(entry, "TERM")
+                awaitThat("the entry VM is not ready") { !call("127.0.0.1", readinessPort, "GET", "/api/ready").isOk() }
+                expectThat(entry.waitFor()).isEqualTo(0)
+            }
+        }
+    }
+}
