Move runs on a fresh connection, skip copies at leaving targets, release what broken streams leave

A run also went on from a copy at a target that was leaving itself. Change: an answer says whether its connection stays; copies at leaving targets are left out; the rest is released.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -104,6 +104,7 @@
         } finally {
             // A copy that is still being made no longer matters.
             coroutineContext.cancelChildren()
+            framer.dropRest()
         }
     }
 
@@ -130,8 +131,13 @@
 
     private fun mustAct(): Boolean {
         if (!isLeaving || framer.lastId == null || framer.hasUnnumbered) return false
-        val isMoveDue = canMove() && (moving == Moving.NONE || moving == Moving.COPIED)
-        return isMoveDue || (current.copy != null && !isCopyTried)
+        return hasUsableCopy() || (canMove() && (moving == Moving.NONE || moving == Moving.COPIED))
+    }
+
+    /** A copy at a target that leaves as well would have to be left at once. */
+    private fun hasUsableCopy(): Boolean {
+        val copy = current.copy ?: return false
+        return !isCopyTried && parts.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
     }
 
     private fun canMove() = job.service.engine?.canMove == true
@@ -161,7 +167,7 @@
     /** The target leaves: the run goes on from its copy, or is moved. */
     private suspend fun leave(scope: CoroutineScope): Boolean? {
         when {
-            current.copy != null && !isCopyTried -> continueFromCopy("leaving")
+            hasUsableCopy() -> continueFromCopy("leaving")
             moving == Moving.NONE -> startMove(scope)
             moving == Moving.COPIED -> finishMove()
         }
@@ -196,6 +202,8 @@
                 false,
             )
             if (current !== source) return@launch
+            val from = source.placement.target.id
+            log.info("run copied request={} from={} to={} result={}", job.id, from, place.target.id, result)
             result.fold({ giveUpMove("copy failed: ${it.reason}") }, { moving = Moving.COPIED })
             source.answer.pipe.wake()
         }
--- a/src/main/kotlin/fulmarshunt/http/HttpPipe.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpPipe.kt
@@ -28,6 +28,7 @@
     private val inbox = ArrayDeque<HttpObject>()
     private var reader: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
+    private var isClosed = false
 
     /** How the connection has ended, or null while it is open. */
     public var end: PipeEnd? = null
@@ -86,13 +87,18 @@
         if (end == null) channel.write(message) else ReferenceCountUtil.release(message)
     }
 
-    /** Closes the connection. */
+    /** Closes the connection and drops what has arrived on it. */
     public fun close() {
+        isClosed = true
         channel.close()
         dropInbox()
     }
 
     internal fun onMessage(message: HttpObject) {
+        if (isClosed) {
+            ReferenceCountUtil.release(message)
+            return
+        }
         inbox.addLast(message)
         wake()
     }
--- a/src/main/kotlin/fulmarshunt/http/WholeCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/WholeCalls.kt
@@ -3,6 +3,9 @@
  */
 package fulmarshunt.http
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -34,6 +37,8 @@
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
     public val contentType: String = "application/json",
+    /** Whether the sender of an answer takes another request on the same connection. */
+    public val keepsOpen: Boolean = true,
 )
 
 /** Answers one call after another on this connection; bodies over [maxBodyBytes] are refused. */
@@ -58,14 +63,14 @@
     }
 }
 
-/** Sends a request and returns the whole answer, or null if none comes within [limitMs]. */
+/** Sends a request and returns the whole answer, or why there is none within [limitMs]. */
 public suspend fun HttpPipe.callWhole(
     method: String,
     path: String,
     host: String,
     body: ByteArray,
     limitMs: Long,
-): HttpReply? {
+): Either<String, HttpReply> {
     val request = DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
         HttpMethod.valueOf(method),
@@ -80,11 +85,13 @@
         val head = receiveOrNull()
         if (head !is HttpResponse || head.decoderResult().isFailure) {
             ReferenceCountUtil.release(head)
-            null
+            "no answer, the connection is ${end ?: "open"}".left()
         } else {
-            readBodyOrNull(Int.MAX_VALUE)?.let { HttpReply(head.status().code(), it) }
+            val answer = readBodyOrNull(Int.MAX_VALUE)
+            answer?.let { HttpReply(head.status().code(), it, keepsOpen = HttpUtil.isKeepAlive(head)).right() }
+                ?: "the answer broke off".left()
         }
-    }
+    } ?: "no answer within $limitMs ms".left()
 }
 
 /** Reads the rest of a message; null if it breaks off or exceeds [maxBytes]. */
--- a/src/main/kotlin/fulmarshunt/platform/EngineCalls.kt
+++ b/src/main/kotlin/fulmarshunt/platform/EngineCalls.kt
@@ -55,12 +55,11 @@
     ): Either<MoveFailure, Moved> {
         val body = platformJson.encodeToString(WireMove.serializer(), WireMove(request.value, "$destination", isLast))
         val pipe = connections.open(source, mayBeStale = false).getOrElse { return MoveFailure(it, null).left() }
-        val reply = pipe.callWhole("POST", MOVE_PATH, "$source", body.encodeToByteArray(), MOVE_LIMIT_MS)
-        if (reply == null) {
+        val reply = pipe.callWhole("POST", MOVE_PATH, "$source", body.encodeToByteArray(), MOVE_LIMIT_MS).getOrElse {
             pipe.close()
-            return MoveFailure("no answer within $MOVE_LIMIT_MS ms", null).left()
+            return MoveFailure(it, null).left()
         }
-        connections.giveBack(source, pipe)
+        if (reply.keepsOpen) connections.giveBack(source, pipe) else pipe.close()
         return read(reply)
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -76,5 +76,6 @@
 
     private fun drop(address: Address, pipe: HttpPipe) {
         idle[address]?.removeIf { it.pipe === pipe }
+        pipe.close()
     }
 }
--- a/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
@@ -89,15 +89,16 @@
         return processes.start("entry", "fulmarshunt.platform.FleetEntryKt", "--settings", path)
     }
 
-    private fun call(host: String, port: Int, method: String, path: String, body: String = ""): RawMessage? = runCatching {
-        Socket(host, port).use { socket ->
-            socket.soTimeout = SOCKET_TIMEOUT_MS
-            val text = "$method $path HTTP/1.1\r\nHost: h\r\nFulmarshunt-Request-Id: r1\r\nConnection: close\r\n" +
-                "Content-Length: ${body.length}\r\n\r\n$body"
-            socket.getOutputStream().write(text.encodeToByteArray())
-            BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-        }
-    }.getOrNull()
+    private fun call(host: String, port: Int, method: String, path: String, body: String = ""): RawMessage? =
+        runCatching {
+            Socket(host, port).use { socket ->
+                socket.soTimeout = SOCKET_TIMEOUT_MS
+                val text = "$method $path HTTP/1.1\r\nHost: h\r\nFulmarshunt-Request-Id: r1\r\nConnection: close\r\n" +
+                    "Content-Length: ${body.length}\r\n\r\n$body"
+                socket.getOutputStream().write(text.encodeToByteArray())
+                BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+            }
+        }.getOrNull()
 
     private fun RawMessage?.isOk() = this?.startLine?.contains(" 200 ") == true
 
@@ -106,7 +107,10 @@
             """"timeout_ms":4000,"slo_ms":1000,"service":"s"}],"services":[{"name":"s"}]}"""
 
     private fun announce(number: Int, target: ScriptedTarget, sequence: Int, state: String = "ready") = call(
-        ip(number), requestPort, "POST", "/api/instances/${target.name}/heartbeat",
+        ip(number),
+        requestPort,
+        "POST",
+        "/api/instances/${target.name}/heartbeat",
         """{"service":"s","address":"127.0.0.1:${target.port}","zone":"here","slots":4,"state":"$state",""" +
             """"cold_remaining_ms":0,"seq":$sequence,"born":1}""",
     )
@@ -160,12 +164,16 @@
                 File(directory, "data-1").deleteRecursively()
                 controls[0] = startControl(1, bootstrap = false)
                 awaitThat("the VM with the empty disk votes") {
-                    processes.output("control-2").plus(processes.output("control-3")).contains("step=Add(vm=ControlVm(vm=control-1")
+                    processes.output(
+                        "control-2",
+                    ).plus(processes.output("control-3")).contains("step=Add(vm=ControlVm(vm=control-1")
                 }
                 awaitThat("version 2 is read at the VM with the empty disk") {
                     call(ip(1), requestPort, "GET", "/api/config/get")?.body == configuration(2, "/two/")
                 }
-                expectThat(call("127.0.0.1", metricsPort, "GET", "/metrics")?.body).isNotNull().contains("fulmarshunt_requests")
+                expectThat(
+                    call("127.0.0.1", metricsPort, "GET", "/metrics")?.body,
+                ).isNotNull().contains("fulmarshunt_requests")
 
                 signal(entry, "TERM")
                 awaitThat("the entry VM is not ready") { !call("127.0.0.1", readinessPort, "GET", "/api/ready").isOk() }
