--- a/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
@@ -43,6 +43,16 @@
         expectThat(next?.toString(Charsets.UTF_8)).isEqualTo(events[1])
     }
 
+    /** Guards against memory that is lost with each stream that breaks off within an event. */
+    @Test
+    fun `dropping the rest releases its buffer`() {
+        val framer = EventFramer()
+        val bytes = Unpooled.directBuffer().writeBytes("id: 1\nda".encodeToByteArray())
+        framer.feedOrNull(bytes)
+        framer.dropRest()
+        expectThat(bytes.refCnt()).isEqualTo(0)
+    }
+
     /** Guards against a stream without numbers that is taken for one that can go on elsewhere. */
     @Test
     fun `events without numbers are noticed`() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -276,6 +276,34 @@
         }
     }
 
+    /** Guards against a run that goes on where it must leave again at once. */
+    @Test
+    fun `a copy at a leaving target is not used`() {
+        val serve: ScriptedTarget.Visit.() -> Unit = {
+            startStream()
+            (1..2).forEach { event(it) }
+            Thread.sleep(400)
+            event(3)
+            endStream()
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelaySite(a, b).use { site ->
+                    val socket = site.connect()
+                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                    eventually { a.requests.size + b.requests.size == 1 }
+                    Thread.sleep(100)
+                    val source = if (a.requests.isEmpty()) b else a
+                    site.leave(if (source === a) b else a)
+                    site.leave(source)
+                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+                    expectThat(answer?.body).isEqualTo(events(1..3))
+                    expectThat(a.requests.size + b.requests.size).isEqualTo(1)
+                }
+            }
+        }
+    }
+
     /** Guards against a run that is moved with events lost or doubled between its targets. */
     @Test
     fun `a stream without a copy is moved when its target leaves`() {
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/platform/EngineCallsTest.kt
@@ -0,0 +1,67 @@
+/*
+ * Moving runs between engines that close connections or answer with something unexpected.
+ */
+package fulmarshunt.platform
+
+import fulmarshunt.Address
+import fulmarshunt.RequestId
+import fulmarshunt.caller.relay.MoveFailure
+import fulmarshunt.caller.relay.Moved
+import fulmarshunt.caller.relay.ScriptedTarget
+import fulmarshunt.http.Traffic
+import fulmarshunt.monotonicClock
+import fulmarshunt.target.fleet.TargetConnections
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+class EngineCallsTest {
+    private val destination = Address("127.0.0.1", 9)
+
+    private fun move(target: ScriptedTarget, times: Int) = Traffic().use { traffic ->
+        val calls = EngineCalls(TargetConnections(traffic, monotonicClock()))
+        runBlocking {
+            withContext(traffic.scope.coroutineContext) {
+                (1..times).map { calls.move(Address("127.0.0.1", target.port), RequestId("r"), destination, it > 1) }
+            }
+        }
+    }
+
+    private fun ScriptedTarget.Visit.reply(status: String, body: String, vararg headers: String) = write(
+        "HTTP/1.1 $status\r\n" + headers.joinToString("") { "$it\r\n" } + "Content-Length: ${body.length}\r\n\r\n$body",
+    )
+
+    /** Guards against a move that fails because its second call uses a connection that the engine closes. */
+    @Test
+    fun `a connection that the engine closes is not used again`() {
+        val target = ScriptedTarget("a") {
+            reply("200 OK", """{"handle":"h$number","made":$number}""", "Connection: close")
+            socket.close()
+        }
+        target.use {
+            val results = move(target, 2).map { it.getOrNull() }
+            expectThat(results).isEqualTo(listOf(Moved("h1", 1), Moved("h2", 2)))
+            expectThat(target.requests.last().body).contains("\"last\":true")
+        }
+    }
+
+    /** Guards against a stopped run that is given up although it could go on where it was. */
+    @Test
+    fun `a refused move keeps its handle`() {
+        ScriptedTarget("a") { reply("503 Service Unavailable", """{"handle":"h"}""") }.use { target ->
+            expectThat(move(target, 1).single().leftOrNull()).isEqualTo(MoveFailure("status 503", "h"))
+        }
+    }
+
+    /** Guards against an answer that cannot be read and ends the relay. */
+    @Test
+    fun `an unreadable answer is a failure`() {
+        ScriptedTarget("a") { reply("200 OK", "not JSON") }.use { target ->
+            expectThat(move(target, 1).single().leftOrNull()?.reason).isNotNull().contains("200")
+        }
+    }
+}
