--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -8,6 +8,7 @@
 package fulmarshunt.caller.relay
 
 import arrow.core.Either
+import fulmarshunt.Address
 import fulmarshunt.Clock
 import fulmarshunt.http.HttpPipe
 import fulmarshunt.target.fleet.FleetView
@@ -35,6 +36,12 @@
 /** How long the target that goes on may take until its answer begins. */
 private const val CONTINUE_LIMIT_MS = 1_500L
 
+/**
+ * After this time, a run is stopped without a second copy. Targets leave as soon as 1.5 s after their notice, and a
+ * second copy can wait behind three first ones of 0.3 s each.
+ */
+private const val SECOND_COPY_LIMIT_MS = 600L
+
 /** How long the source may take to close a stream after the run was stopped there. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
 
@@ -195,12 +202,7 @@
         moving = Moving.COPYING
         val source = current
         scope.launch {
-            val result = parts.dialect.move(
-                source.answer.target.record.address,
-                job.id,
-                place.target.record.address,
-                false,
-            )
+            val result = copyWhileRunning(source.answer.target.record.address, place.target.record.address)
             if (current !== source) return@launch
             val from = source.placement.target.id
             log.info("run copied request={} from={} to={} result={}", job.id, from, place.target.id, result)
@@ -209,6 +211,17 @@
         }
     }
 
+    /**
+     * Copies the run without stopping it. Copies from one target queue behind each other, so that the last one, for
+     * which the run stops, would wait for the first ones of other runs; a second copy waits in its place.
+     */
+    private suspend fun copyWhileRunning(source: Address, destination: Address): Either<MoveFailure, Moved> {
+        val startedAtMs = parts.clock.nowMs()
+        val first = parts.dialect.move(source, job.id, destination, false)
+        val isInTime = parts.clock.nowMs() - startedAtMs < SECOND_COPY_LIMIT_MS
+        return if (first.isRight() && isInTime) parts.dialect.move(source, job.id, destination, false) else first
+    }
+
     private fun giveUpMove(reason: String) {
         moving = Moving.GIVEN_UP
         log.warn("move failed request={} from={} reason={}", job.id, current.placement.target.id, reason)
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
@@ -201,6 +201,11 @@
     /** What the fleet has given out. */
     fun use() = runBlocking { control.run { fleet.use() } }
 
+    /** Takes the configuration away, as in a process that has just started, or brings it. */
+    fun configure(isConfigured: Boolean) {
+        views.value = views.value.copy(table = if (isConfigured) table() else null)
+    }
+
     /** Says that [target] leaves. */
     fun leave(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.LEAVING)
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isNull
 import strikt.assertions.startsWith
 import java.io.BufferedInputStream
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
@@ -326,7 +327,9 @@
             ScriptedTarget("b", serve).use { b ->
                 RelaySite(a, b).use { site ->
                     site.leave(b)
+                    val copies = CopyOnWriteArrayList<Boolean>()
                     site.moves = { _, _, _, isLast ->
+                        copies += isLast
                         if (isLast) stopped.countDown()
                         Moved("h1", null).right()
                     }
@@ -339,11 +342,31 @@
                     val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
                     expectThat(answer?.body).isEqualTo(events(1..5))
                     expectThat(b.requests.single().header("resume")).isEqualTo("${site.addressOf(a)}/h1@3")
+                    // The run stops only for the last copy, which must not wait behind the first copies of others.
+                    expectThat(copies.toList()).isEqualTo(listOf(false, false, true))
                 }
             }
         }
     }
 
+    /** Guards against callers that use up their repeats while a process that has just started is told its routes. */
+    @Test
+    fun `a request waits for the first configuration, but not for long`() {
+        ScriptedTarget("a") { answer("200 OK", "ran") }.use { target ->
+            RelaySite(target).use { site ->
+                site.configure(false)
+                val refused = checkNotNull(site.call("/once/x", "", "patience: 400"))
+                expectThat(refused.startLine).contains(" 503 ")
+                expectThat(refused.header("retry-after")).isNotNull()
+                val socket = site.connect()
+                socket.getOutputStream().write(requestText("/once/x", "", "patience: 24000").encodeToByteArray())
+                eventually { site.active == 1 }
+                site.configure(true)
+                expectThat(BufferedInputStream(socket.getInputStream()).readMessageOrNull()?.body).isEqualTo("ran")
+            }
+        }
+    }
+
     /** Guards against requests that are held until their caller gives up. */
     @Test
     fun `a caller is answered when its time is up`() {
