Take a repeat only when it is made, and limit the time of a request in one place

Cause: the relay took a repeat from the budget before it knew whether the request would be sent again, and twice for a failure that a target answered. The time of a request was limited both where it is served and where its head is awaited, with the same deadline: 'a caller is answered when its time is up' failed once in 502 instead of 504, when the inner timer came first. The decision between 502 and 503 stood twice. Change: nextStep asks for the repeat itself; the head of an answer has a limit of its own only for idempotent requests; one function answers requests that were not served; unused fields are gone. A test that no repeat is taken without need.

--- a/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -9,7 +9,6 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Clock
-import fulmarshunt.FailureDomainId
 import fulmarshunt.caller.fingerprintOf
 import fulmarshunt.operator.serving.AccountKeys
 import fulmarshunt.operator.serving.Repeatability
@@ -51,7 +50,6 @@
 
 /** The parts of an entry VM that exchanges use. */
 internal class ExchangeParts(
-    val domain: FailureDomainId,
     val views: StateFlow<FleetView>,
     val fleet: Fleet,
     val control: ControlThread,
@@ -74,7 +72,7 @@
 /** Runs exchanges. Confined to the traffic thread. */
 internal class Exchanges(private val parts: ExchangeParts) {
     private val log = LogManager.getLogger(Exchanges::class.java)
-    private val calls = TargetCalls(parts.connections, parts.dialect, parts.clock)
+    private val calls = TargetCalls(parts.connections, parts.dialect)
 
     suspend fun run(request: CallerRequest): ExchangeEnd {
         request.body.readBeginning()
@@ -155,8 +153,8 @@
             val askedAtMs = parts.clock.nowMs()
             val placement = when (val result = places.place(job.ask(), waitLimitMs(job))) {
                 is PlaceResult.Placed -> result.placement
-                is PlaceResult.Full -> return unplaced(job, "no target has room", result)
-                PlaceResult.NoTarget -> return unplaced(job, "no target is known", null)
+                is PlaceResult.Full -> return notServed(job, "no target has room", result)
+                PlaceResult.NoTarget -> return notServed(job, "no target is known", null)
             }
             parts.meters.placed(job.service.id.value, parts.clock.nowMs() - askedAtMs)
             job.trace.append(" ${placement.target.id}")
@@ -167,19 +165,15 @@
             note(job, failure)
             // The rest of a long body is read while the target has the request.
             bodyProblemOrNull(job.request)?.let { return it }
-            val canSendAgain = job.request.body.isRepeatable
-            var hasBudget = false
-            if (canSendAgain && job.soFar.arrivals > 0) hasBudget = places.tryRepeat(job)
             val route = job.route
-            val step = nextStep(failure, route.repeatability, job.soFar, job.unsent, route.maxTargets) { hasBudget }
+            val canSendAgain = job.request.body.isRepeatable
+            val step = nextStep(failure, route.repeatability, job.soFar, job.unsent, route.maxTargets) {
+                // For a failure that a target answered, the repeat was taken before its answer was dropped.
+                canSendAgain && (failure is AttemptFailure.Failed || places.tryRepeat(job))
+            }
             if (step == NextStep.TRY_ANOTHER && canSendAgain) continue
-            return ExchangeEnd.Own(
-                if (step == NextStep.ANSWER_UNKNOWN || job.soFar.runs > 0) {
-                    OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "the target failed: $failure")
-                } else {
-                    notRun("no target took the request: $failure", returnAfterMs(job, null, parts.draw()))
-                },
-            )
+            val problem = if (job.soFar.runs > 0) "the target failed" else "no target took the request"
+            return notServed(job, "$problem: $failure", null)
         }
     }
 
@@ -321,9 +315,10 @@
         }
     }
 
-    private fun unplaced(job: RelayJob, reason: String, full: PlaceResult.Full?): ExchangeEnd = ExchangeEnd.Own(
+    /** The answer when no target is left to try: "not run" only if none can have run the request. */
+    private fun notServed(job: RelayJob, reason: String, full: PlaceResult.Full?): ExchangeEnd = ExchangeEnd.Own(
         if (job.soFar.runs > 0) {
-            OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "$reason after a target failed")
+            OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "$reason, and a target may have run the request")
         } else {
             notRun(reason, returnAfterMs(job, full, parts.draw()))
         },
--- a/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
@@ -51,7 +51,7 @@
  *
  * @param takeRepeat takes one repeat from the shared budget, and is asked only if the repeat would be made.
  */
-internal fun nextStep(
+internal inline fun nextStep(
     failure: AttemptFailure,
     repeatability: Repeatability,
     soFar: AttemptsSoFar,
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCall.kt
@@ -8,7 +8,6 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import fulmarshunt.Clock
 import fulmarshunt.http.HttpPipe
 import fulmarshunt.operator.serving.Repeatability
 import fulmarshunt.target.fleet.KnownTarget
@@ -75,11 +74,7 @@
 }
 
 /** Sends requests to targets. Confined to the traffic thread. */
-internal class TargetCalls(
-    private val connections: TargetConnections,
-    private val dialect: Dialect,
-    private val clock: Clock,
-) {
+internal class TargetCalls(private val connections: TargetConnections, private val dialect: Dialect) {
     /** Sends [job] as [dispatch] says; a body that is still arriving is passed on in [scope]. */
     suspend fun open(
         job: RelayJob,
@@ -94,10 +89,13 @@
         var sender: Job? = null
         try {
             sender = send(job, pipe, dialect.forTarget(job.request.head.headers(), dispatch), scope)
-            val leftMs = job.deadlineAtMs - clock.nowMs()
-            val limitMs = if (isIdempotent) minOf(leftMs, PATIENCE_OBJECTIVES * job.route.objectiveMs) else leftMs
-            val response = withTimeoutOrNull(limitMs) { receiveHead(job, pipe) }
-                ?: return AttemptFailure.Lost("no answer: ${pipe.end ?: "within $limitMs ms"}").left()
+            // The time of the whole request is limited where the request is served.
+            val response =
+                if (isIdempotent) {
+                    withTimeoutOrNull(PATIENCE_OBJECTIVES * job.route.objectiveMs) { receiveHead(job, pipe) }
+                } else {
+                    receiveHead(job, pipe)
+                } ?: return AttemptFailure.Lost("no answer: ${pipe.end ?: "its time is up"}").left()
             return judge(response).map {
                 isOpened = true
                 OpenedAnswer(target, pipe, response, connections, sender)
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -7,7 +7,6 @@
 import arrow.core.Either
 import fulmarshunt.Address
 import fulmarshunt.Clock
-import fulmarshunt.FailureDomainId
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.link.Links
@@ -51,7 +50,6 @@
 /** Watches control VMs and keeps the view of [fleet]. */
 public class FleetWatcher internal constructor(
     private val vm: VmId,
-    private val domain: FailureDomainId,
     private val seeds: () -> List<Address>,
     private val decode: DecodeConfiguration,
     private val fleet: Fleet,
@@ -104,7 +102,6 @@
             val use = fleet.use()
             val request = Watch(
                 vm,
-                domain,
                 slot.number == 0,
                 if (slot.number == 0) use else emptyMap(),
                 fleet.suspects(),
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -5,7 +5,6 @@
 package fulmarshunt.entry.watch
 
 import fulmarshunt.Address
-import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
@@ -22,7 +21,6 @@
 @Serializable
 internal data class Watch(
     val vm: VmId,
-    val domain: FailureDomainId,
     /** Whether this control VM shall pass on what the entry VM uses; one of the watched ones does. */
     val isReporting: Boolean,
     val use: Map<TargetId, TargetUse>,
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -74,7 +74,6 @@
     }
     val watcher = FleetWatcher(
         settings.vm.id,
-        settings.vm.failureDomain,
         { seedsAt(path, settings) },
         ::decodeDocument,
         fleet,
@@ -87,7 +86,7 @@
     val dialect = platformDialect(EngineCalls(connections))
     val exchanges = Exchanges(
         ExchangeParts(
-            settings.vm.failureDomain, watcher.views, fleet, control, connections, dialect, relayMeters, clock,
+            watcher.views, fleet, control, connections, dialect, relayMeters, clock,
             Random.Default::nextDouble, traffic.scope,
         ),
     )
--- a/src/test/kotlin/fulmarshunt/caller/relay/OutcomesTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/OutcomesTest.kt
@@ -68,4 +68,13 @@
         val refused = AttemptFailure.Refused(503, null)
         expectThat(step(refused, Repeatability.AT_MOST_ONCE, AttemptsSoFar(0, 3))).isEqualTo(NextStep.ANSWER_NOT_RUN)
     }
+
+    /** Guards against a budget of repeats that is used up by requests which are not sent again. */
+    @Test
+    fun `a repeat is taken only if it is made`() {
+        for (failure in failures.filter { after(it).runs > 0 }) {
+            nextStep(failure, Repeatability.AT_MOST_ONCE, after(failure), 0, 2) { error("a repeat was taken") }
+            nextStep(failure, Repeatability.IDEMPOTENT, AttemptsSoFar(2, 2), 0, 2) { error("a repeat was taken") }
+        }
+    }
 }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
@@ -186,7 +186,7 @@
         copyHandle = { it.value },
     )
     private val exchanges = Exchanges(
-        ExchangeParts(here, views, fleet, control, connections, dialect, meters, clock, { 0.5 }, traffic.scope),
+        ExchangeParts(views, fleet, control, connections, dialect, meters, clock, { 0.5 }, traffic.scope),
     )
     private val callers = CallerConnections({ views.value }, dialect, meters, clock, exchanges::run)
     private val address: Address = runBlocking {
