Read changed settings away from the control thread, by one piece of code

Cause: both fleet programs had a copy of the function that reads the seeds, and called it on the control thread, which must do no input or output; the file was read and parsed at each introduction and each choice of a control VM. Change: ReloadedSettings reads the file on an I/O thread once a second, parses it only when its text has changed, and keeps the newest usable settings. A change of seeds is in use up to a second later than before. Measured: ReloadedSettingsTest and FleetProcessTest pass, format and lint are clean.

--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -28,6 +28,7 @@
 import fulmarshunt.process.processMain
 import fulmarshunt.process.processMetrics
 import fulmarshunt.process.readSettings
+import fulmarshunt.process.reloadedSettings
 import fulmarshunt.process.seedAddresses
 import fulmarshunt.process.shutDownOnTermination
 import fulmarshunt.process.startControlThread
@@ -65,6 +66,13 @@
     either {
         val logger = LogManager.getLogger("fulmarshunt.platform.FleetControl")
         val control = startControlThread()
+        val reloaded = reloadedSettings(
+            path,
+            FleetControlSettings.serializer(),
+            fleetControlSettingsCheck,
+            settings,
+            control.scope,
+        )
         val clock = monotonicClock()
         val own = linkAddressOf(settings.vm, settings.link)
         val machine = ServingMachine()
@@ -81,7 +89,8 @@
             raise(ProgramEnd(code, problem.message))
         }
         val self = ControlVm(settings.vm.id, log.id, own)
-        directory = controlDirectoryOf(self, control, clock) { seedsAt(path, settings) }
+        directory =
+            controlDirectoryOf(self, control, clock) { reloaded.current.let { seedAddresses(it.control, it.link) } }
         val access = log.access()
         val orders = ServingOrders(access, machine, clock, own)
         val watches = WatchService(
@@ -137,13 +146,3 @@
 }.map { }
 
 private const val OK = 200
-
-/** The seeds in the settings file, which may change; those at the start if it cannot be read. */
-private fun seedsAt(path: Path, atStart: FleetControlSettings): List<Address> {
-    val read = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck)
-    val settings = read.getOrElse { problem ->
-        LogManager.getLogger("fulmarshunt.platform.FleetControl").warn("settings unreadable problem={}", problem)
-        atStart
-    }
-    return seedAddresses(settings.control, settings.link)
-}
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -7,6 +7,7 @@
 import arrow.core.getOrElse
 import arrow.core.raise.either
 import fulmarshunt.Address
+import fulmarshunt.Clock
 import fulmarshunt.caller.relay.CallerConnections
 import fulmarshunt.caller.relay.ExchangeParts
 import fulmarshunt.caller.relay.Exchanges
@@ -27,6 +28,7 @@
 import fulmarshunt.process.processMain
 import fulmarshunt.process.processMetrics
 import fulmarshunt.process.readSettings
+import fulmarshunt.process.reloadedSettings
 import fulmarshunt.process.seedAddresses
 import fulmarshunt.process.shutDownOnTermination
 import fulmarshunt.process.startControlThread
@@ -64,17 +66,21 @@
 private suspend fun startFleetEntry(settings: FleetEntrySettings, path: Path): Either<ProgramEnd, Unit> = either {
     val logger = LogManager.getLogger("fulmarshunt.platform.FleetEntry")
     val control = startControlThread()
+    val reloaded = reloadedSettings(
+        path,
+        FleetEntrySettings.serializer(),
+        fleetEntrySettingsCheck,
+        settings,
+        control.scope,
+    )
     val clock = monotonicClock()
     val meters = processMetrics()
     val traffic = Traffic()
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, LinkHandlers())
-    val limits = repeatLimits(settings.bounds)
-    val fleet = Fleet(clock, settings.vm.failureDomain, RepeatBudget(limits)) { service ->
-        if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
-    }
+    val fleet = fleetOf(settings, clock)
     val watcher = FleetWatcher(
         settings.vm.id,
-        { seedsAt(path, settings) },
+        { reloaded.current.let { seedAddresses(it.control, it.link) } },
         ::decodeDocument,
         fleet,
         links,
@@ -107,12 +113,7 @@
     listenForMetrics(traffic, checkedAddress(settings.listen.metrics), meters)
         .onLeft { raise(ProgramEnd(ExitCode.USAGE, "listen.metrics: $it")) }
     control.run { watcher.start() }
-    traffic.scope.launch {
-        while (true) {
-            delay(EXPIRE_PERIOD_MS)
-            connections.expire()
-        }
-    }
+    expireRegularly(traffic, connections)
     val graceMs = (settings.shutdown.graceS * MS_PER_S).toLong() - KILL_MARGIN_MS
     shutDownOnTermination(graceMs) {
         isStopping.set(true)
@@ -142,17 +143,24 @@
 private const val OK = 200
 private const val UNAVAILABLE = 503
 
+private fun expireRegularly(traffic: Traffic, connections: TargetConnections) {
+    traffic.scope.launch {
+        while (true) {
+            delay(EXPIRE_PERIOD_MS)
+            connections.expire()
+        }
+    }
+}
+
+private fun fleetOf(settings: FleetEntrySettings, clock: Clock): Fleet {
+    val budget = RepeatBudget(repeatLimits(settings.bounds))
+    return Fleet(clock, settings.vm.failureDomain, budget) { service ->
+        if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
+    }
+}
+
 private fun repeatLimits(bounds: FleetBoundsSettings) =
     RepeatLimits(bounds.repeatRatio, bounds.repeatAllowance, (bounds.repeatWindowS * MS_PER_S).toLong())
 
 private fun coldLimitPerS(configuredPerS: Double, bounds: FleetBoundsSettings): Double =
     configuredPerS * bounds.coldFactor + bounds.coldAllowance
-
-/** The seeds in the settings file, which may change; those at the start if it cannot be read. */
-private fun seedsAt(path: Path, atStart: FleetEntrySettings): List<Address> {
-    val settings = readSettings(path, FleetEntrySettings.serializer(), fleetEntrySettingsCheck).getOrElse { problem ->
-        LogManager.getLogger("fulmarshunt.platform.FleetEntry").warn("settings unreadable problem={}", problem)
-        atStart
-    }
-    return seedAddresses(settings.control, settings.link)
-}
