Build without incremental compilation

Cause: a build after one without the incremental caches failed with unresolved references to classes of the same tree. Change: the platform's build compiles everything.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,6 +3,6 @@
 # that they start in about half of the time.
 set -eu
 cd "$(dirname "$0")/.."
-mvn -B -ntp -q -Dkotlin.compiler.incremental=true -Dmaven.test.skip=true -Dspotless.check.skip=true \
+mvn -B -ntp -q -Dmaven.test.skip=true -Dspotless.check.skip=true \
     -Ddetekt.skip=true package
 bash deploy/archive-classes.sh || echo "no class archives; the programs start without them"
