Replay committed entries at the start of a voter, publish the leader before waiters resume

'a removed leader steps down' failed once: waiters resumed before the leadership was published; the order is turned round.

--- a/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
+++ b/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
@@ -70,7 +70,7 @@
     private fun commit(group: List<Action>) {
         val stores = group.filterIsInstance<Store>()
         if (stores.isNotEmpty()) {
-            storage.append(stores.last().hard, stores.flatMap { it.entries })
+            storage.append(stores.last().hard, stores.last().committed, stores.flatMap { it.entries })
             onStored(Stored(stores.last().term, stores.last().lastIndex))
         }
         group.filterIsInstance<Send>().forEach(send)
--- a/src/main/kotlin/fulmarshunt/voter/FollowerStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/FollowerStep.kt
@@ -12,14 +12,14 @@
     // Entries up to the commit index are the same everywhere, also where the log no longer holds them.
     val isMatching = previous.index <= state.commit || state.log.termAtOrNull(previous.index) == previous.term
     if (!isMatching) return refuseAppend(envelope, message)
+    val match = previous.index + message.entries.size
     val fresh = message.entries.filter { it.index > state.commit && state.log.termAtOrNull(it.index) != it.term }
     if (fresh.isNotEmpty()) {
         // The first entry that differs makes all that follow it differ or be missing.
         truncateAfter(fresh.first().index - 1)
         extendLog(fresh)
-        store(fresh)
+        store(fresh, maxOf(state.commit, minOf(message.commit, match)))
     }
-    val match = previous.index + message.entries.size
     commitTo(minOf(message.commit, match))
     answer(envelope, Appended(match, message.stamp))
 }
--- a/src/main/kotlin/fulmarshunt/voter/InitialState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/InitialState.kt
@@ -8,9 +8,9 @@
 /** Returns the state of a voter that has just started with what is on its disk. */
 internal fun initialState(settings: VoterSettings, stored: StoredState, nowMs: Long): VoterState {
     val header = stored.snapshot?.header
-    val commit = header?.position?.index ?: LogIndex(0)
+    val covered = header?.position?.index ?: LogIndex(0)
     val later =
-        stored.log.slice(maxOf(commit, stored.log.base.index) + 1).mapNotNull { entry ->
+        stored.log.slice(maxOf(covered, stored.log.base.index) + 1).mapNotNull { entry ->
             (entry.payload as? MembershipChange)?.let { DatedMembership(entry.index, it.membership) }
         }
     return VoterState(
@@ -25,8 +25,8 @@
         hard = stored.hard,
         snapshot = stored.snapshot,
         log = stored.log,
-        memberships = listOfNotNull(header?.let { DatedMembership(commit, it.membership) }) + later,
-        commit = commit,
+        memberships = listOfNotNull(header?.let { DatedMembership(covered, it.membership) }) + later,
+        commit = maxOf(covered, minOf(stored.committed, stored.log.last.index)),
         role = Follower,
         leader = null,
         leaderAddress = null,
@@ -35,3 +35,9 @@
         incoming = null,
     )
 }
+
+/** Returns the entries that a voter which has just started applies after its snapshot: those known to be committed. */
+internal fun replayedEntries(initial: VoterState): List<LogEntry> {
+    val covered = initial.snapshot?.header?.position?.index ?: return emptyList()
+    return initial.log.slice(covered + 1, initial.commit)
+}
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -81,6 +81,8 @@
         control.run {
             check(this.transport == null) { "the replicated log was started already" }
             state.snapshot?.let { restore(it) }
+            // What is known to be committed can be served before a leader is elected.
+            replayedEntries(state).forEach(::applyEntry)
             this.transport = transport
             writing = writer.start(control.scope)
             schedule()
@@ -203,9 +205,10 @@
             // Entries of the new term can take the place of proposals, so that their proposers are answered first.
             if (former.role is Leader && state.term != former.term) waiters.fail("leadership was lost")
             result.actions.forEach(::perform)
+            // Published first, because callers that wait for the state also read who leads.
+            publish()
             waiters.onState(state)
             if (former.role is Leader && state.role !is Leader) waiters.fail("leadership was lost")
-            publish()
             schedule()
             result.reply ?: AcceptedAt(state.commit)
         } catch (e: Exception) {
--- a/src/main/kotlin/fulmarshunt/voter/Step.kt
+++ b/src/main/kotlin/fulmarshunt/voter/Step.kt
@@ -49,9 +49,9 @@
     }
 }
 
-/** Stores [entries], which are in the log already, and the term and vote. */
-internal fun Draft.store(entries: List<LogEntry>) {
-    actions += Store(state.term, state.log.last.index, state.hard, entries)
+/** Stores [entries], which are in the log already, the term and vote, and which entry is [committed]. */
+internal fun Draft.store(entries: List<LogEntry>, committed: LogIndex = state.commit) {
+    actions += Store(state.term, state.log.last.index, state.hard, committed, entries)
 }
 
 internal fun Draft.send(member: Member, message: VoterMessage, isAfterStore: Boolean) {
--- a/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
@@ -41,8 +41,14 @@
 internal sealed interface Action
 
 /** Appends to the write-ahead file. An entry replaces stored entries at its index and after it. */
-internal class Store(val term: Term, val lastIndex: LogIndex, val hard: HardState, val entries: List<LogEntry>) :
-    Action
+internal class Store(
+    val term: Term,
+    val lastIndex: LogIndex,
+    val hard: HardState,
+    /** An entry that is known to be committed; it may lag, because a commit alone is not worth a sync. */
+    val committed: LogIndex,
+    val entries: List<LogEntry>,
+) : Action
 
 /** Replaces the stored snapshot, and then the write-ahead file by [hard], [base] and [entries]. */
 internal class StoreSnapshot(
--- a/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
@@ -8,6 +8,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.LogIndex
 import fulmarshunt.Term
 import fulmarshunt.VmId
 import fulmarshunt.VoterId
@@ -37,8 +38,12 @@
     val base: LogPosition?,
     val hard: HardState,
     val entries: List<LogEntry>,
+    val committed: LogIndex = LogIndex(0),
 )
 
+/** What the write-ahead file says. */
+private class StoredWal(val hard: HardState, val log: EntryLog, val committed: LogIndex)
+
 /** A damaged or foreign data directory. The message is for the operator. */
 private class UnusableDirectory(message: String, val isDamaged: Boolean = true) : IOException(message)
 
@@ -78,7 +83,8 @@
         val identity = readIdentity() ?: createDirectory(StoredIdentity(vm, newId()))
         if (identity.vm != vm) throw UnusableDirectory("it belongs to VM ${identity.vm}, not to $vm", isDamaged = false)
         val snapshot = readSnapshotOrNull()
-        val (hard, walLog) = readWal()
+        val stored = readWal()
+        val (hard, walLog) = stored.hard to stored.log
         val log = if (snapshot == null) walLog else walLog.reconciledWith(snapshot.header.position)
         if (snapshot == null && (hard != HardState(Term(0)) || walLog.last != LogPosition.START)) {
             throw UnusableDirectory("the snapshot is missing; $REJOIN_ADVICE")
@@ -86,7 +92,8 @@
         // A crash between the snapshot and the write-ahead file leaves entries that the snapshot has replaced.
         if (log !== walLog) replaceWal(hard, log.base, emptyList())
         wal = FileChannel.open(path(WAL_FILE), StandardOpenOption.WRITE, StandardOpenOption.APPEND)
-        return OpenStorage(StoredState(identity.id, hard, snapshot, log), VoterStorage(::append, ::replace, ::close))
+        val state = StoredState(identity.id, hard, snapshot, log, stored.committed)
+        return OpenStorage(state, VoterStorage(::append, ::replace, ::close))
     }
 
     fun close() {
@@ -94,9 +101,9 @@
         lock.close()
     }
 
-    private fun append(hard: HardState, entries: List<LogEntry>) {
+    private fun append(hard: HardState, committed: LogIndex, entries: List<LogEntry>) {
         val channel = checkNotNull(wal)
-        channel.writeFully(encode(WalRecord(null, hard, entries)))
+        channel.writeFully(encode(WalRecord(null, hard, entries, committed)))
         sync(channel)
     }
 
@@ -122,7 +129,7 @@
     /** Creates the write-ahead file before the identity, whose presence says that creation was completed. */
     private fun createDirectory(identity: StoredIdentity): StoredIdentity {
         val isInterrupted = !Files.exists(path(SNAPSHOT_FILE)) &&
-            (!Files.exists(path(WAL_FILE)) || readWal().let { (hard, _) -> hard == HardState(Term(0)) })
+            (!Files.exists(path(WAL_FILE)) || readWal().hard == HardState(Term(0)))
         if (!isInterrupted) throw UnusableDirectory("the identity is missing; $REJOIN_ADVICE")
         replaceWal(HardState(Term(0)), LogPosition.START, emptyList())
         replaceFile(IDENTITY_FILE, encodeRecord(linkCbor.encodeToByteArray(StoredIdentity.serializer(), identity)))
@@ -137,7 +144,7 @@
         return Snapshot(header, records[1])
     }
 
-    private fun readWal(): Pair<HardState, EntryLog> {
+    private fun readWal(): StoredWal {
         if (!Files.exists(path(WAL_FILE))) throw UnusableDirectory("the write-ahead file is missing; $REJOIN_ADVICE")
         val scan = readRecords(WAL_FILE)
         cutTornRecord(scan.intactBytes.toLong())
@@ -151,7 +158,7 @@
             while (entries.size > offset) entries.removeAt(entries.lastIndex)
             entries += entry
         }
-        return records.last().hard to EntryLog(base, entries)
+        return StoredWal(records.last().hard, EntryLog(base, entries), records.maxOf { it.committed })
     }
 
     private fun cutTornRecord(intactBytes: Long) {
--- a/src/main/kotlin/fulmarshunt/voter/VoterStorage.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterStorage.kt
@@ -5,13 +5,14 @@
  */
 package fulmarshunt.voter
 
+import fulmarshunt.LogIndex
 import fulmarshunt.VoterId
 import java.nio.channels.FileChannel
 
 /** Stores the state of one voter. */
 internal class VoterStorage(
-    /** Appends one record to the write-ahead file, and syncs it. */
-    val append: (HardState, List<LogEntry>) -> Unit,
+    /** Appends one record with the last entry known to be committed to the write-ahead file, and syncs it. */
+    val append: (HardState, LogIndex, List<LogEntry>) -> Unit,
     /** Replaces the snapshot and then the write-ahead file. */
     val replace: (StoreSnapshot) -> Unit,
     /** Releases the data directory. */
@@ -19,7 +20,13 @@
 )
 
 /** What was found on disk. */
-internal class StoredState(val id: VoterId, val hard: HardState, val snapshot: Snapshot?, val log: EntryLog)
+internal class StoredState(
+    val id: VoterId,
+    val hard: HardState,
+    val snapshot: Snapshot?,
+    val log: EntryLog,
+    val committed: LogIndex = LogIndex(0),
+)
 
 /** A voter's data directory that is open. */
 internal class OpenStorage(val stored: StoredState, val storage: VoterStorage)
--- a/src/test/kotlin/fulmarshunt/voter/DiskWriterTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/DiskWriterTest.kt
@@ -16,7 +16,8 @@
 class DiskWriterTest {
     private val events = ConcurrentLinkedQueue<String>()
 
-    private fun store(index: Long) = Store(Term(1), LogIndex(index), HardState(Term(1)), listOf(command(index, 1)))
+    private fun store(index: Long) =
+        Store(Term(1), LogIndex(index), HardState(Term(1)), LogIndex(0), listOf(command(index, 1)))
 
     private fun answer(index: Long): Send {
         val message = Appended(LogIndex(index), Stamp(1, 0))
@@ -26,7 +27,7 @@
     private fun run(tasks: List<Action>, isBroken: Boolean = false) = runBlocking {
         val storage =
             VoterStorage(
-                append = { _, entries ->
+                append = { _, _, entries ->
                     if (isBroken) throw IOException("no space left")
                     events += "append ${entries.map { it.index }}"
                 },
--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -95,6 +95,23 @@
         voters.forEach { it.close() }
     }
 
+    /** Guards against VMs that are told no configuration until a leader is elected after a restart of all voters. */
+    @Test
+    fun `a voter that starts alone has applied what it knew to be committed`(): Unit = runBlocking {
+        val voters = vms.map { start(it, snapshotEveryEntries = 1_000) }
+        repeat(20) { commit(voters, "command $it") }
+        expectEqualStates(voters, 20)
+        voters.forEach { it.close() }
+        val alone = start(vms[1], snapshotEveryEntries = 1_000)
+        // A commit is noted with the next entry, so that the last one may be missing.
+        expectThat(alone.machine.count).isGreaterThan(18L)
+        expectThat(alone.log.leadership.value.leader).isEqualTo(null)
+        val others = listOf(vms[0], vms[2]).map { start(it, snapshotEveryEntries = 1_000) }
+        commit(others + alone, "later")
+        expectEqualStates(others + alone, 21)
+        (others + alone).forEach { it.close() }
+    }
+
     /** Guards against a leader that goes on leading, or a cluster that stops, when the leader is removed. */
     @Test
     fun `a removed leader steps down`(): Unit = runBlocking {
--- a/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ScriptedVoter.kt
@@ -82,7 +82,8 @@
                 is Store -> {
                     val first = action.entries.firstOrNull()?.index
                     val kept = if (first == null) disk.log else disk.log.truncatedAfter(first - 1)
-                    disk = StoredState(self.id, action.hard, disk.snapshot, kept.append(action.entries))
+                    val committed = maxOf(disk.committed, action.committed)
+                    disk = StoredState(self.id, action.hard, disk.snapshot, kept.append(action.entries), committed)
                     handle(Stored(action.term, action.lastIndex))
                 }
                 is StoreSnapshot -> {
@@ -104,6 +105,7 @@
         disk.snapshot?.takeIf { it.data.isNotEmpty() }?.let {
             machine.machine.restore(it.header.position.index, it.data)
         }
+        replayedEntries(state).forEach(::apply)
     }
 
     private fun perform(action: Action) {
--- a/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
@@ -45,7 +45,9 @@
     private fun fill(): List<Long> = use { files ->
         files.storage.replace(StoreSnapshot(hard, threeVoters, LogPosition.START, emptyList()))
         (0L..2L).map { n ->
-            Files.size(wal).also { files.storage.append(hard, listOf(command(2 * n + 1, 2), command(2 * n + 2, 2))) }
+            Files.size(wal).also {
+                files.storage.append(hard, LogIndex(0), listOf(command(2 * n + 1, 2), command(2 * n + 2, 2)))
+            }
         }
     }
 
@@ -56,10 +58,13 @@
         val bytes = Files.readAllBytes(wal)
         for (length in last until bytes.size) {
             Files.write(wal, bytes.copyOf(length.toInt()))
-            val stored = use { it.storage.append(hard, listOf(command(5, 2))).run { it.stored } }
+            val stored = use { it.storage.append(hard, LogIndex(2), listOf(command(5, 2))).run { it.stored } }
             expectThat(stored.log.last.index).isEqualTo(LogIndex(4))
             expectThat(stored.hard).isEqualTo(hard)
-            expectThat(use { it.stored.log.last.index }).isEqualTo(LogIndex(5))
+            expectThat(stored.committed).isEqualTo(LogIndex(0))
+            val reopened = use { it.stored }
+            expectThat(reopened.log.last.index).isEqualTo(LogIndex(5))
+            expectThat(reopened.committed).isEqualTo(LogIndex(2))
         }
     }
 
@@ -147,7 +152,7 @@
     @Test
     fun `a later entry at the same index replaces the former ones`() {
         fill()
-        use { it.storage.append(HardState(Term(3)), listOf(command(4, 3))) }
+        use { it.storage.append(HardState(Term(3)), LogIndex(0), listOf(command(4, 3))) }
         val stored = use { it.stored }
         expectThat(stored.log.last).isEqualTo(LogPosition(LogIndex(4), Term(3)))
         expectThat(stored.hard).isEqualTo(HardState(Term(3)))
