Acknowledge a target's notice only when entry VMs will hear of it

Change: a notice is acknowledged once a control VM in contact with a leader has it; an isolated control VM answers 503, so that the target turns to another one.

--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -63,7 +63,11 @@
 
 /** The answer to an [Exchange]. */
 @Serializable
-internal data class Exchanged(val vm: VmId)
+internal data class Exchanged(
+    val vm: VmId,
+    /** Whether this control VM is in contact with a leader, so that entry VMs watch it. */
+    val isCurrent: Boolean,
+)
 
 internal val watchChannel: Channel<Watch, WatchReply> = Channel("watch", Watch.serializer(), WatchReply.serializer())
 
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -20,6 +20,7 @@
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.TargetUse
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -43,6 +44,9 @@
 /** The longest time that an acknowledgement waits for another control VM to have a change. */
 private const val PASS_ON_LIMIT_MS = 250L
 
+/** A control VM that has reached none that entry VMs watch for this long is isolated; exchanges are more frequent. */
+private const val ISOLATED_AFTER_MS = 1_000L
+
 /** Reports older than this no longer count. */
 private const val REPORT_LIFE_MS = 2_000L
 
@@ -78,6 +82,7 @@
     private val reportsOfControlVms = mutableMapOf<VmId, Report>()
     private val entryVmsSeenAtMs = mutableMapOf<VmId, Long>()
     private var lastRefreshAtMs = 0L
+    private var reachedCurrentAtMs = Long.MIN_VALUE / 2
 
     @Volatile
     private var links: Links? = null
@@ -96,36 +101,49 @@
         }
     }
 
-    /** Takes what a target said of itself and passes it on. Returns once another control VM has it, if it matters. */
-    internal suspend fun announce(record: TargetRecord) {
+    /**
+     * Takes what a target said of itself and passes it on.
+     *
+     * @return whether entry VMs will hear of it. If not, the target must turn to another control VM, because this one
+     * may be cut off from all others.
+     */
+    internal suspend fun announce(record: TargetRecord): Boolean {
         val isChange = control.run { parts.directory.take(record, clock.nowMs()) }
-        if (isChange) passOn(record, record.phase != TargetPhase.READY)
+        if (record.phase != TargetPhase.READY) return passOnAwaited(record)
+        if (isChange) passOn(record)
+        return control.run { isReached() }
     }
 
-    /** Notes that a target has left. */
-    internal suspend fun leave(id: TargetId, bornAtMs: Long?) {
+    /** Notes that a target has left, and returns whether entry VMs will hear of it. */
+    internal suspend fun leave(id: TargetId, bornAtMs: Long?): Boolean {
         val record = control.run { parts.directory.leave(id, bornAtMs, clock.nowMs()) }
-        if (record == null) log.warn("target left id={} unknown here", id) else passOn(record, true)
+        if (record != null) return passOnAwaited(record)
+        log.warn("target left id={} unknown here", id)
+        return true
     }
 
-    private suspend fun passOn(record: TargetRecord, isAwaited: Boolean) {
+    private fun isReached(): Boolean =
+        parts.isCurrent() || clock.nowMs() - reachedCurrentAtMs < ISOLATED_AFTER_MS || others().isEmpty()
+
+    /** Starts to pass [record] on; each call returns whether a control VM has it that entry VMs watch. */
+    private fun passOn(record: TargetRecord): List<Deferred<Boolean>> {
         val exchange = Exchange(parts.vm, listOf(AgedRecord(record, 0)), emptyList(), null, null)
-        val calls = others().map { address ->
-            control.scope.async {
-                links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS)?.isRight() == true
-            }
-        }
-        if (!isAwaited || calls.isEmpty()) return
-        withTimeoutOrNull(PASS_ON_LIMIT_MS) {
-            val pending = calls.toMutableList()
+        return others().map { address -> control.scope.async { exchangeWith(address, exchange)?.isCurrent == true } }
+    }
+
+    private suspend fun passOnAwaited(record: TargetRecord): Boolean {
+        val pending = passOn(record).toMutableList()
+        if (pending.isEmpty()) return true
+        return withTimeoutOrNull(PASS_ON_LIMIT_MS) {
             while (pending.isNotEmpty()) {
                 val (call, isTaken) = select {
                     pending.forEach { call -> call.onAwait { call to it } }
                 }
-                if (isTaken) break
+                if (isTaken) return@withTimeoutOrNull true
                 pending -= call
             }
-        }
+            false
+        } ?: false
     }
 
     private suspend fun answer(watch: Watch): WatchReply {
@@ -164,7 +182,7 @@
         takeSuspects(exchange.suspects)
         exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
-        return Exchanged(parts.vm)
+        return Exchanged(parts.vm, parts.isCurrent())
     }
 
     private fun takeSuspects(reported: List<Suspect>) {
@@ -194,11 +212,13 @@
     }
 
     private fun send(address: Address, exchange: Exchange) {
-        control.scope.launch {
-            links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS)?.onLeft {
-                log.debug("exchange to={} failed reason={}", address, it.reason)
-            }
-        }
+        control.scope.launch { exchangeWith(address, exchange) }
+    }
+
+    private suspend fun exchangeWith(address: Address, exchange: Exchange): Exchanged? {
+        val result = links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS) ?: return null
+        result.onLeft { log.debug("exchange to={} failed reason={}", address, it.reason) }
+        return result.getOrNull()?.also { if (it.isCurrent) reachedCurrentAtMs = clock.nowMs() }
     }
 
     private fun others(): List<Address> = parts.controls() - parts.own
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -59,15 +59,16 @@
             log.warn("announcement refused id={} problem={}", id, problem)
             reply(BAD_REQUEST, problem)
         },
-        { record ->
-            watches.announce(record)
-            reply(OK, "")
-        },
+        { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
     )
 
-    private suspend fun leave(id: TargetId, body: ByteArray): HttpReply {
-        watches.leave(id, decodeLeaveOrNull(body))
-        return reply(OK, "")
+    private suspend fun leave(id: TargetId, body: ByteArray): HttpReply =
+        acknowledge(id, "left", watches.leave(id, decodeLeaveOrNull(body)))
+
+    private fun acknowledge(id: TargetId, what: String, isHeard: Boolean): HttpReply {
+        if (isHeard) return reply(OK, "")
+        log.warn("announcement not acknowledged id={} what={} reason=no contact to other control VMs", id, what)
+        return reply(UNAVAILABLE, "no contact to other control VMs")
     }
 
     private suspend fun replace(body: ByteArray): HttpReply = decodeConfiguration(body).fold(
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -0,0 +1,91 @@
+/*
+ * Which announcements of targets a control VM acknowledges.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Address
+import fulmarshunt.VmId
+import fulmarshunt.entry.watch.WatchService
+import fulmarshunt.entry.watch.WatchServiceParts
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ServingSnapshot
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.TargetDirectory
+import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.record
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import java.net.ServerSocket
+
+private const val TIMEOUT_MS = 10_000L
+private const val POLL_MS = 20L
+
+class WatchServiceTest {
+    private class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
+        private val control = startControlThread()
+        val service = WatchService(
+            WatchServiceParts(
+                VmId(name),
+                MutableStateFlow(ServingSnapshot()),
+                { all },
+                own,
+                isCurrent,
+                TargetDirectory(1_000),
+            ),
+            control,
+            monotonicClock(),
+        )
+        private val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
+
+        init {
+            runBlocking { links.listen(own).onLeft { error(it) } }
+            service.start(links)
+        }
+
+        override fun close() {
+            runBlocking { links.close() }
+            control.close()
+        }
+    }
+
+    private val addresses = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
+    private val leaving = record("t", sequence = 2, phase = TargetPhase.LEAVING)
+
+    /** Guards against runs that end with their target because only a control VM without contact knew that it left. */
+    @Test
+    fun `an isolated control VM acknowledges nothing`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { false }.use { isolated ->
+            expectThat(isolated.service.announce(record("t"))).isFalse()
+            expectThat(isolated.service.announce(leaving)).isFalse()
+            expectThat(isolated.service.leave(leaving.id, null)).isFalse()
+        }
+    }
+
+    /** Guards against the first moments of a cut, in which a control VM still counts as in contact. */
+    @Test
+    fun `a notice is acknowledged once another control VM has it`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { true }.use { first ->
+            expectThat(first.service.announce(record("t"))).isTrue()
+            expectThat(first.service.announce(leaving)).isFalse()
+            ControlVm("b", addresses[1], addresses) { true }.use {
+                withTimeout(TIMEOUT_MS) { while (!first.service.leave(leaving.id, null)) delay(POLL_MS) }
+            }
+        }
+    }
+
+    /** Guards against a single control VM whose targets are never acknowledged. */
+    @Test
+    fun `a control VM without others acknowledges alone`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses.take(1)) { true }.use { only ->
+            expectThat(only.service.announce(leaving)).isTrue()
+        }
+    }
+}
