Let runs go on from what was copied, wait for room, and keep copies out of the way of requests

Changes: TransferStep decides about copies and moves, a refused copy is asked for again, a run whose target is lost goes on from the last copy of its move, and a run is stopped only once copies are quick. Copies are made while less than 0.55 of all memory is filled, at the better of two targets drawn. Lengths are learned by route. Targets of nearly equal cost share requests. A new process waits for its first configuration and targets. The test 'the use of other entry VMs counts' uses 8,300 tokens instead of 7,600, because 0.97 of the memory may now be filled instead of 0.9; the target is as full as before.

--- a/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Exchanges.kt
@@ -73,6 +73,8 @@
 internal class Exchanges(private val parts: ExchangeParts) {
     private val log = LogManager.getLogger(Exchanges::class.java)
     private val calls = TargetCalls(parts.connections, parts.dialect)
+    private val outputs = OutputEstimates()
+    private val patience = PatienceHistory()
 
     suspend fun run(request: CallerRequest): ExchangeEnd {
         request.body.readBeginning()
@@ -97,7 +99,7 @@
     /** A process that has just started gets its configuration within a moment, which is sooner than a return. */
     private suspend fun awaitConfiguration(request: CallerRequest) {
         if (parts.views.value.table != null) return
-        val limitMs = (request.facts.patienceMs ?: 0) / CONFIGURATION_WAIT_DIVISOR
+        val limitMs = ((request.facts.patienceMs ?: 0) * CONFIGURATION_WAIT_PART).toLong()
         withTimeoutOrNull(limitMs.coerceAtMost(MAX_CONFIGURATION_WAIT_MS)) { parts.views.first { it.table != null } }
     }
 
@@ -122,6 +124,8 @@
             account?.rank ?: route.rank,
             fingerprintOrNull(request, account, service),
             request.arrivedAtMs + patienceMs,
+            request.arrivedAtMs + route.objectiveMs - patience.elapsedBeforeMs(route, request.facts.patienceMs),
+            request.facts.generation?.let { outputs.expectedTokens(route.name, it) } ?: 0,
         )
         if (job.fingerprint in parts.views.value.refused) {
             log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
@@ -151,7 +155,9 @@
     private suspend fun serve(job: RelayJob, places: JobPlaces): ExchangeEnd {
         while (true) {
             val askedAtMs = parts.clock.nowMs()
-            val placement = when (val result = places.place(job.ask(), waitLimitMs(job))) {
+            val result = places.place(job.ask(), waitLimitMs(job))
+            job.waitedMs += parts.clock.nowMs() - askedAtMs
+            val placement = when (result) {
                 is PlaceResult.Placed -> result.placement
                 is PlaceResult.Full -> return notServed(job, "no target has room", result)
                 PlaceResult.NoTarget -> return notServed(job, "no target is known", null)
@@ -245,6 +251,7 @@
             if (!isComplete) relay.current.answer.abandon()
         }
         places.end(relay.current.placement, if (isComplete) UseEnd.SUCCEEDED else UseEnd.FAILED)
+        if (isComplete) noteLength(job, relay.events)
         if (!isComplete) suspectIfDead(job, relay.current.placement.target)
         return if (isComplete) ExchangeEnd.Relayed(keepsOpen) else ExchangeEnd.Broken
     }
@@ -275,6 +282,11 @@
         }
     }
 
+    private fun noteLength(job: RelayJob, events: Long) {
+        val facts = job.request.facts.generation ?: return
+        outputs.note(job.route.name, facts, events * (job.service.engine?.tokensPerEvent ?: 1))
+    }
+
     private suspend fun mayRepeat(job: RelayJob, places: JobPlaces): Boolean =
         job.route.repeatability == Repeatability.IDEMPOTENT &&
             job.request.body.isRepeatable &&
@@ -320,7 +332,7 @@
         if (job.soFar.runs > 0) {
             OwnAnswer(HttpResponseStatus.BAD_GATEWAY, "$reason, and a target may have run the request")
         } else {
-            notRun(reason, returnAfterMs(job, full, parts.draw()))
+            notRun(reason, returnAfterMs(job, full, parts.clock.nowMs(), parts.draw()))
         },
     )
 
@@ -366,9 +378,10 @@
         parts.meters.ended(outcome, job.service.id.value, elapsedMs)
         log.info(
             "request ended id={} outcome={} status={} reason={} route={} service={} account={} targets=[{}] " +
-                "runs={} tookMs={} retryAfterMs={} revision={}",
+                "runs={} waitedMs={} firstMs={} gapMs={} tookMs={} retryAfterMs={} revision={}",
             job.id, outcome, answer?.status?.code(), answer?.reason, job.route.name, job.service.id, job.account,
-            job.trace.trim(), job.soFar.runs, elapsedMs, answer?.retryAfterMs, parts.views.value.revision,
+            job.trace.trim(), job.soFar.runs, job.waitedMs, job.firstEventAfterMs, job.longestGapMs, elapsedMs,
+            answer?.retryAfterMs, parts.views.value.revision,
         )
     }
 
@@ -377,7 +390,7 @@
         const val NO_CONFIGURATION_MS = 800L
 
         /** The part of a caller's patience, and the time, for which its request waits for the first configuration. */
-        const val CONFIGURATION_WAIT_DIVISOR = 8
+        const val CONFIGURATION_WAIT_PART = 0.4
         const val MAX_CONFIGURATION_WAIT_MS = 3_000L
 
         /** Shorter generations are over before a copy would help. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -29,6 +29,10 @@
     val rank: Int,
     val fingerprint: Fingerprint?,
     val deadlineAtMs: Long,
+    /** When the request should be answered, counted from the caller's first attempt. */
+    val objectiveAtMs: Long,
+    /** The tokens that the generation is expected to have. */
+    val expectedOutputTokens: Int,
 ) {
     val tried: MutableSet<TargetId> = mutableSetOf()
     var soFar: AttemptsSoFar = AttemptsSoFar(0, 0)
@@ -37,18 +41,22 @@
     /** Whether the head of an answer was passed on. */
     var hasAnswered: Boolean = false
 
+    /** How long the request has waited for places. */
+    var waitedMs: Long = 0
+
+    /** The time from the request to the first event of its stream. */
+    var firstEventAfterMs: Long? = null
+
+    /** The longest pause between events of its stream. */
+    var longestGapMs: Long = 0
+
     /** How the caller was served, for the log. */
     var trace: StringBuilder = StringBuilder()
 
     val isStream: Boolean get() = route.repeatability == Repeatability.STREAM
 
-    /** The tokens that the run will have in memory at its end, as far as can be told. */
-    val expectedOutputTokens: Int
-        get() {
-            val facts = request.facts.generation ?: return 0
-            val expected = facts.expectedOutputTokens ?: (facts.maxOutputTokens / 2)
-            return expected.coerceIn(0, facts.maxOutputTokens)
-        }
+    /** Whether the caller has been refused before and has come back. */
+    val isReturned: Boolean get() = objectiveAtMs < request.arrivedAtMs + route.objectiveMs
 
     fun ask(): PlaceAsk = PlaceAsk(
         id,
@@ -56,6 +64,7 @@
         if (service.engine == null) 0 else request.facts.generation?.promptTokens ?: 0,
         if (service.engine == null) 0 else expectedOutputTokens,
         rank,
+        timelyUntilMs(this),
         tried.toSet(),
     )
 }
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -23,6 +23,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
@@ -37,10 +38,13 @@
 private const val CONTINUE_LIMIT_MS = 1_500L
 
 /**
- * After this time, a run is stopped without a second copy. Targets leave as soon as 1.5 s after their notice, and a
- * second copy can wait behind three first ones of 0.3 s each.
+ * A run is stopped for its last copy once a copy takes less than this, so that its caller notices no pause. Copies from
+ * one target queue behind each other, and a target that leaves has many to make.
  */
-private const val SECOND_COPY_LIMIT_MS = 600L
+private const val QUICK_COPY_MS = 100L
+
+/** A copy that is never quick ends with its target, and the run goes on from what was copied. */
+private const val MAX_COPIES = 20
 
 /** How long the source may take to close a stream after the run was stopped there. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
@@ -72,12 +76,19 @@
         private set
 
     private val framer = EventFramer()
+
+    /** The events that were passed on. */
+    val events: Long get() = framer.events
+
     private var isLeaving = false
-    private var isCopyTried = false
-    private var moving: Moving = Moving.NONE
+    private var copyRefusals = 0
+    private var copyRefusedAtMs = 0L
+    private var moving: MoveState = MoveState.NONE
     private var destination: Placement? = null
 
-    private enum class Moving { NONE, COPYING, COPIED, GIVEN_UP }
+    /** Names the copy at [destination] once there is one; a run whose target is lost can go on from it. */
+    private var destinationHandle: String? = null
+    private var lastEventAtMs = 0L
 
     private sealed interface Next {
         class Piece(val content: HttpContent) : Next
@@ -100,7 +111,7 @@
                     is Next.Piece -> take(next.content)
                     Next.Act -> leave(this)
                     Next.Stalled -> null.also { continueFromCopy("stalled") }
-                    Next.Ended -> if (continueFromCopy("lost")) null else false
+                    Next.Ended -> if (continueFromCopy("lost") || continueFromDestination()) null else false
                 }
                 if (current !== former) {
                     watcher.cancel()
@@ -118,7 +129,7 @@
     private suspend fun next(): Next {
         val isInterrupted = { mustAct() }
         if (mustAct()) return Next.Act
-        val canContinue = current.copy != null && !isCopyTried && framer.lastId != null
+        val canContinue = current.copy != null && copyRefusals == 0 && framer.lastId != null
         val stallMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
         var isStalled = false
         val piece =
@@ -136,26 +147,33 @@
         }
     }
 
-    private fun mustAct(): Boolean {
-        if (!isLeaving || framer.lastId == null || framer.hasUnnumbered) return false
-        return hasUsableCopy() || (canMove() && (moving == Moving.NONE || moving == Moving.COPIED))
-    }
+    private fun mustAct(): Boolean =
+        framer.lastId != null && !framer.hasUnnumbered && transferStep() != TransferStep.NONE
+
+    private fun transferStep(): TransferStep = nextTransfer(
+        TransferFacts(
+            isSourceLeaving = isLeaving,
+            hasUsableCopy = hasUsableCopy(),
+            copyRefusals = copyRefusals,
+            sinceRefusalMs = parts.clock.nowMs() - copyRefusedAtMs,
+            canMove = job.service.engine?.canMove == true,
+            move = moving,
+        ),
+    )
 
     /** A copy at a target that leaves as well would have to be left at once. */
     private fun hasUsableCopy(): Boolean {
         val copy = current.copy ?: return false
-        return !isCopyTried && parts.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
+        return parts.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
     }
 
-    private fun canMove() = job.service.engine?.canMove == true
-
     /** Passes on what a piece completes; returns true at the end of the stream. */
     private suspend fun take(content: HttpContent): Boolean? {
         val isLast = content is LastHttpContent
         val isFirst = framer.events == 0L
         val whole = framer.feedOrNull(content.content())
         if (whole != null) {
-            if (isFirst) noteFirst()
+            noteEvents(isFirst)
             caller.send(DefaultHttpContent(whole))
         }
         if (!isLast) return null
@@ -166,68 +184,117 @@
         return true
     }
 
-    private fun noteFirst() {
-        parts.places.started(current.placement)
-        parts.meters.firstByte(job.service.id.value, parts.clock.nowMs() - job.request.arrivedAtMs)
+    private fun noteEvents(isFirst: Boolean) {
+        val nowMs = parts.clock.nowMs()
+        if (isFirst) {
+            parts.places.started(current.placement)
+            job.firstEventAfterMs = nowMs - job.request.arrivedAtMs
+            parts.meters.firstByte(job.service.id.value, nowMs - job.request.arrivedAtMs)
+        } else {
+            job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
+        }
+        lastEventAtMs = nowMs
     }
 
     /** The target leaves: the run goes on from its copy, or is moved. */
     private suspend fun leave(scope: CoroutineScope): Boolean? {
-        when {
-            hasUsableCopy() -> continueFromCopy("leaving")
-            moving == Moving.NONE -> startMove(scope)
-            moving == Moving.COPIED -> finishMove()
+        when (transferStep()) {
+            TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving")) wakeForRetry(scope)
+            TransferStep.START_MOVE -> startMove(scope)
+            TransferStep.FINISH_MOVE -> finishMove()
+            TransferStep.NONE -> Unit
         }
         return null
     }
 
+    private fun wakeForRetry(scope: CoroutineScope) {
+        val source = current
+        scope.launch {
+            delay(COPY_RETRY_MS)
+            source.answer.pipe.wake()
+        }
+    }
+
     private suspend fun continueFromCopy(why: String): Boolean {
         val copy = current.copy ?: return false
         val lastId = framer.lastId
-        if (isCopyTried || lastId == null || framer.hasUnnumbered) return false
-        isCopyTried = true
+        if (lastId == null || framer.hasUnnumbered) return false
         val resume = ResumePoint(copy.target.record.address, parts.dialect.copyHandle(job.id), lastId)
-        return continueAt(copy, resume, "copy", why).also { if (it) parts.places.promote(copy) }
+        val hasContinued = continueAt(copy, resume, "copy", why)
+        if (hasContinued) {
+            parts.places.promote(copy)
+        } else {
+            copyRefusals += 1
+            copyRefusedAtMs = parts.clock.nowMs()
+        }
+        return hasContinued
+    }
+
+    /** The target is lost before the run was stopped there: what was copied until then is enough to go on. */
+    private suspend fun continueFromDestination(): Boolean {
+        val place = destination ?: return false
+        val handle = destinationHandle ?: return false
+        if (framer.hasUnnumbered) return false
+        destinationHandle = null
+        val source = current.answer.target.record.address
+        return continueAt(place, ResumePoint(source, handle, framer.lastId), "move", "lost")
     }
 
     private suspend fun startMove(scope: CoroutineScope) {
         val tokens = (job.request.facts.generation?.promptTokens ?: 0) + job.expectedOutputTokens
         val place = parts.places.placeMoved(current.placement, tokens)
         if (place == null) {
-            moving = Moving.GIVEN_UP
+            moving = MoveState.GIVEN_UP
             log.warn("move refused request={} target={} reason=no other target", job.id, current.placement.target.id)
             return
         }
         destination = place
-        moving = Moving.COPYING
+        moving = MoveState.COPYING
         val source = current
         scope.launch {
             val result = copyWhileRunning(source.answer.target.record.address, place.target.record.address)
             if (current !== source) return@launch
             val from = source.placement.target.id
             log.info("run copied request={} from={} to={} result={}", job.id, from, place.target.id, result)
-            result.fold({ giveUpMove("copy failed: ${it.reason}") }, { moving = Moving.COPIED })
+            result.fold({ giveUpMove("copy failed: ${it.reason}") }, { moving = MoveState.COPIED })
             source.answer.pipe.wake()
         }
     }
 
-    /**
-     * Copies the run without stopping it. Copies from one target queue behind each other, so that the last one, for
-     * which the run stops, would wait for the first ones of other runs; a second copy waits in its place.
-     */
+    /** Copies the run without stopping it until little is left to copy; the first copy takes the most. */
     private suspend fun copyWhileRunning(source: Address, destination: Address): Either<MoveFailure, Moved> {
-        val startedAtMs = parts.clock.nowMs()
-        val first = parts.dialect.move(source, job.id, destination, false)
-        val isInTime = parts.clock.nowMs() - startedAtMs < SECOND_COPY_LIMIT_MS
-        return if (first.isRight() && isInTime) parts.dialect.move(source, job.id, destination, false) else first
+        var copied = copyOnce(source, destination)
+        var copies = 1
+        while (copied.isRight() && copies < MAX_COPIES) {
+            val startedAtMs = parts.clock.nowMs()
+            copied = copyOnce(source, destination)
+            copies += 1
+            if (parts.clock.nowMs() - startedAtMs < QUICK_COPY_MS) break
+        }
+        return copied
     }
 
+    private suspend fun copyOnce(source: Address, destination: Address): Either<MoveFailure, Moved> =
+        parts.dialect.move(source, job.id, destination, false).onRight { destinationHandle = it.handle }
+
     private fun giveUpMove(reason: String) {
-        moving = Moving.GIVEN_UP
-        log.warn("move failed request={} from={} reason={}", job.id, current.placement.target.id, reason)
+        moving = MoveState.GIVEN_UP
+        log.warn(
+            "move failed request={} from={} copied={} reason={}",
+            job.id,
+            current.placement.target.id,
+            destinationHandle != null,
+            reason,
+        )
+        // What has been copied serves a run whose target is lost.
+        if (destinationHandle == null) dropDestination()
+        parts.meters.continued("move", false)
+    }
+
+    private fun dropDestination() {
         destination?.let { parts.places.end(it, UseEnd.ABANDONED) }
         destination = null
-        parts.meters.continued("move", false)
+        destinationHandle = null
     }
 
     private suspend fun finishMove() {
@@ -238,6 +305,7 @@
             is Either.Right -> {
                 drainStopped()
                 val resume = ResumePoint(source, moved.value.handle, framer.lastId)
+                destinationHandle = null
                 if (!continueAt(place, resume, "move", "leaving")) giveUpMove("the destination did not go on")
             }
             is Either.Left -> {
@@ -296,9 +364,10 @@
         current = Run(answer, place, copy)
         job.trace.append(" $how:${place.target.id}")
         isLeaving = false
-        isCopyTried = false
-        moving = Moving.NONE
-        destination = null
+        copyRefusals = 0
+        moving = MoveState.NONE
+        if (destination === place) destination = null
+        dropDestination()
         return true
     }
 
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -154,7 +154,7 @@
 
 private fun fleetOf(settings: FleetEntrySettings, clock: Clock): Fleet {
     val budget = RepeatBudget(repeatLimits(settings.bounds))
-    return Fleet(clock, settings.vm.failureDomain, budget) { service ->
+    return Fleet(clock, settings.vm.failureDomain, budget, Random.Default::nextDouble) { service ->
         if (service.coldStartsPerS <= 0) 0.0 else coldLimitPerS(service.coldStartsPerS, settings.bounds)
     }
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -14,12 +14,12 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
+/** How long a process that has started expects to hear of targets that it does not know yet. */
+private const val LEARNING_MS = 10_000L
+
 /** How long reports about deaths are repeated to control VMs. */
 private const val REPORT_DEATHS_MS = 10_000L
 
-/** A copy of a generation is kept only where this part of the memory stays free for requests. */
-private const val COPY_FREE_PART = 0.35
-
 /** A request that needs a target. */
 public data class PlaceAsk(
     public val request: RequestId,
@@ -30,6 +30,8 @@
     public val outputTokens: Int,
     /** The urgency; 0 is the most urgent. */
     public val rank: Int,
+    /** The time until which a place still serves the request within its objective. */
+    public val timelyUntilMs: Long = Long.MAX_VALUE,
     /** Targets that have been tried. */
     public val excluded: Set<TargetId> = emptySet(),
 )
@@ -59,9 +61,12 @@
     private val clock: Clock,
     private val domain: FailureDomainId,
     private val budget: RepeatBudget,
+    /** Uniform in 0 until 1. */
+    private val draw: () -> Double,
     private val coldLimitPerS: (ServiceProfile) -> Double,
 ) {
     private val log = LogManager.getLogger(Fleet::class.java)
+    private val startedAtMs = clock.nowMs()
     private val starts = StartShares()
     private val ownUse = mutableMapOf<TargetId, TargetUse>()
     private val failures = mutableMapOf<TargetId, FailureHistory>()
@@ -70,6 +75,9 @@
 
     private class Waiting(val ask: PlaceAsk, val result: CompletableDeferred<Placement>)
 
+    private val admissionOrder: Comparator<Waiting> =
+        compareBy({ isLate(it.ask) }, { it.ask.rank }, { it.ask.timelyUntilMs })
+
     /** The newest view. */
     public var view: FleetView = FleetView()
         private set
@@ -107,7 +115,7 @@
     public suspend fun place(ask: PlaceAsk, limitMs: Long): PlaceResult {
         placeNow(ask)?.let { return PlaceResult.Placed(it) }
         val known = candidatesOf(ask.service.id).size
-        if (known == 0) return PlaceResult.NoTarget
+        if (known == 0 && !isLearning(ask.service.id)) return PlaceResult.NoTarget
         val full = PlaceResult.Full(waiting.count { it.ask.service.id == ask.service.id }, known)
         if (limitMs <= 0) return full
         val entry = Waiting(ask, CompletableDeferred())
@@ -129,18 +137,17 @@
     public fun placeMoved(placement: Placement, tokens: Int): Placement? {
         val ask = placement.ask.copy(excluded = setOf(placement.target.id))
         val need = Need(ask.service.engine, 0, tokens, placement.target.record.domain)
-        val chosen = chooseOrNull(usable(ask), need) ?: usable(ask).minByOrNull { it.use.tokens } ?: return null
+        val chosen = chooseOrNull(usable(ask), need, draw) ?: usable(ask).minByOrNull { it.use.tokens } ?: return null
         return take(ask, chosen.target, TargetUse(1, tokens.toLong(), 0))
     }
 
-    /** Reserves memory for a copy of a generation, where much is free. */
+    /** Reserves memory for a copy of a generation, if requests leave enough of it free. */
     public fun placeCopy(placement: Placement): Placement? {
         val engine = placement.ask.service.engine ?: return null
         val ask = placement.ask.copy(excluded = setOf(placement.target.id))
-        val tokens = placement.use.tokens
-        val roomy = usable(ask).filter { it.use.tokens + tokens <= engine.memoryTokens * (1 - COPY_FREE_PART) }
-        val chosen = roomy.minByOrNull { it.use.tokens + engine.memoryTokens * it.failing } ?: return null
-        return take(ask, chosen.target, TargetUse(0, tokens, 0))
+        val all = candidatesOf(ask.service.id).map { useOf(it.id) }
+        val chosen = chooseForCopyOrNull(usable(ask), all, placement.use.tokens, engine, draw) ?: return null
+        return take(ask, chosen.target, TargetUse(0, placement.use.tokens, 0))
     }
 
     /** Notes that a copy has become the run itself. */
@@ -167,8 +174,9 @@
         view.targets[target]?.let { it.record.phase != TargetPhase.READY } ?: true
 
     private fun placeNow(ask: PlaceAsk): Placement? {
-        val need = Need(ask.service.engine, ask.promptTokens, ask.promptTokens + ask.outputTokens, domain)
-        val chosen = chooseOrNull(usable(ask), need) ?: return null
+        val tokens = ask.promptTokens + ask.outputTokens
+        val need = Need(ask.service.engine, ask.promptTokens, tokens, domain, isLate(ask))
+        val chosen = chooseOrNull(usable(ask), need, draw) ?: return null
         return take(ask, chosen.target, TargetUse(1, need.tokens.toLong(), ask.promptTokens.toLong()))
     }
 
@@ -194,12 +202,16 @@
     }
 
     private fun admitWaiting() {
-        for (entry in waiting.sortedBy { it.ask.rank }) {
+        for (entry in waiting.sortedWith(admissionOrder)) {
             if (entry.result.isCompleted) continue
             placeNow(entry.ask)?.let { entry.result.complete(it) }
         }
     }
 
+    /** After all control VMs have started anew, targets become known with their next announcements. */
+    private fun isLearning(service: ServiceId): Boolean =
+        clock.nowMs() - startedAtMs < LEARNING_MS && view.targets.values.none { it.record.service == service }
+
     /** Targets that take work, whether they have room or not. */
     private fun candidatesOf(service: ServiceId): List<KnownTarget> = view.targets.values.filter {
         it.record.service == service && it.record.phase == TargetPhase.READY && it.record.domain !in view.drained
@@ -215,8 +227,12 @@
         }
         val good = open.filter { !it.isSilent && (failures[it.id]?.avoidUntilMs ?: 0) <= nowMs }
         return good.ifEmpty { open }.map { target ->
-            val use = (ownUse[target.id] ?: TargetUse.NONE) + (view.othersUse[target.id] ?: TargetUse.NONE)
-            Candidate(target, use, failures[target.id]?.share(nowMs) ?: 0.0)
+            Candidate(target, useOf(target.id), failures[target.id]?.share(nowMs) ?: 0.0)
         }
     }
+
+    private fun useOf(target: TargetId): TargetUse =
+        (ownUse[target] ?: TargetUse.NONE) + (view.othersUse[target] ?: TargetUse.NONE)
+
+    private fun isLate(ask: PlaceAsk): Boolean = clock.nowMs() > ask.timelyUntilMs
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
@@ -1,16 +1,27 @@
 /*
  * Chooses a target for one request. The decision is a pure function of what is known of the targets.
  *
- * It answers two loads: many long generations, which must not fill the memory of an engine, because an engine that
- * runs out of memory preempts; and bursts of prompts, which must not queue behind each other on one engine.
+ * It answers three loads: many long generations, which must not fill the memory of an engine, because an engine that
+ * runs out of memory preempts; bursts of prompts, which must not queue behind each other on one engine; and lasting
+ * overload, in which requests that are late already must leave room for those that are not.
  */
 package fulmarshunt.target.fleet
 
 import fulmarshunt.FailureDomainId
 import fulmarshunt.operator.serving.EngineProfile
 
-/** The part of an engine's memory that expected generations may fill; the rest is for outputs longer than expected. */
-private const val FILLED_PART = 0.9
+/**
+ * The part of an engine's memory that generations may fill at the length expected for their end. Most are still
+ * shorter, which leaves room for the few that grow longer.
+ */
+private const val FILLED_PART = 0.97
+
+/** The part that requests may fill that can no longer be served within their objective. */
+private const val LATE_FILLED_PART = 0.75
+
+/** Targets whose costs differ by less are equal; entry VMs that see the same old loads spread over them. */
+private const val EQUAL_COST_TOKENS = 500.0
+private const val EQUAL_COST_REQUESTS = 0.1
 
 /** What a full memory costs, in prompt tokens that would have to be read first. */
 private const val MEMORY_COST_TOKENS = 3_000.0
@@ -29,6 +40,10 @@
 /** Requests beyond its slots that a plain target may be sent; it queues a few. */
 private const val PLAIN_QUEUE_PART = 1.0
 
+/** Copies are made only while requests and copies together fill less of all memory, and of one target's, than this. */
+private const val COPY_FLEET_PART = 0.55
+private const val COPY_TARGET_PART = 0.65
+
 /** A target with what is known of its load. */
 internal class Candidate(
     val target: KnownTarget,
@@ -44,18 +59,47 @@
     /** Prompt and expected output. */
     val tokens: Int,
     val domain: FailureDomainId,
+    /** Whether the request can no longer be served within its objective. */
+    val isLate: Boolean = false,
 )
 
-/** Returns the cheapest target that can take the request now, or null. */
-internal fun chooseOrNull(candidates: List<Candidate>, need: Need): Candidate? =
-    candidates.filter { it.canTake(need) }.minByOrNull { it.cost(need) }
+/** Returns one of the cheapest targets that can take the request now, for a uniform [draw], or null. */
+internal fun chooseOrNull(candidates: List<Candidate>, need: Need, draw: () -> Double): Candidate? {
+    val costs = candidates.filter { it.canTake(need) }.associateWith { it.cost(need) }
+    val least = costs.values.minOrNull() ?: return null
+    val equalCost = if (need.engine == null) EQUAL_COST_REQUESTS else EQUAL_COST_TOKENS
+    return costs.filterValues { it <= least + equalCost }.keys.toList().drawn(draw)
+}
+
+private fun List<Candidate>.drawn(draw: () -> Double): Candidate = this[(draw() * size).toInt().coerceAtMost(size - 1)]
 
 /** Says whether the request fits into what the target has left. */
 internal fun Candidate.canTake(need: Need): Boolean {
     val slots = need.engine?.slots ?: target.record.slots
     if (need.engine == null) return use.running < slots * (1 + PLAIN_QUEUE_PART)
+    val filledPart = if (need.isLate) LATE_FILLED_PART else FILLED_PART
     return use.running < slots &&
-        (use.running == 0 || use.tokens + need.tokens <= need.engine.memoryTokens * FILLED_PART)
+        (use.running == 0 || use.tokens + need.tokens <= need.engine.memoryTokens * filledPart)
+}
+
+/**
+ * Returns a target for a copy of a generation of [tokens], or null if memory is needed for requests.
+ *
+ * @param all the use of every target that takes work for the service.
+ */
+internal fun chooseForCopyOrNull(
+    candidates: List<Candidate>,
+    all: List<TargetUse>,
+    tokens: Long,
+    engine: EngineProfile,
+    draw: () -> Double,
+): Candidate? {
+    if (all.sumOf { it.tokens } + tokens > all.size * engine.memoryTokens * COPY_FLEET_PART) return null
+    val roomy = candidates.filter { it.use.tokens + tokens <= engine.memoryTokens * COPY_TARGET_PART }
+    if (roomy.isEmpty()) return null
+    // The better of two drawn at random: copies of all entry VMs to one idle target would queue on its link.
+    return listOf(roomy.drawn(draw), roomy.drawn(draw))
+        .minBy { it.use.tokens + engine.memoryTokens * it.failing }
 }
 
 private fun Candidate.cost(need: Need): Double {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import arrow.core.left
 import arrow.core.right
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -246,6 +247,80 @@
         }
     }
 
+    /** Guards against a young run that ends with its target although its copy arrived a moment after the notice. */
+    @Test
+    fun `a copy that is refused at first is asked for again`() {
+        val serve: ScriptedTarget.Visit.() -> Unit = {
+            val resume = request.header("resume")
+            if (resume == null) {
+                startStream()
+                event(1)
+                Thread.sleep(WAIT_MS)
+            } else if (number == 1) {
+                answer("503 Service Unavailable", "no copy yet", "not-run: 1")
+            } else {
+                startStream()
+                (resume.substringAfter('@').toInt() + 1..4).forEach { event(it) }
+                endStream()
+            }
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelaySite(a, b).use { site ->
+                    val socket = site.connect()
+                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                    eventually { a.requests.size + b.requests.size == 1 }
+                    Thread.sleep(100)
+                    site.leave(if (a.requests.isEmpty()) b else a)
+                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+                    expectThat(answer?.body).isEqualTo(events(1..4))
+                }
+            }
+        }
+    }
+
+    /** Guards against a run that ends with its target although most of its memory was copied before. */
+    @Test
+    fun `a run whose target is lost during its move goes on from what was copied`() {
+        val lost = CountDownLatch(1)
+        val serve: ScriptedTarget.Visit.() -> Unit = {
+            val resume = request.header("resume")
+            startStream()
+            if (resume == null) {
+                (1..2).forEach { event(it) }
+                lost.await(WAIT_MS, TimeUnit.MILLISECONDS)
+                reset()
+            } else {
+                (resume.substringAfter('@').toInt() + 1..5).forEach { event(it) }
+                endStream()
+            }
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelaySite(a, b).use { site ->
+                    site.leave(b)
+                    site.moves = { _, _, _, isLast ->
+                        if (isLast) {
+                            lost.countDown()
+                            MoveFailure("the connection is closed", null).left()
+                        } else {
+                            Moved("h1", null).right()
+                        }
+                    }
+                    val socket = site.connect()
+                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                    eventually { a.requests.size == 1 }
+                    Thread.sleep(100)
+                    site.ready(b)
+                    site.leave(a)
+                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+                    expectThat(answer?.body).isEqualTo(events(1..5))
+                    expectThat(b.requests.single().header("resume")).isEqualTo("${site.addressOf(a)}/h1@2")
+                }
+            }
+        }
+    }
+
     /** Guards against a copy that cannot be used and costs the run that still works. */
     @Test
     fun `a stream stays where it is when its copy is refused`() {
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -49,7 +50,7 @@
     /** Guards against entry VMs that fill an engine together because each sees only its own work. */
     @Test
     fun `the use of other entry VMs counts`() {
-        val use = TargetUse(5, 7_600, 0)
+        val use = TargetUse(5, 8_300, 0)
         fleet.update(viewOf(known(record("a")), known(record("b"))).copy(othersUse = mapOf(TargetId("a") to use)))
         repeat(6) { expectThat(placed(ask("r$it")).target.id).isEqualTo(TargetId("b")) }
     }
@@ -113,11 +114,82 @@
 
     /** Guards against copies that take the room of requests, or that lie where the run is. */
     @Test
-    fun `a copy goes to another target with much free memory`() {
+    fun `a copy goes to another target while memory is free`() {
         fleet.update(viewOf(known(record("a")), known(record("b"))))
         val run = placed(ask("run", prompt = 4_000, output = 1_000))
         val copy = checkNotNull(fleet.placeCopy(run))
         expectThat(copy.target.id).isNotEqualTo(run.target.id)
         expectThat(fleet.placeCopy(run)).isEqualTo(null)
     }
+
+    /** Guards against copies for which requests are refused once targets have left. */
+    @Test
+    fun `no copy is made while requests fill more than half of the memory`() {
+        fleet.update(viewOf(known(record("a")), known(record("b")), known(record("c"))))
+        val runs = (1..10).map { placed(ask("r$it")) }
+        expectThat(fleet.placeCopy(runs.first())).isNotEqualTo(null)
+        placed(ask("r11"))
+        expectThat(fleet.placeCopy(runs.last())).isEqualTo(null)
+    }
+
+    /** Guards against overload in which requests that are late already take the places of timely ones. */
+    @Test
+    fun `a late request leaves room for timely ones`(): Unit = runBlocking {
+        fleet.update(viewOf(known(record("a"))))
+        val late = ask("late").copy(timelyUntilMs = timed.nowMs - 1)
+        val running = (1..5).map { placed(ask("r$it")) }
+        expectThat(placeNow(late)).isA<PlaceResult.Full>()
+        val first = async(start = CoroutineStart.UNDISPATCHED) { fleet.place(late, 60_000) }
+        val sixth = placed(ask("timely"))
+        expectThat(sixth.target.id).isEqualTo(TargetId("a"))
+        expectThat(first.isCompleted).isEqualTo(false)
+        running.take(3).forEach { fleet.end(it, UseEnd.SUCCEEDED) }
+        expectThat(first.await()).isA<PlaceResult.Placed>()
+    }
+
+    /** Guards against a burst after which callers that can still be served in time wait behind others. */
+    @Test
+    fun `timely requests are admitted before late ones, and urgent ones before others`(): Unit = runBlocking {
+        fleet.update(viewOf(known(record("a"))))
+        val running = (1..6).map { placed(ask("r$it")) }
+        val order = mutableListOf<String>()
+        val late = ask("late").copy(timelyUntilMs = timed.nowMs - 1)
+        val asks = listOf(late, ask("tag").copy(rank = 1, timelyUntilMs = timed.nowMs + 10), ask("letter"))
+        val jobs = asks.map { ask ->
+            launch(start = CoroutineStart.UNDISPATCHED) {
+                fleet.place(ask, 60_000)
+                order += ask.request.value
+            }
+        }
+        running.forEach {
+            fleet.end(it, UseEnd.SUCCEEDED)
+            yield()
+        }
+        jobs.forEach { it.join() }
+        expectThat(order.toList()).isEqualTo(listOf("letter", "tag", "late"))
+    }
+
+    /** Guards against entry VMs that all send their next request to the one target that looked idlest. */
+    @Test
+    fun `targets of nearly equal cost share the requests`() {
+        val draws = ArrayDeque(listOf(0.1, 0.9, 0.5))
+        val fleet =
+            Fleet(timed.clock, here, RepeatBudget(RepeatLimits(0.2, 10.0, 10_000)), { draws.removeFirst() }) { 0.0 }
+        val uses = mapOf(TargetId("a") to TargetUse(1, 500, 0), TargetId("b") to TargetUse(1, 600, 0))
+        fleet.update(viewOf(known(record("a")), known(record("b"))).copy(othersUse = uses))
+        val targets = (1..2).map { runBlocking { fleet.place(ask("r$it", prompt = 10, output = 5), 0) } }
+            .map { (it as PlaceResult.Placed).placement.target.id }
+        expectThat(targets.toSet().size).isEqualTo(2)
+    }
+
+    /** Guards against callers that are refused for good while targets announce themselves to restarted control VMs. */
+    @Test
+    fun `a request waits for targets that a new process does not know yet`(): Unit = runBlocking {
+        val early = async(start = CoroutineStart.UNDISPATCHED) { fleet.place(ask("early"), 60_000) }
+        fleet.update(viewOf(known(record("a"))))
+        expectThat(early.await()).isA<PlaceResult.Placed>()
+        fleet.update(viewOf())
+        timed.nowMs += 60_000
+        expectThat(fleet.place(ask("later"), 60_000)).isEqualTo(PlaceResult.NoTarget)
+    }
 }
