Test waiting and returning, also as a played shortage

Cause: the decisions of Waiting.kt had no test of their own. Change: tests of the wait, of returns and of the patience that tells a return, and a play of generations at two engines of which one leaves for 3 s.

--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/WaitingTest.kt
@@ -0,0 +1,167 @@
+/*
+ * Waiting, refusing and returning, decided for single requests and played as a shortage of places.
+ */
+package fulmarshunt.caller.relay
+
+import fulmarshunt.RequestId
+import fulmarshunt.http.HttpPipe
+import fulmarshunt.operator.serving.Repeatability
+import fulmarshunt.operator.serving.Route
+import fulmarshunt.operator.serving.ServiceShare
+import fulmarshunt.target.fleet.PlaceAsk
+import fulmarshunt.target.fleet.PlaceResult
+import fulmarshunt.target.fleet.Placement
+import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.TimedFleet
+import fulmarshunt.target.fleet.UseEnd
+import fulmarshunt.target.fleet.engines
+import fulmarshunt.target.fleet.known
+import fulmarshunt.target.fleet.record
+import fulmarshunt.target.fleet.viewOf
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+
+private const val PATIENCE_MS = 39_000L
+private const val OBJECTIVE_MS = 1_800L
+private const val START_MS = 1_000_000L
+private const val STEP_MS = 50L
+
+class WaitingTest {
+    private val letters = Route(
+        "letters", "h", "/l/", Repeatability.STREAM, PATIENCE_MS, OBJECTIVE_MS, 180, 0,
+        listOf(ServiceShare(engines.id, 1.0)), 1, true, false,
+    )
+    private val full = PlaceResult.Full(0, 3)
+
+    private fun job(arrivedAtMs: Long = START_MS, patienceMs: Long = PATIENCE_MS, name: String = "r"): RelayJob {
+        val pipe = HttpPipe(EmbeddedChannel())
+        val facts = RequestFacts(RequestId(name), null, patienceMs, GenerationFacts(1_000, 500, null))
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/l/x")
+        val request = CallerRequest(head, facts, RequestBody(pipe, 1_000, 0), pipe, arrivedAtMs)
+        val elapsedMs = PATIENCE_MS - patienceMs
+        return RelayJob(
+            request, RequestId(name), letters, engines, null, 0, null, arrivedAtMs + patienceMs,
+            arrivedAtMs + OBJECTIVE_MS - elapsedMs, 500,
+        )
+    }
+
+    /** Guards against callers that leave while they wait, and against requests that are held for most of their time. */
+    @Test
+    fun `a request waits for a part of its patience`() {
+        expectThat(waitLimitMs(job())).isLessThan(4 * OBJECTIVE_MS)
+        expectThat(waitLimitMs(job())).isGreaterThan(OBJECTIVE_MS)
+        expectThat(waitLimitMs(job(patienceMs = 1_000))).isLessThan(750)
+    }
+
+    /** Guards against callers that return into the shortage for which they were refused, all at the same time. */
+    @Test
+    fun `callers that are late anyway return spread over a third of their patience`() {
+        val nowMs = START_MS + OBJECTIVE_MS
+        val leftMs = PATIENCE_MS - OBJECTIVE_MS
+        val returns = listOf(0.0, 0.5, 0.99).map { returnAfterMs(job(), full, nowMs, it) }
+        expectThat(returns).isEqualTo(returns.sorted())
+        expectThat(returns.last() - returns.first()).isGreaterThan(leftMs / 6)
+        expectThat(returns.last()).isLessThan(leftMs / 3)
+    }
+
+    /** Guards against callers that are sent away for longer than it takes to serve them in time. */
+    @Test
+    fun `callers that can be served in time return soon`() {
+        expectThat(returnAfterMs(job(), full, START_MS, 0.99)).isIn(50L..OBJECTIVE_MS)
+    }
+
+    /** Guards against short patience taken for a return, and returns taken for first attempts. */
+    @Test
+    fun `a return is told by patience that others on the route exceed`() {
+        val history = PatienceHistory()
+        expectThat(history.elapsedBeforeMs(letters, 20_000)).isEqualTo(0)
+        expectThat(history.elapsedBeforeMs(letters, 20_000)).isEqualTo(0)
+        expectThat(history.elapsedBeforeMs(letters, PATIENCE_MS)).isEqualTo(0)
+        expectThat(history.elapsedBeforeMs(letters, PATIENCE_MS - 4_000)).isEqualTo(4_000)
+        expectThat(history.elapsedBeforeMs(letters, null)).isEqualTo(0)
+    }
+
+    /**
+     * Plays generations of 4 s at two engines of which one leaves for 3 s, so that six places serve what needs ten.
+     * Guards against requests that are refused although places come while they can wait.
+     */
+    @Test
+    fun `nobody is refused in a shortage that is shorter than the wait`(): Unit = runBlocking {
+        val play = Shortage(this)
+        for (step in 0 until 400) play.step(step)
+        expectThat(play.refused).isEmpty()
+        expectThat(play.waitedMs.keys).hasSize(play.asked)
+        val afterwards = play.waitedMs.filterKeys { it > 8_000 }.values
+        expectThat(afterwards.max()).isLessThan((OBJECTIVE_MS * 0.6).toLong())
+    }
+
+    /** Requests that arrive each 400 ms until 15 s; one engine is gone from 2 s to 5 s. */
+    private inner class Shortage(private val scope: CoroutineScope) {
+        private val timed = TimedFleet()
+        private val both = listOf(record("a"), record("b"))
+        private val waiting = mutableMapOf<Long, Pair<RelayJob, Job>>()
+        private val running = mutableListOf<Pair<Long, Placement>>()
+        val refused = mutableListOf<Long>()
+
+        /** How long each request waited, by its arrival. */
+        val waitedMs = sortedMapOf<Long, Long>()
+        var asked = 0
+
+        suspend fun step(number: Int) {
+            val atMs = number * STEP_MS
+            timed.nowMs = START_MS + atMs
+            if (atMs == 0L || atMs == 5_000L) timed.fleet.update(viewOf(*both.map { known(it) }.toTypedArray()))
+            if (atMs == 2_000L) {
+                val leaving = known(both[1].copy(phase = TargetPhase.LEAVING))
+                timed.fleet.update(viewOf(known(both[0]), leaving))
+            }
+            running.filter { it.first <= atMs }.forEach { ended ->
+                running -= ended
+                timed.fleet.end(ended.second, UseEnd.SUCCEEDED)
+            }
+            if (atMs % 400 == 0L && atMs < 15_000) arrive(atMs)
+            yield()
+            refuseLate(atMs)
+        }
+
+        private fun arrive(atMs: Long) {
+            asked += 1
+            val job = job(START_MS + atMs, name = "r$atMs")
+            val ask: PlaceAsk = job.ask()
+            val waiter = scope.launch(start = CoroutineStart.UNDISPATCHED) {
+                val result = timed.fleet.place(ask, Long.MAX_VALUE / 2) as PlaceResult.Placed
+                val nowMs = timed.nowMs - START_MS
+                waiting -= atMs
+                waitedMs[atMs] = nowMs - atMs
+                running += nowMs + 4_000 to result.placement
+            }
+            if (waiter.isActive) waiting[atMs] = job to waiter
+        }
+
+        private fun refuseLate(atMs: Long) {
+            waiting.filter { (arrivedAtMs, entry) ->
+                atMs - arrivedAtMs >= waitLimitMs(entry.first)
+            }.forEach { (key, entry) ->
+                entry.second.cancel()
+                waiting -= key
+                refused += key
+            }
+        }
+    }
+}
