--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -252,7 +252,7 @@
         moving = MoveState.COPYING
         val source = current
         scope.launch {
-            val result = copyWhileRunning(source.answer.target.record.address, place.target.record.address)
+            val result = copyWhileRunning(source, place.target.record.address)
             if (current !== source) return@launch
             val from = source.placement.target.id
             log.info("run copied request={} from={} to={} result={}", job.id, from, place.target.id, result)
@@ -262,7 +262,7 @@
     }
 
     /** Copies the run without stopping it until little is left to copy; the first copy takes the most. */
-    private suspend fun copyWhileRunning(source: Address, destination: Address): Either<MoveFailure, Moved> {
+    private suspend fun copyWhileRunning(source: Run, destination: Address): Either<MoveFailure, Moved> {
         var copied = copyOnce(source, destination)
         var copies = 1
         while (copied.isRight() && copies < MAX_COPIES) {
@@ -274,8 +274,10 @@
         return copied
     }
 
-    private suspend fun copyOnce(source: Address, destination: Address): Either<MoveFailure, Moved> =
-        parts.dialect.move(source, job.id, destination, false).onRight { destinationHandle = it.handle }
+    /** Copies the run as it is now. A copy that ends after the run has gone on elsewhere is of no use. */
+    private suspend fun copyOnce(source: Run, destination: Address): Either<MoveFailure, Moved> =
+        parts.dialect.move(source.answer.target.record.address, job.id, destination, false)
+            .onRight { if (current === source) destinationHandle = it.handle }
 
     private fun giveUpMove(reason: String) {
         moving = MoveState.GIVEN_UP
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -22,6 +22,8 @@
 
 private const val WAIT_MS = 5_000L
 
+private const val FIRST_EVENTS_MS = 100L
+
 class RelayTest {
     private fun events(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
 
@@ -33,6 +35,17 @@
         }
     }
 
+    /** Starts a stream, lets [change] happen while it runs at one of [targets], and returns the body that arrived. */
+    private fun RelaySite.streamWhile(vararg targets: ScriptedTarget, change: (ScriptedTarget) -> Unit): String? =
+        connect().use { socket ->
+            socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+            eventually { targets.sumOf { it.requests.size } == 1 }
+            // The first events reach the caller meanwhile.
+            Thread.sleep(FIRST_EVENTS_MS)
+            change(targets.first { it.requests.isNotEmpty() })
+            BufferedInputStream(socket.getInputStream()).readMessageOrNull()?.body
+        }
+
     /** Guards against a path, body or answer that is changed on the way. */
     @Test
     fun `a request and its answer are passed on unchanged`() {
@@ -267,13 +280,8 @@
         ScriptedTarget("a", serve).use { a ->
             ScriptedTarget("b", serve).use { b ->
                 RelaySite(a, b).use { site ->
-                    val socket = site.connect()
-                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
-                    eventually { a.requests.size + b.requests.size == 1 }
-                    Thread.sleep(100)
-                    site.leave(if (a.requests.isEmpty()) b else a)
-                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-                    expectThat(answer?.body).isEqualTo(events(1..4))
+                    val body = site.streamWhile(a, b) { source -> site.leave(source) }
+                    expectThat(body).isEqualTo(events(1..4))
                 }
             }
         }
@@ -307,14 +315,11 @@
                             Moved("h1", null).right()
                         }
                     }
-                    val socket = site.connect()
-                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
-                    eventually { a.requests.size == 1 }
-                    Thread.sleep(100)
-                    site.ready(b)
-                    site.leave(a)
-                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-                    expectThat(answer?.body).isEqualTo(events(1..5))
+                    val body = site.streamWhile(a, b) {
+                        site.ready(b)
+                        site.leave(a)
+                    }
+                    expectThat(body).isEqualTo(events(1..5))
                     expectThat(b.requests.single().header("resume")).isEqualTo("${site.addressOf(a)}/h1@2")
                 }
             }
@@ -340,13 +345,8 @@
         ScriptedTarget("a", serve).use { a ->
             ScriptedTarget("b", serve).use { b ->
                 RelaySite(a, b).use { site ->
-                    val socket = site.connect()
-                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
-                    eventually { a.requests.size + b.requests.size == 1 }
-                    Thread.sleep(100)
-                    site.leave(if (a.requests.isEmpty()) b else a)
-                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-                    expectThat(answer?.body).isEqualTo(events(1..4))
+                    val body = site.streamWhile(a, b) { source -> site.leave(source) }
+                    expectThat(body).isEqualTo(events(1..4))
                 }
             }
         }
@@ -365,15 +365,11 @@
         ScriptedTarget("a", serve).use { a ->
             ScriptedTarget("b", serve).use { b ->
                 RelaySite(a, b).use { site ->
-                    val socket = site.connect()
-                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
-                    eventually { a.requests.size + b.requests.size == 1 }
-                    Thread.sleep(100)
-                    val source = if (a.requests.isEmpty()) b else a
-                    site.leave(if (source === a) b else a)
-                    site.leave(source)
-                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-                    expectThat(answer?.body).isEqualTo(events(1..3))
+                    val body = site.streamWhile(a, b) { source ->
+                        site.leave(if (source === a) b else a)
+                        site.leave(source)
+                    }
+                    expectThat(body).isEqualTo(events(1..3))
                     expectThat(a.requests.size + b.requests.size).isEqualTo(1)
                 }
             }
@@ -408,14 +404,11 @@
                         if (isLast) stopped.countDown()
                         Moved("h1", null).right()
                     }
-                    val socket = site.connect()
-                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
-                    eventually { a.requests.size == 1 }
-                    Thread.sleep(100)
-                    site.ready(b)
-                    site.leave(a)
-                    val answer = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
-                    expectThat(answer?.body).isEqualTo(events(1..5))
+                    val body = site.streamWhile(a, b) {
+                        site.ready(b)
+                        site.leave(a)
+                    }
+                    expectThat(body).isEqualTo(events(1..5))
                     expectThat(b.requests.single().header("resume")).isEqualTo("${site.addressOf(a)}/h1@3")
                     // The run stops only for the last copy, which must not wait behind the first copies of others.
                     expectThat(copies.toList()).isEqualTo(listOf(false, false, true))
