Never go on in a drained failure domain, send the use of targets to reporting watches only

Change: copies and destinations in drained domains are not used; the use is sent to reporting watches only.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -164,9 +164,11 @@
     /** A copy at a target that leaves as well would have to be left at once. */
     private fun hasUsableCopy(): Boolean {
         val copy = current.copy ?: return false
-        return parts.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
+        return !isDrained(copy) && parts.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
     }
 
+    private fun isDrained(place: Placement): Boolean = place.target.record.domain in parts.views.value.drained
+
     /** Passes on what a piece completes; returns true at the end of the stream. */
     private suspend fun take(content: HttpContent): Boolean? {
         val isLast = content is LastHttpContent
@@ -333,6 +335,11 @@
 
     /** Sends the request to [place] to go on from [resume]; the former answer is dropped once the new one begins. */
     private suspend fun continueAt(place: Placement, resume: ResumePoint, how: String, why: String): Boolean {
+        if (isDrained(place)) {
+            // The domain can have been drained after the copy was made.
+            log.warn("run not continued request={} how={} to={} reason=drained", job.id, how, place.target.id)
+            return false
+        }
         val startedAtMs = parts.clock.nowMs()
         val copy = if (place !== current.placement) parts.places.placeCopy(place) else null
         val dispatch = dispatchOf(job, place.target, copy?.target, resume, parts.clock.nowMs())
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -44,7 +44,7 @@
     val controls: List<Address>,
     /** The number of entry VMs, at least. */
     val entryVms: Int,
-    /** The use of all entry VMs together. */
+    /** The use of all entry VMs together, if the entry VM reports its own to this control VM. */
     val use: Map<TargetId, TargetUse>,
     val refused: Set<Fingerprint>,
 )
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -171,7 +171,8 @@
             targets = parts.directory.changedAfter(change),
             controls = parts.controls(),
             entryVms = entryVmsSeenAtMs.size,
-            use = totalUse(clock.nowMs()),
+            // One of the watched control VMs is enough to learn it from.
+            use = if (watch.isReporting) totalUse(clock.nowMs()) else emptyMap(),
             refused = suspects.refused(),
         )
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelaySite.kt
@@ -206,6 +206,12 @@
         views.value = views.value.copy(table = if (isConfigured) table() else null)
     }
 
+    /** Takes the failure domain of all targets out of service. */
+    fun drain() {
+        views.value = views.value.copy(drained = setOf(here))
+        runBlocking { control.run { fleet.update(views.value) } }
+    }
+
     /** Says that [target] leaves. */
     fun leave(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.LEAVING)
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -376,6 +376,30 @@
         }
     }
 
+    /** Guards against a run that goes on in a failure domain that was drained after its copy was made there. */
+    @Test
+    fun `a copy in a drained domain is not used`() {
+        val serve: ScriptedTarget.Visit.() -> Unit = {
+            startStream()
+            (1..2).forEach { event(it) }
+            Thread.sleep(400)
+            event(3)
+            endStream()
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelaySite(a, b).use { site ->
+                    val body = site.streamWhile(a, b) { source ->
+                        site.drain()
+                        site.leave(source)
+                    }
+                    expectThat(body).isEqualTo(events(1..3))
+                    expectThat(a.requests.size + b.requests.size).isEqualTo(1)
+                }
+            }
+        }
+    }
+
     /** Guards against a run that is moved with events lost or doubled between its targets. */
     @Test
     fun `a stream without a copy is moved when its target leaves`() {
