Simplify the length estimate and work out transfer steps for leaving targets only

Cause: a last reading of the change. The estimate branched where one expression serves; the step of a transfer was worked out for each piece of every stream; the usable targets of a move were filtered twice. Measured: format and lint passed; TransferStepTest, OutputEstimatesTest, FleetTest, RelayTest green (42 tests).

--- a/src/main/kotlin/fulmarshunt/caller/relay/OutputEstimates.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/OutputEstimates.kt
@@ -34,13 +34,8 @@
         if (facts.maxOutputTokens <= 0) return 0
         val typicalLog = ln(facts.maxOutputTokens.toDouble()) + (histories[route]?.meanLogPart ?: ln(FIRST_PART))
         val hint = facts.expectedOutputTokens?.takeIf { it > 0 }
-        val medianLog = if (hint ==
-            null
-        ) {
-            typicalLog
-        } else {
-            HINT_WEIGHT * ln(hint.toDouble()) + (1 - HINT_WEIGHT) * typicalLog
-        }
+        val hintLog = hint?.let { ln(it.toDouble()) } ?: typicalLog
+        val medianLog = HINT_WEIGHT * hintLog + (1 - HINT_WEIGHT) * typicalLog
         return (MEAN_OF_MEDIAN * exp(medianLog)).roundToInt().coerceIn(1, facts.maxOutputTokens)
     }
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -147,8 +147,9 @@
         }
     }
 
+    /** Asked for each piece, so that the step is worked out only for a target that leaves. */
     private fun mustAct(): Boolean =
-        framer.lastId != null && !framer.hasUnnumbered && transferStep() != TransferStep.NONE
+        isLeaving && framer.lastId != null && !framer.hasUnnumbered && transferStep() != TransferStep.NONE
 
     private fun transferStep(): TransferStep = nextTransfer(
         TransferFacts(
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -137,7 +137,8 @@
     public fun placeMoved(placement: Placement, tokens: Int): Placement? {
         val ask = placement.ask.copy(excluded = setOf(placement.target.id))
         val need = Need(ask.service.engine, 0, tokens, placement.target.record.domain)
-        val chosen = chooseOrNull(usable(ask), need, draw) ?: usable(ask).minByOrNull { it.use.tokens } ?: return null
+        val usable = usable(ask)
+        val chosen = chooseOrNull(usable, need, draw) ?: usable.minByOrNull { it.use.tokens } ?: return null
         return take(ask, chosen.target, TargetUse(1, tokens.toLong(), 0))
     }
 
