Log what a shutdown does to connections and requests

The log could not tell the hypotheses of the lost requests apart: nothing was logged when a connection was closed with unread input, when a request was read and discarded on a connection being closed, and for requests that were still running when the process ended.

No request is handled differently; the count of active requests is now the size of the set that the last event lists.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
@@ -23,6 +23,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
 
 /** How long a connection may be idle while no configuration says so. */
 private const val DEFAULT_IDLE_MS = 15_000L
@@ -53,11 +54,12 @@
     private val clock: Clock,
     private val relay: suspend (CallerRequest) -> RelayOutcome,
 ) {
+    private val log = LogManager.getLogger(CallerConnections::class.java)
     private val idle = mutableSetOf<HttpConnection>()
+    private val serving = mutableSetOf<CallerRequest>()
 
     /** The number of requests that are being served. */
-    public var active: Int = 0
-        private set
+    public val active: Int get() = serving.size
 
     private var isStopping = false
 
@@ -76,9 +78,19 @@
     /** Closes idle connections; the others are closed after their current request. */
     public fun stop() {
         isStopping = true
+        val unread = idle.count { !it.isInboxEmpty }
+        log.info("connections stopped idle={} unread={} active={}", idle.size, unread, active)
         idle.toList().forEach { it.close() }
     }
 
+    /** Logs the requests that end without a response if the process ends now. */
+    public fun logUnfinished() {
+        val nowMs = clock.nowMs()
+        serving.forEach {
+            log.warn("request cut off id={} path={} ageMs={}", it.metadata.id, it.path, nowMs - it.arrivedAtMs)
+        }
+    }
+
     private suspend fun awaitHeadOrNull(connection: HttpConnection): HttpRequest? {
         idle += connection
         try {
@@ -106,11 +118,11 @@
         val body = RequestBody(connection, maxBytes, HttpUtil.getContentLength(head, -1L))
         val request = CallerRequest(head, adapter.readRequest(head.headers()), body, connection, clock.nowMs())
         if (HttpUtil.is100ContinueExpected(head)) sendContinue(connection)
-        active += 1
+        serving += request
         try {
             return serveWhileConnected(connection, request)
         } finally {
-            active -= 1
+            serving -= request
         }
     }
 
@@ -154,9 +166,18 @@
     private suspend fun linger(connection: HttpConnection) {
         if (connection.end != null) return
         withTimeoutOrNull(LINGER_MS) {
-            while (true) ReferenceCountUtil.release(connection.receiveOrNull() ?: break)
+            while (true) {
+                val message = connection.receiveOrNull() ?: break
+                if (message is HttpRequest) logDiscarded(message)
+                ReferenceCountUtil.release(message)
+            }
         }
     }
+
+    private fun logDiscarded(head: HttpRequest) {
+        val id = adapter.readRequest(head.headers()).id
+        log.warn("request discarded id={} path={} stopping={}", id, head.uri().substringBefore('?'), isStopping)
+    }
 }
 
 /** Returns the refusal of a request that cannot be read safely, or null. Every reader must agree about its end. */
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -40,6 +40,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicBoolean
@@ -54,6 +55,9 @@
 /** The load balancer probes every second and removes a VM after two failures; until then, new connections arrive. */
 private const val BALANCER_REMOVAL_MS = 2_600L
 private const val STOP_CHECK_PERIOD_MS = 50L
+
+/** The time at the end of the shutdown in which the last lines of the log are written. */
+private const val LAST_LOG_MS = 100L
 private const val EXPIRE_PERIOD_MS = 1_000L
 
 /** Runs the program of an entry VM. */
@@ -121,7 +125,10 @@
         delay(BALANCER_REMOVAL_MS)
         withContext(traffic.scope.coroutineContext) {
             callers.stop()
-            while (callers.active > 0) delay(STOP_CHECK_PERIOD_MS)
+            withTimeoutOrNull(graceMs - BALANCER_REMOVAL_MS - LAST_LOG_MS) {
+                while (callers.active > 0) delay(STOP_CHECK_PERIOD_MS)
+            }
+            callers.logUnfinished()
         }
         logger.info("process stopped")
     }
