--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -33,6 +33,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import java.io.BufferedInputStream
 import java.io.InputStream
 import java.net.InetAddress
@@ -201,6 +202,9 @@
     /** The placements that the fleet has granted. */
     fun use() = runBlocking { control.run { fleet.use() } }
 
+    /** Stops accepting requests on connections that are open, as during a shutdown. */
+    fun stop() = runBlocking { withContext(traffic.scope.coroutineContext) { callers.stop() } }
+
     /** Sets the configuration, or removes it, as in a process that has just started. */
     fun configure(isConfigured: Boolean) {
         views.value = views.value.copy(table = if (isConfigured) table() else null)
