Record the crashes by parts of prompts and log the parts

The log could not show whether the crashing requests share a part of their prompts: the parts are now decoded and named by the event 'target died', with the time until the first event.

--- a/src/main/kotlin/fulmarshunt/Ids.kt
+++ b/src/main/kotlin/fulmarshunt/Ids.kt
@@ -99,6 +99,13 @@
     override fun toString(): String = value
 }
 
+/** Identifies a part of a prompt; requests whose prompts begin with the same parts share cached memory of an engine. */
+@Serializable
+@JvmInline
+public value class PromptPartId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Identifies the content of a request; a request that is sent again under a new id has the same fingerprint. */
 @Serializable
 @JvmInline
--- a/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
+import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.TargetId
 import io.netty.handler.codec.http.HttpHeaders
@@ -17,6 +18,8 @@
     public val maxOutputTokens: Int,
     /** The caller's estimate; its median is right, but a single estimate is often far off. */
     public val expectedOutputTokens: Int?,
+    /** The parts of the prompt in order. The last one belongs to this request or its session; others may be shared. */
+    public val promptParts: List<PromptPartId> = emptyList(),
 )
 
 /** What the headers of a request say. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -331,10 +331,12 @@
             connection.fold(
                 { reason ->
                     log.warn(
-                        "target died request={} target={} fingerprint={} reason={}",
+                        "target died request={} target={} fingerprint={} parts={} firstMs={} reason={}",
                         job.id,
                         target.id,
                         fingerprint,
+                        job.request.metadata.generation?.promptParts.orEmpty(),
+                        job.firstEventAfterMs,
                         reason,
                     )
                     dependencies.control.run {
--- a/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
+++ b/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
@@ -17,6 +17,9 @@
     /** The number of prompt tokens and the greatest number of output tokens, separated by a comma. */
     const val TOKEN_COUNTS = "Fulmarshunt-Token-Counts"
 
+    /** The parts of the prompt, each as its id in hexadecimal and its number of tokens. */
+    const val PROMPT_PARTS = "Fulmarshunt-Prefix-Hash"
+
     /** The caller's estimate of the output tokens. */
     const val LENGTH_HINT = "Fulmarshunt-Length-Hint"
 
--- a/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.platform
 
+import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.caller.relay.Dispatch
 import fulmarshunt.caller.relay.GenerationHints
@@ -18,6 +19,9 @@
     "transfer-encoding", "upgrade", "content-length", "expect",
 )
 
+/** Parts of a prompt beyond this number are ignored; it bounds the work for one request. */
+private const val MAX_PROMPT_PARTS = 64
+
 /** Returns the protocol adapter of the platform; [engines] migrates runs. */
 internal fun platformProtocolAdapter(engines: EngineMigrationClient): ProtocolAdapter = ProtocolAdapter(
     readRequest = ::readRequest,
@@ -40,9 +44,22 @@
     val promptTokens = counts.getOrNull(0)?.trim()?.toIntOrNull() ?: return null
     val maxOutputTokens = counts.getOrNull(1)?.trim()?.toIntOrNull() ?: return null
     val lengthHint = headers.get(HeaderName.LENGTH_HINT)?.trim()?.toDoubleOrNull()?.toInt()
-    return GenerationHints(promptTokens.coerceAtLeast(0), maxOutputTokens.coerceAtLeast(0), lengthHint)
+    return GenerationHints(
+        promptTokens.coerceAtLeast(0),
+        maxOutputTokens.coerceAtLeast(0),
+        lengthHint,
+        readPromptParts(headers),
+    )
 }
 
+/** Returns the ids of the parts of the prompt; entries have the form `id:tokens`, and empty ones are ignored. */
+private fun readPromptParts(headers: HttpHeaders): List<PromptPartId> =
+    headers.get(HeaderName.PROMPT_PARTS).orEmpty().split(',')
+        .map { it.substringBefore(':').trim() }
+        .filter { it.isNotEmpty() }
+        .take(MAX_PROMPT_PARTS)
+        .map(::PromptPartId)
+
 private fun headersForTarget(headers: HttpHeaders, dispatch: Dispatch): HttpHeaders {
     val copy = headers.copyWithout(hopByHopNames(headers) + systemHeaders)
     copy.set(HeaderName.DEADLINE_MS, dispatch.remainingTimeMs)
--- a/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
@@ -105,4 +105,18 @@
             expectThat(sent.get("Fulmarshunt-Request-Id")).isEqualTo("id-1")
         }
     }
+
+    /** Guards against parts of prompts that are taken for others, or refuse the request that names them. */
+    @Test
+    fun `the parts of a prompt are decoded in order`() {
+        Traffic().use { traffic ->
+            val adapter = platformProtocolAdapter(EngineMigrationClient(TargetConnections(traffic, monotonicClock())))
+            fun partsOf(text: String) = adapter.readRequest(
+                DefaultHttpHeaders().set("Fulmarshunt-Token-Counts", "10,20").set("Fulmarshunt-Prefix-Hash", text),
+            ).generation?.promptParts?.map { it.value }
+            expectThat(partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"))
+                .isEqualTo(listOf("5c1e07a2", "91bd3f06", "e4402b7d"))
+            expectThat(partsOf(",,:3,")).isEqualTo(emptyList())
+        }
+    }
 }
