End a shutdown at its time limit

Cause: the shutdown of an entry VM ran with the coroutine context of the traffic thread's scope, which replaces the job of the caller. Cancelling it at the time limit had no effect, and withTimeoutOrNull waits for its block. The shutdown is now started outside the coroutine with the time limit, so that the limit holds whatever the shutdown does.

'a shutdown that cannot be cancelled ends at its time limit' terminates a process whose shutdown ignores cancellation.

--- a/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
@@ -10,6 +10,9 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -142,7 +145,9 @@
 private fun haltAfter(limitMs: Long, log: Logger, shutDown: suspend () -> Unit) {
     val code =
         try {
-            val finished = runBlocking { withTimeoutOrNull(limitMs) { shutDown() } }
+            // Not a child of the coroutine with the time limit, which would wait for code that ignores cancellation.
+            val running = CoroutineScope(Dispatchers.Default).async { shutDown() }
+            val finished = runBlocking { withTimeoutOrNull(limitMs) { running.await() } }
             if (finished == null) log.warn("The graceful shutdown was cut off after {} ms", limitMs)
             ExitCode.DONE
         } catch (e: Exception) {
--- a/src/test/kotlin/fulmarshunt/process/ProcessMainTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/ProcessMainTest.kt
@@ -7,8 +7,10 @@
 
 import fulmarshunt.operator.RecordedConsole
 import kotlinx.cli.ExperimentalCli
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -83,6 +85,30 @@
     /** Guards against SIGTERM that skips the shutdown function or ends with the code of a killed process. */
     @Test
     fun `a terminated server runs its shutdown function and ends with code 0`() {
+        withServer("graceful") { process ->
+            val output = process.inputStream.bufferedReader()
+            expectThat(output.readLine()).isEqualTo("serving")
+            // Process.destroy would also close the stream that the next line reads.
+            process.toHandle().destroy()
+            expectThat(output.readLine()).isEqualTo("stopped gracefully")
+            expectThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue()
+            expectThat(process.exitValue()).isEqualTo(0)
+        }
+    }
+
+    /** Guards against a process that is killed by its host because its shutdown waits on another thread for ever. */
+    @Test
+    fun `a shutdown that cannot be cancelled ends at its time limit`() {
+        withServer("endless") { process ->
+            expectThat(process.inputStream.bufferedReader().readLine()).isEqualTo("serving")
+            process.toHandle().destroy()
+            expectThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue()
+            expectThat(process.exitValue()).isEqualTo(0)
+        }
+    }
+
+    /** Runs [block] with a process whose shutdown is [kind]; see [main]. */
+    private fun withServer(kind: String, block: (Process) -> Unit) {
         val process =
             ProcessBuilder(
                 "${System.getProperty("java.home")}/bin/java",
@@ -90,24 +116,23 @@
                 "-cp",
                 System.getProperty("java.class.path"),
                 "fulmarshunt.process.ProcessMainTestKt",
+                kind,
             ).redirectErrorStream(true).start()
         try {
-            val output = process.inputStream.bufferedReader()
-            expectThat(output.readLine()).isEqualTo("serving")
-            // Process.destroy would also close the stream that the next line reads.
-            process.toHandle().destroy()
-            expectThat(output.readLine()).isEqualTo("stopped gracefully")
-            expectThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue()
-            expectThat(process.exitValue()).isEqualTo(0)
+            block(process)
         } finally {
             process.destroyForcibly()
         }
     }
 }
 
-/** The process that the last test terminates. */
-fun main(): Unit = runBlocking {
-    shutDownOnTermination(limitMs = 5_000) { println("stopped gracefully") }
+/** The process that the last tests terminate. */
+fun main(args: Array<String>): Unit = runBlocking {
+    if (args.single() == "endless") {
+        shutDownOnTermination(limitMs = 1_000) { withContext(NonCancellable) { awaitCancellation() } }
+    } else {
+        shutDownOnTermination(limitMs = 5_000) { println("stopped gracefully") }
+    }
     println("serving")
     awaitCancellation()
 }
