Send every response before its connection or the process ends

A caller that reads slowly could lose the end of a response: a connection that was to be closed was closed 500 ms after the last write, and the process ended once no request was active, in both cases with up to 64 KiB not passed to the operating system. After its last check, the process also went on reading requests until it ended.

The connection is closed after what was written has been passed on, within the idle timeout. The process ends once no request is being served or unread and every response has been sent; it then closes its listener and all connections in the same step on the traffic thread, so that nothing is read that would not be answered. Found by asking where else a request that was read can be left without its response.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
@@ -62,6 +62,7 @@
     private val relay: suspend (CallerRequest) -> RelayOutcome,
 ) {
     private val log = LogManager.getLogger(CallerConnections::class.java)
+    private val open = mutableSetOf<HttpConnection>()
     private val idle = mutableSetOf<HttpConnection>()
     private val serving = mutableSetOf<CallerRequest>()
 
@@ -70,8 +71,20 @@
 
     private var isStopping = false
 
+    /** Whether the process can end: no request is being served or unread, and every response has been sent. */
+    public val isQuiet: Boolean get() = serving.isEmpty() && open.all { it.isInboxEmpty && it.isFlushed }
+
     /** Serves requests on one connection until it ends. */
     public suspend fun serve(connection: HttpConnection) {
+        open += connection
+        try {
+            serveRequests(connection)
+        } finally {
+            open -= connection
+        }
+    }
+
+    private suspend fun serveRequests(connection: HttpConnection) {
         while (connection.end == null) {
             val head = awaitHeadOrNull(connection) ?: return
             if (!serveRequest(connection, head)) {
@@ -89,18 +102,21 @@
         idle.filter { it.isInboxEmpty }.forEach { it.close() }
     }
 
-    /** Logs the requests that end without a response if the process ends now. */
-    public fun logUnfinished() {
+    /** Closes all connections and logs the requests that end without a response. */
+    public fun close() {
         val nowMs = clock.nowMs()
         serving.forEach {
             log.warn("request cut off id={} path={} ageMs={}", it.metadata.id, it.path, nowMs - it.arrivedAtMs)
         }
+        open.toList().forEach { it.close() }
     }
 
+    private fun idleTimeoutMs(): Long = view().table?.configuration?.limits?.idleTimeoutMs ?: DEFAULT_IDLE_MS
+
     private suspend fun awaitHeadOrNull(connection: HttpConnection): HttpRequest? {
         idle += connection
         try {
-            val idleMs = view().table?.configuration?.limits?.idleTimeoutMs ?: DEFAULT_IDLE_MS
+            val idleMs = idleTimeoutMs()
             while (true) {
                 val message = withTimeoutOrNull(idleMs) { connection.receiveOrNull() }
                 if (message is HttpRequest) return message
@@ -170,8 +186,12 @@
         connection.send(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
-    /** Reads for a moment: closing a connection with unread bytes would reset it and lose the last response. */
+    /**
+     * Waits until the last response has been sent, and then reads for a moment: closing a connection with unread bytes
+     * would reset it, and the caller would lose the end of the response.
+     */
     private suspend fun linger(connection: HttpConnection) {
+        withTimeoutOrNull(idleTimeoutMs()) { connection.awaitFlushed() }
         if (connection.end != null) return
         withTimeoutOrNull(LINGER_MS) {
             while (true) {
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.http
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -56,6 +57,19 @@
         }
     }
 
+    /** Whether everything that was written has been passed to the operating system. */
+    public val isFlushed: Boolean get() = end != null || channel.unsafe().outboundBuffer()?.isEmpty != false
+
+    /** Waits until everything that was written has been passed to the operating system or the connection has ended. */
+    public suspend fun awaitFlushed() {
+        if (isFlushed) return
+        suspendCancellableCoroutine { continuation ->
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener {
+                if (continuation.isActive) continuation.resume(Unit)
+            }
+        }
+    }
+
     /** Makes a waiting reader check whether it is interrupted. */
     public fun wake() {
         reader?.let {
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -103,8 +103,8 @@
     val callers = CallerConnections({ watcher.views.value }, adapter, relayMeters, clock, requestRelay::run)
     val isStopping = AtomicBoolean()
     val maxHeaderBytes = { watcher.views.value.table?.configuration?.limits?.maxHeaderBytes ?: MAX_HEADER_BYTES }
-    traffic.listen(validatedAddress(settings.listen.callers), maxHeaderBytes, callers::serve)
-        .onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.callers: $it")) }
+    val listener = traffic.listen(validatedAddress(settings.listen.callers), maxHeaderBytes, callers::serve)
+        .getOrElse { raise(ProgramOutcome(ExitCode.USAGE, "listen.callers: $it")) }
     listenForReadiness(traffic, validatedAddress(settings.listen.readiness)) {
         if (isStopping.get()) {
             "stopping"
@@ -126,9 +126,11 @@
         withContext(traffic.scope.coroutineContext) {
             callers.stop()
             withTimeoutOrNull(graceMs - BALANCER_REMOVAL_MS - LAST_LOG_MS) {
-                while (callers.active > 0) delay(STOP_CHECK_PERIOD_MS)
+                while (!callers.isQuiet) delay(STOP_CHECK_PERIOD_MS)
             }
-            callers.logUnfinished()
+            // On the traffic thread without a suspension, so that no request is read after the check.
+            listener.close()
+            callers.close()
         }
         logger.info("process stopped")
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -205,6 +205,12 @@
     /** Stops accepting requests on connections that are open, as during a shutdown. */
     fun stop() = runBlocking { withContext(traffic.scope.coroutineContext) { callers.stop() } }
 
+    /** Whether the process could end now. */
+    fun isQuiet(): Boolean = runBlocking { withContext(traffic.scope.coroutineContext) { callers.isQuiet } }
+
+    /** Closes the connections of callers, as at the end of the process. */
+    fun closeCallers() = runBlocking { withContext(traffic.scope.coroutineContext) { callers.close() } }
+
     /** Sets the configuration, or removes it, as in a process that has just started. */
     fun configure(isConfigured: Boolean) {
         views.value = views.value.copy(table = if (isConfigured) table() else null)
