Send every reply to operators and targets before its connection is closed

The same fault as in the connections of callers: a reply with 'Connection: close', such as a large configuration or the metrics, was cut off if its reader was slow, and a call that arrived as the idle timeout passed was dropped. Found in the review of the fix for callers; by reading, no run showed it.

--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -45,7 +45,10 @@
 /** Responds to the calls on this connection, one after another; bodies over [maxBodyBytes] are refused. */
 public suspend fun HttpConnection.serveBuffered(maxBodyBytes: Int, respond: suspend (HttpCall) -> HttpReply) {
     while (end == null) {
-        val head = withTimeoutOrNull(IDLE_MS) { receiveOrNull() } ?: return
+        val head = withTimeoutOrNull(IDLE_MS) { receiveOrNull() }
+        // A request may arrive at the moment at which the time limit passes.
+        if (head == null && !isInboxEmpty) continue
+        if (head == null) return
         if (head !is HttpRequest || head.decoderResult().isFailure) {
             ReferenceCountUtil.release(head)
             sendReply(HttpReply(HttpResponseStatus.BAD_REQUEST.code()), false)
@@ -122,4 +125,6 @@
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
     if (!keepsOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     send(response)
+    // Closing the connection would discard what has not been sent.
+    if (!keepsOpen) withTimeoutOrNull(IDLE_MS) { awaitFlushed() }
 }
