Reproduce requests that crash targets by a part of their prompts

Crashes are counted for whole requests only, so that no new request is ever recognized.

The test fails on the current code: after three crashes, the fourth request with other text and the same part is not refused; the expected status 503 was 200. The adapter of the fixture reads the parts of a prompt, and a scripted target can crash.

--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -0,0 +1,81 @@
+/*
+ * Requests that crash targets by a part of their prompts, through the relay on real sockets.
+ */
+package fulmarshunt.caller.relay
+
+import fulmarshunt.target.fleet.CrashReportTable
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+
+private const val WAIT_MS = 5_000L
+private const val DEADLY_PART = "deadly"
+
+class CrashingPromptTest {
+    /** The bodies of the requests that crashed their targets. */
+    private val crashedBy = CopyOnWriteArrayList<String>()
+
+    /** A target that crashes as it begins to respond to a request whose body names the deadly part. */
+    private fun target(name: String) = ScriptedTarget(name) {
+        startStream()
+        if (DEADLY_PART in request.body) {
+            crashedBy += request.body
+            crash()
+        } else {
+            (1..EVENTS).forEach { event(it) }
+            endStream()
+        }
+    }
+
+    private fun eventually(condition: () -> Boolean) {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)
+        while (!condition()) {
+            check(System.nanoTime() < endNanos) { "the condition did not hold within $WAIT_MS ms" }
+            Thread.sleep(5)
+        }
+    }
+
+    private fun RelayFixture.ask(body: String, parts: String) = call("/stream/x", body, "tokens: 10", "parts: $parts")
+
+    /** Sends a new request with the deadly part, and returns once the crash of its target has been reported. */
+    private fun RelayFixture.crashOne(number: Int, targets: List<ScriptedTarget>, table: CrashReportTable) {
+        val reportsBefore = crashReports().size
+        ask("$DEADLY_PART $number", "shared,$DEADLY_PART,own$number")
+        eventually { crashReports().size > reportsBefore }
+        expectThat(crashedBy).hasSize(number)
+        targets.filter { target -> target.requests.any { it.body in crashedBy } }.forEach { leave(it) }
+        exchangeCrashReports(table)
+    }
+
+    /** Guards against targets that crash one after the other, each by a new request with the same prompt part. */
+    @Test
+    @Tag("known-red")
+    fun `a part of prompts that crashed three targets is refused, and the parts beside it are not`() {
+        val targets = List(5) { target("t$it") }
+        try {
+            RelayFixture(*targets.toTypedArray()).use { relay ->
+                val table = CrashReportTable()
+                expectThat(relay.ask("sound", "shared,other,own")?.startLine).isNotNull().contains(" 200 ")
+                (1..3).forEach { relay.crashOne(it, targets, table) }
+                val fourth = relay.ask("$DEADLY_PART 4", "shared,$DEADLY_PART,own4")
+                expectThat(fourth?.startLine).isNotNull().contains(" 503 ")
+                expectThat(crashedBy).hasSize(3)
+                val sound = relay.ask("also sound", "shared,other,own5")
+                expectThat(sound?.startLine).isNotNull().contains(" 200 ")
+                expectThat(sound?.body?.lines()?.count { it.startsWith("data:") }).isEqualTo(EVENTS)
+            }
+        } finally {
+            targets.forEach { it.close() }
+        }
+    }
+
+    private companion object {
+        const val EVENTS = 3
+    }
+}
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -6,6 +6,7 @@
 import arrow.core.left
 import fulmarshunt.Address
 import fulmarshunt.ConfigurationVersion
+import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.ServiceId
 import fulmarshunt.http.Traffic
@@ -17,6 +18,7 @@
 import fulmarshunt.operator.serving.ServiceShare
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.CrashReportTable
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.RepeatBudget
@@ -125,6 +127,9 @@
             socket.setSoLinger(true, 0)
             socket.close()
         }
+
+        /** Ends the target, so that its connections break and new ones are not accepted. */
+        fun crash() = this@ScriptedTarget.close()
     }
 
     init {
@@ -174,7 +179,8 @@
     private val meters = RelayMeters(SimpleMeterRegistry())
     private val adapter = ProtocolAdapter(
         readRequest = { headers ->
-            val generation = headers.get("tokens")?.let { GenerationHints(it.toInt(), 400, 400) }
+            val parts = headers.get("parts")?.split(',')?.map(::PromptPartId).orEmpty()
+            val generation = headers.get("tokens")?.let { GenerationHints(it.toInt(), 400, 400, parts) }
             val callerTimeoutMs = headers.getInt("caller-timeout")?.toLong()
             RequestMetadata(headers.get("id")?.let(::RequestId), headers.get("key"), callerTimeoutMs, generation)
         },
@@ -210,6 +216,16 @@
         views.value = views.value.copy(table = if (isConfigured) table() else null)
     }
 
+    /** The crashes that this VM reports to control VMs. */
+    fun crashReports() = runBlocking { control.run { fleet.crashReports() } }
+
+    /** Exchanges reports and refusals with a control VM whose crash reports are in [table]. */
+    fun exchangeCrashReports(table: CrashReportTable) {
+        table.receive(crashReports(), clock.nowMs())
+        views.value = views.value.copy(refused = table.refused())
+        runBlocking { control.run { fleet.update(views.value) } }
+    }
+
     /** Drains the failure domain of all targets. */
     fun drain() {
         views.value = views.value.copy(drained = setOf(here))
