Refuse parts of prompts that crash targets

Cause: crashes were counted for the fingerprint of the whole request only, so that no new request was ever recognized. A request that waited for a placement was not checked again either.

Change: a possible cause is a whole request, as before, or a part of its prompt except the last, because that belongs to the request or its session. Shared parts are present at most crashes. They are told from the cause by runs that get past the point of the crash: after two events a run's parts are no longer reported, and entry VMs remember them as sound. Control VMs tell entry VMs which causes were present at two crashes or more, and learn which of them are sound; the crashes before the last sound run no longer count. A sound cause is refused after crashes at six moments instead of three crashes, so that the loss of a failure domain refuses no part that all prompts share, and is objected to for a second by entry VMs that know it, until the control VMs have learned it. Whole requests are reported after two events as well, as before, and are sound only once they have ended. Requests are checked again after their placement, and a plain response that ends early is followed up like a stream.

ControlVm moves from WatchServiceTest to a file of its own, unchanged.

--- /dev/null
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashCauses.kt
@@ -0,0 +1,47 @@
+/*
+ * What of a request may crash the target that runs it. A request that crashes targets is known by its content when it
+ * is sent again, and by the parts of its prompt when a new request shares the one that crashes targets.
+ */
+package fulmarshunt.caller.relay
+
+import fulmarshunt.Fingerprint
+import fulmarshunt.PromptPartId
+import fulmarshunt.caller.fingerprintOf
+
+/** A part that crashes targets does so as the engine begins to write; a run with this many events is past that. */
+internal const val SOUND_EVENTS = 2L
+
+/** The parts of one prompt that are considered, which bounds the reports of a crash. */
+private const val MAX_PARTS = 64
+
+private val PART_TAG = "prompt-part".encodeToByteArray()
+
+/** The possible causes of a crash in one request. */
+internal class CrashCauses(
+    /** The fingerprint of the whole request, or null if it is not known. */
+    val whole: Fingerprint?,
+    /** The parts of the prompt that other requests may share. */
+    val parts: Set<Fingerprint>,
+) {
+    /** The whole request and the parts of its prompt. */
+    val all: Set<Fingerprint> = setOfNotNull(whole) + parts
+
+    /** Returns one of the causes that is [refused], or null. */
+    fun refusedOrNull(refused: Set<Fingerprint>): Fingerprint? = all.firstOrNull { it in refused }
+
+    /** Returns the causes of a crash after [events] events of the run. */
+    fun afterEvents(events: Long): Set<Fingerprint> = if (events < SOUND_EVENTS) all else setOfNotNull(whole)
+
+    companion object {
+        /** A request that cannot crash its target. */
+        val NONE: CrashCauses = CrashCauses(null, emptySet())
+    }
+}
+
+/** Returns the causes in a request with the fingerprint [whole] and [promptParts], of which the last is not shared. */
+internal fun crashCausesOf(whole: Fingerprint?, promptParts: List<PromptPartId>): CrashCauses = CrashCauses(
+    whole,
+    promptParts.dropLast(1).take(MAX_PARTS).mapTo(mutableSetOf()) {
+        fingerprintOf(PART_TAG, it.value.encodeToByteArray())
+    },
+)
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -27,7 +27,8 @@
     val service: ServiceProfile,
     val account: ClientAccountId?,
     val rank: Int,
-    val fingerprint: Fingerprint?,
+    /** What of the request may crash its target. */
+    val causes: CrashCauses,
     val deadlineAtMs: Long,
     /** When the response is due, counted from the caller's first attempt. */
     val objectiveAtMs: Long,
@@ -99,6 +100,11 @@
         control.scope.launch { fleet.end(placement, outcome) }
     }
 
+    /** Records that a run has shown that [causes] crash no target. */
+    fun recordSound(causes: Set<Fingerprint>) {
+        if (causes.isNotEmpty()) control.scope.launch { fleet.recordSound(causes) }
+    }
+
     /** Releases the placements that are still held. */
     fun endAll() {
         control.scope.launch { held.forEach { fleet.end(it, UseOutcome.ABANDONED) } }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -127,17 +127,20 @@
             service,
             account?.account,
             account?.rank ?: route.rank,
-            fingerprintOrNull(request, account, service),
+            crashCausesOf(request, account, service),
             request.arrivedAtMs + callerTimeoutMs,
             request.arrivedAtMs + route.objectiveMs -
                 callerTimeouts.elapsedBeforeMs(route, request.metadata.callerTimeoutMs),
             request.metadata.generation?.let { outputEstimates.expectedTokens(route.name, it) } ?: 0,
         )
-        if (job.fingerprint in dependencies.views.value.refused) {
-            log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
-            return notRun("the request has crashed several targets").left()
-        }
-        return job.right()
+        return crashRefusalOrNull(job)?.left() ?: job.right()
+    }
+
+    /** Returns the response to a request that would probably crash its target, or null for any other. */
+    private fun crashRefusalOrNull(job: RelayJob): LocalResponse? {
+        val cause = job.causes.refusedOrNull(dependencies.views.value.refused) ?: return null
+        log.warn("request refused id={} fingerprint={} reason=it crashed several targets", job.id, cause)
+        return notRun("the request has crashed several targets")
     }
 
     private fun accountOf(table: RoutingTable, route: Route, apiKey: String?): Either<LocalResponse, AccountKeys?> {
@@ -146,17 +149,18 @@
         return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
     }
 
-    private fun fingerprintOrNull(request: CallerRequest, account: AccountKeys?, service: ServiceProfile) =
-        if (service.engine == null || !request.body.isRepeatable) {
-            null
-        } else {
-            fingerprintOf(
-                request.head.method().name().encodeToByteArray(),
-                request.head.uri().encodeToByteArray(),
-                account?.account?.value.orEmpty().encodeToByteArray(),
-                request.body.beginning,
-            )
-        }
+    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?, service: ServiceProfile): CrashCauses {
+        if (service.engine == null) return CrashCauses.NONE
+        val whole = if (request.body.isRepeatable) fingerprintOf(request, account) else null
+        return crashCausesOf(whole, request.metadata.generation?.promptParts.orEmpty())
+    }
+
+    private fun fingerprintOf(request: CallerRequest, account: AccountKeys?) = fingerprintOf(
+        request.head.method().name().encodeToByteArray(),
+        request.head.uri().encodeToByteArray(),
+        account?.account?.value.orEmpty().encodeToByteArray(),
+        request.body.beginning,
+    )
 
     private suspend fun serve(job: RelayJob, placements: JobPlacements): RelayOutcome {
         while (true) {
@@ -168,6 +172,11 @@
                 is PlacementResult.Full -> return notServed(job, "no target has room", result)
                 PlacementResult.NoTarget -> return notServed(job, "no target is known", null)
             }
+            // What crashes targets may have become known while the request waited.
+            crashRefusalOrNull(job)?.let { refusal ->
+                placements.end(placement, UseOutcome.ABANDONED)
+                return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
+            }
             dependencies.meters.placed(job.service.id.value, dependencies.clock.nowMs() - requestedAtMs)
             job.trace.append(" ${placement.target.id}")
             job.triedTargets += placement.target.id
@@ -203,7 +212,7 @@
             { failure ->
                 copy?.let { placements.end(it, UseOutcome.ABANDONED) }
                 placements.end(placement, useOutcomeOf(failure))
-                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target)
+                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target, events = 0)
                 failure.left()
             },
             { response ->
@@ -268,8 +277,12 @@
             if (!isComplete) relay.current.response.abandon()
         }
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
-        if (isComplete) recordOutputLength(job, relay.events)
-        if (!isComplete) reportIfCrashed(job, relay.current.placement.target)
+        if (isComplete) {
+            recordOutputLength(job, relay.events)
+            if (relay.events > 0) placements.recordSound(job.causes.all)
+        } else {
+            reportIfCrashed(job, relay.current.placement.target, relay.events)
+        }
         return if (isComplete) RelayOutcome.Relayed(keepsOpen) else RelayOutcome.Broken
     }
 
@@ -288,11 +301,13 @@
         if (result == ForwardResult.COMPLETE) {
             run.response.finish()
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
+            if (run.response.head.status() == HttpResponseStatus.OK) placements.recordSound(job.causes.all)
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed(keepsOpen).right()
         }
         run.response.abandon()
         placements.end(run.placement, UseOutcome.FAILED)
+        reportIfCrashed(job, run.placement.target, events = 0)
         return when (result) {
             ForwardResult.BROKEN_BEFORE -> AttemptFailure.Lost("the response ended early").left()
             else -> RelayOutcome.Broken.right()
@@ -324,8 +339,9 @@
     }
 
     /** Reports a target that accepts no connection after it lost a request, which has probably crashed it. */
-    private fun reportIfCrashed(job: RelayJob, target: KnownTarget) {
-        val fingerprint = job.fingerprint ?: return
+    private fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
+        val causes = job.causes.afterEvents(events)
+        if (causes.isEmpty()) return
         dependencies.background.launch {
             val connection = dependencies.connections.open(target.record.address, mayBeStale = false)
             connection.fold(
@@ -334,15 +350,15 @@
                         "target died request={} target={} fingerprint={} parts={} firstMs={} reason={}",
                         job.id,
                         target.id,
-                        fingerprint,
+                        job.causes.whole,
                         job.request.metadata.generation?.promptParts.orEmpty(),
                         job.firstEventAfterMs,
                         reason,
                     )
                     dependencies.control.run {
-                        dependencies.fleet.recordCrash(
-                            CrashReport(fingerprint, target.id, target.record.startedAtMs),
-                        )
+                        causes.forEach {
+                            dependencies.fleet.recordCrash(CrashReport(it, target.id, target.record.startedAtMs))
+                        }
                     }
                 },
                 { it.close() },
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -89,6 +89,7 @@
     /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
     private var destinationHandle: String? = null
     private var lastEventAtMs = 0L
+    private var isSoundRecorded = false
 
     private sealed interface Next {
         class Piece(val content: HttpContent) : Next
@@ -198,6 +199,10 @@
             job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
         }
         lastEventAtMs = nowMs
+        if (!isSoundRecorded && events >= SOUND_EVENTS) {
+            isSoundRecorded = true
+            dependencies.placements.recordSound(job.causes.parts)
+        }
     }
 
     /** Makes the next step of the transfer from a leaving target, by its copy or by a migration. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.link.Links
@@ -19,6 +20,7 @@
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.ListedTarget
+import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.TargetUse
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
@@ -44,6 +46,9 @@
 /** How long a target that no watched control VM lists is kept; it covers several announcement periods. */
 private const val UNLISTED_RETENTION_MS = 6_000L
 
+/** The maximum number of refused causes that are logged at once. */
+private const val MAX_LOGGED = 16
+
 /** Decodes a document into a configuration, or returns the reason why it cannot be used. */
 public typealias DecodeConfiguration = (ConfigurationDocument) -> Either<String, ServingConfiguration>
 
@@ -65,12 +70,14 @@
         var source = ""
         var targetChange = 0L
         val targets = mutableMapOf<TargetId, ListedTarget>()
+        var suspected = emptySet<Fingerprint>()
 
         fun clear() {
             address = null
             source = ""
             targetChange = 0
             targets.clear()
+            suspected = emptySet()
         }
     }
 
@@ -80,6 +87,7 @@
     private val knownTargets = mutableMapOf<TargetId, KnownTarget>()
     private val listedAtMs = mutableMapOf<TargetId, Long>()
     private var reportedUse = emptyMap<TargetId, TargetUse>()
+    private val refusals = Refusals { fleet.soundAgesMs(it).keys }
     private val viewState = MutableStateFlow(FleetView())
 
     /** The newest view. */
@@ -108,6 +116,7 @@
                 viewState.value.revision,
                 slot.source,
                 slot.targetChange,
+                fleet.soundAgesMs(slot.suspected),
             )
             val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
             reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
@@ -141,6 +150,7 @@
         slot.source = reply.source
         slot.targetChange = reply.targetChange
         reply.targets.forEach { slot.targets[it.record.id] = it }
+        slot.suspected = reply.suspected
         controls = reply.controls
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
@@ -149,10 +159,19 @@
             view = view.copy(othersUse = othersUse(reply.use))
             reportedUse = reported
         }
-        publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = reply.refused))
+        val refused = refusals.decide(reply.refused, clock.nowMs())
+        logRefusals(view.refused, refused)
+        publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused))
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun logRefusals(before: Set<Fingerprint>, refused: Set<Fingerprint>) {
+        val added = refused - before
+        val lifted = before - refused
+        if (added.isNotEmpty()) log.warn("causes refused count={} causes={}", added.size, added.take(MAX_LOGGED))
+        if (lifted.isNotEmpty()) log.info("refusals lifted count={} causes={}", lifted.size, lifted.take(MAX_LOGGED))
+    }
+
     /**
      * Returns whether there is another control VM that has not failed recently. Without this check, every control VM
      * would be disconnected during an election, when all are out of contact with a leader.
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -30,6 +30,8 @@
     /** The process of the control VM whose changes [targetChange] numbers. */
     val source: String,
     val targetChange: Long,
+    /** The suspected causes that are sound, with the time since a run at this entry VM last showed it. */
+    val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
 )
 
 /** The changes since a [Watch]. */
@@ -48,6 +50,8 @@
     /** The total use of all entry VMs, if [Watch.isReporting]. */
     val use: Map<TargetId, TargetUse>,
     val refused: Set<Fingerprint>,
+    /** The causes that were present at several crashes; entry VMs that know them to be sound say so. */
+    val suspected: Set<Fingerprint> = emptySet(),
 )
 
 /** The records and reports that one control VM sends to the others. */
@@ -60,6 +64,8 @@
     val use: Map<TargetId, TargetUse>?,
     /** The entry VMs that report to the sender. */
     val entryVms: Set<VmId>?,
+    /** Causes of crash reports that are sound, with the time since a run last showed it. */
+    val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
 )
 
 /** The reply to a [StateExchange]. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -7,6 +7,7 @@
 
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.link.LinkHandlers
@@ -59,6 +60,9 @@
 /** How long entry VMs are counted after their last watch, so that shares stay small while some are disconnected. */
 private const val ENTRY_VM_RETENTION_MS = 30_000L
 
+/** The maximum number of crash reports or causes that are logged at once. */
+private const val MAX_LOGGED = 16
+
 /** The collaborators of [WatchService]. */
 internal class WatchServiceDependencies(
     val vm: VmId,
@@ -163,6 +167,7 @@
             reportsOfEntryVms.remove(watch.vm)
         }
         recordSuspects(watch.suspects)
+        recordSound(watch.soundAgesMs)
         val change = if (watch.source == source) watch.targetChange else 0
         val knownSuspectChange = lastSuspectChange.value
         withTimeoutOrNull(WATCH_HOLD_MS) {
@@ -186,6 +191,7 @@
             // An entry VM needs it from only one of the control VMs that it watches.
             use = if (watch.isReporting) totalUse(clock.nowMs()) else emptyMap(),
             refused = suspects.refused(),
+            suspected = suspects.suspected(),
         )
     }
 
@@ -193,6 +199,7 @@
         val nowMs = clock.nowMs()
         exchange.records.forEach { dependencies.directory.receive(it.record, nowMs, it.ageMs) }
         recordSuspects(exchange.suspects)
+        recordSound(exchange.soundAgesMs)
         exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
         return StateExchangeReply(dependencies.vm, dependencies.isCurrent())
@@ -202,11 +209,23 @@
         val added = suspects.receive(reported, clock.nowMs())
         if (added.isEmpty()) return
         lastSuspectChange.value += 1
-        added.forEach { log.warn("suspect request={} target={} born={}", it.request, it.target, it.startedAtMs) }
+        added.take(MAX_LOGGED).forEach {
+            log.warn("suspect request={} target={} born={}", it.request, it.target, it.startedAtMs)
+        }
+        if (added.size > MAX_LOGGED) log.warn("suspects not logged count={}", added.size - MAX_LOGGED)
         val exchange = StateExchange(dependencies.vm, emptyList(), added, null, null)
         otherControls().forEach { send(it, exchange) }
     }
 
+    private fun recordSound(soundAgesMs: Map<Fingerprint, Long>) {
+        val cleared = suspects.clear(soundAgesMs, clock.nowMs())
+        if (cleared.isEmpty()) return
+        lastSuspectChange.value += 1
+        log.info("causes cleared count={} causes={}", cleared.size, cleared.keys.take(MAX_LOGGED))
+        val exchange = StateExchange(dependencies.vm, emptyList(), emptyList(), null, null, cleared)
+        otherControls().forEach { send(it, exchange) }
+    }
+
     private fun exchangeState() {
         val nowMs = clock.nowMs()
         entryVmsSeenAtMs.values.removeIf { nowMs - it > ENTRY_VM_RETENTION_MS }
@@ -218,9 +237,10 @@
             vm = dependencies.vm,
             records =
             if (isRefreshDue) dependencies.directory.announcedWithin(2 * REFRESH_PERIOD_MS, nowMs) else emptyList(),
-            suspects = if (isRefreshDue) suspects.all() else emptyList(),
+            suspects = if (isRefreshDue) suspects.reportsToRepeat(nowMs) else emptyList(),
             use = sumOf(reportsOfEntryVms.values),
             entryVms = reportsOfEntryVms.keys.toSet(),
+            soundAgesMs = if (isRefreshDue) suspects.soundAgesMs(nowMs) else emptyMap(),
         )
         otherControls().forEach { send(it, exchange) }
     }
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -6,6 +6,7 @@
 
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
+import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
@@ -72,6 +73,7 @@
     private val failures = mutableMapOf<TargetId, FailureHistory>()
     private val waiting = mutableListOf<WaitingRequest>()
     private val crashReports = linkedMapOf<CrashReport, Long>()
+    private val soundCauses = SoundCauses()
 
     private class WaitingRequest(val request: PlacementRequest, val result: CompletableDeferred<Placement>)
 
@@ -93,18 +95,24 @@
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.toMap()
 
-    /** Returns the crashes to be reported to control VMs, one report for each request that was running. */
+    /** Returns the crashes to be reported to control VMs, one report for each cause that was present. */
     public fun crashReports(): List<CrashReport> {
         val nowMs = clock.nowMs()
         crashReports.values.removeIf { nowMs - it > REPORT_CRASHES_MS }
         return crashReports.keys.toList()
     }
 
-    /** Records that a request was running at a target when it crashed. */
+    /** Records that a possible cause was present at a target when it crashed. */
     public fun recordCrash(report: CrashReport) {
         crashReports[report] = clock.nowMs()
     }
 
+    /** Records that a run has shown that [causes] crash no target. */
+    public fun recordSound(causes: Set<Fingerprint>): Unit = soundCauses.record(causes, clock.nowMs())
+
+    /** Returns which of [causes] runs of this VM have shown to be sound, with the time since then. */
+    public fun soundAgesMs(causes: Set<Fingerprint>): Map<Fingerprint, Long> = soundCauses.agesMs(causes, clock.nowMs())
+
     /** Counts a request for [service] towards the budget of repeats. */
     public fun recordRequest(service: ServiceId): Unit = budget.recordRequest(service, clock.nowMs())
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -32,6 +32,6 @@
     public val entryVms: Int = 1,
     /** The use of each target by the other entry VMs. */
     public val othersUse: Map<TargetId, TargetUse> = emptyMap(),
-    /** Requests that are refused because they were running at several crashes. */
+    /** Requests and parts of prompts that are refused because they were present at several crashes. */
     public val refused: Set<Fingerprint> = emptySet(),
 )
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -4,7 +4,6 @@
 package fulmarshunt.caller.relay
 
 import fulmarshunt.target.fleet.CrashReportTable
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -55,7 +54,6 @@
 
     /** Guards against targets that crash one after the other, each by a new request with the same prompt part. */
     @Test
-    @Tag("known-red")
     fun `a part of prompts that crashed three targets is refused, and the parts beside it are not`() {
         val targets = List(5) { target("t$it") }
         try {
--- a/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
@@ -60,7 +60,7 @@
         val request = CallerRequest(head, metadata, RequestBody(connection, 1_000, 0), connection, arrivedAtMs)
         val elapsedMs = CALLER_TIMEOUT_MS - callerTimeoutMs
         return RelayJob(
-            request, RequestId(name), letters, engines, null, 0, null, arrivedAtMs + callerTimeoutMs,
+            request, RequestId(name), letters, engines, null, 0, CrashCauses.NONE, arrivedAtMs + callerTimeoutMs,
             arrivedAtMs + OBJECTIVE_MS - elapsedMs, 500,
         )
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -222,6 +222,7 @@
     /** Exchanges reports and refusals with a control VM whose crash reports are in [table]. */
     fun exchangeCrashReports(table: CrashReportTable) {
         table.receive(crashReports(), clock.nowMs())
+        table.clear(runBlocking { control.run { fleet.soundAgesMs(table.suspected()) } }, clock.nowMs())
         views.value = views.value.copy(refused = table.refused())
         runBlocking { control.run { fleet.update(views.value) } }
     }
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/ControlVmFixture.kt
@@ -0,0 +1,45 @@
+/*
+ * A control VM with its links, for tests of watching.
+ */
+package fulmarshunt.entry
+
+import fulmarshunt.Address
+import fulmarshunt.VmId
+import fulmarshunt.entry.watch.WatchService
+import fulmarshunt.entry.watch.WatchServiceDependencies
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ServingSnapshot
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.TargetDirectory
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.runBlocking
+
+/** A control VM that listens at [own]; it is in contact with a leader while [isCurrent]. */
+internal class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
+    private val control = startControlThread()
+    val service = WatchService(
+        WatchServiceDependencies(
+            VmId(name),
+            MutableStateFlow(ServingSnapshot()),
+            { all },
+            own,
+            isCurrent,
+            TargetDirectory(1_000),
+        ),
+        control,
+        monotonicClock(),
+    )
+    private val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
+
+    init {
+        runBlocking { links.listen(own).onLeft { error(it) } }
+        service.start(links)
+    }
+
+    override fun close() {
+        runBlocking { links.close() }
+        control.close()
+    }
+}
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -4,19 +4,9 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Address
-import fulmarshunt.VmId
-import fulmarshunt.entry.watch.WatchService
-import fulmarshunt.entry.watch.WatchServiceDependencies
-import fulmarshunt.link.LinkHandlers
-import fulmarshunt.link.linksOf
-import fulmarshunt.monotonicClock
-import fulmarshunt.operator.serving.ServingSnapshot
-import fulmarshunt.process.startControlThread
-import fulmarshunt.target.fleet.TargetDirectory
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.record
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
@@ -29,33 +19,6 @@
 private const val POLL_MS = 20L
 
 class WatchServiceTest {
-    private class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
-        private val control = startControlThread()
-        val service = WatchService(
-            WatchServiceDependencies(
-                VmId(name),
-                MutableStateFlow(ServingSnapshot()),
-                { all },
-                own,
-                isCurrent,
-                TargetDirectory(1_000),
-            ),
-            control,
-            monotonicClock(),
-        )
-        private val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
-
-        init {
-            runBlocking { links.listen(own).onLeft { error(it) } }
-            service.start(links)
-        }
-
-        override fun close() {
-            runBlocking { links.close() }
-            control.close()
-        }
-    }
-
     private val addresses = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
     private val leaving = record("t", sequence = 2, phase = TargetPhase.LEAVING)
 
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -0,0 +1,99 @@
+/*
+ * Which causes of crashes are refused, for single decisions.
+ */
+package fulmarshunt.target.fleet
+
+import fulmarshunt.Fingerprint
+import fulmarshunt.TargetId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+private const val PERIOD_MS = 2_000L
+
+class CrashReportTableTest {
+    private val table = CrashReportTable()
+    private val shared = Fingerprint("shared")
+    private val deadly = Fingerprint("deadly")
+
+    private fun crash(number: Int, causes: Set<Fingerprint>) =
+        causes.map { CrashReport(it, TargetId("t$number"), number.toLong()) }
+
+    /** Guards against a refusal of all prompts that begin with the same part as those that crash targets. */
+    @Test
+    fun `a part that runs without a crash in between is not refused`() {
+        for (number in 1..20) {
+            val nowMs = number * PERIOD_MS
+            table.receive(crash(number, setOf(shared, deadly)), nowMs)
+            table.clear(mapOf(shared to 0L), nowMs + 1)
+        }
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.suspected()).isEqualTo(setOf(deadly))
+    }
+
+    /** Guards against a part that all prompts share and that is refused because a failure domain was lost. */
+    @Test
+    fun `a sound part is not refused for many crashes at one moment`() {
+        val sound = SoundCauses()
+        sound.record(setOf(shared), 0)
+        val refusals = Refusals { sound.agesMs(it, PERIOD_MS).keys }
+        (1..40).forEach { table.receive(crash(it, setOf(shared)), PERIOD_MS) }
+        expectThat(refusals.decide(table.refused(), PERIOD_MS)).isEmpty()
+        table.clear(sound.agesMs(table.suspected(), PERIOD_MS), PERIOD_MS)
+        expectThat(table.refused()).isEmpty()
+        // The crashes were after the run that showed the part to be sound, so that they still count, but only once.
+        expectThat(table.suspected()).isEqualTo(setOf(shared))
+    }
+
+    /** Guards against a part that was sound, crashes targets since, and is never stopped. */
+    @Test
+    fun `a part that was sound is refused after six crashes`() {
+        val sound = SoundCauses()
+        sound.record(setOf(deadly), 0)
+        var nowMs = 0L
+        val refusals = Refusals { sound.agesMs(it, nowMs).keys }
+        for (number in 1..6) {
+            nowMs += PERIOD_MS
+            expectThat(table.refused()).isEmpty()
+            table.receive(crash(number, setOf(deadly)), nowMs)
+            table.clear(sound.agesMs(table.suspected(), nowMs), nowMs)
+        }
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(refusals.decide(table.refused(), nowMs)).isEmpty()
+        expectThat(refusals.decide(table.refused(), nowMs + PERIOD_MS)).isEqualTo(setOf(deadly))
+    }
+
+    /** Guards against a cause that is cleared and counted again because entry VMs repeat their reports. */
+    @Test
+    fun `a repeated report does not count again`() {
+        val reports = (1..3).flatMap { crash(it, setOf(shared)) }
+        table.receive(reports, 0)
+        expectThat(table.refused()).isEqualTo(setOf(shared))
+        expectThat(table.clear(mapOf(shared to 0L), 100)).isEqualTo(mapOf(shared to 0L))
+        repeat(10) { table.receive(reports, 200L + it) }
+        expectThat(table.suspected()).isEmpty()
+        // The second time, nothing changes that other control VMs would have to learn.
+        expectThat(table.clear(mapOf(shared to 0L), 300)).isEmpty()
+    }
+
+    /** Guards against growing messages: a request that was present at one crash stays unlisted. */
+    @Test
+    fun `causes at single crashes are neither suspected nor repeated for long`() {
+        (1..500).forEach { table.receive(crash(it, setOf(Fingerprint("bystander$it"), deadly)), it.toLong()) }
+        expectThat(table.suspected()).isEqualTo(setOf(deadly))
+        expectThat(table.reportsToRepeat(60_000).map { it.request }.toSet()).isEqualTo(setOf(deadly))
+        table.receive(emptyList(), CRASH_RETENTION_MS + PERIOD_MS)
+        expectThat(table.refused()).isEmpty()
+    }
+
+    /** Guards against a memory of sound causes that grows with every request, or that forgets the popular parts. */
+    @Test
+    fun `the causes that are used again are remembered`() {
+        val sound = SoundCauses()
+        repeat(10_000) { sound.record(setOf(shared, Fingerprint("request$it")), it.toLong()) }
+        val first = (0..99).map { Fingerprint("request$it") }.toSet()
+        expectThat(sound.agesMs(first + shared, 10_000)).isEqualTo(mapOf(shared to 1L))
+        expectThat(sound.agesMs(setOf(shared), 10_000 + CRASH_RETENTION_MS)).isEmpty()
+    }
+}
