--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -132,17 +132,23 @@
             service,
             account?.account,
             account?.rank ?: route.rank,
-            fingerprintOrNull(request, account, service),
+            crashCausesOf(request, account, service),
             request.arrivedAtMs + callerTimeoutMs,
             request.arrivedAtMs + route.objectiveMs -
                 callerTimeouts.elapsedBeforeMs(route, request.metadata.callerTimeoutMs),
             request.metadata.generation?.let { outputEstimates.expectedTokens(route.name, it) } ?: 0,
         )
-        if (job.fingerprint in dependencies.views.value.refused) {
-            log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
-            return notRun("the request has crashed several targets").left()
-        }
-        return stopProblemOrNull(job)?.left() ?: job.right()
+        return refusalOrNull(job)?.left() ?: job.right()
+    }
+
+    /** Returns the response to a request that must not be sent to a target now, or null for any other. */
+    private fun refusalOrNull(job: RelayJob): LocalResponse? = crashRefusalOrNull(job) ?: stopProblemOrNull(job)
+
+    /** Returns the response to a request that would probably crash its target, or null for any other. */
+    private fun crashRefusalOrNull(job: RelayJob): LocalResponse? {
+        val cause = job.causes.refusedOrNull(dependencies.views.value.refused) ?: return null
+        log.warn("request refused id={} fingerprint={} reason=it crashed several targets", job.id, cause)
+        return notRun("the request has crashed several targets")
     }
 
     /** Returns the refusal of a request that is not expected to end before the process does, or null. */
@@ -166,17 +172,18 @@
         return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
     }
 
-    private fun fingerprintOrNull(request: CallerRequest, account: AccountKeys?, service: ServiceProfile) =
-        if (service.engine == null || !request.body.isRepeatable) {
-            null
-        } else {
-            fingerprintOf(
-                request.head.method().name().encodeToByteArray(),
-                request.head.uri().encodeToByteArray(),
-                account?.account?.value.orEmpty().encodeToByteArray(),
-                request.body.beginning,
-            )
-        }
+    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?, service: ServiceProfile): CrashCauses {
+        if (service.engine == null) return CrashCauses.NONE
+        val whole = if (request.body.isRepeatable) fingerprintOf(request, account) else null
+        return crashCausesOf(whole, request.metadata.generation?.promptParts.orEmpty())
+    }
+
+    private fun fingerprintOf(request: CallerRequest, account: AccountKeys?) = fingerprintOf(
+        request.head.method().name().encodeToByteArray(),
+        request.head.uri().encodeToByteArray(),
+        account?.account?.value.orEmpty().encodeToByteArray(),
+        request.body.beginning,
+    )
 
     /** Serves [job]; if it has no response when the process ends, its caller is told whether it may have run. */
     private suspend fun serveUntilStop(job: RelayJob, placements: JobPlacements): RelayOutcome = coroutineScope {
@@ -199,9 +206,12 @@
                 is PlacementResult.Full -> return notServed(job, "no target has room", result)
                 PlacementResult.NoTarget -> return notServed(job, "no target is known", null)
             }
+            // What crashes targets may have become known, or the end of the process planned, while the request waited.
+            refusalOrNull(job)?.let { refusal ->
+                placements.end(placement, UseOutcome.ABANDONED)
+                return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
+            }
             dependencies.meters.placed(job.service.id.value, dependencies.clock.nowMs() - requestedAtMs)
-            val stopProblem = if (job.attempts.runs == 0) stopProblemOrNull(job) else null
-            if (stopProblem != null) return RelayOutcome.Local(stopProblem)
             job.trace.append(" ${placement.target.id}")
             job.triedTargets += placement.target.id
             val failure = attempt(job, placements, placement).fold({ it }, { return it })
@@ -238,7 +248,7 @@
                 job.mayBeAtTarget = failure is AttemptFailure.Lost
                 copy?.let { placements.end(it, UseOutcome.ABANDONED) }
                 placements.end(placement, useOutcomeOf(failure))
-                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target)
+                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target, events = 0)
                 failure.left()
             },
             { response ->
@@ -305,8 +315,10 @@
         if (isComplete) {
             recordOutputLength(job, relay.events)
             recordDuration(job)
+            if (relay.events > 0) placements.recordSound(job.causes.all)
+        } else {
+            reportIfCrashed(job, relay.current.placement.target, relay.events)
         }
-        if (!isComplete) reportIfCrashed(job, relay.current.placement.target)
         return if (isComplete) RelayOutcome.Relayed else RelayOutcome.Broken
     }
 
@@ -325,12 +337,16 @@
         if (result == ForwardResult.COMPLETE) {
             run.response.finish()
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
-            if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) recordDuration(job)
+            if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) {
+                recordDuration(job)
+                placements.recordSound(job.causes.all)
+            }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
         }
         run.response.abandon()
         placements.end(run.placement, UseOutcome.FAILED)
+        reportIfCrashed(job, run.placement.target, events = 0)
         return when (result) {
             ForwardResult.BROKEN_BEFORE -> AttemptFailure.Lost("the response ended early").left()
             else -> RelayOutcome.Broken.right()
@@ -366,8 +382,9 @@
     }
 
     /** Reports a target that accepts no connection after it lost a request, which has probably crashed it. */
-    private fun reportIfCrashed(job: RelayJob, target: KnownTarget) {
-        val fingerprint = job.fingerprint ?: return
+    private fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
+        val causes = job.causes.afterEvents(events)
+        if (causes.isEmpty()) return
         dependencies.background.launch {
             val connection = dependencies.connections.open(target.record.address, mayBeStale = false)
             connection.fold(
@@ -376,15 +393,15 @@
                         "target died request={} target={} fingerprint={} parts={} firstMs={} reason={}",
                         job.id,
                         target.id,
-                        fingerprint,
+                        job.causes.whole,
                         job.request.metadata.generation?.promptParts.orEmpty(),
                         job.firstEventAfterMs,
                         reason,
                     )
                     dependencies.control.run {
-                        dependencies.fleet.recordCrash(
-                            CrashReport(fingerprint, target.id, target.record.startedAtMs),
-                        )
+                        causes.forEach {
+                            dependencies.fleet.recordCrash(CrashReport(it, target.id, target.record.startedAtMs))
+                        }
                     }
                 },
                 { it.close() },
