Decide on the admission of requests in a class of its own

Routing, refusals and the estimates that they use move to RequestAdmission; their behaviour is unchanged.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -9,13 +9,7 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Clock
-import fulmarshunt.caller.fingerprintOf
-import fulmarshunt.operator.serving.AccountKeys
 import fulmarshunt.operator.serving.Repeatability
-import fulmarshunt.operator.serving.Route
-import fulmarshunt.operator.serving.RoutingTable
-import fulmarshunt.operator.serving.ServiceProfile
-import fulmarshunt.operator.serving.serviceFor
 import fulmarshunt.process.ControlThread
 import fulmarshunt.target.fleet.CrashReport
 import fulmarshunt.target.fleet.Fleet
@@ -34,7 +28,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
@@ -78,16 +71,13 @@
 internal class RequestRelay(private val dependencies: RelayDependencies) {
     private val log = LogManager.getLogger(RequestRelay::class.java)
     private val calls = TargetCalls(dependencies.connections, dependencies.adapter)
-    private val outputEstimates = OutputEstimates()
-    private val callerTimeouts = CallerTimeoutHistory()
-    private val durations = DurationEstimates()
+    private val admission = RequestAdmission(dependencies)
 
     suspend fun run(request: CallerRequest): RelayOutcome {
         request.body.readBeginning()
         if (request.body.isComplete) request.connection.watchForEnd()
         bodyProblemOrNull(request)?.let { return it.also { outcome -> logUnrouted(request, outcome) } }
-        awaitConfiguration(request)
-        val job = admit(request).getOrElse { response ->
+        val job = admission.admit(request).getOrElse { response ->
             return RelayOutcome.Local(response).also { logUnrouted(request, it) }
         }
         val placements = JobPlacements(dependencies.fleet, dependencies.control)
@@ -103,88 +93,6 @@
         }
     }
 
-    /** Waits for the first configuration of a new process, which arrives sooner than the caller would retry. */
-    private suspend fun awaitConfiguration(request: CallerRequest) {
-        if (dependencies.views.value.table != null || dependencies.plannedStop.hasBegun) return
-        val limitMs = ((request.metadata.callerTimeoutMs ?: 0) * CONFIGURATION_WAIT_FRACTION).toLong()
-        withTimeoutOrNull(limitMs.coerceAtMost(MAX_CONFIGURATION_WAIT_MS)) {
-            dependencies.views.first { it.table != null }
-        }
-    }
-
-    private fun admit(request: CallerRequest): Either<LocalResponse, RelayJob> {
-        val table = dependencies.views.value.table
-            ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_RETRY_MS).left()
-        val host = request.head.headers().get(HttpHeaderNames.HOST).substringBefore(':')
-        val route = table.routeOrNull(host, request.path)
-            ?: return LocalResponse(HttpResponseStatus.NOT_FOUND, "no route matches the host and path").left()
-        val account = accountOf(table, route, request.metadata.apiKey)
-            .getOrElse { return it.left() }
-        val id =
-            request.metadata.id ?: return LocalResponse(HttpResponseStatus.BAD_REQUEST, "the request has no id").left()
-        val service = table.serviceOrNull(route.serviceFor(dependencies.nextRandom()))
-            ?: return notRun("the service of the route is not defined").left()
-        val callerTimeoutMs = minOf(request.metadata.callerTimeoutMs ?: route.timeoutMs, route.timeoutMs)
-        val job = RelayJob(
-            request,
-            id,
-            route,
-            service,
-            account?.account,
-            account?.rank ?: route.rank,
-            crashCausesOf(request, account, service),
-            request.arrivedAtMs + callerTimeoutMs,
-            request.arrivedAtMs + route.objectiveMs -
-                callerTimeouts.elapsedBeforeMs(route, request.metadata.callerTimeoutMs),
-            request.metadata.generation?.let { outputEstimates.expectedTokens(route.name, it) } ?: 0,
-        )
-        return refusalOrNull(job)?.left() ?: job.right()
-    }
-
-    /** Returns the response to a request that must not be sent to a target now, or null for any other. */
-    private fun refusalOrNull(job: RelayJob): LocalResponse? = crashRefusalOrNull(job) ?: stopProblemOrNull(job)
-
-    /** Returns the response to a request that would probably crash its target, or null for any other. */
-    private fun crashRefusalOrNull(job: RelayJob): LocalResponse? {
-        val cause = job.causes.refusedOrNull(dependencies.views.value.refused) ?: return null
-        log.warn("request refused id={} fingerprint={} reason=it crashed several targets", job.id, cause)
-        return notRun("the request has crashed several targets")
-    }
-
-    /** Returns the refusal of a request that is not expected to end before the process does, or null. */
-    private fun stopProblemOrNull(job: RelayJob): LocalResponse? {
-        val stop = dependencies.plannedStop
-        val endsAtMs = stop.endsAtMs ?: return null
-        val nowMs = dependencies.clock.nowMs()
-        // A stream that has begun cannot be given up with a response; an estimate that is exceeded would cut it off.
-        val isCertaintyRequired = job.isStream && nowMs >= stop.estimatesUntilMs
-        val usualMs = if (isCertaintyRequired) null else durations.upperBoundMsOrNull(job.route)
-        if (endsWithin(endsAtMs - nowMs, job.deadlineAtMs - nowMs, usualMs)) return null
-        return notRun("this VM stops before the request would end", stopRetryDelayMs(job))
-    }
-
-    private fun stopRetryDelayMs(job: RelayJob): Long =
-        retryDelayMs(job, null, dependencies.clock.nowMs(), dependencies.nextRandom())
-
-    private fun accountOf(table: RoutingTable, route: Route, apiKey: String?): Either<LocalResponse, AccountKeys?> {
-        val account = apiKey?.let { table.accountOrNull(it) }
-        if (account != null || route.isPublic || !table.hasAccounts) return account.right()
-        return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
-    }
-
-    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?, service: ServiceProfile): CrashCauses {
-        if (service.engine == null) return CrashCauses.NONE
-        val whole = if (request.body.isRepeatable) fingerprintOf(request, account) else null
-        return crashCausesOf(whole, request.metadata.generation?.promptParts.orEmpty())
-    }
-
-    private fun fingerprintOf(request: CallerRequest, account: AccountKeys?) = fingerprintOf(
-        request.head.method().name().encodeToByteArray(),
-        request.head.uri().encodeToByteArray(),
-        account?.account?.value.orEmpty().encodeToByteArray(),
-        request.body.beginning,
-    )
-
     /** Serves [job]; if it has no response when the process ends, its caller is told whether it may have run. */
     private suspend fun serveUntilStop(job: RelayJob, placements: JobPlacements): RelayOutcome = coroutineScope {
         val serving = async { serve(job, placements) }
@@ -207,7 +115,7 @@
                 PlacementResult.NoTarget -> return notServed(job, "no target is known", null)
             }
             // What crashes targets may have become known, or the end of the process planned, while the request waited.
-            refusalOrNull(job)?.let { refusal ->
+            admission.refusalOrNull(job)?.let { refusal ->
                 placements.end(placement, UseOutcome.ABANDONED)
                 return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
             }
@@ -313,8 +221,7 @@
         }
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
         if (isComplete) {
-            recordOutputLength(job, relay.events)
-            recordDuration(job)
+            admission.recordStream(job, relay.events)
             if (relay.events > 0) placements.recordSound(job.causes.all)
         } else {
             reportIfCrashed(job, relay.current.placement.target, relay.events)
@@ -338,7 +245,7 @@
             run.response.finish()
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
             if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) {
-                recordDuration(job)
+                admission.recordDuration(job)
                 placements.recordSound(job.causes.all)
             }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
@@ -353,15 +260,6 @@
         }
     }
 
-    private fun recordOutputLength(job: RelayJob, events: Long) {
-        val hints = job.request.metadata.generation ?: return
-        outputEstimates.record(job.route.name, hints, events * (job.service.engine?.tokensPerEvent ?: 1))
-    }
-
-    private fun recordDuration(job: RelayJob) {
-        durations.record(job.route, dependencies.clock.nowMs() - job.request.arrivedAtMs)
-    }
-
     private suspend fun mayRepeat(job: RelayJob, placements: JobPlacements): Boolean =
         job.route.repeatability == Repeatability.IDEMPOTENT &&
             job.request.body.isRepeatable &&
@@ -423,7 +321,7 @@
         if (job.mayBeAtTarget || job.attempts.runs > 0) {
             LocalResponse(HttpResponseStatus.BAD_GATEWAY, "this VM stops, and a target may have run the request")
         } else {
-            notRun("this VM stops", stopRetryDelayMs(job))
+            notRun("this VM stops", retryDelayMs(job, null, dependencies.clock.nowMs(), dependencies.nextRandom()))
         },
     )
 
@@ -477,13 +375,6 @@
     }
 
     private companion object {
-        /** The delay after which a caller is told to retry while there is no configuration yet. */
-        const val NO_CONFIGURATION_RETRY_MS = 800L
-
-        /** How long a request waits for the first configuration: a fraction of its caller timeout, up to a maximum. */
-        const val CONFIGURATION_WAIT_FRACTION = 0.4
-        const val MAX_CONFIGURATION_WAIT_MS = 3_000L
-
         /** Shorter generations end before a copy would help. */
         const val COPY_MIN_OUTPUT_TOKENS = 64
     }
