--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -9,13 +9,7 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Clock
-import fulmarshunt.caller.fingerprintOf
-import fulmarshunt.operator.serving.AccountKeys
 import fulmarshunt.operator.serving.Repeatability
-import fulmarshunt.operator.serving.Route
-import fulmarshunt.operator.serving.RoutingTable
-import fulmarshunt.operator.serving.ServiceProfile
-import fulmarshunt.operator.serving.serviceFor
 import fulmarshunt.process.ControlThread
 import fulmarshunt.target.fleet.CrashReport
 import fulmarshunt.target.fleet.Fleet
@@ -34,7 +28,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
@@ -78,16 +71,13 @@
 internal class RequestRelay(private val dependencies: RelayDependencies) {
     private val log = LogManager.getLogger(RequestRelay::class.java)
     private val calls = TargetCalls(dependencies.connections, dependencies.adapter)
-    private val outputEstimates = OutputEstimates()
-    private val callerTimeouts = CallerTimeoutHistory()
-    private val durations = DurationEstimates()
+    private val admission = RequestAdmission(dependencies)
 
     suspend fun run(request: CallerRequest): RelayOutcome {
         request.body.readBeginning()
         if (request.body.isComplete) request.connection.watchForEnd()
         bodyProblemOrNull(request)?.let { return it.also { outcome -> logUnrouted(request, outcome) } }
-        awaitConfiguration(request)
-        val job = admit(request).getOrElse { response ->
+        val job = admission.admit(request).getOrElse { response ->
             return RelayOutcome.Local(response).also { logUnrouted(request, it) }
         }
         val placements = JobPlacements(dependencies.fleet, dependencies.control)
@@ -103,81 +93,6 @@
         }
     }
 
-    /** Waits for the first configuration of a new process, which arrives sooner than the caller would retry. */
-    private suspend fun awaitConfiguration(request: CallerRequest) {
-        if (dependencies.views.value.table != null || dependencies.plannedStop.hasBegun) return
-        val limitMs = ((request.metadata.callerTimeoutMs ?: 0) * CONFIGURATION_WAIT_FRACTION).toLong()
-        withTimeoutOrNull(limitMs.coerceAtMost(MAX_CONFIGURATION_WAIT_MS)) {
-            dependencies.views.first { it.table != null }
-        }
-    }
-
-    private fun admit(request: CallerRequest): Either<LocalResponse, RelayJob> {
-        val table = dependencies.views.value.table
-            ?: return notRun("no configuration has arrived yet", NO_CONFIGURATION_RETRY_MS).left()
-        val host = request.head.headers().get(HttpHeaderNames.HOST).substringBefore(':')
-        val route = table.routeOrNull(host, request.path)
-            ?: return LocalResponse(HttpResponseStatus.NOT_FOUND, "no route matches the host and path").left()
-        val account = accountOf(table, route, request.metadata.apiKey)
-            .getOrElse { return it.left() }
-        val id =
-            request.metadata.id ?: return LocalResponse(HttpResponseStatus.BAD_REQUEST, "the request has no id").left()
-        val service = table.serviceOrNull(route.serviceFor(dependencies.nextRandom()))
-            ?: return notRun("the service of the route is not defined").left()
-        val callerTimeoutMs = minOf(request.metadata.callerTimeoutMs ?: route.timeoutMs, route.timeoutMs)
-        val job = RelayJob(
-            request,
-            id,
-            route,
-            service,
-            account?.account,
-            account?.rank ?: route.rank,
-            fingerprintOrNull(request, account, service),
-            request.arrivedAtMs + callerTimeoutMs,
-            request.arrivedAtMs + route.objectiveMs -
-                callerTimeouts.elapsedBeforeMs(route, request.metadata.callerTimeoutMs),
-            request.metadata.generation?.let { outputEstimates.expectedTokens(route.name, it) } ?: 0,
-        )
-        if (job.fingerprint in dependencies.views.value.refused) {
-            log.warn("request refused id={} fingerprint={} reason=it crashed several targets", id, job.fingerprint)
-            return notRun("the request has crashed several targets").left()
-        }
-        return stopProblemOrNull(job)?.left() ?: job.right()
-    }
-
-    /** Returns the refusal of a request that is not expected to end before the process does, or null. */
-    private fun stopProblemOrNull(job: RelayJob): LocalResponse? {
-        val stop = dependencies.plannedStop
-        val endsAtMs = stop.endsAtMs ?: return null
-        val nowMs = dependencies.clock.nowMs()
-        // A stream that has begun cannot be given up with a response; an estimate that is exceeded would cut it off.
-        val isCertaintyRequired = job.isStream && nowMs >= stop.estimatesUntilMs
-        val usualMs = if (isCertaintyRequired) null else durations.upperBoundMsOrNull(job.route)
-        if (endsWithin(endsAtMs - nowMs, job.deadlineAtMs - nowMs, usualMs)) return null
-        return notRun("this VM stops before the request would end", stopRetryDelayMs(job))
-    }
-
-    private fun stopRetryDelayMs(job: RelayJob): Long =
-        retryDelayMs(job, null, dependencies.clock.nowMs(), dependencies.nextRandom())
-
-    private fun accountOf(table: RoutingTable, route: Route, apiKey: String?): Either<LocalResponse, AccountKeys?> {
-        val account = apiKey?.let { table.accountOrNull(it) }
-        if (account != null || route.isPublic || !table.hasAccounts) return account.right()
-        return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
-    }
-
-    private fun fingerprintOrNull(request: CallerRequest, account: AccountKeys?, service: ServiceProfile) =
-        if (service.engine == null || !request.body.isRepeatable) {
-            null
-        } else {
-            fingerprintOf(
-                request.head.method().name().encodeToByteArray(),
-                request.head.uri().encodeToByteArray(),
-                account?.account?.value.orEmpty().encodeToByteArray(),
-                request.body.beginning,
-            )
-        }
-
     /** Serves [job]; if it has no response when the process ends, its caller is told whether it may have run. */
     private suspend fun serveUntilStop(job: RelayJob, placements: JobPlacements): RelayOutcome = coroutineScope {
         val serving = async { serve(job, placements) }
@@ -199,9 +114,12 @@
                 is PlacementResult.Full -> return notServed(job, "no target has room", result)
                 PlacementResult.NoTarget -> return notServed(job, "no target is known", null)
             }
+            // What crashes targets may have become known, or the end of the process planned, while the request waited.
+            admission.refusalOrNull(job)?.let { refusal ->
+                placements.end(placement, UseOutcome.ABANDONED)
+                return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
+            }
             dependencies.meters.placed(job.service.id.value, dependencies.clock.nowMs() - requestedAtMs)
-            val stopProblem = if (job.attempts.runs == 0) stopProblemOrNull(job) else null
-            if (stopProblem != null) return RelayOutcome.Local(stopProblem)
             job.trace.append(" ${placement.target.id}")
             job.triedTargets += placement.target.id
             val failure = attempt(job, placements, placement).fold({ it }, { return it })
@@ -238,7 +156,7 @@
                 job.mayBeAtTarget = failure is AttemptFailure.Lost
                 copy?.let { placements.end(it, UseOutcome.ABANDONED) }
                 placements.end(placement, useOutcomeOf(failure))
-                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target)
+                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target, events = 0)
                 failure.left()
             },
             { response ->
@@ -303,10 +221,11 @@
         }
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
         if (isComplete) {
-            recordOutputLength(job, relay.events)
-            recordDuration(job)
+            admission.recordStream(job, relay.events)
+            if (relay.events > 0) placements.recordSound(job.causes.all)
+        } else {
+            reportIfCrashed(job, relay.current.placement.target, relay.events)
         }
-        if (!isComplete) reportIfCrashed(job, relay.current.placement.target)
         return if (isComplete) RelayOutcome.Relayed else RelayOutcome.Broken
     }
 
@@ -325,27 +244,22 @@
         if (result == ForwardResult.COMPLETE) {
             run.response.finish()
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
-            if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) recordDuration(job)
+            if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) {
+                admission.recordDuration(job)
+                placements.recordSound(job.causes.all)
+            }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
         }
         run.response.abandon()
         placements.end(run.placement, UseOutcome.FAILED)
+        reportIfCrashed(job, run.placement.target, events = 0)
         return when (result) {
             ForwardResult.BROKEN_BEFORE -> AttemptFailure.Lost("the response ended early").left()
             else -> RelayOutcome.Broken.right()
         }
     }
 
-    private fun recordOutputLength(job: RelayJob, events: Long) {
-        val hints = job.request.metadata.generation ?: return
-        outputEstimates.record(job.route.name, hints, events * (job.service.engine?.tokensPerEvent ?: 1))
-    }
-
-    private fun recordDuration(job: RelayJob) {
-        durations.record(job.route, dependencies.clock.nowMs() - job.request.arrivedAtMs)
-    }
-
     private suspend fun mayRepeat(job: RelayJob, placements: JobPlacements): Boolean =
         job.route.repeatability == Repeatability.IDEMPOTENT &&
             job.request.body.isRepeatable &&
@@ -366,8 +280,9 @@
     }
 
     /** Reports a target that accepts no connection after it lost a request, which has probably crashed it. */
-    private fun reportIfCrashed(job: RelayJob, target: KnownTarget) {
-        val fingerprint = job.fingerprint ?: return
+    private fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
+        val causes = job.causes.afterEvents(events)
+        if (causes.isEmpty()) return
         dependencies.background.launch {
             val connection = dependencies.connections.open(target.record.address, mayBeStale = false)
             connection.fold(
@@ -376,15 +291,15 @@
                         "target died request={} target={} fingerprint={} parts={} firstMs={} reason={}",
                         job.id,
                         target.id,
-                        fingerprint,
+                        job.causes.whole,
                         job.request.metadata.generation?.promptParts.orEmpty(),
                         job.firstEventAfterMs,
                         reason,
                     )
                     dependencies.control.run {
-                        dependencies.fleet.recordCrash(
-                            CrashReport(fingerprint, target.id, target.record.startedAtMs),
-                        )
+                        causes.forEach {
+                            dependencies.fleet.recordCrash(CrashReport(it, target.id, target.record.startedAtMs))
+                        }
                     }
                 },
                 { it.close() },
@@ -406,7 +321,7 @@
         if (job.mayBeAtTarget || job.attempts.runs > 0) {
             LocalResponse(HttpResponseStatus.BAD_GATEWAY, "this VM stops, and a target may have run the request")
         } else {
-            notRun("this VM stops", stopRetryDelayMs(job))
+            notRun("this VM stops", retryDelayMs(job, null, dependencies.clock.nowMs(), dependencies.nextRandom()))
         },
     )
 
@@ -460,13 +375,6 @@
     }
 
     private companion object {
-        /** The delay after which a caller is told to retry while there is no configuration yet. */
-        const val NO_CONFIGURATION_RETRY_MS = 800L
-
-        /** How long a request waits for the first configuration: a fraction of its caller timeout, up to a maximum. */
-        const val CONFIGURATION_WAIT_FRACTION = 0.4
-        const val MAX_CONFIGURATION_WAIT_MS = 3_000L
-
         /** Shorter generations end before a copy would help. */
         const val COPY_MIN_OUTPUT_TOKENS = 64
     }
