--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.PromptPartId
 import fulmarshunt.target.fleet.CrashReportTable
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -10,7 +11,9 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.io.BufferedInputStream
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
 private const val WAIT_MS = 5_000L
@@ -73,6 +76,40 @@
         }
     }
 
+    /** Guards against a request that crashes a target because it was admitted before its part was refused. */
+    @Test
+    fun `a request that waits for a target is refused once its part is`() {
+        val mayEnd = CountDownLatch(1)
+        val target = ScriptedTarget("a") {
+            startStream()
+            event(1)
+            mayEnd.await()
+            endStream()
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.connect().use { first ->
+                    val body = "x"
+                    first.getOutputStream().write(requestText("/stream/x", body, "tokens: 9500").encodeToByteArray())
+                    eventually { target.requests.size == 1 }
+                    relay.connect().use { second ->
+                        val parts = "shared,$DEADLY_PART,own"
+                        val text = requestText("/stream/x", body, "tokens: 9500", "parts: $parts")
+                        second.getOutputStream().write(text.encodeToByteArray())
+                        eventually { relay.active == 2 }
+                        relay.refuse(crashCausesOf(null, parts.split(',').map(::PromptPartId)).parts)
+                        mayEnd.countDown()
+                        val response = BufferedInputStream(second.getInputStream()).readMessageOrNull()
+                        expectThat(response?.startLine).isNotNull().contains(" 503 ")
+                        expectThat(response?.body).isEqualTo("the request has crashed several targets")
+                        expectThat(target.requests).hasSize(1)
+                    }
+                }
+                eventually { relay.use().isEmpty() }
+            }
+        }
+    }
+
     private companion object {
         const val EVENTS = 3
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -6,6 +6,7 @@
 import arrow.core.left
 import fulmarshunt.Address
 import fulmarshunt.ConfigurationVersion
+import fulmarshunt.Fingerprint
 import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.ServiceId
@@ -227,6 +228,11 @@
         runBlocking { control.run { fleet.update(views.value) } }
     }
 
+    /** Refuses the requests with one of [causes]. */
+    fun refuse(causes: Set<Fingerprint>) {
+        views.value = views.value.copy(refused = causes)
+    }
+
     /** Drains the failure domain of all targets. */
     fun drain() {
         views.value = views.value.copy(drained = setOf(here))
