Find crashed targets by a new connection

Callers would see more targets crash than needed, because a crash can go unreported: whether a target has crashed was found out by opening a connection, and that returns an idle one if one is kept. An idle connection whose end has not arrived says nothing about the target.

A new connection is now always made. The new test, with a second connection kept to a target that resets the first one and stops listening, failed before (no report within 5 s) and passes.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -343,7 +343,8 @@
         val causes = job.causes.afterEvents(events)
         if (causes.isEmpty()) return
         dependencies.background.launch {
-            val connection = dependencies.connections.open(target.record.address, mayBeStale = false)
+            // A kept connection does not show whether the target has crashed.
+            val connection = dependencies.connections.dial(target.record.address)
             connection.fold(
                 { reason ->
                     log.warn(
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -50,9 +50,12 @@
                 return last.connection.right()
             }
         }
-        return traffic.dial(address, DIAL_TIMEOUT_MS)
+        return dial(address)
     }
 
+    /** Returns a new connection to [address], which shows that a process accepts connections there. */
+    public suspend fun dial(address: Address): Either<String, HttpConnection> = traffic.dial(address, DIAL_TIMEOUT_MS)
+
     /** Keeps [connection] for another request if it is reusable, and closes it otherwise. */
     public fun release(address: Address, connection: HttpConnection) {
         val kept = idle.getOrPut(address) { ArrayDeque() }
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 private const val WAIT_MS = 5_000L
 private const val DEADLY_PART = "deadly"
@@ -110,6 +111,32 @@
         }
     }
 
+    /** Guards against a crash that is not reported because a connection from before it was still kept. */
+    @Test
+    fun `a crash is found although another connection to the target is kept`() {
+        val bothRun = CountDownLatch(2)
+        val target = ScriptedTarget("a") {
+            if (DEADLY_PART in request.body) {
+                stopListening()
+                reset()
+            } else {
+                startStream()
+                bothRun.countDown()
+                bothRun.await()
+                (1..EVENTS).forEach { event(it) }
+                endStream()
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                val others = List(2) { thread { relay.ask("sound", "shared,own") } }
+                others.forEach { it.join() }
+                relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
+                eventually { relay.crashReports().isNotEmpty() }
+            }
+        }
+    }
+
     private companion object {
         const val EVENTS = 3
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -131,6 +131,9 @@
 
         /** Ends the target, so that its connections break and new ones are not accepted. */
         fun crash() = this@ScriptedTarget.close()
+
+        /** Accepts no new connections. */
+        fun stopListening() = server.close()
     }
 
     init {
