Keep refusals when control VMs are cut off or restart

Callers would see targets crash again: an entry VM took the refusals of the control VM that had replied last, so that one that is cut off and does not know of the crashes lifted a refusal again and again; and when all control VMs restarted, a refusal was forgotten with reports older than 10 s.

An entry VM now refuses what any watched control VM refuses, and what a lost one refused until 6 s after another has replied. It keeps crash reports for 10 min, as control VMs do, at most 2,048, and sends all of them to a control VM that it begins to watch or that has restarted between two calls; only those of the last 10 s go to the others.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -71,6 +71,10 @@
         var targetChange = 0L
         val targets = mutableMapOf<TargetId, ListedTarget>()
         var suspected = emptySet<Fingerprint>()
+        var refused = emptySet<Fingerprint>()
+
+        /** The process of the control VM that has received all crash reports that are kept, if it has. */
+        var reportedTo = ""
 
         fun clear() {
             address = null
@@ -78,6 +82,8 @@
             targetChange = 0
             targets.clear()
             suspected = emptySet()
+            refused = emptySet()
+            reportedTo = ""
         }
     }
 
@@ -108,17 +114,23 @@
             }
             slot.address = address
             val use = fleet.use()
+            val sendsAllReports = slot.reportedTo.isEmpty()
             val request = Watch(
                 vm,
                 slot.number == 0,
                 if (slot.number == 0) use else emptyMap(),
-                fleet.crashReports(),
+                fleet.crashReports(sendsAllReports),
                 viewState.value.revision,
                 slot.source,
                 slot.targetChange,
                 fleet.soundAgesMs(slot.suspected),
             )
             val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+            reply.onRight {
+                if (sendsAllReports) slot.reportedTo = it.source
+                // The control VM has restarted between two calls.
+                if (slot.reportedTo != it.source) slot.reportedTo = ""
+            }
             reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
             if (reply.isLeft()) delay(RETRY_PAUSE_MS)
             delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
@@ -138,6 +150,7 @@
         val level = if (slot.source.isEmpty()) Level.DEBUG else Level.WARN
         log.log(level, "control-vm lost address={} slot={} reason={}", address, slot.number, reason)
         failedAtMs[address] = clock.nowMs()
+        refusals.keep(slot.refused)
         slot.clear()
         publish(viewState.value)
     }
@@ -146,11 +159,13 @@
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
+            refusals.keep(slot.refused)
         }
         slot.source = reply.source
         slot.targetChange = reply.targetChange
         reply.targets.forEach { slot.targets[it.record.id] = it }
         slot.suspected = reply.suspected
+        slot.refused = reply.refused
         controls = reply.controls
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
@@ -159,7 +174,7 @@
             view = view.copy(othersUse = othersUse(reply.use))
             reportedUse = reported
         }
-        val refused = refusals.decide(reply.refused, clock.nowMs())
+        val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
         publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused))
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -18,9 +18,12 @@
 /** How long after its start a process expects to discover targets. */
 private const val DISCOVERY_MS = 10_000L
 
-/** How long crash reports are sent to control VMs repeatedly. */
+/** How long crash reports are sent repeatedly to control VMs that are watched already. */
 private const val REPORT_CRASHES_MS = 10_000L
 
+/** Beyond this number, the oldest crash reports are dropped. A report takes about 100 bytes in a message. */
+private const val MAX_CRASH_REPORTS = 2_048
+
 /** A request that needs a target. */
 public data class PlacementRequest(
     public val requestId: RequestId,
@@ -95,16 +98,22 @@
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.toMap()
 
-    /** Returns the crashes to be reported to control VMs, one report for each cause that was present. */
-    public fun crashReports(): List<CrashReport> {
+    /**
+     * Returns the crashes to be reported to a control VM, one report for each cause that was present.
+     *
+     * @param isNewReceiver whether the control VM may lack earlier reports, as after its restart.
+     */
+    public fun crashReports(isNewReceiver: Boolean = false): List<CrashReport> {
         val nowMs = clock.nowMs()
-        crashReports.values.removeIf { nowMs - it > REPORT_CRASHES_MS }
-        return crashReports.keys.toList()
+        crashReports.values.removeIf { nowMs - it > CRASH_RETENTION_MS }
+        val maxAgeMs = if (isNewReceiver) CRASH_RETENTION_MS else REPORT_CRASHES_MS
+        return crashReports.filterValues { nowMs - it <= maxAgeMs }.keys.toList()
     }
 
     /** Records that a possible cause was present at a target when it crashed. */
     public fun recordCrash(report: CrashReport) {
         crashReports[report] = clock.nowMs()
+        if (crashReports.size > MAX_CRASH_REPORTS) crashReports.remove(crashReports.keys.first())
     }
 
     /** Records that a run has shown that [causes] crash no target. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/Refusals.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Refusals.kt
@@ -12,6 +12,12 @@
  */
 private const val OBJECTION_MS = 1_000L
 
+/**
+ * How long the refusals of a control VM that is no longer watched are kept once another one replies. After a restart of
+ * all control VMs, it takes the reports of several entry VMs until they know again what to refuse.
+ */
+private const val KEPT_MS = 6_000L
+
 /** Decides which causes are refused. */
 public class Refusals(
     /** Returns which of the causes this VM knows to be sound. */
@@ -19,11 +25,21 @@
 ) {
     private val toldSinceMs = mutableMapOf<Fingerprint, Long>()
 
-    /** Returns which of the causes that control VMs refuse, [told], are refused now. */
+    /** Refusals of control VMs that are no longer watched, and since when another one has replied, if any has. */
+    private val keptSinceMs = mutableMapOf<Fingerprint, Long?>()
+
+    /** Keeps [refused], which a control VM refused that is no longer watched, except what is known to be sound. */
+    public fun keep(refused: Set<Fingerprint>) {
+        (refused - soundAmong(refused)).forEach { keptSinceMs[it] = null }
+    }
+
+    /** Returns which of the causes that any watched control VM refuses, [told], or that are kept, are refused now. */
     public fun decide(told: Set<Fingerprint>, nowMs: Long): Set<Fingerprint> {
         toldSinceMs.keys.retainAll(told)
         told.forEach { toldSinceMs.putIfAbsent(it, nowMs) }
         val objections = soundAmong(told).filter { nowMs - toldSinceMs.getValue(it) < OBJECTION_MS }
-        return told - objections.toSet()
+        keptSinceMs.replaceAll { _, sinceMs -> sinceMs ?: nowMs }
+        keptSinceMs.values.removeIf { sinceMs -> sinceMs != null && nowMs - sinceMs > KEPT_MS }
+        return told - objections.toSet() + keptSinceMs.keys
     }
 }
--- a/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.clockOf
 import fulmarshunt.entry.watch.FleetWatcher
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linksOf
@@ -25,6 +26,8 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 private const val TIMEOUT_MS = 10_000L
 private const val POLL_MS = 20L
@@ -32,10 +35,15 @@
 /** Several watches and exchanges. */
 private const val SETTLED_MS = 3_000L
 
+/** Longer than reports are repeated, and than refusals of a lost control VM are kept. */
+private const val LATER_MS = 60_000L
+
 class CrashRefusalTest {
     private class EntryVm(name: String, controls: List<Address>) : AutoCloseable {
         private val control = startControlThread()
-        private val clock = monotonicClock()
+        private val realClock = monotonicClock()
+        private val skippedMs = AtomicLong()
+        private val clock = clockOf { realClock.nowMs() + skippedMs.get() }
         private val links = linksOf(name, "secret-of-the-test", LinkHandlers())
         private val fleet = Fleet(clock, here, RepeatBudget(RepeatLimits(1.0, 100.0, 10_000)), { 0.0 }) { 0.0 }
         private val watcher =
@@ -55,16 +63,23 @@
 
         fun recordSound(cause: Fingerprint) = runBlocking { control.run { fleet.recordSound(setOf(cause)) } }
 
+        /** Advances the clock of this VM. */
+        fun skip(durationMs: Long) {
+            skippedMs.addAndGet(durationMs)
+        }
+
         override fun close() {
             runBlocking { links.close() }
             control.close()
         }
     }
 
-    private val addresses = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
+    private val addresses = freeAddresses()
     private val deadly = Fingerprint("deadly")
     private val shared = Fingerprint("shared")
 
+    private fun freeAddresses() = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
+
     private suspend fun eventually(condition: () -> Boolean) =
         withTimeout(TIMEOUT_MS) { while (!condition()) delay(POLL_MS) }
 
@@ -86,4 +101,49 @@
             }
         }
     }
+
+    /** Guards against a refusal that is lifted because a control VM that is cut off does not know of it. */
+    @Test
+    fun `a control VM that does not know of a refusal does not lift it`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses.take(1)) { true }.use {
+            ControlVm("b", addresses[1], addresses.drop(1)) { true }.use {
+                EntryVm("reporting", addresses.take(1)).use { reporting ->
+                    EntryVm("watching", addresses).use { watching ->
+                        (1..3).forEach { reporting.recordCrash(it, setOf(deadly)) }
+                        eventually { watching.refused == setOf(deadly) }
+                        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLED_MS)
+                        while (System.nanoTime() < endNanos) {
+                            expectThat(watching.refused).isEqualTo(setOf(deadly))
+                            delay(1)
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against targets that crash again because all control VMs have restarted and forgotten the crashes. */
+    @Test
+    fun `a refusal outlasts the restart of all control VMs`(): Unit = runBlocking {
+        // The address of a closed control VM is not free at once.
+        val nextAddresses = freeAddresses()
+        EntryVm("entry", addresses + nextAddresses).use { entryVm ->
+            ControlVm("a", addresses[0], addresses) { true }.use {
+                ControlVm("b", addresses[1], addresses) { true }.use {
+                    (1..3).forEach { entryVm.recordCrash(it, setOf(deadly)) }
+                    eventually { entryVm.refused == setOf(deadly) }
+                }
+            }
+            entryVm.skip(LATER_MS)
+            ControlVm("a2", nextAddresses[0], nextAddresses) { true }.use {
+                ControlVm("b2", nextAddresses[1], nextAddresses) { true }.use {
+                    delay(SETTLED_MS)
+                    expectThat(entryVm.refused).isEqualTo(setOf(deadly))
+                    entryVm.skip(LATER_MS)
+                    delay(SETTLED_MS)
+                    expectThat(entryVm.refused).isEqualTo(setOf(deadly))
+                }
+            }
+        }
+    }
 }
