Refuse only the deepest of the parts that were present at the same crashes

A cause is no longer refused while another one explains all its crashes: it was present at all of them and at more, or at the same ones and is more specific. A part above it that is the real cause is refused after one more crash. From a review by a reader who had not seen the work: crashes at one moment count once for a part that is not known either, only listed causes are refused, evidence that adds nothing is not judged anew, whole requests no longer displace parts in the memory of sound causes, and a response that ends with its connection is no proof that its parts are sound.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashCauses.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashCauses.kt
@@ -20,7 +20,7 @@
 internal class CrashCauses(
     /** The fingerprint of the whole request, or null if it is not known. */
     val whole: Fingerprint?,
-    /** The parts of the prompt that other requests may share. */
+    /** The parts of the prompt that other requests may share, in their order. */
     val parts: Set<Fingerprint>,
 ) {
     /** The whole request and the parts of its prompt. */
@@ -32,6 +32,9 @@
     /** Returns the causes of a crash after [events] events of the run. */
     fun afterEvents(events: Long): Set<Fingerprint> = if (events < SOUND_EVENTS) all else setOfNotNull(whole)
 
+    /** Returns the position of [cause] in the prompt, from 1 on, or 0 for the whole request. */
+    fun depthOf(cause: Fingerprint): Int = parts.indexOf(cause) + 1
+
     companion object {
         /** A request that cannot crash its target. */
         val NONE: CrashCauses = CrashCauses(null, emptySet())
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -222,8 +222,11 @@
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
         if (isComplete) {
             admission.recordStream(job, relay.events)
-            if (relay.events > 0) placements.recordSound(job.causes.all)
-        } else {
+        }
+        // The end of the connection alone does not tell a response that is complete from a crash.
+        if (isComplete && relay.events > 0 && !relay.current.response.endsWithConnection) {
+            placements.recordSound(job.causes.parts)
+        } else if (!isComplete || relay.events < SOUND_EVENTS) {
             reportIfCrashed(job, relay.current.placement.target, relay.events)
         }
         return if (isComplete) RelayOutcome.Relayed else RelayOutcome.Broken
@@ -246,7 +249,7 @@
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
             if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) {
                 admission.recordDuration(job)
-                placements.recordSound(job.causes.all)
+                if (!run.response.endsWithConnection) placements.recordSound(job.causes.parts)
             }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
@@ -299,7 +302,10 @@
                     )
                     dependencies.control.run {
                         causes.forEach {
-                            dependencies.fleet.recordCrash(CrashReport(it, target.id, target.record.startedAtMs))
+                            val depth = job.causes.depthOf(it)
+                            dependencies.fleet.recordCrash(
+                                CrashReport(it, target.id, target.record.startedAtMs, depth),
+                            )
                         }
                     }
                 },
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -1,7 +1,9 @@
 /*
  * What was running at targets when they crashed. A cause is a whole request or a part of a prompt; one that was present
  * at several crashes is refused by every entry VM. Parts that many prompts share are present at most crashes. They are
- * told from the cause by runs that pass the point at which the cause crashes a target. Confined to the control thread.
+ * distinguished from the cause by runs that pass the point at which the cause crashes a target. Of parts that were
+ * present at the same crashes, only the deepest is refused, because fewer other prompts have it; a part above it that
+ * is the cause is refused once it was present at a crash without the other. Confined to the control thread.
  */
 package fulmarshunt.target.fleet
 
@@ -25,6 +27,9 @@
  */
 private const val CRASH_MOMENT_MS = 1_000L
 
+/** The same for a part that no run has passed yet; such a part must be stopped sooner. */
+private const val UNKNOWN_CRASH_MOMENT_MS = 200L
+
 /** How long crash reports are kept, and for how long a cause counts as sound. */
 internal const val CRASH_RETENTION_MS: Long = 600_000
 
@@ -45,6 +50,8 @@
     public val target: TargetId,
     @SerialName("bornAtMs")
     public val startedAtMs: Long,
+    /** The position of the part in its prompt, from 1 on, or 0 for a whole request. */
+    public val depth: Int = 0,
 )
 
 /** Counts the crashes at which each cause was present since it was last known to be sound. */
@@ -55,6 +62,18 @@
     private val soundAtMs = mutableMapOf<Fingerprint, Long>()
     private var verdictOrNull: Verdict? = null
 
+    private data class Crash(val target: TargetId, val startedAtMs: Long)
+
+    /** The crashes at which a cause was present, with the times of their reports. */
+    private class Presence(val atMs: Map<Crash, Long>, val depth: Int) {
+        /** Returns whether this cause alone may have caused all crashes at which the cause with [other] was present. */
+        fun explains(other: Presence): Boolean = atMs.keys.containsAll(other.atMs.keys) &&
+            (atMs.size > other.atMs.size || specificity > other.specificity)
+
+        /** Fewer requests share a deeper part, and none shares a whole request. */
+        private val specificity: Int get() = if (depth == 0) Int.MAX_VALUE else depth
+    }
+
     private class Verdict(val suspected: Set<Fingerprint>, val refused: Set<Fingerprint>)
 
     private val verdict: Verdict get() = verdictOrNull ?: judge().also { verdictOrNull = it }
@@ -80,14 +99,13 @@
     public fun clear(soundAgesMs: Map<Fingerprint, Long>, nowMs: Long): Map<Fingerprint, Long> {
         if (soundAgesMs.isEmpty()) return emptyMap()
         val reported = reportedAtMs.keys.mapTo(mutableSetOf()) { it.request }
+        val later = soundAgesMs.filter { (cause, ageMs) ->
+            cause in reported && ageMs <= CRASH_RETENTION_MS && nowMs - ageMs > (soundAtMs[cause] ?: Long.MIN_VALUE)
+        }
+        if (later.isEmpty()) return emptyMap()
         val suspectedBefore = verdict.suspected
         val knownBefore = soundAtMs.keys.toSet()
-        for ((cause, ageMs) in soundAgesMs) {
-            val atMs = nowMs - ageMs
-            if (cause in reported && ageMs <= CRASH_RETENTION_MS && atMs > (soundAtMs[cause] ?: Long.MIN_VALUE)) {
-                soundAtMs[cause] = atMs
-            }
-        }
+        later.forEach { (cause, ageMs) -> soundAtMs[cause] = nowMs - ageMs }
         verdictOrNull = null
         val suspected = verdict.suspected
         return soundAgesMs.filterKeys {
@@ -119,27 +137,38 @@
     }
 
     private fun judge(): Verdict {
-        val crashesAtMs = reportedAtMs.entries
+        val suspected = reportedAtMs.entries
             .filter { (report, atMs) -> atMs > (soundAtMs[report.request] ?: Long.MIN_VALUE) }
-            .groupBy({ it.key.request }, { it.value })
-        val suspected = crashesAtMs.filterValues { it.size >= CRASHES_UNTIL_SUSPICION }
-        val refused = suspected.filter { (cause, atMs) ->
-            if (cause in soundAtMs) {
-                momentsOf(atMs) >= CRASHES_UNTIL_REFUSAL_OF_SOUND
-            } else {
-                atMs.size >= CRASHES_UNTIL_REFUSAL
-            }
+            .groupBy { it.key.request }
+            .mapValues { (_, reports) -> presenceOf(reports) }
+            .filterValues { it.atMs.size >= CRASHES_UNTIL_SUSPICION }
+        val mostSuspected = suspected.entries.sortedByDescending { it.value.atMs.size }.take(MAX_LISTED)
+        val candidates = mostSuspected.filter { (cause, presence) -> isRefusalDue(cause, presence) }
+        val refused = candidates.filter { candidate -> candidates.none { it.value.explains(candidate.value) } }
+        return Verdict(mostSuspected.mapTo(mutableSetOf()) { it.key }, refused.mapTo(mutableSetOf()) { it.key })
+    }
+
+    private fun presenceOf(reports: List<Map.Entry<CrashReport, Long>>): Presence = Presence(
+        reports.groupingBy { Crash(it.key.target, it.key.startedAtMs) }
+            .fold(Long.MAX_VALUE) { earliestAtMs, (_, atMs) -> minOf(earliestAtMs, atMs) },
+        reports.maxOf { it.key.depth },
+    )
+
+    private fun isRefusalDue(cause: Fingerprint, presence: Presence): Boolean {
+        val crashesAtMs = presence.atMs.values.sorted()
+        return when {
+            cause in soundAtMs -> momentsOf(crashesAtMs, CRASH_MOMENT_MS) >= CRASHES_UNTIL_REFUSAL_OF_SOUND
+            presence.depth > 0 -> momentsOf(crashesAtMs, UNKNOWN_CRASH_MOMENT_MS) >= CRASHES_UNTIL_REFUSAL
+            else -> crashesAtMs.size >= CRASHES_UNTIL_REFUSAL
         }
-        val mostSuspected = suspected.entries.sortedByDescending { it.value.size }.take(MAX_LISTED).map { it.key }
-        return Verdict(mostSuspected.toSet(), refused.keys)
     }
 
-    /** Returns the number of moments at which the crashes happened. */
-    private fun momentsOf(crashesAtMs: List<Long>): Int {
+    /** Returns the number of moments at which the crashes happened; crashes within [lengthMs] count once. */
+    private fun momentsOf(crashesAtMs: List<Long>, lengthMs: Long): Int {
         var moments = 0
         var lastAtMs = Long.MIN_VALUE / 2
         for (atMs in crashesAtMs) {
-            if (atMs - lastAtMs < CRASH_MOMENT_MS) continue
+            if (atMs - lastAtMs < lengthMs) continue
             moments += 1
             lastAtMs = atMs
         }
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -96,4 +96,29 @@
         expectThat(sound.agesMs(first + shared, 10_000)).isEqualTo(mapOf(shared to 1L))
         expectThat(sound.agesMs(setOf(shared), 10_000 + CRASH_RETENTION_MS)).isEmpty()
     }
+
+    /** Guards against a refusal of sound prompts that share a part with those that crash targets. */
+    @Test
+    fun `of parts that were present at the same crashes only the deepest is refused`() {
+        for (number in 1..3) {
+            val causes = listOf(shared, deadly)
+            table.receive(causes.mapIndexed { index, cause -> crashAtDepth(cause, number, index + 1) }, number * PERIOD_MS)
+        }
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.suspected()).isEqualTo(setOf(shared, deadly))
+    }
+
+    /** Guards against a part that goes on crashing targets because another part was taken for the cause. */
+    @Test
+    fun `a part is refused once it was present at a crash without the deeper one`() {
+        for (number in 1..3) {
+            table.receive(listOf(crashAtDepth(deadly, number, 1), crashAtDepth(shared, number, 2)), number * PERIOD_MS)
+        }
+        expectThat(table.refused()).isEqualTo(setOf(shared))
+        table.receive(listOf(crashAtDepth(deadly, 4, 1)), 4 * PERIOD_MS)
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+    }
+
+    private fun crashAtDepth(cause: Fingerprint, number: Int, depth: Int) =
+        CrashReport(cause, TargetId("t$number"), number.toLong(), depth)
 }
