Refuse announcements that are long or deeply nested

An announcement with a field that the platform does not name, nested 100,000 deep, was acknowledged with 200 and named a target to use.

A body of more than 64 KiB or nested more than 32 deep is now refused with 400 before it is decoded. The check is a loop over the bytes, so that neither the stack of 256 KiB nor the library matters.

Before: ControlApiTest "deeply nested announcements are refused", on a thread with a stack of 256 KiB, found status 200 for an unknown field "models" with 1,000 arrays in each other, instead of 400. The test of deeply nested configurations passed before: unknown fields are skipped without recursion, and the others are refused at their first bracket. "configurations with values of another type are refused" passes with the decoder of configurations, which is unchanged.

--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -1,5 +1,6 @@
 /*
- * Decoding of the announcements and deregistrations of targets.
+ * Decoding of the announcements and deregistrations of targets. They may come from any writer, so that whatever is not
+ * as the platform specifies it is refused.
  */
 package fulmarshunt.platform
 
@@ -13,10 +14,17 @@
 import fulmarshunt.parseAddress
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 
+/** The maximum size of the body of an announcement or deregistration; those of targets have less than a kilobyte. */
+private const val MAX_ANNOUNCEMENT_BYTES = 65_536
+
+/** The maximum nesting of the body of an announcement or deregistration; those of targets have 4 levels. */
+private const val MAX_ANNOUNCEMENT_NESTING = 32
+
 @Serializable
 private class WireAnnouncement(
     val service: String,
@@ -25,10 +33,13 @@
     val slots: Int = 1,
     val state: String,
     /** The remaining time for which the target is cold after its start. */
-    @SerialName("cold_remaining_ms") val coldForMs: Double = 0.0,
-    @SerialName("seq") val sequence: Long,
+    @SerialName("cold_remaining_ms")
+    val coldForMs: Double = 0.0,
+    @SerialName("seq")
+    val sequence: Long,
     /** The start time in milliseconds since the Unix epoch. */
-    @SerialName("born") val startedAtMs: Long = 0,
+    @SerialName("born")
+    val startedAtMs: Long = 0,
 )
 
 @Serializable
@@ -36,13 +47,7 @@
 
 /** Decodes the announcement of target [id]; on the left is why it is invalid. */
 internal fun decodeAnnouncement(id: TargetId, body: ByteArray): Either<String, TargetRecord> {
-    val wire = try {
-        platformJson.decodeFromString(WireAnnouncement.serializer(), body.decodeToString(throwOnInvalidSequence = true))
-    } catch (e: SerializationException) {
-        return "cannot be read: ${e.message?.lineSequence()?.first()}".left()
-    } catch (e: CharacterCodingException) {
-        return "is not UTF-8: ${e.message}".left()
-    }
+    val wire = decodeBody(WireAnnouncement.serializer(), body).getOrElse { return it.left() }
     val address = parseAddress(wire.address).getOrElse { return it.left() }
     val phase = when (wire.state) {
         "ready" -> TargetPhase.READY
@@ -68,3 +73,15 @@
 } catch (_: SerializationException) {
     null
 }
+
+private fun <T> decodeBody(deserializer: DeserializationStrategy<T>, body: ByteArray): Either<String, T> = when {
+    body.size > MAX_ANNOUNCEMENT_BYTES -> "has more than $MAX_ANNOUNCEMENT_BYTES bytes".left()
+    body.isNestedDeeperThan(MAX_ANNOUNCEMENT_NESTING) -> "is nested more than $MAX_ANNOUNCEMENT_NESTING deep".left()
+    else -> try {
+        platformJson.decodeFromString(deserializer, body.decodeToString(throwOnInvalidSequence = true)).right()
+    } catch (e: SerializationException) {
+        "cannot be read: ${e.message?.lineSequence()?.first()}".left()
+    } catch (e: CharacterCodingException) {
+        "is not UTF-8: ${e.message}".left()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -0,0 +1,190 @@
+/*
+ * Calls of targets and other writers to a control VM: odd ones are refused and change no record of a sound target.
+ */
+package fulmarshunt.platform
+
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Address
+import fulmarshunt.Term
+import fulmarshunt.VmId
+import fulmarshunt.entry.watch.WatchService
+import fulmarshunt.entry.watch.WatchServiceDependencies
+import fulmarshunt.http.HttpCall
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ServingStateAccess
+import fulmarshunt.operator.serving.ServingStateMachine
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.ListedTarget
+import fulmarshunt.target.fleet.TargetDirectory
+import fulmarshunt.voter.Leadership
+import fulmarshunt.voter.LogAccess
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+private const val OK = 200
+private const val BAD_REQUEST = 400
+
+/** The start time of the sound target. */
+private const val STARTED_AT_MS = 1_795_999_940_000L
+
+private const val SOUND_ID = "i-7f3a91c2"
+private const val ODD_ID = "i-00000000"
+
+/** The stack size of the deployment's threads. */
+private const val STACK_BYTES = 256L * 1_024
+private const val DEPTH = 100_000
+
+/** A depth that fits into a short body. */
+private const val SMALL_DEPTH = 1_000
+
+/** The length of a text that is too long for a name and fits into a short body. */
+private const val LONG_CHARACTERS = 10_000
+
+/** The depth at which a body of brackets alone reaches [MAX_CALL_BYTES]. */
+private const val MAX_DEPTH = MAX_CALL_BYTES / 2 - 200
+
+class ControlApiTest {
+    private val own = Address("127.0.0.1", 1)
+    private val control = startControlThread()
+    private val directory = TargetDirectory(1_000)
+    private val links = linksOf("a", "secret-of-the-test", LinkHandlers())
+    private val machine = ServingStateMachine()
+    private val log = LogAccess(
+        propose = { command, _ ->
+            control.run { machine.asReplicated.apply(machine.snapshots.value.revision, command) }.right()
+        },
+        confirmLeadership = { true },
+        holdsQuorum = { true },
+        leadership = MutableStateFlow(Leadership(Term(1), true, own)),
+        addVoter = { _, _, _, _ -> Unit.right() },
+        removeVoter = { _, _ -> "the voter does not exist".left() },
+        status = { emptyList() },
+    )
+    private val watches = WatchService(
+        WatchServiceDependencies(VmId("a"), machine.snapshots, { listOf(own) }, own, { true }, directory),
+        control,
+        monotonicClock(),
+    )
+    private val access = ServingStateAccess(log, machine, monotonicClock(), own)
+    private val api = ControlApi(access, watches, links, SimpleMeterRegistry())
+
+    @AfterEach
+    fun close() {
+        links.close()
+        control.close()
+    }
+
+    /** The fields of a sound announcement in JSON. */
+    private val sound = mapOf(
+        "service" to "\"s\"",
+        "address" to "\"127.0.0.1:8080\"",
+        "zone" to "\"z\"",
+        "version" to "\"v1\"",
+        "slots" to "32",
+        "state" to "\"ready\"",
+        "cold_remaining_ms" to "0",
+        "seq" to "4",
+        "born" to "$STARTED_AT_MS",
+    )
+
+    private fun bodyOf(fields: Map<String, String>) =
+        fields.entries.joinToString(",", "{", "}") { (name, value) -> "\"$name\":$value" }
+
+    private fun bodyWith(vararg changes: Pair<String, String>) = bodyOf(sound + changes)
+
+    private fun call(path: String, body: String): Int =
+        runBlocking { api.handle(HttpCall("POST", path, body.encodeToByteArray())).status }
+
+    private fun announce(body: String, id: String = SOUND_ID) = call("/api/instances/$id/heartbeat", body)
+
+    private fun listed(): List<ListedTarget> = runBlocking { control.run { directory.changedAfter(0) } }
+
+    /** Expects that an announcement with [changes] is refused, from an unknown target and for a known one. */
+    private fun expectRefused(vararg changes: Pair<String, String>) = expectBodyRefused(bodyWith(*changes))
+
+    private fun expectBodyRefused(body: String) {
+        expectThat(announce(bodyWith())).describedAs("status of a sound announcement").isEqualTo(OK)
+        val before = listed()
+        val name = body.take(200)
+        expectThat(
+            announce(body, ODD_ID),
+        ).describedAs("status for an unknown target, body $name").isEqualTo(BAD_REQUEST)
+        expectThat(announce(body)).describedAs("status for a known target, body $name").isEqualTo(BAD_REQUEST)
+        expectThat(listed()).describedAs("the targets after $name").isEqualTo(before)
+    }
+
+    /** Runs [block] on a thread with a stack as small as in the deployment, and rethrows what it throws. */
+    private fun withSmallStack(block: () -> Unit) {
+        var problem: Throwable? = null
+        Thread(null, { problem = runCatching(block).exceptionOrNull() }, "small-stack", STACK_BYTES).apply {
+            start()
+            join()
+        }
+        problem?.let { throw it }
+    }
+
+    private fun nested(open: String, close: String, depth: Int = DEPTH) = open.repeat(depth) + close.repeat(depth)
+
+    private fun nestings(depth: Int = DEPTH) = listOf(
+        nested("[", "]", depth),
+        nested("{\"a\":", "}", depth / 4).replace(":}", ":1}"),
+        "[".repeat(depth),
+        "{\"a\":".repeat(depth / 4),
+    )
+
+    /** Guards against a deeply nested announcement that names a target to use, or that exhausts a thread's stack. */
+    @Test
+    fun `deeply nested announcements are refused`(): Unit = withSmallStack {
+        for (value in nestings(SMALL_DEPTH) + nestings() + nestings(MAX_DEPTH)) {
+            (listOf("models") + sound.keys).forEach { expectRefused(it to value) }
+            expectBodyRefused(value)
+        }
+        expectThat(announce(bodyWith("models" to """[{"name":"m","adapters":[[["a"]]]}]"""))).isEqualTo(OK)
+        val brackets = "[".repeat(SMALL_DEPTH) + "\\\"" + "{".repeat(SMALL_DEPTH)
+        expectThat(announce(bodyWith("note" to "\"$brackets\""))).isEqualTo(OK)
+    }
+
+    /** Guards against a deeply nested configuration that exhausts a thread's stack. */
+    @Test
+    fun `a deeply nested configuration ends no thread`(): Unit = withSmallStack {
+        val complete = """{"version":7,"routes":[],"services":[{"name":"s"}]"""
+        for (value in nestings(SMALL_DEPTH) + nestings() + nestings(MAX_DEPTH)) {
+            val refused = listOf(
+                value,
+                """{"version":$value,"routes":[],"services":[]}""",
+                """{"version":7,"routes":$value,"services":[]}""",
+                """{"version":7,"routes":[{"name":$value}],"services":[]}""",
+                """{"version":7,"routes":[],"services":[{"name":"s","engine":$value}]}""",
+                """$complete,"tenants":$value}""",
+                """$complete,"limits":$value}""",
+            )
+            refused.forEach { expectThat(call("/api/config/replace", it)).isEqualTo(BAD_REQUEST) }
+        }
+        // What the platform may add is ignored, however it is nested.
+        expectThat(call("/api/config/replace", """$complete,"new":${nested("[", "]")}}""")).isEqualTo(OK)
+        expectThat(call("/api/config/replace", """$complete,"new":${"[".repeat(DEPTH)}}""")).isEqualTo(BAD_REQUEST)
+    }
+
+    /** Guards against odd values in a configuration that end the call with an exception in place of a refusal. */
+    @Test
+    fun `configurations with values of another type are refused`() {
+        val route = """{"name":"r","host":"h","path_prefix":"/","type":"safe","timeout_ms":1,"service":"s"}"""
+        val complete = """{"version":7,"routes":[$route],"services":[{"name":"s","max_conns":1}]}"""
+        val values = listOf("1e400", "9223372036854775808", "NaN", "-", "true", "null", "[]", "{}", "\"\"", "\"x\"", "")
+        for (field in listOf("version", "timeout_ms", "max_conns")) {
+            for (value in values) {
+                val body = complete.replace(Regex("\"$field\":[0-9]+"), "\"$field\":$value")
+                expectThat(call("/api/config/replace", body)).describedAs(body).isEqualTo(BAD_REQUEST)
+            }
+        }
+        expectThat(call("/api/config/replace", complete)).isEqualTo(OK)
+    }
+}
