Refuse numbers in quotes and incomplete numbers in announcements

An announcement with "slots":"32", "seq":"5" or "slots":1e named a target to use: the JSON library accepts numbers in quotes and takes an exponent without digits for 0. While the tests were written, the library also threw an IndexOutOfBoundsException for one of the odd deregistrations, once it was decoded into a tree; the connection would have been closed without a response.

Numbers must now be written as JSON defines them, and any exception of the library counts as a body that cannot be read.

Before: ControlApiTest "numbers in quotes are refused" and "numbers that do not fit are refused" found status 200 for "slots":"32" and for "slots":1e, instead of 400.

--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -15,9 +15,14 @@
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
 import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.serializer
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.JsonTransformingSerializer
 
 /** The maximum size of the body of an announcement or deregistration; those of targets have less than a kilobyte. */
 private const val MAX_ANNOUNCEMENT_BYTES = 65_536
@@ -25,19 +30,38 @@
 /** The maximum nesting of the body of an announcement or deregistration; those of targets have 4 levels. */
 private const val MAX_ANNOUNCEMENT_NESTING = 32
 
+private val numberPattern = Regex("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")
+
+/** Decodes a number as JSON defines it; the JSON library also accepts it in quotes or without its exponent. */
+private open class StrictNumber<T : Any>(serializer: KSerializer<T>) : JsonTransformingSerializer<T>(serializer) {
+    override fun transformDeserialize(element: JsonElement): JsonElement {
+        val isNumber = element is JsonPrimitive && !element.isString && numberPattern.matches(element.content)
+        return if (isNumber) element else throw SerializationException("there is no number where one is needed")
+    }
+}
+
+private object StrictInt : StrictNumber<Int>(Int.serializer())
+
+private object StrictLong : StrictNumber<Long>(Long.serializer())
+
+private object StrictDouble : StrictNumber<Double>(Double.serializer())
+
 @Serializable
 private class WireAnnouncement(
     val service: String,
     val address: String,
     val zone: String,
-    val slots: Int = 1,
+    @Serializable(with = StrictInt::class) val slots: Int = 1,
     val state: String,
     /** The remaining time for which the target is cold after its start. */
+    @Serializable(with = StrictDouble::class)
     @SerialName("cold_remaining_ms")
     val coldForMs: Double = 0.0,
+    @Serializable(with = StrictLong::class)
     @SerialName("seq")
     val sequence: Long,
     /** The start time in milliseconds since the Unix epoch. */
+    @Serializable(with = StrictLong::class)
     @SerialName("born")
     val startedAtMs: Long = 0,
 )
@@ -77,11 +101,14 @@
 private fun <T> decodeBody(deserializer: DeserializationStrategy<T>, body: ByteArray): Either<String, T> = when {
     body.size > MAX_ANNOUNCEMENT_BYTES -> "has more than $MAX_ANNOUNCEMENT_BYTES bytes".left()
     body.isNestedDeeperThan(MAX_ANNOUNCEMENT_NESTING) -> "is nested more than $MAX_ANNOUNCEMENT_NESTING deep".left()
-    else -> try {
-        platformJson.decodeFromString(deserializer, body.decodeToString(throwOnInvalidSequence = true)).right()
-    } catch (e: SerializationException) {
-        "cannot be read: ${e.message?.lineSequence()?.first()}".left()
-    } catch (e: CharacterCodingException) {
-        "is not UTF-8: ${e.message}".left()
+    else -> decode {
+        platformJson.decodeFromString(deserializer, body.decodeToString(throwOnInvalidSequence = true))
     }
 }
+
+/** Returns the result of [decode]; the JSON library has no common type for the exceptions that odd input causes. */
+private fun <T> decode(decode: () -> T): Either<String, T> = try {
+    decode().right()
+} catch (e: Exception) {
+    "cannot be read: ${e.message?.lineSequence()?.first()}".left()
+}
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -187,4 +187,27 @@
         }
         expectThat(call("/api/config/replace", complete)).isEqualTo(OK)
     }
+
+    /** Guards against numbers that do not fit into their type and are cut off, or end the call with an exception. */
+    @Test
+    fun `numbers that do not fit are refused`() {
+        val tooLarge = listOf(
+            "1e400", "-1e400", "9223372036854775808", "-9223372036854775809", "1e99999999999999999999", "NaN",
+            "Infinity", "-Infinity", "9".repeat(1_000), "1e", "-", "0x10", "true", "null", "[]", "{}", "\"\"", "\"x\"",
+        )
+        for (field in listOf("slots", "seq", "born", "cold_remaining_ms")) {
+            tooLarge.forEach { expectRefused(field to it) }
+        }
+        expectRefused("slots" to "2147483648")
+        listOf("slots", "seq", "born").forEach { expectRefused(it to "1.5") }
+    }
+
+    /** Guards against numbers in quotes, which the JSON library accepts in place of numbers. */
+    @Test
+    fun `numbers in quotes are refused`() {
+        expectRefused("slots" to "\"32\"")
+        expectRefused("seq" to "\"5\"")
+        expectRefused("born" to "\"$STARTED_AT_MS\"")
+        expectRefused("cold_remaining_ms" to "\"0\"")
+    }
 }
