Refuse announcements without slots or cold time

An announcement that lacked "slots" or "cold_remaining_ms" counted as one of a warm target with one slot.

Before: ControlApiTest "announcements without their numbers are refused" found status 200 for a body without "slots", instead of 400.

--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -51,12 +51,12 @@
     val service: String,
     val address: String,
     val zone: String,
-    @Serializable(with = StrictInt::class) val slots: Int = 1,
+    @Serializable(with = StrictInt::class) val slots: Int,
     val state: String,
     /** The remaining time for which the target is cold after its start. */
     @Serializable(with = StrictDouble::class)
     @SerialName("cold_remaining_ms")
-    val coldForMs: Double = 0.0,
+    val coldForMs: Double,
     @Serializable(with = StrictLong::class)
     @SerialName("seq")
     val sequence: Long,
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -173,6 +173,15 @@
         expectThat(call("/api/config/replace", """$complete,"new":${"[".repeat(DEPTH)}}""")).isEqualTo(BAD_REQUEST)
     }
 
+    /** Guards against an announcement without its slots or its cold time that counts as one of a warm target. */
+    @Test
+    fun `announcements without their numbers are refused`() {
+        expectBodyRefused(bodyOf(sound - "slots"))
+        expectBodyRefused(bodyOf(sound - "cold_remaining_ms"))
+        // A target that names no start time is older than any that does.
+        expectThat(announce(bodyOf(sound - "born"), ODD_ID)).isEqualTo(OK)
+    }
+
     /** Guards against odd values in a configuration that end the call with an exception in place of a refusal. */
     @Test
     fun `configurations with values of another type are refused`() {
