Refuse deregistrations that cannot be read

A deregistration whose body was cut off, no object, or had a start time of another type counted as one without a start time, and removed the live target from the fleet: its requests went elsewhere until its next announcement. The decoder returned null for both cases.

It now returns either the start time, null for a body without one, or why the body cannot be read, which is answered with 400 and logged as "announcement refused". An empty body and an object without "born" are accepted as before. The check in PlatformJsonTest that a body "{" decodes to null is replaced by one that it is refused.

Before: ControlApiTest "deregistrations that cannot be read are refused" and "deeply nested deregistrations are refused" found status 200 for "{" and for nested arrays, instead of 400. "deregistrations without a start time are accepted" passed before.

--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -21,6 +21,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.JsonTransformingSerializer
 
@@ -66,9 +67,6 @@
     val startedAtMs: Long = 0,
 )
 
-@Serializable
-private class WireDeregistration(@SerialName("born") val startedAtMs: Long? = null)
-
 /** Decodes the announcement of target [id]; on the left is why it is invalid. */
 internal fun decodeAnnouncement(id: TargetId, body: ByteArray): Either<String, TargetRecord> {
     val wire = decodeBody(WireAnnouncement.serializer(), body).getOrElse { return it.left() }
@@ -84,18 +82,16 @@
     ).right()
 }
 
-/** Returns the start time in the deregistration of a target, or null if it is missing or cannot be decoded. */
-internal fun decodeDeregistrationOrNull(body: ByteArray): Long? = try {
-    if (body.isEmpty()) {
-        null
-    } else {
-        platformJson.decodeFromString(
-            WireDeregistration.serializer(),
-            body.decodeToString(),
-        ).startedAtMs
-    }
-} catch (_: SerializationException) {
-    null
+/**
+ * Decodes the deregistration of a target.
+ *
+ * @return the start time of the target, or null if it names none; on the left is why the deregistration is invalid.
+ */
+internal fun decodeDeregistration(body: ByteArray): Either<String, Long?> {
+    if (body.isEmpty()) return null.right()
+    val fields = decodeBody(JsonObject.serializer(), body).getOrElse { return it.left() }
+    val element = fields["born"] ?: return null.right()
+    return decode { platformJson.decodeFromJsonElement(StrictLong, element) }
 }
 
 private fun <T> decodeBody(deserializer: DeserializationStrategy<T>, body: ByteArray): Either<String, T> = when {
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -58,16 +58,22 @@
         return reply
     }
 
-    private suspend fun announce(id: TargetId, body: ByteArray): HttpReply = decodeAnnouncement(id, body).fold(
-        { problem ->
-            log.warn("announcement refused id={} problem={}", id, problem)
-            reply(BAD_REQUEST, problem)
-        },
-        { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
-    )
+    private suspend fun announce(id: TargetId, body: ByteArray): HttpReply =
+        decodeAnnouncement(id, body).fold(
+            { refuseAnnouncement(id, it) },
+            { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
+        )
 
     private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply =
-        acknowledge(id, "left", watches.leave(id, decodeDeregistrationOrNull(body)))
+        decodeDeregistration(body).fold(
+            { refuseAnnouncement(id, it) },
+            { acknowledge(id, "left", watches.leave(id, it)) },
+        )
+
+    private fun refuseAnnouncement(id: TargetId, problem: String): HttpReply {
+        log.warn("announcement refused id={} problem={}", id, problem)
+        return reply(BAD_REQUEST, problem)
+    }
 
     private fun acknowledge(id: TargetId, what: String, isAcknowledged: Boolean): HttpReply {
         if (isAcknowledged) return reply(OK, "")
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -19,6 +19,7 @@
 import fulmarshunt.process.startControlThread
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.TargetDirectory
+import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.voter.Leadership
 import fulmarshunt.voter.LogAccess
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
@@ -28,6 +29,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
 
 private const val OK = 200
 private const val BAD_REQUEST = 400
@@ -105,8 +107,12 @@
 
     private fun announce(body: String, id: String = SOUND_ID) = call("/api/instances/$id/heartbeat", body)
 
+    private fun deregister(body: String, id: String = SOUND_ID) = call("/api/instances/$id/deregister", body)
+
     private fun listed(): List<ListedTarget> = runBlocking { control.run { directory.changedAfter(0) } }
 
+    private fun soundPhaseOrNull() = listed().find { it.record.id.value == SOUND_ID }?.record?.phase
+
     /** Expects that an announcement with [changes] is refused, from an unknown target and for a known one. */
     private fun expectRefused(vararg changes: Pair<String, String>) = expectBodyRefused(bodyWith(*changes))
 
@@ -152,6 +158,19 @@
         expectThat(announce(bodyWith("note" to "\"$brackets\""))).isEqualTo(OK)
     }
 
+    /** Guards against a deeply nested deregistration that removes a target, or that exhausts a thread's stack. */
+    @Test
+    fun `deeply nested deregistrations are refused`(): Unit = withSmallStack {
+        announce(bodyWith())
+        for (value in nestings(SMALL_DEPTH) + nestings() + nestings(MAX_DEPTH)) {
+            val bodies = listOf(value, """{"note":$value}""", """{"born":$value}""")
+            bodies.forEach {
+                expectThat(deregister(it)).describedAs("status of ${it.take(40)}").isEqualTo(BAD_REQUEST)
+                expectThat(soundPhaseOrNull()).isEqualTo(TargetPhase.READY)
+            }
+        }
+    }
+
     /** Guards against a deeply nested configuration that exhausts a thread's stack. */
     @Test
     fun `a deeply nested configuration ends no thread`(): Unit = withSmallStack {
@@ -219,4 +238,36 @@
         expectRefused("born" to "\"$STARTED_AT_MS\"")
         expectRefused("cold_remaining_ms" to "\"0\"")
     }
+
+    /** Guards against an unreadable deregistration that removes a live target. */
+    @Test
+    fun `deregistrations that cannot be read are refused`() {
+        announce(bodyWith())
+        val complete = """{"born":$STARTED_AT_MS,"note":"x"}"""
+        val bodies = (1 until complete.length).map { complete.take(it) } + listOf(
+            "x", "[]", "null", "1", "{\"born\":\"x\"}", "{\"born\":{}}", "{\"born\":true}", "{\"born\":1e400}",
+            "{\"born\":9223372036854775808}", "{\"born\":1.5}", "{\"born\":null}", "{\"born\":\"$STARTED_AT_MS\"}",
+            "\u0000",
+        )
+        for (body in bodies) {
+            expectThat(deregister(body)).describedAs("status of $body").isEqualTo(BAD_REQUEST)
+            expectThat(soundPhaseOrNull()).describedAs("phase after $body").isEqualTo(TargetPhase.READY)
+        }
+        val malformed = HttpCall("POST", "/api/instances/$SOUND_ID/deregister", byteArrayOf(-1, -2))
+        expectThat(runBlocking { api.handle(malformed).status }).isEqualTo(BAD_REQUEST)
+        expectThat(soundPhaseOrNull()).isEqualTo(TargetPhase.READY)
+    }
+
+    /** Guards against targets that cannot leave because they send no start time. */
+    @Test
+    fun `deregistrations without a start time are accepted`() {
+        listOf("", "{}", """{"born":$STARTED_AT_MS,"note":[1]}""").forEachIndexed { index, body ->
+            announce(bodyWith("seq" to "${5 + 2 * index}"))
+            expectThat(soundPhaseOrNull()).isEqualTo(TargetPhase.READY)
+            expectThat(deregister(body)).isEqualTo(OK)
+            expectThat(soundPhaseOrNull()).isEqualTo(TargetPhase.LEFT)
+        }
+        expectThat(deregister("", "unknown")).isEqualTo(OK)
+        expectThat(listed().find { it.record.id.value == "unknown" }).isNull()
+    }
 }
--- a/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.platform
 
+import arrow.core.right
 import fulmarshunt.ClientAccountId
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
@@ -17,7 +18,6 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
-import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 private const val ROUTE =
@@ -79,8 +79,10 @@
                 HEARTBEAT.drop(1),
             )
         invalid.forEach { expectThat(decodeAnnouncement(id, it.encodeToByteArray()).isLeft()).isTrue() }
-        expectThat(decodeDeregistrationOrNull("""{"born":17}""".encodeToByteArray())).isEqualTo(17L)
-        expectThat(decodeDeregistrationOrNull("{".encodeToByteArray())).isNull()
+        fun deregistration(body: String) = decodeDeregistration(body.encodeToByteArray())
+        expectThat(deregistration("""{"born":17}""")).isEqualTo(17L.right())
+        expectThat(deregistration("")).isEqualTo(null.right())
+        expectThat(deregistration("{").isLeft()).isTrue()
     }
 
     /** Guards against keys that reach targets, and against callers that set headers reserved for the system. */
