Refuse announcements whose address is not a numeric one

Announcements with port 0, with a host name or with 0.0.0.0 named targets to use. Each request placed there failed, and a host name would be looked up on the event loop, which stops all traffic of an entry VM for the time of the lookup.

An announcement must now name the IPv4 number of a VM and a port from 1 to 65535, each as it is usually written, so that one address has one spelling. Addresses in settings are parsed as before: they may have names, and port 0 to listen.

Before: ControlApiTest "ports out of range are refused" found status 200 for port 0, and "hosts other than numeric addresses are refused" for the host " ", instead of 400.

--- a/src/main/kotlin/fulmarshunt/Address.kt
+++ b/src/main/kotlin/fulmarshunt/Address.kt
@@ -10,6 +10,11 @@
 
 private const val MAX_PORT = 65_535
 
+private const val OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+
+/** The IPv4 numbers that can belong to one VM, which leaves out `0.0.0.0`, multicast and broadcast. */
+private val unicastIpv4 = Regex("(22[0-3]|2[0-1][0-9]|1[0-9]{2}|[1-9][0-9]?)(\\.$OCTET){3}")
+
 /** An IP number and a port. */
 @Serializable
 public data class Address(
@@ -21,6 +26,9 @@
     override fun toString(): String = "$host:$port"
 }
 
+/** Returns whether this is the IPv4 number of a VM and a port, so that a connection to it needs no lookup of a name. */
+public fun Address.isUnicastEndpoint(): Boolean = port in 1..MAX_PORT && unicastIpv4.matches(host)
+
 /**
  * Parses `host:port`.
  *
--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -14,6 +14,7 @@
 import fulmarshunt.parseAddress
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
@@ -71,15 +72,18 @@
 internal fun decodeAnnouncement(id: TargetId, body: ByteArray): Either<String, TargetRecord> {
     val wire = decodeBody(WireAnnouncement.serializer(), body).getOrElse { return it.left() }
     val address = parseAddress(wire.address).getOrElse { return it.left() }
+    // Other spellings of the same address would count as different ones.
+    if ("$address" != wire.address) return "\"${wire.address}\" is not how $address is written".left()
     val phase = when (wire.state) {
         "ready" -> TargetPhase.READY
         "draining" -> TargetPhase.LEAVING
         else -> return "has the unknown state ${wire.state}".left()
     }
-    return TargetRecord(
+    val record = TargetRecord(
         id, wire.startedAtMs, wire.sequence, ServiceId(wire.service), address, FailureDomainId(wire.zone),
         wire.slots, phase, wire.coldForMs.toLong(),
-    ).right()
+    )
+    return record.problemOrNull()?.left() ?: record.right()
 }
 
 /**
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -239,6 +239,25 @@
         expectRefused("cold_remaining_ms" to "\"0\"")
     }
 
+    /** Guards against requests to ports that do not exist. */
+    @Test
+    fun `ports out of range are refused`() {
+        listOf("0", "-1", "65536", "99999999999", "", "x", "80 ", "+80", "080", "٨٠", "1e3").forEach {
+            expectRefused("address" to "\"127.0.0.1:$it\"")
+        }
+    }
+
+    /** Guards against hosts whose lookup would block the thread of the traffic, and against ones that reach no VM. */
+    @Test
+    fun `hosts other than numeric addresses are refused`() {
+        val hosts = listOf(
+            "", " ", "localhost", "example.com", "0.0.0.0", "255.255.255.255", "224.0.0.1", "256.0.0.1", "1.2.3",
+            "1.2.3.4.5", "01.2.3.4", "0x7f.0.0.1", "2130706433", "[::1]", "::1", "127.0.0.1 ", "http://127.0.0.1",
+            "user@127.0.0.1", "127.0.0.1\\r\\nX: y", "1".repeat(LONG_CHARACTERS),
+        )
+        hosts.forEach { expectRefused("address" to "\"$it:8080\"") }
+    }
+
     /** Guards against an unreadable deregistration that removes a live target. */
     @Test
     fun `deregistrations that cannot be read are refused`() {
