Treat a port that does not exist as a failed attempt

A target with port 65536, as a control VM of another version could pass on, made the opening of a connection throw instead of fail, so that the caller's connection ended without a response and without an attempt at another target.

Traffic.dial now returns a failure for an address that is not the IPv4 number of a VM and a port, without a lookup.

Before: TargetConnectionsTest "an address that is no number and port is a failed attempt" ended with IllegalArgumentException: port out of range:65536.

--- a/src/main/kotlin/fulmarshunt/http/Traffic.kt
+++ b/src/main/kotlin/fulmarshunt/http/Traffic.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Address
+import fulmarshunt.isUnicastEndpoint
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -96,6 +97,8 @@
 
     /** Opens a connection to [address] within [timeoutMs], or returns why it cannot be opened. */
     public suspend fun dial(address: Address, timeoutMs: Int): Either<String, HttpConnection> {
+        // Netty throws for a port that does not exist, and looks up names on the event loop.
+        if (!address.isUnicastEndpoint()) return "$address is not the IPv4 number of a VM and a port".left()
         var connection: HttpConnection? = null
         val bootstrap = Bootstrap()
             .group(group)
