Refuse announcements with slots or cold times out of range

An announcement with slots named a target with room for every request at the lowest cost, so that the requests of a plain service would go there. A cold time of 1e308 ms became the greatest Long; the end of the cold time then overflowed, and the cold target counted as warm. Negative numbers were accepted as well.

Slots must be in 0..100,000 and cold times in 0..1 h. Both are far above what targets announce.

--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -239,6 +239,21 @@
         expectRefused("cold_remaining_ms" to "\"0\"")
     }
 
+    /** Guards against a target with room for any number of requests, which would get all of them. */
+    @Test
+    fun `slots out of range are refused`() {
+        listOf("-1", "-2147483648", "100001", "2147483647").forEach { expectRefused("slots" to it) }
+    }
+
+    /** Guards against a cold time whose end overflows, so that a cold target counts as warm. */
+    @Test
+    fun `cold times out of range are refused`() {
+        listOf("-1", "-1e308", "1e308", "9223372036854775807", "3600001").forEach {
+            expectRefused("cold_remaining_ms" to it)
+        }
+        expectThat(announce(bodyWith("cold_remaining_ms" to "1500.75"), ODD_ID)).isEqualTo(OK)
+    }
+
     /** Guards against requests to ports that do not exist. */
     @Test
     fun `ports out of range are refused`() {
