--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.platform
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
@@ -15,6 +16,8 @@
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.problemOrNull
+import fulmarshunt.target.fleet.startTimeProblemOrNull
+import fulmarshunt.target.fleet.timeProblemOrNull
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
@@ -68,8 +71,8 @@
     val startedAtMs: Long = 0,
 )
 
-/** Decodes the announcement of target [id]; on the left is why it is invalid. */
-internal fun decodeAnnouncement(id: TargetId, body: ByteArray): Either<String, TargetRecord> {
+/** Decodes the announcement of target [id] at [nowMs] since the Unix epoch; on the left is why it is invalid. */
+internal fun decodeAnnouncement(id: TargetId, body: ByteArray, nowMs: Long): Either<String, TargetRecord> {
     val wire = decodeBody(WireAnnouncement.serializer(), body).getOrElse { return it.left() }
     val address = parseAddress(wire.address).getOrElse { return it.left() }
     // Other spellings of the same address would count as different ones.
@@ -83,19 +86,21 @@
         id, wire.startedAtMs, wire.sequence, ServiceId(wire.service), address, FailureDomainId(wire.zone),
         wire.slots, phase, wire.coldForMs.toLong(),
     )
-    return record.problemOrNull()?.left() ?: record.right()
+    val problem = record.problemOrNull() ?: record.timeProblemOrNull(nowMs)
+    return problem?.left() ?: record.right()
 }
 
 /**
- * Decodes the deregistration of a target.
+ * Decodes the deregistration of a target at [nowMs] since the Unix epoch.
  *
  * @return the start time of the target, or null if it names none; on the left is why the deregistration is invalid.
  */
-internal fun decodeDeregistration(body: ByteArray): Either<String, Long?> {
+internal fun decodeDeregistration(body: ByteArray, nowMs: Long): Either<String, Long?> {
     if (body.isEmpty()) return null.right()
     val fields = decodeBody(JsonObject.serializer(), body).getOrElse { return it.left() }
     val element = fields["born"] ?: return null.right()
     return decode { platformJson.decodeFromJsonElement(StrictLong, element) }
+        .flatMap { startedAtMs -> startTimeProblemOrNull(startedAtMs, nowMs)?.left() ?: startedAtMs.right() }
 }
 
 private fun <T> decodeBody(deserializer: DeserializationStrategy<T>, body: ByteArray): Either<String, T> = when {
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -4,6 +4,7 @@
 package fulmarshunt.platform
 
 import arrow.core.Either
+import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
 import fulmarshunt.TargetId
 import fulmarshunt.entry.watch.WatchService
@@ -34,6 +35,7 @@
     private val watches: WatchService,
     private val links: Links,
     private val meters: MeterRegistry,
+    private val wallClock: Clock,
 ) {
     private val log = LogManager.getLogger(ControlApi::class.java)
 
@@ -59,13 +61,13 @@
     }
 
     private suspend fun announce(id: TargetId, body: ByteArray): HttpReply =
-        decodeAnnouncement(id, body).fold(
+        decodeAnnouncement(id, body, wallClock.nowMs()).fold(
             { refuseAnnouncement(id, it) },
             { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
         )
 
     private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply =
-        decodeDeregistration(body).fold(
+        decodeDeregistration(body, wallClock.nowMs()).fold(
             { refuseAnnouncement(id, it) },
             { acknowledge(id, "left", watches.leave(id, it)) },
         )
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -41,6 +41,7 @@
 import fulmarshunt.voter.controlDirectoryOf
 import fulmarshunt.voter.openReplicatedLog
 import fulmarshunt.voter.reconcileMembership
+import fulmarshunt.wallClock
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
@@ -111,7 +112,7 @@
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
     links.listen(own).onLeft { raise(ProgramOutcome(ExitCode.USAGE, "link.port: $it")) }
     val meters = processMetrics()
-    listen(settings, ControlApi(servingState, watches, links, meters), meters)
+    listen(settings, ControlApi(servingState, watches, links, meters, wallClock()), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, it)) }
     log.start(links)
     directory.start(links) { log.leadership.value.leader != null }
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetRecordCheck.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetRecordCheck.kt
@@ -12,10 +12,33 @@
 /** Longer cold times are taken for errors; targets are cold for seconds. */
 private const val MAX_COLD_MS = 3_600_000L
 
+/** The greatest sequence number and start time; the next number never overflows, and JSON writers are exact to it. */
+private const val MAX_EXACT_NUMBER = 1L shl 53
+
+/** How far the clock of a target may be ahead; the clocks of VMs differ by some seconds at most. */
+private const val MAX_CLOCK_LEAD_MS = 60_000L
+
 /** Returns the first problem that makes this record unusable, or null if it is valid. */
 public fun TargetRecord.problemOrNull(): String? = when {
     !address.isUnicastEndpoint() -> "the address $address is not the IPv4 number of a VM and a port"
     slots !in 0..MAX_SLOTS -> "the number of slots $slots is not in 0..$MAX_SLOTS"
     coldForMs !in 0..MAX_COLD_MS -> "the cold time of $coldForMs ms is not in 0..$MAX_COLD_MS"
+    startedAtMs !in 0..MAX_EXACT_NUMBER -> "the start time $startedAtMs is out of range"
+    sequence !in 0..MAX_EXACT_NUMBER -> "the sequence number $sequence is out of range"
     else -> null
 }
+
+/**
+ * Returns why no target can have announced this record before [nowMs], the time since the Unix epoch, or null. Each
+ * later announcement of the target itself would count as older than such a record.
+ */
+public fun TargetRecord.timeProblemOrNull(nowMs: Long): String? =
+    startTimeProblemOrNull(startedAtMs, nowMs) ?: if (sequence > nowMs + MAX_CLOCK_LEAD_MS - startedAtMs) {
+        "the sequence number $sequence exceeds the milliseconds since the start"
+    } else {
+        null
+    }
+
+/** Returns why no target can have started at [startedAtMs] before [nowMs], or null; both since the Unix epoch. */
+public fun startTimeProblemOrNull(startedAtMs: Long, nowMs: Long): String? =
+    if (startedAtMs in 0..nowMs + MAX_CLOCK_LEAD_MS) null else "the start time $startedAtMs is not in the past"
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.Address
 import fulmarshunt.Term
 import fulmarshunt.VmId
+import fulmarshunt.clockOf
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.entry.watch.WatchServiceDependencies
 import fulmarshunt.http.HttpCall
@@ -34,8 +35,11 @@
 private const val OK = 200
 private const val BAD_REQUEST = 400
 
+/** The time of the control VM's wall clock, in milliseconds since the Unix epoch. */
+private const val NOW_MS = 1_796_000_000_000L
+
 /** The start time of the sound target. */
-private const val STARTED_AT_MS = 1_795_999_940_000L
+private const val STARTED_AT_MS = NOW_MS - 60_000
 
 private const val SOUND_ID = "i-7f3a91c2"
 private const val ODD_ID = "i-00000000"
@@ -76,7 +80,7 @@
         monotonicClock(),
     )
     private val access = ServingStateAccess(log, machine, monotonicClock(), own)
-    private val api = ControlApi(access, watches, links, SimpleMeterRegistry())
+    private val api = ControlApi(access, watches, links, SimpleMeterRegistry(), clockOf { NOW_MS })
 
     @AfterEach
     fun close() {
@@ -254,6 +258,33 @@
         expectThat(announce(bodyWith("cold_remaining_ms" to "1500.75"), ODD_ID)).isEqualTo(OK)
     }
 
+    /** Guards against a start time in the future, after which each announcement of the target itself counts as old. */
+    @Test
+    fun `start times in the future are refused`() {
+        listOf("9223372036854775807", "${NOW_MS + 61_000}", "-1", "-9223372036854775808").forEach {
+            expectRefused("born" to it)
+        }
+        expectThat(announce(bodyWith("seq" to "5", "born" to "${NOW_MS + 5_000}"), ODD_ID)).isEqualTo(OK)
+    }
+
+    /** Guards against a sequence number after which each announcement of the target itself counts as old. */
+    @Test
+    fun `sequence numbers that no target can have reached are refused`() {
+        val possible = NOW_MS - STARTED_AT_MS
+        listOf("9223372036854775807", "${possible + 61_000}", "-1").forEach { expectRefused("seq" to it) }
+        expectThat(announce(bodyWith("seq" to "$possible"), ODD_ID)).isEqualTo(OK)
+    }
+
+    /** Guards against a deregistration with a start time in the future, which would remove whatever runs now. */
+    @Test
+    fun `deregistrations with a start time out of range are refused`() {
+        announce(bodyWith())
+        for (born in listOf("9223372036854775807", "${NOW_MS + 61_000}", "-1")) {
+            expectThat(deregister("""{"born":$born}""")).describedAs("status of $born").isEqualTo(BAD_REQUEST)
+            expectThat(soundPhaseOrNull()).isEqualTo(TargetPhase.READY)
+        }
+    }
+
     /** Guards against requests to ports that do not exist. */
     @Test
     fun `ports out of range are refused`() {
--- a/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
@@ -30,6 +30,9 @@
     """{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":24,"state":"draining",""" +
         """"cold_remaining_ms":12.5,"seq":4,"born":17}"""
 
+/** The time of the wall clock, in milliseconds since the Unix epoch. */
+private const val NOW_MS = 1_796_000_000_000L
+
 class PlatformJsonTest {
     private fun configuration(routes: String = ROUTE, tail: String = "") =
         decodeConfiguration("""{"version":7,"routes":[$routes],"services":[$SERVICE]$tail}""".encodeToByteArray())
@@ -66,7 +69,7 @@
     @Test
     fun `announcements are decoded or refused`() {
         val id = TargetId("i")
-        val record = checkNotNull(decodeAnnouncement(id, HEARTBEAT.encodeToByteArray()).getOrNull())
+        val record = checkNotNull(decodeAnnouncement(id, HEARTBEAT.encodeToByteArray(), NOW_MS).getOrNull())
         expectThat(record.phase).isEqualTo(TargetPhase.LEAVING)
         expectThat(record.startedAtMs).isEqualTo(17L)
         expectThat(record.coldForMs).isEqualTo(12L)
@@ -78,8 +81,8 @@
                 HEARTBEAT.replace("10.0.0.1:80", "x"),
                 HEARTBEAT.drop(1),
             )
-        invalid.forEach { expectThat(decodeAnnouncement(id, it.encodeToByteArray()).isLeft()).isTrue() }
-        fun deregistration(body: String) = decodeDeregistration(body.encodeToByteArray())
+        invalid.forEach { expectThat(decodeAnnouncement(id, it.encodeToByteArray(), NOW_MS).isLeft()).isTrue() }
+        fun deregistration(body: String) = decodeDeregistration(body.encodeToByteArray(), NOW_MS)
         expectThat(deregistration("""{"born":17}""")).isEqualTo(17L.right())
         expectThat(deregistration("")).isEqualTo(null.right())
         expectThat(deregistration("{").isLeft()).isTrue()
