Refuse odd ids and names of targets

A target id of 200 characters, a percent-encoded spelling of another target's id, and empty or very long names of services and failure domains were accepted, and sent to all control and entry VMs with each exchange. The id is also sent to the target in a header, where characters that a header cannot carry would fail the request.

Both calls that carry an id in the path check it.

Before: ControlApiTest "odd ids are refused", "names that are too long are refused" and "announcements that are no object of the named fields are refused" found status 200 for an id of 200 letters, a service of 100,000 letters and an empty service, instead of 400. Truncated bodies, null, other types and unknown states were refused already.

--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -4,6 +4,9 @@
 package fulmarshunt.platform
 
 import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
 import fulmarshunt.TargetId
@@ -14,6 +17,7 @@
 import fulmarshunt.operator.serving.ConfigurationDocument
 import fulmarshunt.operator.serving.ServingCommand
 import fulmarshunt.operator.serving.ServingStateAccess
+import fulmarshunt.target.fleet.problemOrNull
 import io.micrometer.core.instrument.MeterRegistry
 import org.apache.logging.log4j.LogManager
 
@@ -66,11 +70,14 @@
             { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
         )
 
-    private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply =
-        decodeDeregistration(body, wallClock.nowMs()).fold(
+    private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply {
+        val startedAtMs = (id.problemOrNull()?.left() ?: Unit.right())
+            .flatMap { decodeDeregistration(body, wallClock.nowMs()) }
+        return startedAtMs.fold(
             { refuseAnnouncement(id, it) },
             { acknowledge(id, "left", watches.leave(id, it)) },
         )
+    }
 
     private fun refuseAnnouncement(id: TargetId, problem: String): HttpReply {
         log.warn("announcement refused id={} problem={}", id, problem)
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -196,6 +196,18 @@
         expectThat(call("/api/config/replace", """$complete,"new":${"[".repeat(DEPTH)}}""")).isEqualTo(BAD_REQUEST)
     }
 
+    /** Guards against bodies that are no announcement and still name a target, or that end the call. */
+    @Test
+    fun `announcements that are no object of the named fields are refused`() {
+        listOf("null", "[]", "1", "\"x\"", bodyWith() + "x", "\u0000", "\uFEFF{}").forEach(::expectBodyRefused)
+        bodyWith().indices.forEach { expectBodyRefused(bodyWith().take(it)) }
+        for (field in listOf("service", "address", "zone", "state")) {
+            listOf("null", "1", "true", "[]", "{}", "\"\"").forEach { expectRefused(field to it) }
+        }
+        for (field in listOf("service", "address", "zone", "state", "seq")) expectBodyRefused(bodyOf(sound - field))
+        expectRefused("state" to "\"left\"")
+    }
+
     /** Guards against an announcement without its slots or its cold time that counts as one of a warm target. */
     @Test
     fun `announcements without their numbers are refused`() {
@@ -304,6 +316,26 @@
         hosts.forEach { expectRefused("address" to "\"$it:8080\"") }
     }
 
+    /** Guards against ids that are too long to be passed on, and against a second spelling of a target's id. */
+    @Test
+    fun `odd ids are refused`() {
+        val ids = listOf("a".repeat(200), "i%2D7f3a91c2", "%00", "%", "i 1", "i\u0001", "ü", "a;b", "a,b", "..", ".")
+        for (id in ids) {
+            expectThat(announce(bodyWith(), id)).describedAs("status for $id").isEqualTo(BAD_REQUEST)
+            expectThat(deregister("", id)).describedAs("status of leaving for $id").isEqualTo(BAD_REQUEST)
+        }
+        expectThat(listed()).isEqualTo(emptyList())
+        listOf("i-7f3a91c2", "a.b_c~d:e@f").forEach { expectThat(announce(bodyWith(), it)).isEqualTo(OK) }
+    }
+
+    /** Guards against names that are passed on to all VMs whatever their length. */
+    @Test
+    fun `names that are too long are refused`() {
+        for (length in listOf(200, LONG_CHARACTERS, DEPTH)) {
+            listOf("service", "zone").forEach { expectRefused(it to "\"${"n".repeat(length)}\"") }
+        }
+    }
+
     /** Guards against an unreadable deregistration that removes a live target. */
     @Test
     fun `deregistrations that cannot be read are refused`() {
