Bound the reason of a refused announcement

The response and the log line of a refused announcement repeated an unknown state or address in full, up to the limit of a body. Both now end after 300 characters.

Before: ControlApiTest "the reason of a refusal is short" found a response of 100,022 bytes.

--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -24,6 +24,9 @@
 /** The greatest size of the body of a call; a replicated command must fit into one message between voters. */
 internal const val MAX_CALL_BYTES: Int = 1_000_000
 
+/** The maximum length of the reason of a refusal, which may quote the call. */
+private const val MAX_REASON_CHARACTERS = 300
+
 private const val OK = 200
 private const val BAD_REQUEST = 400
 private const val NOT_FOUND = 404
@@ -80,8 +83,9 @@
     }
 
     private fun refuseAnnouncement(id: TargetId, problem: String): HttpReply {
-        log.warn("announcement refused id={} problem={}", id, problem)
-        return reply(BAD_REQUEST, problem)
+        val reason = problem.take(MAX_REASON_CHARACTERS)
+        log.warn("announcement refused id={} problem={}", id.value.take(MAX_REASON_CHARACTERS), reason)
+        return reply(BAD_REQUEST, reason)
     }
 
     private fun acknowledge(id: TargetId, what: String, isAcknowledged: Boolean): HttpReply {
--- a/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/ControlApiTest.kt
@@ -336,6 +336,25 @@
         }
     }
 
+    /** Guards against a refusal that repeats a long body in the log and in the response. */
+    @Test
+    fun `the reason of a refusal is short`() {
+        val long = "n".repeat(LONG_CHARACTERS)
+        val bodies = listOf(
+            bodyWith("state" to "\"$long\""),
+            bodyWith("address" to "\"$long\""),
+            bodyWith("cold_remaining_ms" to long),
+            bodyWith("slots" to "\"$long\""),
+            bodyWith("note" to "n".repeat(DEPTH)),
+        )
+        for (body in bodies) {
+            val call = HttpCall("POST", "/api/instances/$SOUND_ID/heartbeat", body.encodeToByteArray())
+            val reply = runBlocking { api.handle(call) }
+            expectThat(reply.status).isEqualTo(BAD_REQUEST)
+            expectThat(reply.body.size <= 1_000).describedAs("${reply.body.size} bytes").isEqualTo(true)
+        }
+    }
+
     /** Guards against an unreadable deregistration that removes a live target. */
     @Test
     fun `deregistrations that cannot be read are refused`() {
