Ignore unusable records that other control VMs pass on

A control VM of an older version accepts records that this version refuses, and passes them on to other control VMs and to entry VMs. There they named targets to use and replaced the record of a sound target with the same id.

Both receivers now apply the check of announcements, except for its comparison with the wall clock, and log "target ignored".

Before: WatchServiceTest "odd records of other control VMs are ignored" found the record of the sound target replaced by one with port 65536, and FleetWatcherTest "odd records name no target and replace none" found the targets sound, port-high, port-low, name, cold, slots and one with a line break in its id, instead of sound alone.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -20,6 +20,7 @@
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -140,7 +141,7 @@
         }
         slot.source = reply.source
         slot.targetChange = reply.targetChange
-        reply.targets.forEach { slot.targets[it.record.id] = it }
+        reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
         controls = reply.controls
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
@@ -153,6 +154,12 @@
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun isUsable(listed: ListedTarget): Boolean {
+        val problem = listed.record.problemOrNull() ?: return true
+        log.warn("target ignored id={} problem={}", listed.record.id, problem)
+        return false
+    }
+
     /**
      * Returns whether there is another control VM that has not failed recently. Without this check, every control VM
      * would be disconnected during an election, when all are out of contact with a leader.
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -20,6 +20,7 @@
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -191,13 +192,21 @@
 
     private fun receive(exchange: StateExchange): StateExchangeReply {
         val nowMs = clock.nowMs()
-        exchange.records.forEach { dependencies.directory.receive(it.record, nowMs, it.ageMs) }
+        exchange.records.filter { isUsable(it.record) }
+            .forEach { dependencies.directory.receive(it.record, nowMs, it.ageMs) }
         recordSuspects(exchange.suspects)
         exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
         return StateExchangeReply(dependencies.vm, dependencies.isCurrent())
     }
 
+    /** Returns whether [record] is valid; a control VM of an older version passes on what it has accepted. */
+    private fun isUsable(record: TargetRecord): Boolean {
+        val problem = record.problemOrNull() ?: return true
+        log.warn("target ignored id={} problem={}", record.id, problem)
+        return false
+    }
+
     private fun recordSuspects(reported: List<CrashReport>) {
         val added = suspects.receive(reported, clock.nowMs())
         if (added.isEmpty()) return
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -0,0 +1,109 @@
+/*
+ * What an entry VM makes of the replies of control VMs, odd ones included.
+ */
+package fulmarshunt.entry
+
+import arrow.core.Either
+import arrow.core.left
+import fulmarshunt.Address
+import fulmarshunt.ConfigurationVersion
+import fulmarshunt.LogIndex
+import fulmarshunt.TargetId
+import fulmarshunt.VmId
+import fulmarshunt.entry.watch.FleetWatcher
+import fulmarshunt.entry.watch.WatchReply
+import fulmarshunt.entry.watch.watchChannel
+import fulmarshunt.link.LinkHandlers
+import fulmarshunt.link.linksOf
+import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ConfigurationDocument
+import fulmarshunt.operator.serving.ServingConfiguration
+import fulmarshunt.operator.serving.ServingSnapshot
+import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.ListedTarget
+import fulmarshunt.target.fleet.TargetRecord
+import fulmarshunt.target.fleet.TimedFleet
+import fulmarshunt.target.fleet.record
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val TIMEOUT_MS = 5_000L
+
+class FleetWatcherTest {
+    private val control = startControlThread()
+    private val calls = AtomicInteger()
+
+    /** Returns the reply to a call, given its number from 1 on. */
+    private lateinit var replyTo: (Int) -> WatchReply
+
+    private val server = linksOf(
+        "control",
+        "secret-of-the-test",
+        LinkHandlers().with(watchChannel) { _, _ -> replyTo(calls.incrementAndGet()) },
+    )
+    private val client = linksOf("entry", "secret-of-the-test", LinkHandlers())
+    private val address = runBlocking { checkNotNull(server.listen(Address("127.0.0.1", 0)).getOrNull()) }
+
+    @AfterEach
+    fun close() {
+        client.close()
+        server.close()
+        control.close()
+    }
+
+    private fun watcher(decode: (ConfigurationDocument) -> Either<String, ServingConfiguration>): FleetWatcher {
+        val watcher = FleetWatcher(
+            VmId("entry"),
+            { listOf(address) },
+            decode,
+            TimedFleet().fleet,
+            client,
+            control,
+            monotonicClock(),
+        )
+        runBlocking { control.run { watcher.start() } }
+        return watcher
+    }
+
+    private fun reply(records: List<TargetRecord> = emptyList(), revision: Long = 0, change: Long = 1) = WatchReply(
+        isCurrent = true,
+        state = if (revision == 0L) {
+            null
+        } else {
+            ServingSnapshot(LogIndex(revision), ConfigurationDocument(ConfigurationVersion(revision), ByteArray(0)))
+        },
+        source = "source",
+        targetChange = change,
+        targets = records.map { ListedTarget(it, false) },
+        controls = listOf(address),
+        entryVms = 1,
+        use = emptyMap(),
+        refused = emptySet(),
+    )
+
+    /** Guards against records of a control VM of an older version, whose addresses and numbers cannot be used. */
+    @Test
+    fun `odd records name no target and replace none`(): Unit = runBlocking {
+        val sound = record("sound")
+        val odd = listOf(
+            sound.copy(id = TargetId("port-high"), address = Address("127.0.0.1", 65_536)),
+            sound.copy(id = TargetId("port-low"), address = Address("127.0.0.1", 0)),
+            sound.copy(id = TargetId("name"), address = Address("localhost", 80)),
+            sound.copy(id = TargetId("cold"), coldForMs = Long.MAX_VALUE),
+            sound.copy(id = TargetId("slots"), slots = Int.MAX_VALUE),
+            sound.copy(id = TargetId("line\nbreak")),
+            sound.copy(sequence = Long.MAX_VALUE, address = Address("127.0.0.1", -1)),
+        )
+        replyTo = { number -> if (number == 1) reply(listOf(sound)) else reply(odd + record("last"), change = 2) }
+        val watcher = watcher { "not needed".left() }
+        val view = withTimeout(TIMEOUT_MS) { watcher.views.first { TargetId("last") in it.targets } }
+        expectThat(view.targets.keys).isEqualTo(setOf(TargetId("sound"), TargetId("last")))
+        expectThat(view.targets[TargetId("sound")]?.record).isEqualTo(sound)
+    }
+}
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -4,14 +4,18 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Address
+import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.entry.watch.StateExchange
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.entry.watch.WatchServiceDependencies
+import fulmarshunt.entry.watch.exchangeChannel
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.startControlThread
+import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.TargetDirectory
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.record
@@ -21,6 +25,7 @@
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import java.net.ServerSocket
@@ -31,6 +36,7 @@
 class WatchServiceTest {
     private class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
         private val control = startControlThread()
+        private val directory = TargetDirectory(1_000)
         val service = WatchService(
             WatchServiceDependencies(
                 VmId(name),
@@ -38,18 +44,20 @@
                 { all },
                 own,
                 isCurrent,
-                TargetDirectory(1_000),
+                directory,
             ),
             control,
             monotonicClock(),
         )
-        private val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
+        val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
 
         init {
             runBlocking { links.listen(own).onLeft { error(it) } }
             service.start(links)
         }
 
+        suspend fun records() = control.run { directory.changedAfter(0) }.map { it.record }
+
         override fun close() {
             runBlocking { links.close() }
             control.close()
@@ -81,6 +89,27 @@
         }
     }
 
+    /** Guards against odd records that a control VM of an older version has accepted and passes on. */
+    @Test
+    fun `odd records of other control VMs are ignored`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { true }.use { first ->
+            ControlVm("b", addresses[1], addresses) { true }.use { second ->
+                val sound = record("sound")
+                first.service.announce(sound)
+                val odd = listOf(
+                    sound.copy(startedAtMs = 2, address = Address("127.0.0.1", 65_536)),
+                    sound.copy(startedAtMs = 2, coldForMs = Long.MAX_VALUE),
+                    sound.copy(sequence = Long.MAX_VALUE),
+                    sound.copy(id = TargetId("name"), address = Address("localhost", 80)),
+                )
+                val records = (odd + record("last")).map { AgedRecord(it, 0) }
+                val exchange = StateExchange(VmId("b"), records, emptyList(), null, null)
+                second.links.call(addresses[0], exchangeChannel, exchange, TIMEOUT_MS).onLeft { error(it) }
+                expectThat(first.records().toSet()).isEqualTo(setOf(sound, record("last")))
+            }
+        }
+    }
+
     /** Guards against a single control VM that never acknowledges announcements. */
     @Test
     fun `a control VM without others acknowledges announcements alone`(): Unit = runBlocking {
