Continue watches and periodic work after an exception

An exception in the handling of one reply ended the watch of its slot for good, and one in ControlThread.every ended the periodic work: the exception reached the thread's handler, which prints a line, and the coroutine was gone. An entry VM would stop following its control VMs one after another, a control VM would stop exchanging state and expiring targets.

After a failed round of a watch, its control VM is left and another is tried. The view is not updated there, because the update may be what failed.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -15,6 +15,7 @@
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.guardRound
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
@@ -93,28 +94,45 @@
 
     private suspend fun watch(slot: Slot) {
         while (true) {
-            val startedAtMs = clock.nowMs()
-            val address = slot.address ?: selectOrNull(slot)
-            if (address == null) {
-                delay(RETRY_PAUSE_MS)
-                continue
+            var hasFailed = false
+            val onFailure = { e: Exception ->
+                hasFailed = true
+                recordFailure(slot, e)
             }
-            slot.address = address
-            val use = fleet.use()
-            val request = Watch(
-                vm,
-                slot.number == 0,
-                if (slot.number == 0) use else emptyMap(),
-                fleet.crashReports(),
-                viewState.value.revision,
-                slot.source,
-                slot.targetChange,
-            )
-            val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
-            reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
-            if (reply.isLeft()) delay(RETRY_PAUSE_MS)
-            delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+            guardRound(onFailure) { watchOnce(slot) }
+            if (hasFailed) delay(RETRY_PAUSE_MS)
+        }
+    }
+
+    private suspend fun watchOnce(slot: Slot) {
+        val startedAtMs = clock.nowMs()
+        val address = slot.address ?: selectOrNull(slot)
+        if (address == null) {
+            delay(RETRY_PAUSE_MS)
+            return
         }
+        slot.address = address
+        val use = fleet.use()
+        val request = Watch(
+            vm,
+            slot.number == 0,
+            if (slot.number == 0) use else emptyMap(),
+            fleet.crashReports(),
+            viewState.value.revision,
+            slot.source,
+            slot.targetChange,
+        )
+        val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
+        if (reply.isLeft()) delay(RETRY_PAUSE_MS)
+        delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+    }
+
+    /** Leaves the control VM of [slot] after an exception; the view is not updated, because that may have caused it. */
+    private fun recordFailure(slot: Slot, e: Exception) {
+        log.error("watch failed address={} slot={}", slot.address, slot.number, e)
+        slot.address?.let { failedAtMs[it] = clock.nowMs() }
+        slot.clear()
     }
 
     /** Returns the control VM that failed longest ago; ties are broken in a different order on each entry VM. */
--- a/src/main/kotlin/fulmarshunt/process/ControlThread.kt
+++ b/src/main/kotlin/fulmarshunt/process/ControlThread.kt
@@ -14,11 +14,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.Executors
 import kotlin.coroutines.CoroutineContext
 
 /** Runs blocks one after another on a single thread named `control-state`. */
 public class ControlThread internal constructor(private val dispatcher: ExecutorCoroutineDispatcher) : AutoCloseable {
+    private val log = LogManager.getLogger(ControlThread::class.java)
+
     /** The scope of coroutines that resume on the control thread. */
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
 
@@ -28,11 +31,14 @@
     /** Runs [block] on the control thread and returns its result. */
     public suspend fun <T> run(block: () -> T): T = withContext(dispatcher) { block() }
 
-    /** Runs [block] on the control thread every [periodMs] until the returned job is cancelled. */
+    /**
+     * Runs [block] on the control thread every [periodMs] until the returned job is cancelled. An exception is logged
+     * and ends only the run in which it occurs.
+     */
     public fun every(periodMs: Long, block: suspend () -> Unit): Job = scope.launch {
         while (true) {
             delay(periodMs)
-            block()
+            guardRound({ log.error("periodic work failed periodMs={}", periodMs, it) }, block)
         }
     }
 
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -87,6 +87,16 @@
         refused = emptySet(),
     )
 
+    /** Guards against an exception in the handling of one reply, after which a control VM is never watched again. */
+    @Test
+    fun `a reply that cannot be handled does not end the watch`(): Unit = runBlocking {
+        replyTo = { number -> reply(revision = number.toLong()) }
+        val watcher = watcher { document ->
+            if (document.version.value == 1L) throw NoSuchElementException("odd") else "not needed".left()
+        }
+        withTimeout(TIMEOUT_MS) { watcher.views.first { it.revision.value >= 3 } }
+    }
+
     /** Guards against records of a control VM of an older version, whose addresses and numbers cannot be used. */
     @Test
     fun `odd records name no target and replace none`(): Unit = runBlocking {
