Place requests of a service without memory without an exception

For a service whose engines have a memory of 0 tokens and a request without tokens, the cost of a target was no number, no target was the cheapest, and the choice threw an IndexOutOfBoundsException.

The memory counts as at least one token in the cost.

Before: FleetTest "a service without memory does not end the caller" ended with IndexOutOfBoundsException: Empty list doesn't contain element at index -1.

--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
@@ -115,7 +115,7 @@
             failureShare * FAILING_COST_REQUESTS
     }
     return use.unreadTokens +
-        MEMORY_COST_TOKENS * (use.tokens + requirements.tokens) / requirements.engine.memoryTokens +
+        MEMORY_COST_TOKENS * (use.tokens + requirements.tokens) / requirements.engine.memoryTokens.coerceAtLeast(1) +
         RUN_COST_TOKENS * use.running +
         (if (isElsewhere) DOMAIN_COST_TOKENS else 0.0) +
         failureShare * FAILING_COST_TOKENS
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -39,6 +39,14 @@
         expectThat(placeNow(request("late"))).isEqualTo(PlacementResult.NoTarget)
     }
 
+    /** Guards against a service without memory, the cost of whose targets is no number. */
+    @Test
+    fun `a service without memory does not end the caller`() {
+        val empty = engines.copy(engine = engineProfile.copy(memoryTokens = 0))
+        fleet.update(viewOf(known(record("a"))))
+        expectThat(placeNow(request("r", empty, prompt = 0, output = 0))).isA<PlacementResult.Placed>()
+    }
+
     /** Guards against generations that together exceed the memory of an engine, which then preempts. */
     @Test
     fun `an engine gets no more than its memory holds`() {
