--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -16,12 +16,14 @@
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.guardRound
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -106,35 +108,52 @@
 
     private suspend fun watch(slot: Slot) {
         while (true) {
-            val startedAtMs = clock.nowMs()
-            val address = slot.address ?: selectOrNull(slot)
-            if (address == null) {
-                delay(RETRY_PAUSE_MS)
-                continue
+            var hasFailed = false
+            val onFailure = { e: Exception ->
+                hasFailed = true
+                recordFailure(slot, e)
             }
-            slot.address = address
-            val use = fleet.use()
-            val sendsAllReports = slot.reportedTo.isEmpty()
-            val request = Watch(
-                vm,
-                slot.number == 0,
-                if (slot.number == 0) use else emptyMap(),
-                fleet.crashReports(sendsAllReports),
-                viewState.value.revision,
-                slot.source,
-                slot.targetChange,
-                fleet.soundAgesMs(slot.suspected),
-            )
-            val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
-            reply.onRight {
-                if (sendsAllReports) slot.reportedTo = it.source
-                // The control VM has restarted between two calls.
-                if (slot.reportedTo != it.source) slot.reportedTo = ""
-            }
-            reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
-            if (reply.isLeft()) delay(RETRY_PAUSE_MS)
-            delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+            guardRound(onFailure) { watchOnce(slot) }
+            if (hasFailed) delay(RETRY_PAUSE_MS)
+        }
+    }
+
+    private suspend fun watchOnce(slot: Slot) {
+        val startedAtMs = clock.nowMs()
+        val address = slot.address ?: selectOrNull(slot)
+        if (address == null) {
+            delay(RETRY_PAUSE_MS)
+            return
+        }
+        slot.address = address
+        val use = fleet.use()
+        val sendsAllReports = slot.reportedTo.isEmpty()
+        val request = Watch(
+            vm,
+            slot.number == 0,
+            if (slot.number == 0) use else emptyMap(),
+            fleet.crashReports(sendsAllReports),
+            viewState.value.revision,
+            slot.source,
+            slot.targetChange,
+            fleet.soundAgesMs(slot.suspected),
+        )
+        val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+        reply.onRight {
+            if (sendsAllReports) slot.reportedTo = it.source
+            // The control VM has restarted between two calls.
+            if (slot.reportedTo != it.source) slot.reportedTo = ""
         }
+        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
+        if (reply.isLeft()) delay(RETRY_PAUSE_MS)
+        delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+    }
+
+    /** Leaves the control VM of [slot] after an exception; the view is not updated, because that may have caused it. */
+    private fun recordFailure(slot: Slot, e: Exception) {
+        log.error("watch failed address={} slot={}", slot.address, slot.number, e)
+        slot.address?.let { failedAtMs[it] = clock.nowMs() }
+        slot.clear()
     }
 
     /** Returns the control VM that failed longest ago; ties are broken in a different order on each entry VM. */
@@ -163,7 +182,7 @@
         }
         slot.source = reply.source
         slot.targetChange = reply.targetChange
-        reply.targets.forEach { slot.targets[it.record.id] = it }
+        reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
         slot.suspected = reply.suspected
         slot.refused = reply.refused
         controls = reply.controls
@@ -180,6 +199,12 @@
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun isUsable(listed: ListedTarget): Boolean {
+        val problem = listed.record.problemOrNull() ?: return true
+        log.warn("target ignored id={} problem={}", listed.record.id, problem)
+        return false
+    }
+
     private fun logRefusals(before: Set<Fingerprint>, refused: Set<Fingerprint>) {
         val added = refused - before
         val lifted = before - refused
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -4,6 +4,10 @@
 package fulmarshunt.platform
 
 import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
 import fulmarshunt.TargetId
 import fulmarshunt.entry.watch.WatchService
@@ -13,12 +17,16 @@
 import fulmarshunt.operator.serving.ConfigurationDocument
 import fulmarshunt.operator.serving.ServingCommand
 import fulmarshunt.operator.serving.ServingStateAccess
+import fulmarshunt.target.fleet.problemOrNull
 import io.micrometer.core.instrument.MeterRegistry
 import org.apache.logging.log4j.LogManager
 
 /** The greatest size of the body of a call; a replicated command must fit into one message between voters. */
 internal const val MAX_CALL_BYTES: Int = 1_000_000
 
+/** The maximum length of the reason of a refusal, which may quote the call. */
+private const val MAX_REASON_CHARACTERS = 300
+
 private const val OK = 200
 private const val BAD_REQUEST = 400
 private const val NOT_FOUND = 404
@@ -34,6 +42,7 @@
     private val watches: WatchService,
     private val links: Links,
     private val meters: MeterRegistry,
+    private val wallClock: Clock,
 ) {
     private val log = LogManager.getLogger(ControlApi::class.java)
 
@@ -58,16 +67,26 @@
         return reply
     }
 
-    private suspend fun announce(id: TargetId, body: ByteArray): HttpReply = decodeAnnouncement(id, body).fold(
-        { problem ->
-            log.warn("announcement refused id={} problem={}", id, problem)
-            reply(BAD_REQUEST, problem)
-        },
-        { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
-    )
+    private suspend fun announce(id: TargetId, body: ByteArray): HttpReply =
+        decodeAnnouncement(id, body, wallClock.nowMs()).fold(
+            { refuseAnnouncement(id, it) },
+            { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
+        )
+
+    private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply {
+        val startedAtMs = (id.problemOrNull()?.left() ?: Unit.right())
+            .flatMap { decodeDeregistration(body, wallClock.nowMs()) }
+        return startedAtMs.fold(
+            { refuseAnnouncement(id, it) },
+            { acknowledge(id, "left", watches.leave(id, it)) },
+        )
+    }
 
-    private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply =
-        acknowledge(id, "left", watches.leave(id, decodeDeregistrationOrNull(body)))
+    private fun refuseAnnouncement(id: TargetId, problem: String): HttpReply {
+        val reason = problem.take(MAX_REASON_CHARACTERS)
+        log.warn("announcement refused id={} problem={}", id.value.take(MAX_REASON_CHARACTERS), reason)
+        return reply(BAD_REQUEST, reason)
+    }
 
     private fun acknowledge(id: TargetId, what: String, isAcknowledged: Boolean): HttpReply {
         if (isAcknowledged) return reply(OK, "")
--- a/src/test/kotlin/fulmarshunt/entry/ControlVmFixture.kt
+++ b/src/test/kotlin/fulmarshunt/entry/ControlVmFixture.kt
@@ -19,6 +19,7 @@
 /** A control VM that listens at [own]; it is in contact with a leader while [isCurrent]. */
 internal class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
     private val control = startControlThread()
+    private val directory = TargetDirectory(1_000)
     val service = WatchService(
         WatchServiceDependencies(
             VmId(name),
@@ -26,18 +27,20 @@
             { all },
             own,
             isCurrent,
-            TargetDirectory(1_000),
+            directory,
         ),
         control,
         monotonicClock(),
     )
-    private val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
+    val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
 
     init {
         runBlocking { links.listen(own).onLeft { error(it) } }
         service.start(links)
     }
 
+    suspend fun records() = control.run { directory.changedAfter(0) }.map { it.record }
+
     override fun close() {
         runBlocking { links.close() }
         control.close()
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -102,7 +102,8 @@
     fun `of parts that were present at the same crashes only the deepest is refused`() {
         for (number in 1..3) {
             val causes = listOf(shared, deadly)
-            table.receive(causes.mapIndexed { index, cause -> crashAtDepth(cause, number, index + 1) }, number * PERIOD_MS)
+            val reports = causes.mapIndexed { index, cause -> crashAtDepth(cause, number, index + 1) }
+            table.receive(reports, number * PERIOD_MS)
         }
         expectThat(table.refused()).isEqualTo(setOf(deadly))
         expectThat(table.suspected()).isEqualTo(setOf(shared, deadly))
