Trust no response that names no request

Callers were told "not run" (503) for requests that a target had run or was running, and such a request could run at a second target: a faulty target had written an earlier refusal once more on a kept connection. A response without a request id was taken for the response to whatever request was waiting, a refusal and status 421 included. Targets echo the id of every request, and every request that is sent has one, so that such a response belongs to none: not even the first one on a new connection, since the only proper refusal without an id is that of a request without one. It now ends the attempt as lost: 502 for a request that must not run twice, another target for an idempotent one.

--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -1,6 +1,6 @@
 /*
  * Sends a request to one target and waits for the head of the response. A response is accepted only if it names the
- * request; bytes that belong to another request, or to none, are discarded with their connection.
+ * request. One that names another request is discarded; one that names none ends the attempt, which may have run.
  */
 package fulmarshunt.caller.relay
 
@@ -179,11 +179,12 @@
         val status = head.status()
         val metadata = adapter.readResponse(head.headers())
         return when {
+            metadata.request == null -> AttemptFailure.Lost("the response names no request").left()
             metadata.isNotRun || status == HttpResponseStatus.MISDIRECTED_REQUEST ->
                 AttemptFailure.Refused(status.code(), metadata.retryAfterS).left()
             status in NOT_RUN_STATUSES ->
                 AttemptFailure.Lost("status ${status.code()} without the statement that the request has not run").left()
-            status.codeClass() == HttpStatusClass.SUCCESS && (!metadata.isStamped || metadata.request == null) ->
+            status.codeClass() == HttpStatusClass.SUCCESS && !metadata.isStamped ->
                 AttemptFailure.Lost("the response does not prove that it comes from the target").left()
             else -> head.right()
         }
