Use a new connection for a second attempt at a target

A run that continues from its copy is sent to the same target again when the copy was refused, with the same request id. On a kept connection, the refusal written once more was taken for the response to the later attempt, although that one was running: the run was given up there and continued at one more target, or its stream was cut off. The ids cannot tell the two apart, so that any attempt after the first at an address now has a connection of its own. Attempts of a request at different targets still use kept connections.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
 import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
@@ -35,6 +36,9 @@
     val expectedOutputTokens: Int,
 ) {
     val triedTargets: MutableSet<TargetId> = mutableSetOf()
+
+    /** The addresses to which the request was sent, or was about to be sent. */
+    val sentTo: MutableSet<Address> = mutableSetOf()
     var attempts: AttemptCounts = AttemptCounts(0, 0)
 
     /** The number of attempts for which no connection was opened. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -83,8 +83,7 @@
         scope: CoroutineScope,
     ): Either<AttemptFailure, TargetResponse> {
         val isIdempotent = job.route.repeatability == Repeatability.IDEMPOTENT
-        val connection = connections.open(target.record.address, isIdempotent)
-            .getOrElse { return AttemptFailure.NotSent(it).left() }
+        val connection = connect(job, target, isIdempotent).getOrElse { return AttemptFailure.NotSent(it).left() }
         var isOpened = false
         var sender: Job? = null
         try {
@@ -110,6 +109,19 @@
         }
     }
 
+    /**
+     * Opens a connection for one attempt. An earlier refusal may be written again on a kept connection. It cannot be
+     * told from the response to a second attempt at the same target, because both name the request.
+     */
+    private suspend fun connect(
+        job: RelayJob,
+        target: KnownTarget,
+        mayBeStale: Boolean,
+    ): Either<String, HttpConnection> {
+        val address = target.record.address
+        return if (job.sentTo.add(address)) connections.open(address, mayBeStale) else connections.openNew(address)
+    }
+
     private suspend fun send(
         job: RelayJob,
         connection: HttpConnection,
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -50,9 +50,13 @@
                 return last.connection.right()
             }
         }
-        return traffic.dial(address, DIAL_TIMEOUT_MS)
+        return openNew(address)
     }
 
+    /** Opens a new connection to [address], on which no earlier response can arrive. */
+    public suspend fun openNew(address: Address): Either<String, HttpConnection> =
+        traffic.dial(address, DIAL_TIMEOUT_MS)
+
     /** Keeps [connection] for another request if it is reusable, and closes it otherwise. */
     public fun release(address: Address, connection: HttpConnection) {
         val kept = idle.getOrPut(address) { ArrayDeque() }
--- a/src/test/kotlin/fulmarshunt/caller/relay/FaultyTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/FaultyTargetTest.kt
@@ -8,8 +8,20 @@
 import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import java.io.BufferedInputStream
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+private const val WAIT_MS = 5_000L
+
+/** The time in which the first events of a stream reach its caller. */
+private const val FIRST_EVENTS_MS = 100L
+
+/** The number of concurrent requests after which each of two targets has several idle connections. */
+private const val CONCURRENT_REQUESTS = 6
 
 class FaultyTargetTest {
     private fun RelayFixture.callStatus(path: String): String? =
@@ -84,4 +96,65 @@
             }
         }
     }
+
+    /**
+     * Guards against an earlier refusal with the same id that is taken for the response to a later attempt of the
+     * request: the run would be continued at one more target while the later attempt runs.
+     */
+    @Test
+    fun `a second attempt at the same target does not use a kept connection`() {
+        val all = CountDownLatch(CONCURRENT_REQUESTS)
+        val left = CountDownLatch(1)
+        val used = ConcurrentHashMap.newKeySet<Socket>()
+        val refusals = ConcurrentHashMap.newKeySet<String>()
+        val serve: ScriptedTarget.RequestScope.() -> Unit = {
+            val isKept = !used.add(socket)
+            val resume = request.header("resume")
+            when {
+                request.startLine.contains("/once/") -> {
+                    all.countDown()
+                    all.await(WAIT_MS, TimeUnit.MILLISECONDS)
+                    respond("200 OK", "ran")
+                }
+                resume == null -> {
+                    startStream()
+                    (1..2).forEach { event(it) }
+                    left.await(WAIT_MS, TimeUnit.MILLISECONDS)
+                    Thread.sleep(FIRST_EVENTS_MS)
+                    // Keeps its stream open until the connection is closed.
+                    socket.getInputStream().read()
+                }
+                refusals.add("first") -> respond("503 Service Unavailable", "no copy", "not-run: 1")
+                else -> {
+                    // The refusal once more.
+                    if (isKept) respond("503 Service Unavailable", "no copy", "not-run: 1")
+                    startStream()
+                    (resume.substringAfter('@').toInt() + 1..4).forEach { event(it) }
+                    endStream()
+                }
+            }
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelayFixture(a, b).use { relay ->
+                    (1..CONCURRENT_REQUESTS).map { thread { relay.callStatus("/once/x") } }.forEach { it.join() }
+                    val body = relay.streamFromLeavingTarget(a, b) { left.countDown() }
+                    expectThat(body).isEqualTo((1..4).joinToString("") { "id: $it\ndata: token $it\n\n" })
+                    expectThat((a.requests + b.requests).filter { it.header("resume") != null }).hasSize(2)
+                }
+            }
+        }
+    }
+
+    /** Starts a stream, announces that its target leaves, calls [onLeave] and returns the body that arrived. */
+    private fun RelayFixture.streamFromLeavingTarget(vararg targets: ScriptedTarget, onLeave: () -> Unit): String? =
+        connect().use { socket ->
+            val before = targets.sumOf { it.requests.size }
+            socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+            while (targets.sumOf { it.requests.size } == before) Thread.sleep(5)
+            Thread.sleep(FIRST_EVENTS_MS)
+            leave(targets.single { target -> target.requests.any { "/stream/" in it.startLine } })
+            onLeave()
+            BufferedInputStream(socket.getInputStream()).readMessageOrNull()?.body
+        }
 }
