Use a new connection for each call that migrates a run

Replies of engines to such calls name neither the run nor the request. On a kept connection, which also carried requests, a reply or response that was written twice was taken for the reply to the next call: a run could continue from the handle of another run, or be continued while it had not been stopped. Nothing can be pending on a connection that is opened for the call and closed after it. It costs one connection for each copy, a few for each run of a leaving target.

Before the change, in EngineMigrationClientTest: the handles of three calls were h1, h1, h2 instead of h1, h2, h3.

--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -38,8 +38,6 @@
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
     public val contentType: String = "application/json",
-    /** Whether the sender of the response accepts another request on the same connection. */
-    public val keepsOpen: Boolean = true,
 )
 
 /** Responds to the calls on this connection, one after another; bodies over [maxBodyBytes] are refused. */
@@ -89,7 +87,7 @@
             "no response, the connection is ${end ?: "open"}".left()
         } else {
             val responseBody = readBodyOrNull(Int.MAX_VALUE)
-            responseBody?.let { HttpReply(head.status().code(), it, keepsOpen = HttpUtil.isKeepAlive(head)).right() }
+            responseBody?.let { HttpReply(head.status().code(), it).right() }
                 ?: "the response ended early".left()
         }
     } ?: "no response within $limitMs ms".left()
--- a/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
+++ b/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
@@ -42,7 +42,10 @@
     @SerialName("made") val events: Long? = null,
 )
 
-/** Requests migrations from engines. Confined to the traffic thread. */
+/**
+ * Requests migrations from engines. Each call has a connection of its own, because a reply does not name the run: an
+ * earlier one that is written again could not be told from the reply to the next call. Confined to the traffic thread.
+ */
 internal class EngineMigrationClient(private val connections: TargetConnections) {
     private val log = LogManager.getLogger(EngineMigrationClient::class.java)
 
@@ -57,19 +60,16 @@
             WireMigration.serializer(),
             WireMigration(request.value, "$destination", isLast),
         )
-        val connection = connections.open(source, mayBeStale = false).getOrElse { return MoveFailure(it, null).left() }
+        val connection = connections.openNew(source).getOrElse { return MoveFailure(it, null).left() }
         val reply = connection.callBuffered(
             "POST",
             MIGRATION_PATH,
             "$source",
             body.encodeToByteArray(),
             MIGRATION_TIMEOUT_MS,
-        ).getOrElse {
-            connection.close()
-            return MoveFailure(it, null).left()
-        }
-        if (reply.keepsOpen) connections.release(source, connection) else connection.close()
-        return read(reply)
+        )
+        connection.close()
+        return reply.fold({ MoveFailure(it, null).left() }, ::read)
     }
 
     private fun read(reply: HttpReply): Either<MoveFailure, Moved> {
--- a/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
@@ -18,6 +18,8 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 
 class EngineMigrationClientTest {
     private val destination = Address("127.0.0.1", 9)
@@ -66,4 +68,20 @@
             expectThat(migrate(target, 1).single().leftOrNull()?.reason).isNotNull().contains("200")
         }
     }
+
+    /** Guards against an earlier reply, which names no run, that is taken for the reply to the next call. */
+    @Test
+    fun `a reply that is written twice is not the reply to the next call`() {
+        val answered = ConcurrentHashMap<Socket, String>()
+        val target = ScriptedTarget("a") {
+            answered[socket]?.let { reply("200 OK", it) }
+            val body = """{"handle":"h$number","made":$number}"""
+            answered[socket] = body
+            reply("200 OK", body)
+        }
+        target.use {
+            expectThat(migrate(target, 3).map { it.getOrNull() })
+                .isEqualTo(listOf(Moved("h1", 1), Moved("h2", 2), Moved("h3", 3)))
+        }
+    }
 }
