Close the connection of a cancelled migration call

A call that was cancelled, because its run had ended or its caller had left, left its connection open without anybody who reads or closes it; each holds one of the connections that an engine accepts. It is now closed in every case.

Before the change, in EngineMigrationClientTest: the engine saw no end of the connection within 2 s.

--- a/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
+++ b/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
@@ -61,15 +61,13 @@
             WireMigration(request.value, "$destination", isLast),
         )
         val connection = connections.openNew(source).getOrElse { return MoveFailure(it, null).left() }
-        val reply = connection.callBuffered(
-            "POST",
-            MIGRATION_PATH,
-            "$source",
-            body.encodeToByteArray(),
-            MIGRATION_TIMEOUT_MS,
-        )
-        connection.close()
-        return reply.fold({ MoveFailure(it, null).left() }, ::read)
+        return try {
+            connection
+                .callBuffered("POST", MIGRATION_PATH, "$source", body.encodeToByteArray(), MIGRATION_TIMEOUT_MS)
+                .fold({ MoveFailure(it, null).left() }, ::read)
+        } finally {
+            connection.close()
+        }
     }
 
     private fun read(reply: HttpReply): Either<MoveFailure, Moved> {
--- a/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.http.Traffic
 import fulmarshunt.monotonicClock
 import fulmarshunt.target.fleet.TargetConnections
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
@@ -18,8 +19,13 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+private const val WAIT_MS = 2_000L
 
 class EngineMigrationClientTest {
     private val destination = Address("127.0.0.1", 9)
@@ -84,4 +90,27 @@
                 .isEqualTo(listOf(Moved("h1", 1), Moved("h2", 2), Moved("h3", 3)))
         }
     }
+
+    /** Guards against a connection that stays open after the run of its call has ended. */
+    @Test
+    fun `a cancelled call closes its connection`() {
+        val hasArrived = CountDownLatch(1)
+        val hasEnded = CountDownLatch(1)
+        val target = ScriptedTarget("a") {
+            hasArrived.countDown()
+            runCatching { socket.getInputStream().read() }
+            hasEnded.countDown()
+        }
+        target.use {
+            Traffic().use { traffic ->
+                val client = EngineMigrationClient(TargetConnections(traffic, monotonicClock()))
+                val call = traffic.scope.launch {
+                    client.migrate(Address("127.0.0.1", target.port), RequestId("r"), destination, false)
+                }
+                expectThat(hasArrived.await(WAIT_MS, TimeUnit.MILLISECONDS)).isTrue()
+                call.cancel()
+                expectThat(hasEnded.await(WAIT_MS, TimeUnit.MILLISECONDS)).isTrue()
+            }
+        }
+    }
 }
