Treat a stream that ends inside an event as broken off

A target that was cut off inside an event, with its stream delimited by chunks or by the end of its connection, looked complete: the partial event was forwarded and the caller's stream was ended in order. Such a stream is now lost like one whose connection was reset: the run continues from its copy or from what a migration had copied, otherwise the caller's stream is cut off after the last complete event. The log has the new event 'stream broken off'.

Before the change, in BrokenStreamTest: the caller received "id: 4, data: tok" and an orderly end where the stream was to be cut off after event 3, the same inside the first event, and no continuation from the copy. That a reset of a stream or plain response with neither length nor chunks is never complete, and an orderly end is, passed before.

--- a/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -15,6 +15,9 @@
 internal class EventFramer {
     private var rest: ByteBuf = Unpooled.EMPTY_BUFFER
 
+    /** Whether the stream would end inside an event if it ended now. */
+    val hasIncompleteEvent: Boolean get() = rest.isReadable
+
     /** The id of the last returned event that has a numeric id, or null if none has. */
     var lastEventId: Long? = null
         private set
@@ -59,12 +62,10 @@
         return completeEvents
     }
 
-    /** Returns the bytes after the last complete event, which the caller releases. */
-    fun takeRest(): ByteBuf = rest.also { rest = Unpooled.EMPTY_BUFFER }
-
     /** Discards the bytes after the last complete event. */
     fun discardRest() {
-        takeRest().release()
+        rest.release()
+        rest = Unpooled.EMPTY_BUFFER
     }
 
     private fun recordEvent(id: Long?) {
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -111,7 +111,7 @@
                     is Next.Piece -> forward(next.content)
                     Next.TransferDue -> transfer(this)
                     Next.Stalled -> null.also { continueFromCopy("stalled") }
-                    Next.Ended -> if (continueFromCopy("lost") || continueFromDestination()) null else false
+                    Next.Ended -> continueOrEnd()
                 }
                 if (current !== previous) {
                     watcher.cancel()
@@ -126,6 +126,10 @@
         }
     }
 
+    /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
+    private suspend fun continueOrEnd(): Boolean? =
+        if (continueFromCopy("lost") || continueFromDestination()) null else false
+
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
         if (isTransferDue()) return Next.TransferDue
@@ -171,7 +175,11 @@
     private fun isDrained(placement: Placement): Boolean =
         placement.target.record.domain in dependencies.views.value.drained
 
-    /** Forwards the events that [content] completes; returns true at the end of the stream and null before. */
+    /**
+     * Forwards the events that [content] completes. A stream that ends inside an event was broken off.
+     *
+     * @return true at the end of a complete stream, false at that of another, and null before.
+     */
     private suspend fun forward(content: HttpContent): Boolean? {
         val isLast = content is LastHttpContent
         val isFirst = framer.events == 0L
@@ -180,9 +188,19 @@
             recordEvents(isFirst)
             caller.send(DefaultHttpContent(completeEvents))
         }
+        if (isLast && framer.hasIncompleteEvent) {
+            log.warn(
+                "stream broken off request={} target={} lastId={} ended={}",
+                job.id,
+                current.placement.target.id,
+                framer.lastEventId,
+                isLast,
+            )
+            framer.discardRest()
+            current.response.abandon()
+            return continueOrEnd()
+        }
         if (!isLast) return null
-        val rest = framer.takeRest()
-        if (rest.isReadable) caller.write(DefaultHttpContent(rest)) else rest.release()
         caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
         current.response.finish()
         return true
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/BrokenStreamTest.kt
@@ -0,0 +1,170 @@
+/*
+ * Responses that end with their connection or inside an event, complete and cut off.
+ */
+package fulmarshunt.caller.relay
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+
+private const val WAIT_MS = 5_000L
+
+/** The time in which written bytes reach the relay before a reset, which discards what is unread. */
+private const val TRANSFER_MS = 200L
+
+private const val PARTIAL_EVENT = "id: 4\ndata: tok"
+
+/** A way to delimit the body of a response. */
+private class Framing(val name: String, val header: String, val encode: (String) -> String, val end: String)
+
+private val framings = listOf(
+    Framing("chunks", "transfer-encoding: chunked\r\n", { "${it.length.toString(16)}\r\n$it\r\n" }, "0\r\n\r\n"),
+    Framing("neither length nor chunks", "", { it }, ""),
+)
+
+class BrokenStreamTest {
+    private fun events(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
+
+    private fun ScriptedTarget.RequestScope.start(framing: Framing) =
+        write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n${framing.header}\r\n")
+
+    private fun RelayFixture.stream(): String? = call("/stream/x", "", "tokens: 10")?.body
+
+    private fun RelayFixture.awaitIdle() {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)
+        while (use().isNotEmpty()) {
+            check(System.nanoTime() < endNanos) { "placements are held after $WAIT_MS ms" }
+            Thread.sleep(5)
+        }
+    }
+
+    /** Guards against a complete stream that is treated as broken off because of the way in which its end is shown. */
+    @Test
+    fun `a stream that ends after an event is complete`() {
+        for (framing in framings) {
+            val target = ScriptedTarget("a") {
+                start(framing)
+                write(framing.encode(events(1..3)) + framing.end)
+                if (framing.end.isEmpty()) socket.close()
+            }
+            target.use {
+                RelayFixture(target).use { expectThat(it.stream()).describedAs(framing.name).isEqualTo(events(1..3)) }
+            }
+        }
+    }
+
+    /** Guards against a stream that was broken off inside an event and looks complete. */
+    @Test
+    fun `a stream that ends inside an event is cut off after the last complete event`() {
+        for (framing in framings) {
+            val target = ScriptedTarget("a") {
+                start(framing)
+                write(framing.encode(events(1..3) + PARTIAL_EVENT) + framing.end)
+                if (framing.end.isEmpty()) socket.close()
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    expectThat(relay.stream()).describedAs(framing.name).isEqualTo(events(1..3) + TRUNCATED)
+                    relay.awaitIdle()
+                }
+            }
+        }
+    }
+
+    /** Guards against a stream that ends inside its first event and looks complete. */
+    @Test
+    fun `a stream that ends inside its first event is cut off`() {
+        for (framing in framings) {
+            val target = ScriptedTarget("a") {
+                start(framing)
+                write(framing.encode("id: 1\ndata: tok") + framing.end)
+                if (framing.end.isEmpty()) socket.close()
+            }
+            target.use {
+                RelayFixture(target).use { expectThat(it.stream()).describedAs(framing.name).isEqualTo(TRUNCATED) }
+            }
+        }
+    }
+
+    /** Guards against a run that is given up although another target has a copy of its memory. */
+    @Test
+    fun `a run whose stream ends inside an event continues from its copy`() {
+        for (framing in framings) {
+            val resumes = CopyOnWriteArrayList<String>()
+            val serve: ScriptedTarget.RequestScope.() -> Unit = {
+                val resume = request.header("resume")
+                start(framing)
+                if (resume == null) {
+                    write(framing.encode(events(1..3) + PARTIAL_EVENT) + framing.end)
+                } else {
+                    resumes += resume.substringAfter('@')
+                    write(framing.encode(events(4..6)) + framing.end)
+                }
+                if (framing.end.isEmpty()) socket.close()
+            }
+            ScriptedTarget("a", serve).use { a ->
+                ScriptedTarget("b", serve).use { b ->
+                    RelayFixture(a, b).use { relay ->
+                        expectThat(relay.stream()).describedAs(framing.name).isEqualTo(events(1..6))
+                        expectThat(resumes.toList()).isEqualTo(listOf("3"))
+                        relay.awaitIdle()
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against a reset that is mistaken for the end of a stream that ends with its connection. */
+    @Test
+    fun `a stream that is reset is cut off, also after a complete event`() {
+        for (framing in framings) {
+            val target = ScriptedTarget("a") {
+                start(framing)
+                write(framing.encode(events(1..3)))
+                Thread.sleep(TRANSFER_MS)
+                reset()
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    expectThat(relay.stream()).describedAs(framing.name).isEqualTo(events(1..3) + TRUNCATED)
+                }
+            }
+        }
+    }
+
+    /** Guards against a reset that is mistaken for the end of a plain response that ends with its connection. */
+    @Test
+    fun `a plain response that ends with its connection is complete only without a reset`() {
+        val long = "x".repeat(200_000)
+        for (body in listOf("short", long)) {
+            val ordered = ScriptedTarget("a") {
+                write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n\r\n$body")
+                socket.close()
+            }
+            ordered.use { RelayFixture(it).use { relay -> expectThat(relay.call("/once/x")?.body).isEqualTo(body) } }
+        }
+        val cutShort = ScriptedTarget("a") {
+            write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n\r\nshort")
+            Thread.sleep(TRANSFER_MS)
+            reset()
+        }
+        cutShort.use {
+            RelayFixture(it).use { relay ->
+                expectThat(relay.call("/once/x")?.startLine).isNotNull().contains(" 502 ")
+            }
+        }
+        val cutLong = ScriptedTarget("a") {
+            write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n\r\n$long")
+            Thread.sleep(TRANSFER_MS)
+            reset()
+        }
+        cutLong.use {
+            RelayFixture(it).use { relay -> expectThat(relay.call("/once/x")?.body).isNotNull().endsWith(TRUNCATED) }
+        }
+    }
+}
