Report a connection whose write failed as broken

A response with neither length nor chunks counts as complete if its connection ends without an error. Netty closes a channel after a failed write without an error on the inbound side, so that a reset that was noticed by a write, while a long request body was still being sent, made the part that had arrived look complete. The failed write is now recorded.

Before the change, in HttpConnectionTest: the end was CLOSED instead of BROKEN. Seen at the connection with an embedded channel; not reproduced on sockets, where the order of the write and the read after a reset is a race.

--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.http
 
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpObject
@@ -29,6 +30,10 @@
     private var reader: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
     private var isClosed = false
+    private var hasWriteFailed = false
+
+    /** A write can notice a reset before a read does; the channel then closes without an error. */
+    private val writeListener = ChannelFutureListener { if (!it.isSuccess) hasWriteFailed = true }
 
     /** How the connection ended, or null while it is open. */
     public var end: ConnectionEnd? = null
@@ -75,7 +80,7 @@
             ReferenceCountUtil.release(message)
             return false
         }
-        channel.writeAndFlush(message)
+        channel.writeAndFlush(message, writePromise())
         while (end == null && !channel.isWritable) {
             suspendCancellableCoroutine { writer = it }
         }
@@ -84,7 +89,7 @@
 
     /** Writes [message] without flushing or waiting. */
     public fun write(message: Any) {
-        if (end == null) channel.write(message) else ReferenceCountUtil.release(message)
+        if (end == null) channel.write(message, writePromise()) else ReferenceCountUtil.release(message)
     }
 
     /** Closes the connection and discards the messages that have arrived. */
@@ -112,12 +117,14 @@
 
     internal fun onEnded(end: ConnectionEnd) {
         if (this.end != null) return
-        this.end = end
+        this.end = if (hasWriteFailed) ConnectionEnd.BROKEN else end
         wake()
         onWritable()
         onEnd?.invoke()
     }
 
+    private fun writePromise() = channel.newPromise().addListener(writeListener)
+
     private suspend fun awaitInput() {
         suspendCancellableCoroutine { continuation ->
             reader = continuation
