Bound what is discarded before a response

Interim responses, and responses to other requests or the body of one, were discarded for as long as a target wrote them: the request was held until its deadline or until the target ended, while the traffic thread read all of it. After 33 heads or 1,048,576 bytes the attempt is now lost and its connection closed.

Before the change, in EndlessTargetTest: endless interim responses and endless responses to another request were read to the limit of the test (64 MB) and the request was served after it; a response to another request with an endless body ended with 504 after 8 s. Endless status lines, headers, blank lines, spaces, sizes, extensions and delimiters of chunks, and trailers were given up before, by the limits of the codec; a long proper response was forwarded.

--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.caller.relay
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -25,7 +27,6 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -43,6 +44,10 @@
 /** An idempotent request waits for a response this many times its objective before another target is tried. */
 private const val IDEMPOTENT_TIMEOUT_OBJECTIVES = 3
 
+/** What is read at most before the response to a request; a late response to an earlier request is shorter. */
+private const val MAX_DISCARDED_HEADS = 32
+private const val MAX_DISCARDED_BYTES = 1_048_576L
+
 /** A response whose head has arrived. */
 internal class TargetResponse(
     val target: KnownTarget,
@@ -96,10 +101,10 @@
                     }
                 } else {
                     receiveHead(job, connection)
-                } ?: return AttemptFailure.Lost("no response: ${connection.end ?: "timed out"}").left()
-            return validate(head).map {
+                } ?: "timed out".left()
+            return head.mapLeft { AttemptFailure.Lost("no response: $it") }.flatMap(::validate).map {
                 isOpened = true
-                TargetResponse(target, connection, head, connections, sender)
+                TargetResponse(target, connection, it, connections, sender)
             }
         } finally {
             if (!isOpened) {
@@ -167,24 +172,26 @@
         }
     }
 
-    /** Returns the head of the response to [job], or null at the end of the connection. */
-    private suspend fun receiveHead(job: RelayJob, connection: HttpConnection): HttpResponse? {
-        var isDiscarded = false
-        while (true) {
-            val message = connection.receiveOrNull() ?: return null
+    /** Returns the head of the response to [job], or why there is none; other responses are discarded up to a bound. */
+    private suspend fun receiveHead(job: RelayJob, connection: HttpConnection): Either<String, HttpResponse> {
+        var discardedHeads = 0
+        var discardedBytes = 0L
+        while (discardedHeads <= MAX_DISCARDED_HEADS && discardedBytes <= MAX_DISCARDED_BYTES) {
+            val message = connection.receiveOrNull() ?: return "${connection.end}".left()
             if (message.decoderResult().isFailure) {
                 ReferenceCountUtil.release(message)
-                return null
+                return "unreadable bytes".left()
             }
             if (message is HttpResponse) {
                 val requestId = adapter.readResponse(message.headers()).request
                 val isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                isDiscarded = isInterim || (requestId != null && requestId != job.id.value)
-                if (!isDiscarded) return message
+                if (!isInterim && (requestId == null || requestId == job.id.value)) return message.right()
+                discardedHeads += 1
             }
+            if (message is HttpContent) discardedBytes += message.content().readableBytes()
             ReferenceCountUtil.release(message)
-            if (message is LastHttpContent) isDiscarded = false
         }
+        return "too many responses that do not belong to the request".left()
     }
 
     private fun validate(head: HttpResponse): Either<AttemptFailure, HttpResponse> {
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -0,0 +1,126 @@
+/*
+ * The relay with targets that write bytes without end, in every part of a response and while no response is due.
+ */
+package fulmarshunt.caller.relay
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** The number of bytes after which a target ends by itself. */
+private const val MAX_WRITTEN_BYTES = 64_000_000L
+
+/** A target may have written this much when its connection is closed; most of it is in the buffers of the sockets. */
+private const val MAX_ACCEPTED_BYTES = 24_000_000L
+
+/** The time in which an endless response is given up; the deadline of the request is after 8 s. */
+private const val MAX_RESPONSE_MS = 4_000L
+
+private const val BLOCK_BYTES = 16_384
+
+private const val HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n"
+private const val CHUNKED_HEAD = HEAD + "transfer-encoding: chunked\r\n\r\n"
+
+/** A response whose [repeated] part never ends. */
+private class Endless(val name: String, val beginning: String, val repeated: String)
+
+private val endlessResponses = listOf(
+    Endless("a status line", "", "x"),
+    Endless("blank lines", "", "\r\n"),
+    Endless("spaces", "", " "),
+    Endless("a header", HEAD + "x: ", "x"),
+    Endless("headers", HEAD, "x: y\r\n"),
+    Endless("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    Endless("a response to another request", "HTTP/1.1 200 OK\r\nid: other\r\nstamp: 1\r\n\r\n", "x"),
+    Endless("responses to another request", "", "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nxx"),
+    Endless("the size of a chunk", CHUNKED_HEAD, "0"),
+    Endless("the extension of a chunk", CHUNKED_HEAD + "1;", "x"),
+    Endless("the delimiter of a chunk", CHUNKED_HEAD + "1\r\nx", "y"),
+    Endless("trailers", CHUNKED_HEAD + "0\r\n", "x: y\r\n"),
+)
+
+class EndlessTargetTest {
+    /** Writes [text] again and again until the connection is closed, or up to the limit. */
+    private fun Socket.writeEndlessly(text: String, written: AtomicLong) {
+        val block = text.repeat((BLOCK_BYTES / text.length).coerceAtLeast(1)).encodeToByteArray()
+        while (written.get() < MAX_WRITTEN_BYTES) {
+            getOutputStream().write(block)
+            written.addAndGet(block.size.toLong())
+        }
+    }
+
+    private fun elapsedMs(action: () -> Unit): Long {
+        val startNanos = System.nanoTime()
+        action()
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
+    }
+
+    /** Guards against a target that fills the memory, occupies the thread or holds a request to its deadline. */
+    @TestFactory
+    fun `an endless response is given up`(): List<DynamicTest> = endlessResponses.map { endless ->
+        DynamicTest.dynamicTest(endless.name) {
+            val written = AtomicLong()
+            val target = ScriptedTarget("a") {
+                if (number == 1) {
+                    write(endless.beginning)
+                    socket.writeEndlessly(endless.repeated, written)
+                }
+                respond("200 OK", "ran")
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    val tookMs = elapsedMs {
+                        expectThat(relay.call("/once/x")?.startLine).isNotNull().contains(" 502 ")
+                    }
+                    expectThat(tookMs).isLessThan(MAX_RESPONSE_MS)
+                    expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+                    expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                }
+            }
+        }
+    }
+
+    /** Guards against an idempotent request that fails although another target could serve it. */
+    @Test
+    fun `an idempotent request is sent to another target after an endless response`() {
+        val written = AtomicLong()
+        ScriptedTarget("bad") { socket.writeEndlessly("\r\n", written) }.use { bad ->
+            ScriptedTarget("good") { respond("200 OK", "good") }.use { good ->
+                RelayFixture(bad, good).use { relay ->
+                    val tookMs = elapsedMs { repeat(4) { expectThat(relay.call("/safe/x")?.body).isEqualTo("good") } }
+                    expectThat(tookMs).isLessThan(MAX_RESPONSE_MS)
+                    expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+                }
+            }
+        }
+    }
+
+    /** Guards against a bound on proper responses: a long one is limited only by its deadline and its caller. */
+    @Test
+    fun `a long response is forwarded completely`() {
+        val body = "x".repeat(8_000_000)
+        ScriptedTarget("a") { respond("200 OK", body) }.use { target ->
+            RelayFixture(target).use { expectThat(it.call("/once/x")?.body == body).isEqualTo(true) }
+        }
+    }
+
+    /** Guards against tiny pieces that take much more memory and time than their content. */
+    @Test
+    fun `a response in tiny pieces is forwarded completely`() {
+        val pieces = 60_000
+        val target = ScriptedTarget("a") {
+            startStream()
+            write("1\r\nx\r\n".repeat(pieces))
+            endStream()
+        }
+        target.use { RelayFixture(target).use { expectThat(it.call("/once/x")?.body).isEqualTo("x".repeat(pieces)) } }
+    }
+}
