Bound the length of an event

An event without end was kept in memory for as long as the target wrote, as nested buffers that were scanned from the beginning for each piece. An event over 262,144 bytes now ends the stream like a lost one, what has arrived of an event is one buffer, and no byte of it is searched twice.

--- a/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -11,13 +11,26 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private val ID_FIELD = "id:".encodeToByteArray()
 
+/** An event that is longer than this is taken for bytes without end; proper events hold a few tokens. */
+private const val MAX_EVENT_BYTES = 262_144
+
 /** Splits one stream into events and counts them. */
 internal class EventFramer {
+    /** The bytes after the last complete event. */
     private var rest: ByteBuf = Unpooled.EMPTY_BUFFER
 
+    /** Where the last line of [rest] begins, so that no line is read twice. */
+    private var restLineStart = 0
+
+    /** The id of the event that begins with [rest], if its line has been read. */
+    private var restEventId: Long? = null
+
     /** Whether the stream would end inside an event if it ended now. */
     val hasIncompleteEvent: Boolean get() = rest.isReadable
 
+    /** Whether the incomplete event is too long to be a proper one. */
+    val isEventTooLong: Boolean get() = rest.readableBytes() > MAX_EVENT_BYTES
+
     /** The id of the last returned event that has a numeric id, or null if none has. */
     var lastEventId: Long? = null
         private set
@@ -32,13 +45,14 @@
 
     /** Appends [bytes], which it releases, and returns the events that are now complete, or null if there are none. */
     fun appendOrNull(bytes: ByteBuf): ByteBuf? {
-        val all = if (rest.isReadable) Unpooled.wrappedBuffer(rest, bytes) else bytes
-        rest = Unpooled.EMPTY_BUFFER
+        val readBytes = rest.readableBytes()
+        val all = joinRest(bytes)
         var end = -1
-        var lineStart = all.readerIndex()
-        var eventId: Long? = null
+        var lineStart = all.readerIndex() + restLineStart
+        var searchFrom = all.readerIndex() + readBytes
+        var eventId = restEventId
         while (true) {
-            val newLine = all.indexOf(lineStart, all.writerIndex(), NEW_LINE)
+            val newLine = all.indexOf(searchFrom, all.writerIndex(), NEW_LINE)
             if (newLine < 0) break
             val length = newLine - lineStart
             val isBlank = length == 0 || (length == 1 && all.getByte(lineStart) == CARRIAGE_RETURN)
@@ -50,15 +64,16 @@
                 idOrNull(all, lineStart, newLine)?.let { eventId = it }
             }
             lineStart = newLine + 1
+            searchFrom = lineStart
         }
-        if (end < 0) {
-            rest = all
-            return null
+        val completeEvents = if (end < 0) null else all.readRetainedSlice(end - all.readerIndex())
+        restLineStart = lineStart - all.readerIndex()
+        restEventId = eventId
+        if (all !== rest || completeEvents != null) {
+            // The rest is copied, so that it does not retain a large buffer.
+            rest = if (all.isReadable) Unpooled.copiedBuffer(all) else Unpooled.EMPTY_BUFFER
+            all.release()
         }
-        val completeEvents = all.readRetainedSlice(end - all.readerIndex())
-        // The rest is copied, so that it does not retain a large buffer.
-        if (all.isReadable) rest = Unpooled.copiedBuffer(all)
-        all.release()
         return completeEvents
     }
 
@@ -66,6 +81,16 @@
     fun discardRest() {
         rest.release()
         rest = Unpooled.EMPTY_BUFFER
+        restLineStart = 0
+        restEventId = null
+    }
+
+    /** Returns [bytes] with [rest] before them; they are copied only if there is a rest. */
+    private fun joinRest(bytes: ByteBuf): ByteBuf {
+        if (!rest.isReadable) return bytes
+        rest.writeBytes(bytes)
+        bytes.release()
+        return rest
     }
 
     private fun recordEvent(id: Long?) {
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -176,7 +176,8 @@
         placement.target.record.domain in dependencies.views.value.drained
 
     /**
-     * Forwards the events that [content] completes. A stream that ends inside an event was broken off.
+     * Forwards the events that [content] completes. A stream that ends inside an event was broken off, and one whose
+     * event has no end is treated in the same way.
      *
      * @return true at the end of a complete stream, false at that of another, and null before.
      */
@@ -188,7 +189,7 @@
             recordEvents(isFirst)
             caller.send(DefaultHttpContent(completeEvents))
         }
-        if (isLast && framer.hasIncompleteEvent) {
+        if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
             log.warn(
                 "stream broken off request={} target={} lastId={} ended={}",
                 job.id,
@@ -349,7 +350,7 @@
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
-            while (true) {
+            while (!framer.isEventTooLong) {
                 val piece = current.response.nextPieceOrNull() ?: break
                 framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it)) }
             }
--- a/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -48,6 +48,8 @@
 )
 
 class EndlessTargetTest {
+    private fun events(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
+
     /** Writes [text] again and again until the connection is closed, or up to the limit. */
     private fun Socket.writeEndlessly(text: String, written: AtomicLong) {
         val block = text.repeat((BLOCK_BYTES / text.length).coerceAtLeast(1)).encodeToByteArray()
@@ -103,6 +105,51 @@
         }
     }
 
+    /** Guards against an event without end that fills the memory or is scanned again for each of its pieces. */
+    @Test
+    fun `a stream is cut off inside an endless event`() {
+        for (line in listOf("x", "x: y\n")) {
+            val written = AtomicLong()
+            val target = ScriptedTarget("a") {
+                write("$HEAD\r\n${events(1..2)}id: 3\ndata: ")
+                socket.writeEndlessly(line, written)
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    val tookMs = elapsedMs {
+                        expectThat(relay.call("/stream/x", "", "tokens: 10")?.body).isEqualTo(events(1..2) + TRUNCATED)
+                    }
+                    expectThat(tookMs).isLessThan(MAX_RESPONSE_MS)
+                    expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+                }
+            }
+        }
+    }
+
+    /** Guards against a run that is given up although another target has a copy of its memory. */
+    @Test
+    fun `a run with an endless event continues from its copy`() {
+        val written = AtomicLong()
+        val serve: ScriptedTarget.RequestScope.() -> Unit = {
+            val resume = request.header("resume")
+            if (resume == null) {
+                write("$HEAD\r\n${events(1..2)}id: 3\ndata: ")
+                socket.writeEndlessly("x", written)
+            } else {
+                write("$HEAD\r\n${events(resume.substringAfter('@').toInt() + 1..4)}")
+                socket.close()
+            }
+        }
+        ScriptedTarget("a", serve).use { a ->
+            ScriptedTarget("b", serve).use { b ->
+                RelayFixture(a, b).use { relay ->
+                    expectThat(relay.call("/stream/x", "", "tokens: 10")?.body).isEqualTo(events(1..4))
+                    expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+                }
+            }
+        }
+    }
+
     /** Guards against a bound on proper responses: a long one is limited only by its deadline and its caller. */
     @Test
     fun `a long response is forwarded completely`() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
@@ -61,4 +61,15 @@
         expectThat(framer.hasEventWithoutId).isTrue()
         expectThat(framer.lastEventId).isNull()
     }
+
+    /** Guards against the id of a discarded event that is recorded for the next one. */
+    @Test
+    fun `the id of a discarded event is forgotten`() {
+        val framer = EventFramer()
+        framer.appendOrNull(Unpooled.copiedBuffer("id: 7\ndata: x\nda", Charsets.UTF_8))
+        framer.discardRest()
+        framer.appendOrNull(Unpooled.copiedBuffer("data: y\n\n", Charsets.UTF_8))?.release()
+        expectThat(framer.lastEventId).isNull()
+        expectThat(framer.hasEventWithoutId).isTrue()
+    }
 }
