Close an idle connection to a target when bytes arrive

Bytes after a complete response belong to no request. Those that formed no complete message stayed in the decoder and became the beginning of the next response, which was then unreadable: the request ended with 502 although the target had run it. Those that arrived while the connection was idle were kept, or read on, until it expired. Input now ends an idle connection before it is decoded, and the codec is replaced between requests, which shows whether it holds bytes. Bytes that a codec passes on undecoded, as after a 101, end their connection too.

--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -4,10 +4,12 @@
  */
 package fulmarshunt.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellableContinuation
@@ -15,6 +17,9 @@
 import java.io.IOException
 import kotlin.coroutines.resume
 
+/** The name of the handler before the codec. */
+internal const val INPUT_GUARD_NAME: String = "input-guard"
+
 /** How a connection ended. */
 public enum class ConnectionEnd {
     /** It was closed in order by the peer or by this side. */
@@ -45,6 +50,10 @@
     /** Whether the connection is open and no message is unread, so that it can carry another request. */
     public val isReusable: Boolean get() = end == null && inbox.isEmpty()
 
+    /** Whether no message is due, so that any input ends the connection. */
+    public var isIdle: Boolean = false
+        private set
+
     /** Whether all messages that have arrived have been received. */
     public val isInboxEmpty: Boolean get() = inbox.isEmpty()
 
@@ -74,6 +83,29 @@
         if (end == null && inbox.isEmpty()) channel.read()
     }
 
+    /**
+     * Ends the connection at its next input until [endIdle], and now if bytes follow the last response: they would be
+     * read as the beginning of the next one.
+     *
+     * @return whether the connection is reusable.
+     */
+    public fun beginIdle(): Boolean {
+        if (!isReusable) return false
+        // The removed codec passes on what it has not decoded, which ends the connection.
+        channel.pipeline().remove(HttpClientCodec::class.java)
+        if (!isReusable) return false
+        channel.pipeline().addAfter(INPUT_GUARD_NAME, null, responseCodec())
+        isIdle = true
+        // The end of the connection is noticed only while a read is requested.
+        channel.read()
+        return true
+    }
+
+    /** Allows input again, because a request is about to be sent. */
+    public fun endIdle() {
+        isIdle = false
+    }
+
     /** Writes [message] and waits while the peer is too slow; returns false if the connection has ended. */
     public suspend fun send(message: Any): Boolean {
         if (end != null) {
@@ -137,12 +169,32 @@
     }
 }
 
+/** Ends an idle connection to a target when bytes arrive, before they are decoded. */
+internal class InputGuard(private val connection: HttpConnection) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message !is ByteBuf || !connection.isIdle) {
+            context.fireChannelRead(message)
+            return
+        }
+        message.release()
+        connection.onEnded(ConnectionEnd.BROKEN)
+        context.close()
+    }
+}
+
 /** Passes decoded messages and events of a channel to its [HttpConnection]. */
 internal class ConnectionHandler(private val connection: HttpConnection) : ChannelInboundHandlerAdapter() {
     private var isBroken = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message is HttpObject) connection.onMessage(message) else ReferenceCountUtil.release(message)
+        if (message is HttpObject) {
+            connection.onMessage(message)
+            return
+        }
+        // Bytes that the codec passes on undecoded belong to no message.
+        ReferenceCountUtil.release(message)
+        connection.onEnded(ConnectionEnd.BROKEN)
+        context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
--- a/src/main/kotlin/fulmarshunt/http/Traffic.kt
+++ b/src/main/kotlin/fulmarshunt/http/Traffic.kt
@@ -106,8 +106,10 @@
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
             .handler(
                 initializer { channel ->
-                    channel.pipeline().addLast(HttpClientCodec(decoderConfig(MAX_RESPONSE_HEADER_BYTES), false, false))
-                    connection = HttpConnection(channel).also { channel.pipeline().addLast(ConnectionHandler(it)) }
+                    connection = HttpConnection(channel).also {
+                        channel.pipeline().addLast(INPUT_GUARD_NAME, InputGuard(it))
+                        channel.pipeline().addLast(responseCodec(), ConnectionHandler(it))
+                    }
                 },
             )
         val future = bootstrap.connect(address.host, address.port)
@@ -143,6 +145,9 @@
     .setMaxHeaderSize(maxHeaderBytes)
     .setMaxChunkSize(MAX_PIECE_BYTES)
 
+/** Returns a codec of one connection to a target. */
+internal fun responseCodec(): HttpClientCodec = HttpClientCodec(decoderConfig(MAX_RESPONSE_HEADER_BYTES), false, false)
+
 /** Returns a decoder that fails on a request with both a length and chunks, whose end would be ambiguous. */
 private fun strictRequestDecoder(maxHeaderBytes: Int) = object : HttpRequestDecoder(decoderConfig(maxHeaderBytes)) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -1,7 +1,7 @@
 /*
  * Connections to targets. A connection is kept for another request only after a complete response without excess bytes,
- * and only for a short time, because targets and network devices drop idle connections without notice. Confined to the
- * traffic thread.
+ * until any byte arrives on it, and only for a short time, because targets and network devices drop idle connections
+ * without notice. Confined to the traffic thread.
  */
 package fulmarshunt.target.fleet
 
@@ -47,6 +47,7 @@
             } else {
                 kept.removeLast()
                 last.connection.onEnd = null
+                last.connection.endIdle()
                 return last.connection.right()
             }
         }
@@ -60,13 +61,12 @@
     /** Keeps [connection] for another request if it is reusable, and closes it otherwise. */
     public fun release(address: Address, connection: HttpConnection) {
         val kept = idle.getOrPut(address) { ArrayDeque() }
-        if (!connection.isReusable || kept.size >= MAX_IDLE) {
+        if (kept.size >= MAX_IDLE || !connection.beginIdle()) {
             connection.close()
             return
         }
         kept.addLast(Idle(connection, clock.nowMs()))
         connection.onEnd = { drop(address, connection) }
-        connection.watchForEnd()
     }
 
     /** Closes connections that have been idle for too long. */
--- a/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -8,10 +8,13 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
@@ -24,6 +27,12 @@
 /** The time in which an endless response is given up; the deadline of the request is after 8 s. */
 private const val MAX_RESPONSE_MS = 4_000L
 
+/** The time in which an idle connection with unexpected bytes is closed; one without is closed after 4 s. */
+private const val MAX_IDLE_CLOSE_MS = 1_500L
+
+/** The time in which a response reaches its caller and the connection is idle. */
+private const val IDLE_AFTER_MS = 200L
+
 private const val BLOCK_BYTES = 16_384
 
 private const val HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n"
@@ -39,6 +48,11 @@
     Endless("a header", HEAD + "x: ", "x"),
     Endless("headers", HEAD, "x: y\r\n"),
     Endless("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    Endless(
+        "a switch of protocols",
+        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n",
+        "x",
+    ),
     Endless("a response to another request", "HTTP/1.1 200 OK\r\nid: other\r\nstamp: 1\r\n\r\n", "x"),
     Endless("responses to another request", "", "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nxx"),
     Endless("the size of a chunk", CHUNKED_HEAD, "0"),
@@ -170,4 +184,91 @@
         }
         target.use { RelayFixture(target).use { expectThat(it.call("/once/x")?.body).isEqualTo("x".repeat(pieces)) } }
     }
+
+    /** Guards against bytes on an idle connection that are taken for the beginning of the next response. */
+    @Test
+    fun `an idle connection is closed when bytes arrive`() {
+        for (bytes in listOf("x", "\r\n", "HTTP/1.1 503 Service Unavailable\r\nnot-", "HTTP/1.1 503 No\r\n\r\n")) {
+            val hasEnded = CountDownLatch(1)
+            val target = ScriptedTarget("a") {
+                respond("200 OK", "ran")
+                if (number == 1) {
+                    Thread.sleep(IDLE_AFTER_MS)
+                    write(bytes)
+                    runCatching { socket.getInputStream().read() }
+                    hasEnded.countDown()
+                }
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                    expectThat(hasEnded.await(MAX_IDLE_CLOSE_MS, TimeUnit.MILLISECONDS))
+                        .describedAs("closed after $bytes").isEqualTo(true)
+                    expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                }
+            }
+        }
+    }
+
+    /** Guards against an idle connection on which bytes are read for as long as it is kept. */
+    @Test
+    fun `an idle connection is closed when endless bytes arrive`() {
+        val written = AtomicLong()
+        val target = ScriptedTarget("a") {
+            respond("200 OK", "ran")
+            if (number == 1) {
+                Thread.sleep(IDLE_AFTER_MS)
+                socket.writeEndlessly("\r\n", written)
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                Thread.sleep(IDLE_AFTER_MS + MAX_IDLE_CLOSE_MS)
+                expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+                expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+            }
+        }
+    }
+
+    /** Guards against a new connection for each request, which costs a round trip and a slot of the target. */
+    @Test
+    fun `a connection is used again after a complete response`() {
+        val sockets = ConcurrentHashMap.newKeySet<Socket>()
+        val target = ScriptedTarget("a") {
+            sockets += socket
+            if (number % 2 == 0) {
+                respond("200 OK", "ran")
+            } else {
+                startStream()
+                write("3\r\nran\r\n")
+                endStream()
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                repeat(4) {
+                    expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                    Thread.sleep(IDLE_AFTER_MS)
+                }
+                expectThat(sockets).hasSize(1)
+            }
+        }
+    }
+
+    /** Guards against bytes after a complete response that make the response to the next request unreadable. */
+    @Test
+    fun `a connection with bytes after a response is not used again`() {
+        val target = ScriptedTarget("a") {
+            write("${HEAD}content-length: 3\r\n\r\nranxyz")
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                repeat(4) {
+                    expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+                    Thread.sleep(IDLE_AFTER_MS)
+                }
+            }
+        }
+    }
 }
