Bound the bytes that complete no message

The codec skips blank lines before a status line. Its limit applies only to those that arrive in one read, so that a target that writes them in small pieces without end could hold a request to its deadline; only a late read that took more than the limit at once ended it. A connection to a target now ends after 262,144 bytes without a message or a piece of a body.

--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -17,6 +17,12 @@
 import java.io.IOException
 import kotlin.coroutines.resume
 
+/**
+ * The bytes in which a message or a piece of a body must be complete. The codec bounds what it keeps, but also skips
+ * blank lines without end. The longest head is some 74,000 bytes, and it may begin and end within longer reads.
+ */
+private const val MAX_UNDECODED_BYTES = 262_144
+
 /** The name of the handler before the codec. */
 internal const val INPUT_GUARD_NAME: String = "input-guard"
 
@@ -37,6 +43,9 @@
     private var isClosed = false
     private var hasWriteFailed = false
 
+    /** The bytes that have arrived since the last message. */
+    private var undecodedBytes = 0
+
     /** A write can notice a reset before a read does; the channel then closes without an error. */
     private val writeListener = ChannelFutureListener { if (!it.isSuccess) hasWriteFailed = true }
 
@@ -131,11 +140,18 @@
         discardInbox()
     }
 
+    /** Counts [bytes] that are about to be decoded, and returns whether they can belong to a message. */
+    internal fun acceptsBytes(bytes: Int): Boolean {
+        undecodedBytes += bytes
+        return !isIdle && undecodedBytes <= MAX_UNDECODED_BYTES
+    }
+
     internal fun onMessage(message: HttpObject) {
         if (isClosed) {
             ReferenceCountUtil.release(message)
             return
         }
+        undecodedBytes = 0
         inbox.addLast(message)
         wake()
     }
@@ -169,10 +185,10 @@
     }
 }
 
-/** Ends an idle connection to a target when bytes arrive, before they are decoded. */
+/** Ends a connection to a target whose bytes belong to no message, before they are decoded. */
 internal class InputGuard(private val connection: HttpConnection) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message !is ByteBuf || !connection.isIdle) {
+        if (message !is ByteBuf || connection.acceptsBytes(message.readableBytes())) {
             context.fireChannelRead(message)
             return
         }
--- a/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -34,6 +34,7 @@
 private const val IDLE_AFTER_MS = 200L
 
 private const val BLOCK_BYTES = 16_384
+private const val PIECE_BYTES = 4_096L
 
 private const val HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n"
 private const val CHUNKED_HEAD = HEAD + "transfer-encoding: chunked\r\n\r\n"
@@ -104,6 +105,28 @@
         }
     }
 
+    /** Guards against bytes that arrive so slowly that the limit of a single read does not apply to them. */
+    @Test
+    fun `endless blank lines in small pieces are given up`() {
+        val written = AtomicLong()
+        val target = ScriptedTarget("a") {
+            if (number == 1) {
+                while (written.addAndGet(PIECE_BYTES) < MAX_WRITTEN_BYTES) {
+                    write("\r\n".repeat(PIECE_BYTES.toInt() / 2))
+                    Thread.sleep(1)
+                }
+            }
+            respond("200 OK", "ran")
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                val tookMs = elapsedMs { expectThat(relay.call("/once/x")?.startLine).isNotNull().contains(" 502 ") }
+                expectThat(tookMs).isLessThan(MAX_RESPONSE_MS)
+                expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
+            }
+        }
+    }
+
     /** Guards against an idempotent request that fails although another target could serve it. */
     @Test
     fun `an idempotent request is sent to another target after an endless response`() {
