Bound the reply to a migration call

The body of a reply was read into memory up to 2 GiB within the time limit of the call. It is now given up after 1,048,576 bytes.

--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -30,6 +30,9 @@
 /** How long the body of a request may take to arrive after its head. */
 private const val BODY_LIMIT_MS = 10_000L
 
+/** The maximum size of the body of a response, which holds a few fields. */
+private const val MAX_REPLY_BYTES = 1_048_576
+
 /** A request with its complete body. */
 public class HttpCall(public val method: String, public val path: String, public val body: ByteArray)
 
@@ -86,9 +89,9 @@
             ReferenceCountUtil.release(head)
             "no response, the connection is ${end ?: "open"}".left()
         } else {
-            val responseBody = readBodyOrNull(Int.MAX_VALUE)
+            val responseBody = readBodyOrNull(MAX_REPLY_BYTES)
             responseBody?.let { HttpReply(head.status().code(), it).right() }
-                ?: "the response ended early".left()
+                ?: "the response ended early or is too long".left()
         }
     } ?: "no response within $limitMs ms".left()
 }
--- a/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
@@ -18,15 +18,24 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 private const val WAIT_MS = 2_000L
 
+/** The number of bytes after which an engine ends its endless reply by itself. */
+private const val MAX_WRITTEN_BYTES = 64_000_000L
+
+/** An engine may have written this much when its connection is closed; most of it is in the buffers of the sockets. */
+private const val MAX_ACCEPTED_BYTES = 24_000_000L
+private const val BLOCK_BYTES = 16_384
+
 class EngineMigrationClientTest {
     private val destination = Address("127.0.0.1", 9)
 
@@ -113,4 +122,22 @@
             }
         }
     }
+
+    /** Guards against a reply without end that fills the memory. */
+    @Test
+    fun `an endless reply is a failure`() {
+        val written = AtomicLong()
+        val target = ScriptedTarget("a") {
+            write("HTTP/1.1 200 OK\r\n\r\n{\"handle\":\"")
+            val block = ByteArray(BLOCK_BYTES) { 'x'.code.toByte() }
+            while (written.get() < MAX_WRITTEN_BYTES) {
+                socket.getOutputStream().write(block)
+                written.addAndGet(block.size.toLong())
+            }
+        }
+        target.use {
+            expectThat(migrate(target, 1).single().leftOrNull()).isNotNull()
+            expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+        }
+    }
 }
