--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -288,7 +288,7 @@
         if (causes.isEmpty()) return
         dependencies.background.launch {
             // A kept connection does not show whether the target has crashed.
-            val connection = dependencies.connections.dial(target.record.address)
+            val connection = dependencies.connections.openNew(target.record.address)
             connection.fold(
                 { reason ->
                     log.warn(
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -4,10 +4,13 @@
  */
 package fulmarshunt.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellableContinuation
@@ -15,6 +18,15 @@
 import java.io.IOException
 import kotlin.coroutines.resume
 
+/**
+ * The bytes in which a message or a piece of a body must be complete. The codec bounds what it keeps, but also skips
+ * blank lines without end. The longest head is some 74,000 bytes, and it may begin and end within longer reads.
+ */
+private const val MAX_UNDECODED_BYTES = 262_144
+
+/** The name of the handler before the codec. */
+internal const val INPUT_GUARD_NAME: String = "input-guard"
+
 /** How a connection ended. */
 public enum class ConnectionEnd {
     /** It was closed in order by the peer or by this side. */
@@ -30,6 +42,13 @@
     private var reader: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
     private var isClosed = false
+    private var hasWriteFailed = false
+
+    /** The bytes that have arrived since the last message. */
+    private var undecodedBytes = 0
+
+    /** A write can notice a reset before a read does; the channel then closes without an error. */
+    private val writeListener = ChannelFutureListener { if (!it.isSuccess) hasWriteFailed = true }
 
     /** How the connection ended, or null while it is open. */
     public var end: ConnectionEnd? = null
@@ -41,6 +60,10 @@
     /** Whether the connection is open and no message is unread, so that it can carry another request. */
     public val isReusable: Boolean get() = end == null && inbox.isEmpty()
 
+    /** Whether no message is due, so that any input ends the connection. */
+    public var isIdle: Boolean = false
+        private set
+
     /** Whether all messages that have arrived have been received. */
     public val isInboxEmpty: Boolean get() = inbox.isEmpty()
 
@@ -83,13 +106,36 @@
         if (end == null && inbox.isEmpty()) channel.read()
     }
 
+    /**
+     * Ends the connection at its next input until [endIdle], and now if bytes follow the last response: they would be
+     * read as the beginning of the next one.
+     *
+     * @return whether the connection is reusable.
+     */
+    public fun beginIdle(): Boolean {
+        if (!isReusable) return false
+        // The removed codec passes on what it has not decoded, which ends the connection.
+        channel.pipeline().remove(HttpClientCodec::class.java)
+        if (!isReusable) return false
+        channel.pipeline().addAfter(INPUT_GUARD_NAME, null, responseCodec())
+        isIdle = true
+        // The end of the connection is noticed only while a read is requested.
+        channel.read()
+        return true
+    }
+
+    /** Allows input again, because a request is about to be sent. */
+    public fun endIdle() {
+        isIdle = false
+    }
+
     /** Writes [message] and waits while the peer is too slow; returns false if the connection has ended. */
     public suspend fun send(message: Any): Boolean {
         if (end != null) {
             ReferenceCountUtil.release(message)
             return false
         }
-        channel.writeAndFlush(message)
+        channel.writeAndFlush(message, writePromise())
         while (end == null && !channel.isWritable) {
             suspendCancellableCoroutine { writer = it }
         }
@@ -98,7 +144,7 @@
 
     /** Writes [message] without flushing or waiting. */
     public fun write(message: Any) {
-        if (end == null) channel.write(message) else ReferenceCountUtil.release(message)
+        if (end == null) channel.write(message, writePromise()) else ReferenceCountUtil.release(message)
     }
 
     /** Closes the connection and discards the messages that have arrived. */
@@ -108,11 +154,18 @@
         discardInbox()
     }
 
+    /** Counts [bytes] that are about to be decoded, and returns whether they can belong to a message. */
+    internal fun acceptsBytes(bytes: Int): Boolean {
+        undecodedBytes += bytes
+        return !isIdle && undecodedBytes <= MAX_UNDECODED_BYTES
+    }
+
     internal fun onMessage(message: HttpObject) {
         if (isClosed) {
             ReferenceCountUtil.release(message)
             return
         }
+        undecodedBytes = 0
         inbox.addLast(message)
         wake()
     }
@@ -126,12 +179,14 @@
 
     internal fun onEnded(end: ConnectionEnd) {
         if (this.end != null) return
-        this.end = end
+        this.end = if (hasWriteFailed) ConnectionEnd.BROKEN else end
         wake()
         onWritable()
         onEnd?.invoke()
     }
 
+    private fun writePromise() = channel.newPromise().addListener(writeListener)
+
     private suspend fun awaitInput() {
         suspendCancellableCoroutine { continuation ->
             reader = continuation
@@ -144,12 +199,32 @@
     }
 }
 
+/** Ends a connection to a target whose bytes belong to no message, before they are decoded. */
+internal class InputGuard(private val connection: HttpConnection) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message !is ByteBuf || connection.acceptsBytes(message.readableBytes())) {
+            context.fireChannelRead(message)
+            return
+        }
+        message.release()
+        connection.onEnded(ConnectionEnd.BROKEN)
+        context.close()
+    }
+}
+
 /** Passes decoded messages and events of a channel to its [HttpConnection]. */
 internal class ConnectionHandler(private val connection: HttpConnection) : ChannelInboundHandlerAdapter() {
     private var isBroken = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message is HttpObject) connection.onMessage(message) else ReferenceCountUtil.release(message)
+        if (message is HttpObject) {
+            connection.onMessage(message)
+            return
+        }
+        // Bytes that the codec passes on undecoded belong to no message.
+        ReferenceCountUtil.release(message)
+        connection.onEnded(ConnectionEnd.BROKEN)
+        context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
--- a/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
@@ -11,13 +11,30 @@
 import fulmarshunt.http.Traffic
 import fulmarshunt.monotonicClock
 import fulmarshunt.target.fleet.TargetConnections
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+private const val WAIT_MS = 2_000L
+
+/** The number of bytes after which an engine ends its endless reply by itself. */
+private const val MAX_WRITTEN_BYTES = 64_000_000L
+
+/** An engine may have written this much when its connection is closed; most of it is in the buffers of the sockets. */
+private const val MAX_ACCEPTED_BYTES = 24_000_000L
+private const val BLOCK_BYTES = 16_384
 
 class EngineMigrationClientTest {
     private val destination = Address("127.0.0.1", 9)
@@ -66,4 +83,61 @@
             expectThat(migrate(target, 1).single().leftOrNull()?.reason).isNotNull().contains("200")
         }
     }
+
+    /** Guards against an earlier reply, which names no run, that is taken for the reply to the next call. */
+    @Test
+    fun `a reply that is written twice is not the reply to the next call`() {
+        val answered = ConcurrentHashMap<Socket, String>()
+        val target = ScriptedTarget("a") {
+            answered[socket]?.let { reply("200 OK", it) }
+            val body = """{"handle":"h$number","made":$number}"""
+            answered[socket] = body
+            reply("200 OK", body)
+        }
+        target.use {
+            expectThat(migrate(target, 3).map { it.getOrNull() })
+                .isEqualTo(listOf(Moved("h1", 1), Moved("h2", 2), Moved("h3", 3)))
+        }
+    }
+
+    /** Guards against a connection that stays open after the run of its call has ended. */
+    @Test
+    fun `a cancelled call closes its connection`() {
+        val hasArrived = CountDownLatch(1)
+        val hasEnded = CountDownLatch(1)
+        val target = ScriptedTarget("a") {
+            hasArrived.countDown()
+            runCatching { socket.getInputStream().read() }
+            hasEnded.countDown()
+        }
+        target.use {
+            Traffic().use { traffic ->
+                val client = EngineMigrationClient(TargetConnections(traffic, monotonicClock()))
+                val call = traffic.scope.launch {
+                    client.migrate(Address("127.0.0.1", target.port), RequestId("r"), destination, false)
+                }
+                expectThat(hasArrived.await(WAIT_MS, TimeUnit.MILLISECONDS)).isTrue()
+                call.cancel()
+                expectThat(hasEnded.await(WAIT_MS, TimeUnit.MILLISECONDS)).isTrue()
+            }
+        }
+    }
+
+    /** Guards against a reply without end that fills the memory. */
+    @Test
+    fun `an endless reply is a failure`() {
+        val written = AtomicLong()
+        val target = ScriptedTarget("a") {
+            write("HTTP/1.1 200 OK\r\n\r\n{\"handle\":\"")
+            val block = ByteArray(BLOCK_BYTES) { 'x'.code.toByte() }
+            while (written.get() < MAX_WRITTEN_BYTES) {
+                socket.getOutputStream().write(block)
+                written.addAndGet(block.size.toLong())
+            }
+        }
+        target.use {
+            expectThat(migrate(target, 1).single().leftOrNull()).isNotNull()
+            expectThat(written.get()).isLessThan(MAX_ACCEPTED_BYTES)
+        }
+    }
 }
