--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -18,6 +18,7 @@
 import kotlin.concurrent.thread
 
 private const val WAIT_MS = 5_000L
+private const val CRASH_PAUSE_MS = 250L
 private const val DEADLY_PART = "deadly"
 
 class CrashingPromptTest {
@@ -54,6 +55,8 @@
         expectThat(crashedBy).hasSize(number)
         targets.filter { target -> target.requests.any { it.body in crashedBy } }.forEach { leave(it) }
         exchangeCrashReports(table)
+        // Crashes of unknown parts at one moment count once.
+        Thread.sleep(CRASH_PAUSE_MS)
     }
 
     /** Guards against targets that crash one after the other, each by a new request with the same prompt part. */
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -120,6 +120,17 @@
         expectThat(table.refused()).isEqualTo(setOf(deadly))
     }
 
+    /** Guards against a refusal of a new part for the loss of several targets at one moment. */
+    @Test
+    fun `crashes at one moment count once for a part that no run has passed`() {
+        (1..5).forEach { table.receive(listOf(crashAtDepth(shared, it, 1)), PERIOD_MS + it) }
+        expectThat(table.refused()).isEmpty()
+        table.receive(listOf(crashAtDepth(shared, 6, 1)), 2 * PERIOD_MS)
+        expectThat(table.refused()).isEmpty()
+        table.receive(listOf(crashAtDepth(shared, 7, 1)), 3 * PERIOD_MS)
+        expectThat(table.refused()).isEqualTo(setOf(shared))
+    }
+
     private fun crashAtDepth(cause: Fingerprint, number: Int, depth: Int) =
         CrashReport(cause, TargetId("t$number"), number.toLong(), depth)
 }
