--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.Address
 import fulmarshunt.ClientAccountId
 import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
@@ -27,7 +28,8 @@
     val service: ServiceProfile,
     val account: ClientAccountId?,
     val rank: Int,
-    val fingerprint: Fingerprint?,
+    /** What of the request may crash its target. */
+    val causes: CrashCauses,
     val deadlineAtMs: Long,
     /** When the response is due, counted from the caller's first attempt. */
     val objectiveAtMs: Long,
@@ -35,6 +37,9 @@
     val expectedOutputTokens: Int,
 ) {
     val triedTargets: MutableSet<TargetId> = mutableSetOf()
+
+    /** The addresses to which the request was sent, or was about to be sent. */
+    val sentTo: MutableSet<Address> = mutableSetOf()
     var attempts: AttemptCounts = AttemptCounts(0, 0)
 
     /** The number of attempts for which no connection was opened. */
@@ -102,6 +107,11 @@
         control.scope.launch { fleet.end(placement, outcome) }
     }
 
+    /** Records that a run has shown that [causes] crash no target. */
+    fun recordSound(causes: Set<Fingerprint>) {
+        if (causes.isNotEmpty()) control.scope.launch { fleet.recordSound(causes) }
+    }
+
     /** Releases the placements that are still held. */
     fun endAll() {
         control.scope.launch { held.forEach { fleet.end(it, UseOutcome.ABANDONED) } }
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -89,6 +89,7 @@
     /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
     private var destinationHandle: String? = null
     private var lastEventAtMs = 0L
+    private var isSoundRecorded = false
 
     private sealed interface Next {
         class Piece(val content: HttpContent) : Next
@@ -111,7 +112,7 @@
                     is Next.Piece -> forward(next.content)
                     Next.TransferDue -> transfer(this)
                     Next.Stalled -> null.also { continueFromCopy("stalled") }
-                    Next.Ended -> if (continueFromCopy("lost") || continueFromDestination()) null else false
+                    Next.Ended -> continueOrEnd()
                 }
                 if (current !== previous) {
                     watcher.cancel()
@@ -126,6 +127,10 @@
         }
     }
 
+    /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
+    private suspend fun continueOrEnd(): Boolean? =
+        if (continueFromCopy("lost") || continueFromDestination()) null else false
+
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
         if (isTransferDue()) return Next.TransferDue
@@ -171,7 +176,12 @@
     private fun isDrained(placement: Placement): Boolean =
         placement.target.record.domain in dependencies.views.value.drained
 
-    /** Forwards the events that [content] completes; returns true at the end of the stream and null before. */
+    /**
+     * Forwards the events that [content] completes. A stream that ends inside an event was broken off, and one whose
+     * event has no end is treated in the same way.
+     *
+     * @return true at the end of a complete stream, false at that of another, and null before.
+     */
     private suspend fun forward(content: HttpContent): Boolean? {
         val isLast = content is LastHttpContent
         val isFirst = framer.events == 0L
@@ -180,9 +190,19 @@
             recordEvents(isFirst)
             caller.send(DefaultHttpContent(completeEvents))
         }
+        if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
+            log.warn(
+                "stream broken off request={} target={} lastId={} ended={}",
+                job.id,
+                current.placement.target.id,
+                framer.lastEventId,
+                isLast,
+            )
+            framer.discardRest()
+            current.response.abandon()
+            return continueOrEnd()
+        }
         if (!isLast) return null
-        val rest = framer.takeRest()
-        if (rest.isReadable) caller.write(DefaultHttpContent(rest)) else rest.release()
         caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
         current.response.finish()
         return true
@@ -198,6 +218,10 @@
             job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
         }
         lastEventAtMs = nowMs
+        if (!isSoundRecorded && events >= SOUND_EVENTS) {
+            isSoundRecorded = true
+            dependencies.placements.recordSound(job.causes.parts)
+        }
     }
 
     /** Makes the next step of the transfer from a leaving target, by its copy or by a migration. */
@@ -331,7 +355,7 @@
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
-            while (true) {
+            while (!framer.isEventTooLong) {
                 val piece = current.response.nextPieceOrNull() ?: break
                 framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it)) }
             }
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.link.Links
@@ -15,11 +16,14 @@
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.guardRound
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.ListedTarget
+import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -44,6 +48,9 @@
 /** How long a target that no watched control VM lists is kept; it covers several announcement periods. */
 private const val UNLISTED_RETENTION_MS = 6_000L
 
+/** The maximum number of refused causes that are logged at once. */
+private const val MAX_LOGGED = 16
+
 /** Decodes a document into a configuration, or returns the reason why it cannot be used. */
 public typealias DecodeConfiguration = (ConfigurationDocument) -> Either<String, ServingConfiguration>
 
@@ -65,12 +72,20 @@
         var source = ""
         var targetChange = 0L
         val targets = mutableMapOf<TargetId, ListedTarget>()
+        var suspected = emptySet<Fingerprint>()
+        var refused = emptySet<Fingerprint>()
+
+        /** The process of the control VM that has received all crash reports that are kept, if it has. */
+        var reportedTo = ""
 
         fun clear() {
             address = null
             source = ""
             targetChange = 0
             targets.clear()
+            suspected = emptySet()
+            refused = emptySet()
+            reportedTo = ""
         }
     }
 
@@ -80,6 +95,7 @@
     private val knownTargets = mutableMapOf<TargetId, KnownTarget>()
     private val listedAtMs = mutableMapOf<TargetId, Long>()
     private var reportedUse = emptyMap<TargetId, TargetUse>()
+    private val refusals = Refusals { fleet.soundAgesMs(it).keys }
     private val viewState = MutableStateFlow(FleetView())
 
     /** The newest view. */
@@ -92,28 +108,52 @@
 
     private suspend fun watch(slot: Slot) {
         while (true) {
-            val startedAtMs = clock.nowMs()
-            val address = slot.address ?: selectOrNull(slot)
-            if (address == null) {
-                delay(RETRY_PAUSE_MS)
-                continue
+            var hasFailed = false
+            val onFailure = { e: Exception ->
+                hasFailed = true
+                recordFailure(slot, e)
             }
-            slot.address = address
-            val use = fleet.use()
-            val request = Watch(
-                vm,
-                slot.number == 0,
-                if (slot.number == 0) use else emptyMap(),
-                fleet.crashReports(),
-                viewState.value.revision,
-                slot.source,
-                slot.targetChange,
-            )
-            val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
-            reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
-            if (reply.isLeft()) delay(RETRY_PAUSE_MS)
-            delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+            guardRound(onFailure) { watchOnce(slot) }
+            if (hasFailed) delay(RETRY_PAUSE_MS)
+        }
+    }
+
+    private suspend fun watchOnce(slot: Slot) {
+        val startedAtMs = clock.nowMs()
+        val address = slot.address ?: selectOrNull(slot)
+        if (address == null) {
+            delay(RETRY_PAUSE_MS)
+            return
+        }
+        slot.address = address
+        val use = fleet.use()
+        val sendsAllReports = slot.reportedTo.isEmpty()
+        val request = Watch(
+            vm,
+            slot.number == 0,
+            if (slot.number == 0) use else emptyMap(),
+            fleet.crashReports(sendsAllReports),
+            viewState.value.revision,
+            slot.source,
+            slot.targetChange,
+            fleet.soundAgesMs(slot.suspected),
+        )
+        val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+        reply.onRight {
+            if (sendsAllReports) slot.reportedTo = it.source
+            // The control VM has restarted between two calls.
+            if (slot.reportedTo != it.source) slot.reportedTo = ""
         }
+        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
+        if (reply.isLeft()) delay(RETRY_PAUSE_MS)
+        delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+    }
+
+    /** Leaves the control VM of [slot] after an exception; the view is not updated, because that may have caused it. */
+    private fun recordFailure(slot: Slot, e: Exception) {
+        log.error("watch failed address={} slot={}", slot.address, slot.number, e)
+        slot.address?.let { failedAtMs[it] = clock.nowMs() }
+        slot.clear()
     }
 
     /** Returns the control VM that failed longest ago; ties are broken in a different order on each entry VM. */
@@ -129,6 +169,7 @@
         val level = if (slot.source.isEmpty()) Level.DEBUG else Level.WARN
         log.log(level, "control-vm lost address={} slot={} reason={}", address, slot.number, reason)
         failedAtMs[address] = clock.nowMs()
+        refusals.keep(slot.refused)
         slot.clear()
         publish(viewState.value)
     }
@@ -137,10 +178,13 @@
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
+            refusals.keep(slot.refused)
         }
         slot.source = reply.source
         slot.targetChange = reply.targetChange
-        reply.targets.forEach { slot.targets[it.record.id] = it }
+        reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
+        slot.suspected = reply.suspected
+        slot.refused = reply.refused
         controls = reply.controls
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
@@ -149,10 +193,25 @@
             view = view.copy(othersUse = othersUse(reply.use))
             reportedUse = reported
         }
-        publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = reply.refused))
+        val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
+        logRefusals(view.refused, refused)
+        publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused))
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun isUsable(listed: ListedTarget): Boolean {
+        val problem = listed.record.problemOrNull() ?: return true
+        log.warn("target ignored id={} problem={}", listed.record.id, problem)
+        return false
+    }
+
+    private fun logRefusals(before: Set<Fingerprint>, refused: Set<Fingerprint>) {
+        val added = refused - before
+        val lifted = before - refused
+        if (added.isNotEmpty()) log.warn("causes refused count={} causes={}", added.size, added.take(MAX_LOGGED))
+        if (lifted.isNotEmpty()) log.info("refusals lifted count={} causes={}", lifted.size, lifted.take(MAX_LOGGED))
+    }
+
     /**
      * Returns whether there is another control VM that has not failed recently. Without this check, every control VM
      * would be disconnected during an election, when all are out of contact with a leader.
--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -30,6 +30,9 @@
 /** How long the body of a request may take to arrive after its head. */
 private const val BODY_LIMIT_MS = 10_000L
 
+/** The maximum size of the body of a response, which holds a few fields. */
+private const val MAX_REPLY_BYTES = 1_048_576
+
 /** A request with its complete body. */
 public class HttpCall(public val method: String, public val path: String, public val body: ByteArray)
 
@@ -38,8 +41,6 @@
     public val status: Int,
     public val body: ByteArray = ByteArray(0),
     public val contentType: String = "application/json",
-    /** Whether the sender of the response accepts another request on the same connection. */
-    public val keepsOpen: Boolean = true,
 )
 
 /** Responds to the calls on this connection, one after another; bodies over [maxBodyBytes] are refused. */
@@ -91,9 +92,9 @@
             ReferenceCountUtil.release(head)
             "no response, the connection is ${end ?: "open"}".left()
         } else {
-            val responseBody = readBodyOrNull(Int.MAX_VALUE)
-            responseBody?.let { HttpReply(head.status().code(), it, keepsOpen = HttpUtil.isKeepAlive(head)).right() }
-                ?: "the response ended early".left()
+            val responseBody = readBodyOrNull(MAX_REPLY_BYTES)
+            responseBody?.let { HttpReply(head.status().code(), it).right() }
+                ?: "the response ended early or is too long".left()
         }
     } ?: "no response within $limitMs ms".left()
 }
--- a/src/main/kotlin/fulmarshunt/http/Traffic.kt
+++ b/src/main/kotlin/fulmarshunt/http/Traffic.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Address
+import fulmarshunt.isUnicastEndpoint
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -100,6 +101,8 @@
 
     /** Opens a connection to [address] within [timeoutMs], or returns why it cannot be opened. */
     public suspend fun dial(address: Address, timeoutMs: Int): Either<String, HttpConnection> {
+        // Netty throws for a port that does not exist, and looks up names on the event loop.
+        if (!address.isUnicastEndpoint()) return "$address is not the IPv4 number of a VM and a port".left()
         var connection: HttpConnection? = null
         val bootstrap = Bootstrap()
             .group(group)
@@ -110,8 +113,10 @@
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
             .handler(
                 initializer { channel ->
-                    channel.pipeline().addLast(HttpClientCodec(decoderConfig(MAX_RESPONSE_HEADER_BYTES), false, false))
-                    connection = HttpConnection(channel).also { channel.pipeline().addLast(ConnectionHandler(it)) }
+                    connection = HttpConnection(channel).also {
+                        channel.pipeline().addLast(INPUT_GUARD_NAME, InputGuard(it))
+                        channel.pipeline().addLast(responseCodec(), ConnectionHandler(it))
+                    }
                 },
             )
         val future = bootstrap.connect(address.host, address.port)
@@ -147,6 +152,9 @@
     .setMaxHeaderSize(maxHeaderBytes)
     .setMaxChunkSize(MAX_PIECE_BYTES)
 
+/** Returns a codec of one connection to a target. */
+internal fun responseCodec(): HttpClientCodec = HttpClientCodec(decoderConfig(MAX_RESPONSE_HEADER_BYTES), false, false)
+
 /** Returns a decoder that fails on a request with both a length and chunks, whose end would be ambiguous. */
 private fun strictRequestDecoder(maxHeaderBytes: Int) = object : HttpRequestDecoder(decoderConfig(maxHeaderBytes)) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
