--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -1,10 +1,11 @@
 /*
  * Sends a request to one target and waits for the head of the response. A response is accepted only if it names the
- * request; bytes that belong to another request, or to none, are discarded with their connection.
+ * request. One that names another request is discarded; one that names none ends the attempt, which may have run.
  */
 package fulmarshunt.caller.relay
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -25,7 +27,6 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -43,6 +44,10 @@
 /** An idempotent request waits for a response this many times its objective before another target is tried. */
 private const val IDEMPOTENT_TIMEOUT_OBJECTIVES = 3
 
+/** What is read at most before the response to a request; a late response to an earlier request is shorter. */
+private const val MAX_DISCARDED_HEADS = 32
+private const val MAX_DISCARDED_BYTES = 1_048_576L
+
 /** A response whose head has arrived. */
 internal class TargetResponse(
     val target: KnownTarget,
@@ -83,8 +88,7 @@
         scope: CoroutineScope,
     ): Either<AttemptFailure, TargetResponse> {
         val isIdempotent = job.route.repeatability == Repeatability.IDEMPOTENT
-        val connection = connections.open(target.record.address, isIdempotent)
-            .getOrElse { return AttemptFailure.NotSent(it).left() }
+        val connection = connect(job, target, isIdempotent).getOrElse { return AttemptFailure.NotSent(it).left() }
         var isOpened = false
         var sender: Job? = null
         try {
@@ -97,10 +101,10 @@
                     }
                 } else {
                     receiveHead(job, connection)
-                } ?: return AttemptFailure.Lost("no response: ${connection.end ?: "timed out"}").left()
-            return validate(head).map {
+                } ?: "timed out".left()
+            return head.mapLeft { AttemptFailure.Lost("no response: $it") }.flatMap(::validate).map {
                 isOpened = true
-                TargetResponse(target, connection, head, connections, sender)
+                TargetResponse(target, connection, it, connections, sender)
             }
         } finally {
             if (!isOpened) {
@@ -110,6 +114,19 @@
         }
     }
 
+    /**
+     * Opens a connection for one attempt. An earlier refusal may be written again on a kept connection. It cannot be
+     * told from the response to a second attempt at the same target, because both name the request.
+     */
+    private suspend fun connect(
+        job: RelayJob,
+        target: KnownTarget,
+        mayBeStale: Boolean,
+    ): Either<String, HttpConnection> {
+        val address = target.record.address
+        return if (job.sentTo.add(address)) connections.open(address, mayBeStale) else connections.openNew(address)
+    }
+
     private suspend fun send(
         job: RelayJob,
         connection: HttpConnection,
@@ -155,35 +172,38 @@
         }
     }
 
-    /** Returns the head of the response to [job], or null at the end of the connection. */
-    private suspend fun receiveHead(job: RelayJob, connection: HttpConnection): HttpResponse? {
-        var isDiscarded = false
-        while (true) {
-            val message = connection.receiveOrNull() ?: return null
+    /** Returns the head of the response to [job], or why there is none; other responses are discarded up to a bound. */
+    private suspend fun receiveHead(job: RelayJob, connection: HttpConnection): Either<String, HttpResponse> {
+        var discardedHeads = 0
+        var discardedBytes = 0L
+        while (discardedHeads <= MAX_DISCARDED_HEADS && discardedBytes <= MAX_DISCARDED_BYTES) {
+            val message = connection.receiveOrNull() ?: return "${connection.end}".left()
             if (message.decoderResult().isFailure) {
                 ReferenceCountUtil.release(message)
-                return null
+                return "unreadable bytes".left()
             }
             if (message is HttpResponse) {
                 val requestId = adapter.readResponse(message.headers()).request
                 val isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                isDiscarded = isInterim || (requestId != null && requestId != job.id.value)
-                if (!isDiscarded) return message
+                if (!isInterim && (requestId == null || requestId == job.id.value)) return message.right()
+                discardedHeads += 1
             }
+            if (message is HttpContent) discardedBytes += message.content().readableBytes()
             ReferenceCountUtil.release(message)
-            if (message is LastHttpContent) isDiscarded = false
         }
+        return "too many responses that do not belong to the request".left()
     }
 
     private fun validate(head: HttpResponse): Either<AttemptFailure, HttpResponse> {
         val status = head.status()
         val metadata = adapter.readResponse(head.headers())
         return when {
+            metadata.request == null -> AttemptFailure.Lost("the response names no request").left()
             metadata.isNotRun || status == HttpResponseStatus.MISDIRECTED_REQUEST ->
                 AttemptFailure.Refused(status.code(), metadata.retryAfterS).left()
             status in NOT_RUN_STATUSES ->
                 AttemptFailure.Lost("status ${status.code()} without the statement that the request has not run").left()
-            status.codeClass() == HttpStatusClass.SUCCESS && (!metadata.isStamped || metadata.request == null) ->
+            status.codeClass() == HttpStatusClass.SUCCESS && !metadata.isStamped ->
                 AttemptFailure.Lost("the response does not prove that it comes from the target").left()
             else -> head.right()
         }
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -16,12 +16,14 @@
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.guardRound
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -71,6 +73,10 @@
         var targetChange = 0L
         val targets = mutableMapOf<TargetId, ListedTarget>()
         var suspected = emptySet<Fingerprint>()
+        var refused = emptySet<Fingerprint>()
+
+        /** The process of the control VM that has received all crash reports that are kept, if it has. */
+        var reportedTo = ""
 
         fun clear() {
             address = null
@@ -78,6 +84,8 @@
             targetChange = 0
             targets.clear()
             suspected = emptySet()
+            refused = emptySet()
+            reportedTo = ""
         }
     }
 
@@ -100,29 +108,52 @@
 
     private suspend fun watch(slot: Slot) {
         while (true) {
-            val startedAtMs = clock.nowMs()
-            val address = slot.address ?: selectOrNull(slot)
-            if (address == null) {
-                delay(RETRY_PAUSE_MS)
-                continue
+            var hasFailed = false
+            val onFailure = { e: Exception ->
+                hasFailed = true
+                recordFailure(slot, e)
             }
-            slot.address = address
-            val use = fleet.use()
-            val request = Watch(
-                vm,
-                slot.number == 0,
-                if (slot.number == 0) use else emptyMap(),
-                fleet.crashReports(),
-                viewState.value.revision,
-                slot.source,
-                slot.targetChange,
-                fleet.soundAgesMs(slot.suspected),
-            )
-            val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
-            reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
-            if (reply.isLeft()) delay(RETRY_PAUSE_MS)
-            delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+            guardRound(onFailure) { watchOnce(slot) }
+            if (hasFailed) delay(RETRY_PAUSE_MS)
+        }
+    }
+
+    private suspend fun watchOnce(slot: Slot) {
+        val startedAtMs = clock.nowMs()
+        val address = slot.address ?: selectOrNull(slot)
+        if (address == null) {
+            delay(RETRY_PAUSE_MS)
+            return
+        }
+        slot.address = address
+        val use = fleet.use()
+        val sendsAllReports = slot.reportedTo.isEmpty()
+        val request = Watch(
+            vm,
+            slot.number == 0,
+            if (slot.number == 0) use else emptyMap(),
+            fleet.crashReports(sendsAllReports),
+            viewState.value.revision,
+            slot.source,
+            slot.targetChange,
+            fleet.soundAgesMs(slot.suspected),
+        )
+        val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+        reply.onRight {
+            if (sendsAllReports) slot.reportedTo = it.source
+            // The control VM has restarted between two calls.
+            if (slot.reportedTo != it.source) slot.reportedTo = ""
         }
+        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
+        if (reply.isLeft()) delay(RETRY_PAUSE_MS)
+        delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+    }
+
+    /** Leaves the control VM of [slot] after an exception; the view is not updated, because that may have caused it. */
+    private fun recordFailure(slot: Slot, e: Exception) {
+        log.error("watch failed address={} slot={}", slot.address, slot.number, e)
+        slot.address?.let { failedAtMs[it] = clock.nowMs() }
+        slot.clear()
     }
 
     /** Returns the control VM that failed longest ago; ties are broken in a different order on each entry VM. */
@@ -138,6 +169,7 @@
         val level = if (slot.source.isEmpty()) Level.DEBUG else Level.WARN
         log.log(level, "control-vm lost address={} slot={} reason={}", address, slot.number, reason)
         failedAtMs[address] = clock.nowMs()
+        refusals.keep(slot.refused)
         slot.clear()
         publish(viewState.value)
     }
@@ -146,11 +178,13 @@
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
+            refusals.keep(slot.refused)
         }
         slot.source = reply.source
         slot.targetChange = reply.targetChange
-        reply.targets.forEach { slot.targets[it.record.id] = it }
+        reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
         slot.suspected = reply.suspected
+        slot.refused = reply.refused
         controls = reply.controls
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
@@ -159,12 +193,18 @@
             view = view.copy(othersUse = othersUse(reply.use))
             reportedUse = reported
         }
-        val refused = refusals.decide(reply.refused, clock.nowMs())
+        val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
         publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused))
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun isUsable(listed: ListedTarget): Boolean {
+        val problem = listed.record.problemOrNull() ?: return true
+        log.warn("target ignored id={} problem={}", listed.record.id, problem)
+        return false
+    }
+
     private fun logRefusals(before: Set<Fingerprint>, refused: Set<Fingerprint>) {
         val added = refused - before
         val lifted = before - refused
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.PromptPartId
 import fulmarshunt.target.fleet.CrashReportTable
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -10,10 +11,14 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.io.BufferedInputStream
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 private const val WAIT_MS = 5_000L
+private const val CRASH_PAUSE_MS = 250L
 private const val DEADLY_PART = "deadly"
 
 class CrashingPromptTest {
@@ -50,6 +55,8 @@
         expectThat(crashedBy).hasSize(number)
         targets.filter { target -> target.requests.any { it.body in crashedBy } }.forEach { leave(it) }
         exchangeCrashReports(table)
+        // Crashes of unknown parts at one moment count once.
+        Thread.sleep(CRASH_PAUSE_MS)
     }
 
     /** Guards against targets that crash one after the other, each by a new request with the same prompt part. */
@@ -73,6 +80,66 @@
         }
     }
 
+    /** Guards against a request that crashes a target because it was admitted before its part was refused. */
+    @Test
+    fun `a request that waits for a target is refused once its part is`() {
+        val mayEnd = CountDownLatch(1)
+        val target = ScriptedTarget("a") {
+            startStream()
+            event(1)
+            mayEnd.await()
+            endStream()
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.connect().use { first ->
+                    val body = "x"
+                    first.getOutputStream().write(requestText("/stream/x", body, "tokens: 9500").encodeToByteArray())
+                    eventually { target.requests.size == 1 }
+                    relay.connect().use { second ->
+                        val parts = "shared,$DEADLY_PART,own"
+                        val text = requestText("/stream/x", body, "tokens: 9500", "parts: $parts")
+                        second.getOutputStream().write(text.encodeToByteArray())
+                        eventually { relay.active == 2 }
+                        relay.refuse(crashCausesOf(null, parts.split(',').map(::PromptPartId)).parts)
+                        mayEnd.countDown()
+                        val response = BufferedInputStream(second.getInputStream()).readMessageOrNull()
+                        expectThat(response?.startLine).isNotNull().contains(" 503 ")
+                        expectThat(response?.body).isEqualTo("the request has crashed several targets")
+                        expectThat(target.requests).hasSize(1)
+                    }
+                }
+                eventually { relay.use().isEmpty() }
+            }
+        }
+    }
+
+    /** Guards against a crash that is not reported because a connection from before it was still kept. */
+    @Test
+    fun `a crash is found although another connection to the target is kept`() {
+        val bothRun = CountDownLatch(2)
+        val target = ScriptedTarget("a") {
+            if (DEADLY_PART in request.body) {
+                stopListening()
+                reset()
+            } else {
+                startStream()
+                bothRun.countDown()
+                bothRun.await()
+                (1..EVENTS).forEach { event(it) }
+                endStream()
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                val others = List(2) { thread { relay.ask("sound", "shared,own") } }
+                others.forEach { it.join() }
+                relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
+                eventually { relay.crashReports().isNotEmpty() }
+            }
+        }
+    }
+
     private companion object {
         const val EVENTS = 3
     }
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -4,6 +4,11 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Address
+import fulmarshunt.TargetId
+import fulmarshunt.VmId
+import fulmarshunt.entry.watch.StateExchange
+import fulmarshunt.entry.watch.exchangeChannel
+import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.record
 import kotlinx.coroutines.delay
@@ -11,6 +16,7 @@
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import java.net.ServerSocket
@@ -44,6 +50,27 @@
         }
     }
 
+    /** Guards against odd records that a control VM of an older version has accepted and passes on. */
+    @Test
+    fun `odd records of other control VMs are ignored`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { true }.use { first ->
+            ControlVm("b", addresses[1], addresses) { true }.use { second ->
+                val sound = record("sound")
+                first.service.announce(sound)
+                val odd = listOf(
+                    sound.copy(startedAtMs = 2, address = Address("127.0.0.1", 65_536)),
+                    sound.copy(startedAtMs = 2, coldForMs = Long.MAX_VALUE),
+                    sound.copy(sequence = Long.MAX_VALUE),
+                    sound.copy(id = TargetId("name"), address = Address("localhost", 80)),
+                )
+                val records = (odd + record("last")).map { AgedRecord(it, 0) }
+                val exchange = StateExchange(VmId("b"), records, emptyList(), null, null)
+                second.links.call(addresses[0], exchangeChannel, exchange, TIMEOUT_MS).onLeft { error(it) }
+                expectThat(first.records().toSet()).isEqualTo(setOf(sound, record("last")))
+            }
+        }
+    }
+
     /** Guards against a single control VM that never acknowledges announcements. */
     @Test
     fun `a control VM without others acknowledges announcements alone`(): Unit = runBlocking {
