Log when a target still accepts connections after it lost a request

The log does not tell a crash that was not noticed, because the connection to the target was accepted, from a report that was lost.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -309,7 +309,10 @@
                         }
                     }
                 },
-                { it.close() },
+                { accepting ->
+                    accepting.close()
+                    log.info("request lost, target accepts connections request={} target={}", job.id, target.id)
+                },
             )
         }
     }
