--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -11,7 +11,6 @@
 import fulmarshunt.Clock
 import fulmarshunt.operator.serving.Repeatability
 import fulmarshunt.process.ControlThread
-import fulmarshunt.target.fleet.CrashReport
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
@@ -72,6 +71,7 @@
     private val log = LogManager.getLogger(RequestRelay::class.java)
     private val calls = TargetCalls(dependencies.connections, dependencies.adapter)
     private val admission = RequestAdmission(dependencies)
+    private val crashes = CrashDetector(dependencies)
 
     suspend fun run(request: CallerRequest): RelayOutcome {
         request.body.readBeginning()
@@ -156,7 +156,7 @@
                 job.mayBeAtTarget = failure is AttemptFailure.Lost
                 copy?.let { placements.end(it, UseOutcome.ABANDONED) }
                 placements.end(placement, useOutcomeOf(failure))
-                if (failure is AttemptFailure.Lost) reportIfCrashed(job, placement.target, events = 0)
+                if (failure is AttemptFailure.Lost) crashes.reportIfCrashed(job, placement.target, events = 0)
                 failure.left()
             },
             { response ->
@@ -227,7 +227,7 @@
         if (isComplete && relay.events > 0 && !relay.current.response.endsWithConnection) {
             placements.recordSound(job.causes.parts)
         } else if (!isComplete || relay.events < SOUND_EVENTS) {
-            reportIfCrashed(job, relay.current.placement.target, relay.events)
+            crashes.reportIfCrashed(job, relay.current.placement.target, relay.events)
         }
         return if (isComplete) RelayOutcome.Relayed else RelayOutcome.Broken
     }
@@ -256,7 +256,7 @@
         }
         run.response.abandon()
         placements.end(run.placement, UseOutcome.FAILED)
-        reportIfCrashed(job, run.placement.target, events = 0)
+        crashes.reportIfCrashed(job, run.placement.target, events = 0)
         return when (result) {
             ForwardResult.BROKEN_BEFORE -> AttemptFailure.Lost("the response ended early").left()
             else -> RelayOutcome.Broken.right()
@@ -282,41 +282,6 @@
         }
     }
 
-    /** Reports a target that accepts no connection after it lost a request, which has probably crashed it. */
-    private fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
-        val causes = job.causes.afterEvents(events)
-        if (causes.isEmpty()) return
-        dependencies.background.launch {
-            // A kept connection does not show whether the target has crashed.
-            val connection = dependencies.connections.openNew(target.record.address)
-            connection.fold(
-                { reason ->
-                    log.warn(
-                        "target died request={} target={} fingerprint={} parts={} firstMs={} reason={}",
-                        job.id,
-                        target.id,
-                        job.causes.whole,
-                        job.request.metadata.generation?.promptParts.orEmpty(),
-                        job.firstEventAfterMs,
-                        reason,
-                    )
-                    dependencies.control.run {
-                        causes.forEach {
-                            val depth = job.causes.depthOf(it)
-                            dependencies.fleet.recordCrash(
-                                CrashReport(it, target.id, target.record.startedAtMs, depth),
-                            )
-                        }
-                    }
-                },
-                { accepting ->
-                    accepting.close()
-                    log.info("request lost, target accepts connections request={} target={}", job.id, target.id)
-                },
-            )
-        }
-    }
-
     /** Returns the response when no target remains to be tried: "not run" only if none can have run the request. */
     private fun notServed(job: RelayJob, reason: String, full: PlacementResult.Full?): RelayOutcome =
         RelayOutcome.Local(
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -140,6 +140,21 @@
         }
     }
 
+    /** Guards against a crash that is not reported because the target accepts a connection a moment longer. */
+    @Test
+    fun `a crash is found although the target accepts one more connection`() {
+        val target = ScriptedTarget("a") {
+            startStream()
+            crashAfterNextConnection()
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
+                eventually { relay.crashReports().isNotEmpty() }
+            }
+        }
+    }
+
     private companion object {
         const val EVENTS = 3
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -135,19 +135,31 @@
         fun crash() = this@ScriptedTarget.close()
 
         /** Accepts no new connections. */
-        fun stopListening() = server.close()
+        fun stopListening() = this@ScriptedTarget.stopListening()
+
+        /** Breaks the connection, and accepts no more after the next one. */
+        fun crashAfterNextConnection() {
+            val accepted = sockets.size
+            reset()
+            while (sockets.size == accepted) Thread.sleep(1)
+            stopListening()
+        }
     }
 
-    init {
-        thread(isDaemon = true) {
-            while (!server.isClosed) {
-                val socket = runCatching { server.accept() }.getOrNull() ?: break
-                sockets += socket
-                thread(isDaemon = true) { visit(socket) }
-            }
+    private val acceptor = thread(isDaemon = true) {
+        while (!server.isClosed) {
+            val socket = runCatching { server.accept() }.getOrNull() ?: break
+            sockets += socket
+            thread(isDaemon = true) { visit(socket) }
         }
     }
 
+    /** The listening socket lives until the thread that waits for connections has returned. */
+    private fun stopListening() {
+        server.close()
+        acceptor.join()
+    }
+
     private fun visit(socket: Socket) {
         runCatching {
             val input = BufferedInputStream(socket.getInputStream())
@@ -161,7 +173,7 @@
     }
 
     override fun close() {
-        server.close()
+        stopListening()
         sockets.forEach { it.close() }
     }
 }
