--- a/src/test/kotlin/fulmarshunt/caller/relay/BrokenStreamTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/BrokenStreamTest.kt
@@ -9,10 +9,11 @@
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.io.ByteArrayOutputStream
 import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.TimeUnit
+import java.util.concurrent.CountDownLatch
 
-private const val WAIT_MS = 5_000L
+private const val PIECE_BYTES = 16_384
 
 /** The time in which written bytes reach the relay before a reset, which discards what is unread. */
 private const val TRANSFER_MS = 200L
@@ -35,13 +36,22 @@
 
     private fun RelayFixture.stream(): String? = call("/stream/x", "", "tokens: 10")?.body
 
-    private fun RelayFixture.awaitIdle() {
-        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)
-        while (use().isNotEmpty()) {
-            check(System.nanoTime() < endNanos) { "placements are held after $WAIT_MS ms" }
-            Thread.sleep(5)
+    /** Sends a request, runs [action] once the response contains [marker], and returns the whole response. */
+    private fun RelayFixture.callAndThen(path: String, marker: String, action: () -> Unit): RawMessage? =
+        connect().use { socket ->
+            socket.getOutputStream().write(requestText(path, "", "tokens: 10").encodeToByteArray())
+            val received = ByteArrayOutputStream()
+            val input = socket.getInputStream()
+            while (marker !in received.toString()) {
+                val bytes = ByteArray(PIECE_BYTES)
+                val count = input.read(bytes)
+                check(count >= 0) { "the response ended without '$marker': $received" }
+                received.write(bytes, 0, count)
+            }
+            action()
+            input.transferTo(received)
+            received.toByteArray().inputStream().readMessageOrNull()
         }
-    }
 
     /** Guards against a complete stream that is treated as broken off because of the way in which its end is shown. */
     @Test
@@ -123,15 +133,18 @@
     @Test
     fun `a stream that is reset is cut off, also after a complete event`() {
         for (framing in framings) {
+            val mayReset = CountDownLatch(1)
             val target = ScriptedTarget("a") {
                 start(framing)
                 write(framing.encode(events(1..3)))
-                Thread.sleep(TRANSFER_MS)
+                mayReset.await()
                 reset()
             }
             target.use {
                 RelayFixture(target).use { relay ->
-                    expectThat(relay.stream()).describedAs(framing.name).isEqualTo(events(1..3) + TRUNCATED)
+                    // A reset discards what the relay has not read yet.
+                    val response = relay.callAndThen("/stream/x", "token 3", mayReset::countDown)
+                    expectThat(response?.body).describedAs(framing.name).isEqualTo(events(1..3) + TRUNCATED)
                 }
             }
         }
@@ -158,13 +171,17 @@
                 expectThat(relay.call("/once/x")?.startLine).isNotNull().contains(" 502 ")
             }
         }
+        val mayReset = CountDownLatch(1)
         val cutLong = ScriptedTarget("a") {
             write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n\r\n$long")
-            Thread.sleep(TRANSFER_MS)
+            mayReset.await()
             reset()
         }
         cutLong.use {
-            RelayFixture(it).use { relay -> expectThat(relay.call("/once/x")?.body).isNotNull().endsWith(TRUNCATED) }
+            RelayFixture(it).use { relay ->
+                val response = relay.callAndThen("/once/x", "xxx", mayReset::countDown)
+                expectThat(response?.body).isNotNull().endsWith(TRUNCATED)
+            }
         }
     }
 }
--- a/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -272,7 +272,7 @@
             RelayFixture(target).use { relay ->
                 repeat(4) {
                     expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
-                    Thread.sleep(IDLE_AFTER_MS)
+                    relay.awaitIdle()
                 }
                 expectThat(sockets).hasSize(1)
             }
@@ -289,7 +289,7 @@
             RelayFixture(target).use { relay ->
                 repeat(4) {
                     expectThat(relay.call("/once/x")?.body).isEqualTo("ran")
-                    Thread.sleep(IDLE_AFTER_MS)
+                    relay.awaitIdle()
                 }
             }
         }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -45,9 +45,11 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 private const val SOCKET_TIMEOUT_MS = 10_000
+private const val IDLE_TIMEOUT_MS = 5_000L
 
 /** The head and body of a message on a socket. */
 internal class RawMessage(val startLine: String, val headers: Map<String, String>, val body: String) {
@@ -229,6 +231,15 @@
     /** The placements that the fleet has granted. */
     fun use() = runBlocking { control.run { fleet.use() } }
 
+    /** Waits until all placements have ended, and connections that may be used again are idle. */
+    fun awaitIdle() {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(IDLE_TIMEOUT_MS)
+        while (use().isNotEmpty()) {
+            check(System.nanoTime() < endNanos) { "placements are held after $IDLE_TIMEOUT_MS ms" }
+            Thread.sleep(5)
+        }
+    }
+
     /** Plans the end of the process in [remainingMs], and closes idle connections. */
     fun stop(remainingMs: Long = 60_000, estimatesForMs: Long = remainingMs): Unit = onTraffic {
         val nowMs = clock.nowMs()
