--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
@@ -182,6 +183,23 @@
         opened.forEach { it.close() }
     }
 
+    /** Guards against a leader that is lost, and proposals that stay undecided, while many entries are committed. */
+    @Test
+    @Tag("known-red")
+    fun `the leader stays while 20,000 entries are committed`(): Unit = runBlocking {
+        val voters = vms.map { start(it, snapshotEveryEntries = 15_000) }
+        val leader = leaderOf(voters)
+        (0 until 20).map { n ->
+            async {
+                repeat(1_000) { number ->
+                    check(commands.propose(leader, "command $n $number", TEST_TIMEOUT_MS).isRight())
+                }
+            }
+        }.awaitAll()
+        expectEqualStates(voters, 20_000)
+        voters.forEach { it.close() }
+    }
+
     /** Guards against a voter that continues after a failed sync and can lose data that it acknowledged. */
     @Test
     fun `a failed sync stops the voter`(): Unit = runBlocking {
