Tell callers of the product that their connections end

A refused request whose body does not arrive got no response.

Cause: nothing told the callers of the shutdown, and whether a request is accepted was decided by the gate after its body had been read, while the request already counted as open.

Change: GracefulStop holds how far the shutdown has come. A response whose head is sent after the shutdown has begun announces the end of its connection. Whether a request is accepted is decided once, when its head has been read; a refused request is not waited for. CallerServer holds the server for callers and its shutdown, so that a test can drive it over sockets.

--- a/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
+++ b/src/main/kotlin/fulmarshunt/caller/CallerGate.kt
@@ -15,9 +15,6 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 
-/** The time after which the load balancer sends a retry to another entry VM than the one that is stopping. */
-private const val OTHER_VM_RETRY_MS = 1_000L
-
 /** The checks that every request passes. */
 public class CallerGate(
     public val enter: suspend (ClientAccountId) -> RequestProblem?,
@@ -32,24 +29,17 @@
  * Returns a gate with limits and budgets on [control].
  *
  * @param capacity the number of requests that may be queued or running at a time.
- * @param isAccepting returns false during a graceful shutdown.
  */
-public fun callerGate(
-    control: ControlThread,
-    clock: Clock,
-    state: () -> SharedState,
-    capacity: Int,
-    isAccepting: () -> Boolean,
-): CallerGate {
+public fun callerGate(control: ControlThread, clock: Clock, state: () -> SharedState, capacity: Int): CallerGate {
     val limits = AccountLimits(capacity)
     val budgets = RetryBudgets()
     return CallerGate(
         enter = { id ->
             val account = state().configuration.accounts[id]
-            when {
-                !isAccepting() -> stopping()
-                account == null -> RequestProblem(ProblemKind.UNAUTHENTICATED, RunState.NOT_RUN, "no account $id")
-                else -> control.run { limits.enter(account, clock.nowMs()) }
+            if (account == null) {
+                RequestProblem(ProblemKind.UNAUTHENTICATED, RunState.NOT_RUN, "no account $id")
+            } else {
+                control.run { limits.enter(account, clock.nowMs()) }
             }
         },
         leave = { id -> withContext(NonCancellable) { control.run { limits.leave(id) } } },
@@ -68,10 +58,3 @@
             RequestProblem(ProblemKind.QUARANTINED, RunState.NOT_RUN, "its content is in quarantine")
         else -> null
     }
-
-private fun stopping(): RequestProblem = RequestProblem(
-    ProblemKind.UNAVAILABLE,
-    RunState.NOT_RUN,
-    "this entry VM is shutting down",
-    OTHER_VM_RETRY_MS,
-)
--- a/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -1,32 +1,92 @@
 /*
  * The HTTP server for callers. A request is cancelled when its caller closes the connection, even while nothing is
- * written: Ktor's CIO engine, since version 3.4, reports this to the request if the plugin below is installed. Requests
- * are counted until their response is written, so that a graceful shutdown can wait for them.
+ * written: Ktor's CIO engine, since version 3.4, reports this to the request if the plugin below is installed. Accepted
+ * requests are counted until their response is written, so that a graceful shutdown can wait for them.
  */
 package fulmarshunt.caller.http
 
+import arrow.core.Either
 import fulmarshunt.Address
+import fulmarshunt.caller.GracefulStop
 import fulmarshunt.process.http.HttpServer
 import fulmarshunt.process.http.httpServer
+import fulmarshunt.process.http.startAt
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.install
 import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.response.ApplicationSendPipeline
+import io.ktor.server.response.header
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.withTimeoutOrNull
 
-/** Returns a server at [address] that counts its open requests in [openRequests]. */
-public fun callerServer(address: Address, openRequests: MutableStateFlow<Int>, routes: Route.() -> Unit): HttpServer =
-    httpServer(address) {
-        install(HttpRequestLifecycle) { cancelCallOnClose = true }
-        intercept(ApplicationCallPipeline.Setup) {
-            openRequests.update { it + 1 }
-            try {
-                proceed()
-            } finally {
-                openRequests.update { it - 1 }
-            }
+private const val STOP_MS = 200L
+
+/** A running server for callers. */
+public class CallerServer internal constructor(
+    private val server: HttpServer,
+    private val openRequests: MutableStateFlow<Int>,
+    private val gracefulStop: GracefulStop,
+    /** The address that the server listens at. */
+    public val address: Address,
+) {
+    /** Refuses new requests, and waits for at most [limitMs] until no other is open. */
+    public suspend fun finishRequests(limitMs: Long) {
+        gracefulStop.refuseRequests()
+        withTimeoutOrNull(limitMs) { openRequests.first { it == 0 } }
+    }
+
+    /** Closes all connections. */
+    public suspend fun stop(): Unit = server.stopSuspend(STOP_MS, STOP_MS)
+}
+
+/**
+ * Starts a server for callers at [address].
+ *
+ * @return the server, or why it cannot listen.
+ */
+public suspend fun startCallerServer(
+    address: Address,
+    gracefulStop: GracefulStop,
+    routes: Route.() -> Unit,
+): Either<String, CallerServer> {
+    val openRequests = MutableStateFlow(0)
+    val server =
+        httpServer(address) {
+            install(HttpRequestLifecycle) { cancelCallOnClose = true }
+            announceEndOfConnections(gracefulStop)
+            acceptRequests(gracefulStop, openRequests)
+            routing { routes() }
+        }
+    return server.startAt(address).map { CallerServer(server, openRequests, gracefulStop, it) }
+}
+
+/** Tells callers with the head of each response whether they may use its connection again. */
+private fun Application.announceEndOfConnections(gracefulStop: GracefulStop) {
+    sendPipeline.intercept(ApplicationSendPipeline.Before) {
+        if (gracefulStop.hasBegun) context.response.header(HttpHeaders.Connection, "close")
+    }
+}
+
+private fun Application.acceptRequests(gracefulStop: GracefulStop, openRequests: MutableStateFlow<Int>) {
+    intercept(ApplicationCallPipeline.Setup) {
+        // Counted before the check, so that a shutdown that refuses requests and finds none open misses none.
+        openRequests.update { it + 1 }
+        val refusal = gracefulStop.refusalOrNull()
+        try {
+            if (refusal == null) proceed()
+        } finally {
+            openRequests.update { it - 1 }
+        }
+        // A refused request is not counted: a shutdown would wait for callers that go on sending.
+        if (refusal != null) {
+            context.respondProblem(refusal)
+            finish()
         }
-        routing { routes() }
     }
+}
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -5,22 +5,23 @@
 
 import arrow.core.Either
 import arrow.core.raise.either
-import fulmarshunt.Address
 import fulmarshunt.Clock
 import fulmarshunt.caller.Admissions
 import fulmarshunt.caller.ClaimNotLeader
 import fulmarshunt.caller.ClaimUndecided
 import fulmarshunt.caller.ControlClient
 import fulmarshunt.caller.GenerationDependencies
+import fulmarshunt.caller.GracefulStop
 import fulmarshunt.caller.PlainServiceDependencies
 import fulmarshunt.caller.authenticationBy
 import fulmarshunt.caller.callerGate
 import fulmarshunt.caller.callerMeters
 import fulmarshunt.caller.controlClientOf
 import fulmarshunt.caller.generationService
-import fulmarshunt.caller.http.callerServer
+import fulmarshunt.caller.http.CallerServer
 import fulmarshunt.caller.http.chatRoutes
 import fulmarshunt.caller.http.serviceRoutes
+import fulmarshunt.caller.http.startCallerServer
 import fulmarshunt.caller.plainService
 import fulmarshunt.caller.requestCapacity
 import fulmarshunt.entry.AdmissionRouter
@@ -109,16 +110,12 @@
 ) {
     private val log = LogManager.getLogger(EntryProcess::class.java)
     private val background = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val openRequests = MutableStateFlow(0)
     private val poolViews = MutableStateFlow(emptyList<PoolView>())
-    private val servers = mutableListOf<HttpServer>()
+    private var callers: CallerServer? = null
+    private var targets: HttpServer? = null
     private var platform: PlatformServer? = null
 
-    @Volatile
-    private var isShuttingDown = false
-
-    @Volatile
-    private var isAccepting = true
+    private val gracefulStop = GracefulStop()
 
     suspend fun start(
         engine: EngineClient,
@@ -136,12 +133,8 @@
             // The shutdown hook does the work; this thread waits for it.
             Thread({ exitProcess(0) }, "operator-shutdown").start()
         }
-        listen("targets.listen", settings.targets.listen) { address ->
-            httpServer(address) {
-                routing { announceRoutes(announcementForwarding({ leaseRenewer.state.value }, router::announce)) }
-            }
-        }.bind()
-        listenForCallers(engine, controlClient, metrics).bind()
+        targets = listenForTargets().mapLeft { "targets.listen: $it" }.bind()
+        callers = listenForCallers(engine, controlClient, metrics).mapLeft { "callers.listen: $it" }.bind()
         platform =
             startPlatformServer(validatedAddress(settings.platform.listen), metrics, ::notReadyReasonOrNull)
                 .mapLeft { "platform.listen: $it" }
@@ -151,13 +144,13 @@
 
     /** Stops without interrupting a request. */
     suspend fun shutDown() {
-        isShuttingDown = true
+        gracefulStop.begin()
         leaseRenewer.reportShutdown(control.run { host.release() })
         delay(settings.shutdown.drainDelayMs)
-        isAccepting = false
-        withTimeoutOrNull(settings.shutdown.finishLimitMs) { openRequests.first { it == 0 } }
+        callers?.finishRequests(settings.shutdown.finishLimitMs)
         withTimeoutOrNull(FINAL_REPORTS_TIMEOUT_MS) { traffic.coroutineContext.job.children.forEach { it.join() } }
-        servers.forEach { it.stop(SERVER_STOP_MS, SERVER_STOP_MS) }
+        targets?.stop(SERVER_STOP_MS, SERVER_STOP_MS)
+        callers?.stop()
         if (!leaseRenewer.release(
                 LEASE_RELEASE_TIMEOUT_MS,
             )
@@ -170,7 +163,7 @@
     }
 
     private fun notReadyReasonOrNull(): String? = when {
-        isShuttingDown -> "shutting down"
+        gracefulStop.hasBegun -> "shutting down"
         !leaseRenewer.hasLease(clock.nowMs()) -> "no lease"
         else -> null
     }
@@ -187,13 +180,22 @@
         }
     }
 
+    private suspend fun listenForTargets(): Either<String, HttpServer> {
+        val address = validatedAddress(settings.targets.listen)
+        val server =
+            httpServer(address) {
+                routing { announceRoutes(announcementForwarding({ leaseRenewer.state.value }, router::announce)) }
+            }
+        return server.startAt(address).map { server }
+    }
+
     private suspend fun listenForCallers(
         engine: EngineClient,
         controlClient: ControlClient,
         metrics: PrometheusMeterRegistry,
-    ): Either<String, Unit> {
+    ): Either<String, CallerServer> {
         val state = { leaseRenewer.state.value }
-        val gate = callerGate(control, clock, state, requestCapacity(Runtime.getRuntime().maxMemory())) { isAccepting }
+        val gate = callerGate(control, clock, state, requestCapacity(Runtime.getRuntime().maxMemory()))
         val meters = callerMeters(metrics)
         val admissions = Admissions(router::admit, router::use, router::progress, router::end)
         val generate =
@@ -219,19 +221,11 @@
                 ),
             )
         val authenticate = authenticationBy { leaseRenewer.state.value.configuration.accounts }
-        return listen("callers.listen", settings.callers.listen) { address ->
-            callerServer(address, openRequests) {
-                chatRoutes(authenticate, generate, wallClock())
-                serviceRoutes(authenticate, serve)
-            }
+        return startCallerServer(validatedAddress(settings.callers.listen), gracefulStop) {
+            chatRoutes(authenticate, generate, wallClock())
+            serviceRoutes(authenticate, serve)
         }
     }
-
-    private suspend fun listen(field: String, text: String, create: (Address) -> HttpServer): Either<String, Unit> {
-        val address = validatedAddress(text)
-        val server = create(address)
-        return server.startAt(address).mapLeft { "$field: $it" }.map { servers += server }
-    }
 }
 
 /** Starts the components of an entry VM; returns the process, or why it cannot be started. */
