Close connections of the product's callers only after the last responses

Seen: in a trial on the old shutdown, a caller that reads slowly received 3,506,117 of 6,000,000 bytes of a response that its handler had written completely.

Cause: a request counts as open until its handler returns, but the engine may still hold a part of its response. The server cancelled all connections 200 ms after it had stopped listening.

Change: the server serves open connections for up to 5 s after it has stopped listening, and ends as soon as their callers have closed them. A request that is sent in that time is refused, so that kept connections that no response had told of the shutdown lose none either.

--- a/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -25,7 +25,8 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.withTimeoutOrNull
 
-private const val STOP_MS = 200L
+/** How long callers may take to receive the last responses and to close their connections. */
+private const val LAST_CONNECTIONS_MS = 5_000L
 
 /** A running server for callers. */
 public class CallerServer internal constructor(
@@ -41,8 +42,11 @@
         withTimeoutOrNull(limitMs) { openRequests.first { it == 0 } }
     }
 
-    /** Closes all connections. */
-    public suspend fun stop(): Unit = server.stopSuspend(STOP_MS, STOP_MS)
+    /**
+     * Stops listening, and returns when all connections are closed. The engine still holds a part of a response when
+     * its request has ended; the caller closes the connection once it has received the response.
+     */
+    public suspend fun stop(): Unit = server.stopSuspend(LAST_CONNECTIONS_MS, LAST_CONNECTIONS_MS)
 }
 
 /**
--- a/src/test/kotlin/fulmarshunt/caller/http/CallerServerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/http/CallerServerTest.kt
@@ -7,15 +7,24 @@
 import fulmarshunt.target.PlainOutcome
 import fulmarshunt.target.PlainResponseHead
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import java.io.BufferedInputStream
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
 
+private const val LONG_LIMIT_MS = 60_000L
+private const val CALLERS = 16
+private const val LONG_BODY_BYTES = 6_000_000
+private const val PIECE_BYTES = 16_384
+private const val RECEIVE_BUFFER_BYTES = 8_192
 
 @Timeout(60)
 class CallerServerTest {
@@ -72,6 +81,41 @@
         }
     }
 
+    /** Guards against the loss of the end of a response whose caller reads slowly. */
+    @Test
+    fun `the server stops only after the last response has been sent`() {
+        val body = "x".repeat(LONG_BODY_BYTES)
+        val hasArrived = CountDownLatch(1)
+        val hasFinished = CountDownLatch(1)
+        val fixture = CallerServerFixture { _, receiver ->
+            hasArrived.countDown()
+            receiver.respond(body)
+        }
+        fixture.use {
+            fixture.connect(RECEIVE_BUFFER_BYTES).use { socket ->
+                socket.sendRequest("x")
+                hasArrived.await()
+                val stopping = thread {
+                    runBlocking {
+                        fixture.server.finishRequests(LONG_LIMIT_MS)
+                        hasFinished.countDown()
+                        fixture.server.stop()
+                    }
+                }
+                val input = socket.getInputStream()
+                var received = 0
+                while (hasFinished.count > 0) {
+                    received += input.readNBytes(PIECE_BYTES).size
+                    Thread.sleep(1)
+                }
+                // Ends early if the server does not wait for this caller.
+                stopping.join(1_000)
+                received += input.readNBytes(LONG_BODY_BYTES - received).size
+                expectThat(received).isEqualTo(LONG_BODY_BYTES)
+            }
+        }
+    }
+
     /** Guards against a shutdown that waits for the body of a request that it refuses. */
     @Test
     fun `a request during the refusal is refused before its body arrives`() {
@@ -87,4 +131,30 @@
             }
         }
     }
+
+    /** Guards against requests that are lost between the last check and the end of the server. */
+    @Test
+    fun `callers that go on sending lose no request`() {
+        val accepted = ConcurrentHashMap.newKeySet<String>()
+        val fixture = CallerServerFixture { call, receiver ->
+            val id = call.body.decodeToString()
+            accepted += id
+            receiver.respond(id)
+        }
+        val requests = SentRequests()
+        val callers = List(CALLERS) { number ->
+            SendingCaller("$number", requests, fixture::connect) { id, response -> response.body == id }
+        }
+        callers.forEach { it.start() }
+        while (requests.answered.size < 10 * CALLERS) Thread.sleep(1)
+        fixture.gracefulStop.begin()
+        val answeredBefore = requests.answered.size
+        while (requests.answered.size < answeredBefore + 10 * CALLERS) Thread.sleep(1)
+        runBlocking { fixture.server.finishRequests(LONG_LIMIT_MS) }
+        while (requests.refused.size < CALLERS) Thread.sleep(1)
+        fixture.close()
+        callers.forEach { it.join() }
+        expectThat(requests.lost.toList()).isEmpty()
+        expectThat(accepted - requests.answered).isEmpty()
+    }
 }
