Answer requests of the product that outlast the shutdown

Seen: in a trial on the old shutdown, a request that waited for a target and one that waited for its response both ended with their connections, without a response.

Cause: requests that were still open at the end of shutdown.finish_limit_ms were cut off with the server, although the process knows whether they may have run.

Change: at the end of the time limit, a request that no target can have received is refused as not run, and any other ends with a problem that says that it may have run. Generations are cancelled at their engines. A claimed call goes on in the background, as after a disconnection, so that its response is recorded.

--- a/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimedCall.kt
@@ -25,7 +25,7 @@
 internal class ClaimedCall(
     private val dependencies: PlainServiceDependencies,
     private val request: PlainRequest,
-    private val emit: EmitPlainEvent,
+    private val response: OpenResponse<PlainEvent>,
 ) {
     private val ticket = TicketId(request.id.value)
 
@@ -59,11 +59,11 @@
     }
 
     private suspend fun runOnce(key: ClaimKey, setSent: (Boolean) -> Unit): PlainEvent {
-        val placements = PlacementSearch(dependencies, request)
+        val placements = PlacementSearch(dependencies, request, response)
         while (true) {
             val grant = placements.next().fold({ return PlainFailed(it) }, { it })
             setSent(true)
-            val recorder = ResponseRecorder(emit)
+            val recorder = ResponseRecorder(response.emit)
             val call =
                 dependencies.traffic.async {
                     val outcome = dependencies.runAt(grant, request, recorder.receiver)
@@ -90,17 +90,17 @@
         withTimeoutOrNull(RECORD_WAIT_MS) { recording.join() }
     }
 
-    private suspend fun replay(response: RecordedResponse): PlainEvent {
+    private suspend fun replay(recorded: RecordedResponse): PlainEvent {
         val body =
-            response.body ?: return PlainFailed(
+            recorded.body ?: return PlainFailed(
                 RequestProblem(
                     ProblemKind.ANSWER_NOT_KEPT,
                     RunState.FINISHED,
-                    "the response had status ${response.status}",
+                    "the response had status ${recorded.status}",
                 ),
             )
-        emit(PlainStarted(PlainResponseHead(response.status, response.contentType.ifEmpty { null })))
-        emit(PlainBytes(body))
+        response.emit(PlainStarted(PlainResponseHead(recorded.status, recorded.contentType.ifEmpty { null })))
+        response.emit(PlainBytes(body))
         return PlainCompleted
     }
 
--- a/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/GenerationService.kt
@@ -22,6 +22,7 @@
 import fulmarshunt.target.EngineClient
 import fulmarshunt.target.StreamEnd
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import net.openhft.hashing.LongHashFunction
 
 /** The time that a request may spend in queues, summed over all its attempts. */
@@ -52,16 +53,21 @@
     /** Outlives requests; cancels generations whose caller has disconnected. */
     public val traffic: CoroutineScope,
     public val meters: CallerMeters = CallerMeters(),
+    /** Completes when requests without a complete response are given up. */
+    public val givenUp: Job = Job(),
     public val maxQueueWaitMs: Long = MAX_QUEUE_WAIT_MS,
 )
 
 private val problemEvents =
-    ProblemEvents<GenerationEvent>(::GenerationFailed) { (it as? GenerationFailed)?.problem }
+    ProblemEvents<GenerationEvent>(::GenerationFailed, ProblemKind.GENERATION_LOST) {
+        (it as? GenerationFailed)?.problem
+    }
 
 /** Returns a service that runs requests for generated text. */
 public fun generationService(dependencies: GenerationDependencies): Generate = { request ->
-    responseFlow(request.account, dependencies.gate, dependencies.meters, problemEvents) { emit ->
-        GenerationRun(dependencies, request, emit).run()
+    val common = dependencies.run { ResponseDependencies(gate, givenUp, meters) }
+    responseFlow(request.account, common, problemEvents) { response ->
+        GenerationRun(dependencies, request, response).run()
     }
 }
 
@@ -69,7 +75,7 @@
 private class GenerationRun(
     private val dependencies: GenerationDependencies,
     private val request: GenerationRequest,
-    private val emit: suspend (GenerationEvent) -> Unit,
+    private val response: OpenResponse<GenerationEvent>,
 ) {
     private val admission = request.toAdmissionRequest(dependencies)
     private val placements =
@@ -88,8 +94,9 @@
                 continue
             }
             attempts++
+            response.mayHaveRun = true
             dependencies.meters.attempt()
-            val relay = TokenRelay(request.isStreamed, emit)
+            val relay = TokenRelay(request.isStreamed, response.emit)
             val end = GenerationAttempt(dependencies, request, grant, relay).run()
             if (end is StreamEnd.Finished) {
                 dependencies.gate.reportSuccess(request.account)
--- a/src/main/kotlin/fulmarshunt/caller/PlainService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlainService.kt
@@ -20,6 +20,7 @@
 import fulmarshunt.target.PlainResponseReceiver
 import fulmarshunt.target.SendPlainCall
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 
 /** Sends a claim call to the voters; returns null if they did not reply. */
 public typealias SendClaimCall = suspend (ClaimCall) -> ClaimReply?
@@ -36,30 +37,37 @@
     /** Outlives requests; a claimed call is completed and recorded there even if its caller disconnects. */
     public val traffic: CoroutineScope,
     public val meters: CallerMeters = CallerMeters(),
+    /** Completes when requests without a complete response are given up. */
+    public val givenUp: Job = Job(),
     public val maxQueueWaitMs: Long = MAX_QUEUE_WAIT_MS,
 )
 
 /** Sends an event to the caller. */
 internal typealias EmitPlainEvent = suspend (PlainEvent) -> Unit
 
-private val problemEvents = ProblemEvents<PlainEvent>(::PlainFailed) { (it as? PlainFailed)?.problem }
+private val problemEvents =
+    ProblemEvents<PlainEvent>(::PlainFailed, ProblemKind.OUTCOME_UNKNOWN) { (it as? PlainFailed)?.problem }
 
 /** Returns a service that runs plain calls. */
 public fun plainService(dependencies: PlainServiceDependencies): ServePlain = { request ->
-    responseFlow(request.account, dependencies.gate, dependencies.meters, problemEvents) { emit ->
-        dependencies.serve(request, emit)
+    val common = dependencies.run { ResponseDependencies(gate, givenUp, meters) }
+    responseFlow(request.account, common, problemEvents) { response ->
+        dependencies.serve(request, response)
     }
 }
 
-private suspend fun PlainServiceDependencies.serve(request: PlainRequest, emit: EmitPlainEvent): PlainEvent {
+private suspend fun PlainServiceDependencies.serve(
+    request: PlainRequest,
+    response: OpenResponse<PlainEvent>,
+): PlainEvent {
     gate.check(request.service, ServiceKind.PLAIN, request.fingerprint)?.let { return PlainFailed(it) }
     if (state().configuration.services[request.service].isNonRepeatable(request)) {
-        return ClaimedCall(this, request, emit).run()
+        return ClaimedCall(this, request, response).run()
     }
-    val placements = PlacementSearch(this, request)
+    val placements = PlacementSearch(this, request, response)
     while (true) {
         val grant = placements.next().fold({ return PlainFailed(it) }, { it })
-        val outcome = runAt(grant, request, forwardTo(emit))
+        val outcome = runAt(grant, request, forwardTo(response.emit))
         if (outcome is PlainOutcome.Completed) return PlainCompleted.also { gate.reportSuccess(request.account) }
         val isRepeatable = outcome is PlainOutcome.Refused || request.isIdempotent
         val hasStarted = outcome is PlainOutcome.Broken && outcome.hasResponseStarted
@@ -90,7 +98,11 @@
 }
 
 /** Finds placements for the attempts of one call until attempts or retries are used up. */
-internal class PlacementSearch(private val dependencies: PlainServiceDependencies, private val request: PlainRequest) {
+internal class PlacementSearch(
+    private val dependencies: PlainServiceDependencies,
+    private val request: PlainRequest,
+    private val response: OpenResponse<PlainEvent>,
+) {
     private val placements =
         PlacementRequests(
             request.toAdmissionRequest(dependencies),
@@ -112,6 +124,7 @@
             val reason = dependencies.admissions.use(grant)
             if (reason == null) {
                 attempts++
+                response.mayHaveRun = true
                 dependencies.meters.attempt()
                 return grant.right()
             }
--- a/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/http/CallerServer.kt
@@ -24,6 +24,10 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+/** How long the responses to requests that are given up may take. */
+private const val LAST_RESPONSES_MS = 300L
 
 /** How long callers may take to receive the last responses and to close their connections. */
 private const val LAST_CONNECTIONS_MS = 5_000L
@@ -36,10 +40,16 @@
     /** The address that the server listens at. */
     public val address: Address,
 ) {
-    /** Refuses new requests, and waits for at most [limitMs] until no other is open. */
+    private val log = LogManager.getLogger(CallerServer::class.java)
+
+    /** Refuses new requests, waits for at most [limitMs] until no other is open, and gives up the rest. */
     public suspend fun finishRequests(limitMs: Long) {
         gracefulStop.refuseRequests()
-        withTimeoutOrNull(limitMs) { openRequests.first { it == 0 } }
+        withTimeoutOrNull(limitMs) { awaitIdle() }
+        val open = openRequests.value
+        if (open > 0) log.warn("requests given up open={}", open)
+        gracefulStop.giveUpRequests()
+        withTimeoutOrNull(LAST_RESPONSES_MS) { awaitIdle() }
     }
 
     /**
@@ -47,6 +57,10 @@
      * its request has ended; the caller closes the connection once it has received the response.
      */
     public suspend fun stop(): Unit = server.stopSuspend(LAST_CONNECTIONS_MS, LAST_CONNECTIONS_MS)
+
+    private suspend fun awaitIdle() {
+        openRequests.first { it == 0 }
+    }
 }
 
 /**
--- a/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
+++ b/src/main/kotlin/fulmarshunt/program/EntryProcess.kt
@@ -200,7 +200,17 @@
         val admissions = Admissions(router::admit, router::use, router::progress, router::end)
         val generate =
             generationService(
-                GenerationDependencies(settings.vm.id, clock, state, gate, admissions, engine, traffic, meters),
+                GenerationDependencies(
+                    vm = settings.vm.id,
+                    clock = clock,
+                    state = state,
+                    gate = gate,
+                    admissions = admissions,
+                    engine = engine,
+                    traffic = traffic,
+                    meters = meters,
+                    givenUp = gracefulStop.givenUp,
+                ),
             )
         val serve =
             plainService(
@@ -218,6 +228,7 @@
                     },
                     traffic = traffic,
                     meters = meters,
+                    givenUp = gracefulStop.givenUp,
                 ),
             )
         val authenticate = authenticationBy { leaseRenewer.state.value.configuration.accounts }
--- a/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/GenerationServiceTest.kt
@@ -44,6 +44,7 @@
     private val admissionRequests = CopyOnWriteArrayList<AdmissionRequest>()
     private val ended = Queue<TicketOutcome>(Queue.UNLIMITED)
     private val cancelled = Queue<String>(Queue.UNLIMITED)
+    private val gracefulStop = GracefulStop()
     private var remainingRetries = 10
 
     private fun dependencies(
@@ -78,6 +79,7 @@
                 load = { _, _ -> OrderReply.NoReply },
             ),
             traffic = CoroutineScope(Dispatchers.Default),
+            givenUp = gracefulStop.givenUp,
         )
     }
 
@@ -115,6 +117,23 @@
         expectThat(admissionRequests.last().excluded).isEqualTo(listOf(TargetId("e1")))
     }
 
+    /** Guards against a stream that is cut off with its process and leaves the generation running at the engine. */
+    @Test
+    fun `a stream that is given up ends with a problem and its generation is cancelled`() {
+        val streams: Attempt = { onToken ->
+            onToken(EngineToken(0, "a"))
+            gracefulStop.giveUpRequests()
+            awaitCancellation()
+        }
+        val events = run(dependencies(mutableListOf(), streams), isStreamed = true)
+        expectThat(events.first()).isEqualTo(GeneratedToken(0, "a"))
+        expectThat(events.last()).isA<GenerationFailed>().get { problem }.and {
+            get { kind }.isEqualTo(ProblemKind.GENERATION_LOST)
+            get { ran }.isEqualTo(RunState.UNKNOWN)
+        }
+        runBlocking { withTimeout(10_000) { cancelled.receive() } }
+    }
+
     /** Guards against a stream that continues with tokens of another generation. */
     @Test
     fun `a streamed generation that lost its engine after a token fails`() {
--- a/src/test/kotlin/fulmarshunt/caller/http/CallerServerFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/http/CallerServerFixture.kt
@@ -89,6 +89,7 @@
             if (call is RecordClaim) Claimed else ClaimRecorded
         },
         traffic = CoroutineScope(Dispatchers.Default),
+        givenUp = gracefulStop.givenUp,
     )
 
     /** Opens a connection of a caller; a small buffer makes a slow reader delay its writer. */
--- a/src/test/kotlin/fulmarshunt/caller/http/CallerServerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/http/CallerServerTest.kt
@@ -3,10 +3,13 @@
  */
 package fulmarshunt.caller.http
 
+import fulmarshunt.caller.FinishClaim
 import fulmarshunt.caller.relay.readMessageOrNull
+import fulmarshunt.faults.awaitThat
 import fulmarshunt.target.PlainOutcome
 import fulmarshunt.target.PlainResponseHead
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -18,6 +21,7 @@
 import java.io.BufferedInputStream
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 private const val LONG_LIMIT_MS = 60_000L
@@ -25,6 +29,7 @@
 private const val LONG_BODY_BYTES = 6_000_000
 private const val PIECE_BYTES = 16_384
 private const val RECEIVE_BUFFER_BYTES = 8_192
+private const val UNKNOWN = "\"ran\":\"unknown\""
 
 @Timeout(60)
 class CallerServerTest {
@@ -116,6 +121,43 @@
         }
     }
 
+    /** Guards against a request that waits for a target or its response and ends without one. */
+    @Test
+    fun `a request without a response gets one when the time is over`() {
+        val hasArrived = CountDownLatch(2)
+        val isFirst = AtomicInteger()
+        val fixture = CallerServerFixture(
+            place = {
+                if (isFirst.getAndIncrement() == 0) {
+                    hasArrived.countDown()
+                    awaitCancellation()
+                }
+            },
+        ) { _, _ ->
+            hasArrived.countDown()
+            awaitCancellation()
+        }
+        fixture.use {
+            val sockets = List(2) {
+                fixture.connect().also { socket ->
+                    val before = hasArrived.count
+                    socket.sendRequest("x")
+                    while (hasArrived.count == before) Thread.sleep(1)
+                }
+            }
+            runBlocking { fixture.server.finishRequests(100) }
+            val responses = sockets.map { it.use { socket -> socket.getInputStream().readMessageOrNull() } }
+            expectThat(responses[0]).isNotNull().and {
+                get { startLine }.contains(" 503 ")
+                get { body }.contains(NOT_RUN)
+            }
+            expectThat(responses[1]).isNotNull().and {
+                get { startLine }.contains(" 502 ")
+                get { body }.contains(UNKNOWN)
+            }
+        }
+    }
+
     /** Guards against a shutdown that waits for the body of a request that it refuses. */
     @Test
     fun `a request during the refusal is refused before its body arrives`() {
@@ -157,4 +199,26 @@
         expectThat(requests.lost.toList()).isEmpty()
         expectThat(accepted - requests.answered).isEmpty()
     }
+
+    /** Guards against a claimed call whose response is not recorded because its caller was told that it is lost. */
+    @Test
+    fun `a claimed call that is given up is still recorded`() {
+        val hasArrived = CountDownLatch(1)
+        val mayEnd = CompletableDeferred<Unit>()
+        val fixture = CallerServerFixture { _, receiver ->
+            hasArrived.countDown()
+            mayEnd.await()
+            receiver.respond("done")
+        }
+        fixture.use {
+            fixture.connect().use { socket ->
+                socket.sendRequest("once")
+                hasArrived.await()
+                runBlocking { fixture.server.finishRequests(100) }
+                expectThat(socket.getInputStream().readMessageOrNull()?.body).isNotNull().contains(UNKNOWN)
+            }
+            mayEnd.complete(Unit)
+            awaitThat("the record of the response") { fixture.claims.any { it is FinishClaim } }
+        }
+    }
 }
