Log closed links and a late control thread; write down lost leaders

The log does not tell a leader whose process stands still from one whose messages are lost, because nothing is logged when a link is closed or when the control thread runs late.

Change: a line for each closed link with its reason, and a warning when a periodic run on the control thread is 500 ms late. No change of logic.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -139,6 +139,7 @@
             if (closeReason != null) return
             closeReason = reason
         }
+        log.info("link closed peer={} pending={} reason={}", peer.process, pending.size, reason)
         outgoing.close()
         socket.close()
         pending.values.forEach { it.complete(LinkFailure.Lost(reason).left()) }
--- a/src/main/kotlin/fulmarshunt/process/ControlThread.kt
+++ b/src/main/kotlin/fulmarshunt/process/ControlThread.kt
@@ -5,6 +5,8 @@
  */
 package fulmarshunt.process
 
+import fulmarshunt.Clock
+import fulmarshunt.monotonicClock
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExecutorCoroutineDispatcher
 import kotlinx.coroutines.Job
@@ -18,9 +20,13 @@
 import java.util.concurrent.Executors
 import kotlin.coroutines.CoroutineContext
 
+/** A periodic run that is later than this is logged, because followers elect another leader after such a pause. */
+private const val LATE_MS = 500L
+
 /** Runs blocks one after another on a single thread named `control-state`. */
 public class ControlThread internal constructor(private val dispatcher: ExecutorCoroutineDispatcher) : AutoCloseable {
     private val log = LogManager.getLogger(ControlThread::class.java)
+    private val clock: Clock = monotonicClock()
 
     /** The scope of coroutines that resume on the control thread. */
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
@@ -37,7 +43,10 @@
      */
     public fun every(periodMs: Long, block: suspend () -> Unit): Job = scope.launch {
         while (true) {
+            val dueAtMs = clock.nowMs() + periodMs
             delay(periodMs)
+            val lateMs = clock.nowMs() - dueAtMs
+            if (lateMs >= LATE_MS) log.warn("control thread late periodMs={} lateMs={}", periodMs, lateMs)
             guardRound({ log.error("periodic work failed periodMs={}", periodMs, it) }, block)
         }
     }
