--- a/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
@@ -6,8 +6,11 @@
 
 import fulmarshunt.VoterId
 
-/** The maximum size of the entries in one batch, a quarter of the maximum frame size. */
-internal const val APPEND_BATCH_BYTES: Int = 1_024 * 1_024
+/**
+ * The maximum size of the entries in one batch: the default send buffer of a TCP socket on Linux. A batch that takes a
+ * slow link longer than the silence limit of its connection never arrives, however often it is sent.
+ */
+internal const val APPEND_BATCH_BYTES: Int = 16 * 1_024
 
 internal fun StepBuilder.onPropose(event: Propose) {
     if (state.role !is Leader) {
--- a/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
@@ -3,8 +3,8 @@
  */
 package fulmarshunt.voter
 
-/** The size of a chunk, a quarter of the maximum frame size. */
-internal const val SNAPSHOT_CHUNK_BYTES: Int = 1_024 * 1_024
+/** The size of a chunk, limited for the same reason as a batch of entries. */
+internal const val SNAPSHOT_CHUNK_BYTES: Int = APPEND_BATCH_BYTES
 
 internal fun StepBuilder.onSnapshotTaken(event: SnapshotTaken) {
     val current = checkNotNull(state.snapshot).header
--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -4,6 +4,7 @@
 package fulmarshunt.voter
 
 import fulmarshunt.VmId
+import fulmarshunt.link.SlowProxy
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
@@ -200,6 +201,21 @@
         restarted.close()
     }
 
+    /** Guards against a member that never catches up, because each batch outlasts the silence limit of its link. */
+    @Test
+    fun `a new member catches up over a slow link`(): Unit = runBlocking {
+        val single = addresses.filterKeys { it == vms[0] }
+        val voter = startVoter(vms[0], single, directory.resolve("a"))
+        repeat(64) { commit(listOf(voter), "command $it ".padEnd(6_000, '.')) }
+        val learner = startVoter(vms[1], addresses, directory.resolve("b"), bootstrap = false)
+        SlowProxy(addresses.getValue(vms[1]), bytesPerSecond = 128 * 1_024).use { proxy ->
+            expectThat(voter.log.addVoter(learner.log.id, vms[1], proxy.address, 20_000).leftOrNull()).isEqualTo(null)
+            expectEqualStates(listOf(voter, learner), 64)
+        }
+        learner.close()
+        voter.close()
+    }
+
     /** Guards against a learner whose snapshot is larger than a frame. */
     @Test
     fun `a snapshot of several chunks reaches a new member`(): Unit = runBlocking {
