Count a link as silent by parts of frames, not whole frames

Seen: in the trace of the lost leaders a receiver closes a connection as "silent for 2000 ms" while a frame of 541 kB is arriving.

Cause: the silence limit held for reading, and for writing, a whole frame. Below MAX_FRAME_BYTES in 2 s a long frame never arrives: it is sent again on the next connection, and the limit closes that one too. Small batches do not help a single large entry or a large reply.

Change: frames are read and written in parts of 16 KiB, and the limit holds for each part.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -70,7 +70,7 @@
 /** How often a side that has no other frame to send sends a keep-alive frame. */
 internal const val KEEP_ALIVE_MS: Long = 500
 
-/** The time without a frame after which a connection is closed: three keep-alive frames and some delay. */
+/** The time without any part of a frame after which a connection is closed: three keep-alives and some delay. */
 internal const val SILENCE_LIMIT_MS: Long = 2_000
 
 /** A connection between two processes of this system. */
@@ -166,11 +166,7 @@
 
     private suspend fun readFrames() {
         while (true) {
-            val frame = withTimeoutOrNull(SILENCE_LIMIT_MS) { input.readFrame() }
-            if (frame == null) {
-                close("${peer.process} was silent for $SILENCE_LIMIT_MS ms")
-                return
-            }
+            val frame = input.readFrame(limitedBy("${peer.process} was silent for $SILENCE_LIMIT_MS ms"))
             when (frame) {
                 is Call -> scope.launch { handle(frame) }
                 is Reply -> pending.remove(frame.id)?.complete(frame.body.right())
@@ -202,14 +198,15 @@
     private suspend fun writeFrames() {
         while (true) {
             val next = nextFrameOrNull() ?: return
-            val completed = withTimeoutOrNull(SILENCE_LIMIT_MS) { output.writeFrame(next) }
-            if (completed == null) {
-                close("${peer.process} accepted no data for $SILENCE_LIMIT_MS ms")
-                return
-            }
+            output.writeFrame(next, limitedBy("${peer.process} accepted no data for $SILENCE_LIMIT_MS ms"))
         }
     }
 
+    /** Closes the connection with [reason] when a part of a frame takes longer than the silence limit. */
+    private fun limitedBy(reason: String): PartOfFrame = { part ->
+        withTimeoutOrNull(SILENCE_LIMIT_MS) { part() } ?: close(reason)
+    }
+
     /** Returns the next frame to send, or null once the connection is closed. */
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun nextFrameOrNull(): Frame? = select {
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -6,10 +6,12 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
+import io.ktor.utils.io.readPacket
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
@@ -19,6 +21,9 @@
 /** The maximum size of an encoded envelope. */
 internal const val MAX_FRAME_BYTES: Int = 4 * 1_024 * 1_024
 
+/** The size of the parts in which a frame is read and written, so that one that is slow to arrive is not silence. */
+private const val PART_BYTES = 16 * 1_024
+
 /** The version of the frames and of the handshake; peers with a different version are refused. */
 internal const val LINK_VERSION: Int = 1
 
@@ -57,21 +62,37 @@
 @SerialName("f")
 internal class Fault(val id: Long, val reason: String) : Frame
 
-/** Keeps the connection alive; a side that receives no frame for [SILENCE_LIMIT_MS] closes the connection. */
+/** Keeps the connection alive; a side that receives nothing for [SILENCE_LIMIT_MS] closes the connection. */
 @Serializable
 @SerialName("k")
 internal data object KeepAlive : Frame
 
-internal suspend fun ByteWriteChannel.writeFrame(frame: Frame) {
+/** Reads or writes one part of a frame, possibly within a time limit. */
+internal typealias PartOfFrame = suspend (suspend () -> Unit) -> Unit
+
+private val unlimited: PartOfFrame = { it() }
+
+/** Writes [frame] in parts, each of them with [part]. */
+internal suspend fun ByteWriteChannel.writeFrame(frame: Frame, part: PartOfFrame = unlimited) {
     val bytes = linkCbor.encodeToByteArray(Frame.serializer(), frame)
     if (bytes.size > MAX_FRAME_BYTES) throw IOException("frame of ${bytes.size} bytes exceeds $MAX_FRAME_BYTES")
-    writeInt(bytes.size)
-    writeFully(bytes)
-    flush()
+    part { writeInt(bytes.size) }
+    for (from in bytes.indices step PART_BYTES) {
+        part {
+            writeFully(bytes, from, minOf(from + PART_BYTES, bytes.size))
+            flush()
+        }
+    }
 }
 
-internal suspend fun ByteReadChannel.readFrame(): Frame {
-    val size = readInt()
+/** Reads a frame in parts, each of them with [part]. */
+internal suspend fun ByteReadChannel.readFrame(part: PartOfFrame = unlimited): Frame {
+    var size = 0
+    part { size = readInt() }
     if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame size $size is not in 1..$MAX_FRAME_BYTES")
-    return linkCbor.decodeFromByteArray(Frame.serializer(), readByteArray(size))
+    val bytes = Buffer()
+    while (bytes.size < size) {
+        part { bytes.transferFrom(readPacket(minOf(PART_BYTES, size - bytes.size.toInt()))) }
+    }
+    return linkCbor.decodeFromByteArray(Frame.serializer(), bytes.readByteArray())
 }
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -36,6 +36,20 @@
         server.close()
     }
 
+    /** Guards against closing a connection as silent while a long frame arrives slowly. */
+    @Test
+    fun `a call that takes longer to arrive than the silence limit is answered`(): Unit = runBlocking {
+        val size = Channel("size", String.serializer(), Int.serializer())
+        val server = linksOf("server", "secret", LinkHandlers().with(size) { _, text -> text.length })
+        val client = linksOf("client", "secret", LinkHandlers())
+        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 128 * 1_024).use { proxy ->
+            val text = "x".repeat(2 * 128 * 1_024 * SILENCE_LIMIT_MS.toInt() / 1_000)
+            expectThat(client.call(proxy.address, size, text, 20_000).getOrNull()).isEqualTo(text.length)
+        }
+        client.close()
+        server.close()
+    }
+
     /** Guards against reporting a call to a process that is not running as possibly handled. */
     @Test
     fun `a call to a closed port was not sent`(): Unit = runBlocking {
