Count crashes at the time at which they were noticed

Seen: 6 s after all control VMs had restarted, every entry VM lifted the refusal of a prompt part that crashes engines, and three to six more engines crashed after each restart.

Cause: entry VMs send all reports that they keep to a restarted control VM, but a report carried no time. All crashes counted at the time of the reports, as one moment, and a part needs crashes at three.

Reports now carry the time since their crash, from entry VMs and among control VMs, in a new field that older versions ignore. Reports that are passed on expire with their crash.

"a refusal of a part outlasts the restart of all control VMs" failed without the change (refused causes empty instead of [deadly]); the existing test of the restart used whole requests only and is kept. The two new tests of CrashReportTableTest need the new parameter and were not run without it.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -128,15 +128,17 @@
         slot.address = address
         val use = fleet.use()
         val sendsAllReports = slot.reportedTo.isEmpty()
+        val crashAgesMs = fleet.crashReportAgesMs(sendsAllReports)
         val request = Watch(
             vm,
             slot.number == 0,
             if (slot.number == 0) use else emptyMap(),
-            fleet.crashReports(sendsAllReports),
+            crashAgesMs.keys.toList(),
             viewState.value.revision,
             slot.source,
             slot.targetChange,
             fleet.soundAgesMs(slot.suspected),
+            crashAgesMs.values.toList(),
         )
         val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
         reply.onRight {
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -32,6 +32,8 @@
     val targetChange: Long,
     /** The suspected causes that are sound, with the time since a run at this entry VM last showed it. */
     val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
+    /** The time since each crash of [suspects] was noticed, in their order; older versions send none. */
+    val suspectAgesMs: List<Long> = emptyList(),
 )
 
 /** The changes since a [Watch]. */
@@ -66,6 +68,8 @@
     val entryVms: Set<VmId>?,
     /** Causes of crash reports that are sound, with the time since a run last showed it. */
     val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
+    /** The time since each crash of [suspects] was noticed, in their order; older versions send none. */
+    val suspectAgesMs: List<Long> = emptyList(),
 )
 
 /** The reply to a [StateExchange]. */
@@ -76,6 +80,10 @@
     val isCurrent: Boolean,
 )
 
+/** Returns [reports] with their ages, which are 0 if [agesMs] does not have them. */
+internal fun withAges(reports: List<CrashReport>, agesMs: List<Long>): Map<CrashReport, Long> =
+    reports.withIndex().associate { (index, report) -> report to (agesMs.getOrNull(index) ?: 0L) }
+
 internal val watchChannel: Channel<Watch, WatchReply> = Channel("watch", Watch.serializer(), WatchReply.serializer())
 
 internal val exchangeChannel: Channel<StateExchange, StateExchangeReply> =
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -167,7 +167,7 @@
         } else {
             reportsOfEntryVms.remove(watch.vm)
         }
-        recordSuspects(watch.suspects)
+        recordSuspects(withAges(watch.suspects, watch.suspectAgesMs))
         recordSound(watch.soundAgesMs)
         val change = if (watch.source == source) watch.targetChange else 0
         val knownSuspectChange = lastSuspectChange.value
@@ -200,7 +200,7 @@
         val nowMs = clock.nowMs()
         exchange.records.filter { isUsable(it.record) }
             .forEach { dependencies.directory.receive(it.record, nowMs, it.ageMs) }
-        recordSuspects(exchange.suspects)
+        recordSuspects(withAges(exchange.suspects, exchange.suspectAgesMs))
         recordSound(exchange.soundAgesMs)
         exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
@@ -214,15 +214,28 @@
         return false
     }
 
-    private fun recordSuspects(reported: List<CrashReport>) {
-        val added = suspects.receive(reported, clock.nowMs())
+    private fun recordSuspects(reportedAgesMs: Map<CrashReport, Long>) {
+        val added = suspects.receive(reportedAgesMs, clock.nowMs())
         if (added.isEmpty()) return
         lastSuspectChange.value += 1
-        added.take(MAX_LOGGED).forEach {
-            log.warn("suspect request={} target={} born={}", it.request, it.target, it.startedAtMs)
+        added.entries.take(MAX_LOGGED).forEach { (report, ageMs) ->
+            log.warn(
+                "suspect request={} target={} born={} ageMs={}",
+                report.request,
+                report.target,
+                report.startedAtMs,
+                ageMs,
+            )
         }
         if (added.size > MAX_LOGGED) log.warn("suspects not logged count={}", added.size - MAX_LOGGED)
-        val exchange = StateExchange(dependencies.vm, emptyList(), added, null, null)
+        val exchange = StateExchange(
+            dependencies.vm,
+            emptyList(),
+            added.keys.toList(),
+            null,
+            null,
+            suspectAgesMs = added.values.toList(),
+        )
         otherControls().forEach { send(it, exchange) }
     }
 
@@ -242,14 +255,16 @@
         reportsOfControlVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         val isRefreshDue = nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS
         if (isRefreshDue) lastRefreshAtMs = nowMs
+        val crashAgesMs = if (isRefreshDue) suspects.reportsToRepeat(nowMs) else emptyMap()
         val exchange = StateExchange(
             vm = dependencies.vm,
             records =
             if (isRefreshDue) dependencies.directory.announcedWithin(2 * REFRESH_PERIOD_MS, nowMs) else emptyList(),
-            suspects = if (isRefreshDue) suspects.reportsToRepeat(nowMs) else emptyList(),
+            suspects = crashAgesMs.keys.toList(),
             use = sumOf(reportsOfEntryVms.values),
             entryVms = reportsOfEntryVms.keys.toSet(),
             soundAgesMs = if (isRefreshDue) suspects.soundAgesMs(nowMs) else emptyMap(),
+            suspectAgesMs = crashAgesMs.values.toList(),
         )
         otherControls().forEach { send(it, exchange) }
     }
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -56,7 +56,8 @@
 
 /** Counts the crashes at which each cause was present since it was last known to be sound. */
 public class CrashReportTable {
-    private val reportedAtMs = linkedMapOf<CrashReport, Long>()
+    /** When each reported crash was noticed. */
+    private val crashedAtMs = linkedMapOf<CrashReport, Long>()
 
     /** When a run last showed that a cause is sound, for causes with reports. */
     private val soundAtMs = mutableMapOf<Fingerprint, Long>()
@@ -64,7 +65,7 @@
 
     private data class Crash(val target: TargetId, val startedAtMs: Long)
 
-    /** The crashes at which a cause was present, with the times of their reports. */
+    /** The crashes at which a cause was present, with the times at which they were noticed. */
     private class Presence(val atMs: Map<Crash, Long>, val depth: Int) {
         /** Returns whether this cause alone may have caused all crashes at which the cause with [other] was present. */
         fun explains(other: Presence): Boolean = atMs.keys.containsAll(other.atMs.keys) &&
@@ -78,12 +79,19 @@
 
     private val verdict: Verdict get() = verdictOrNull ?: judge().also { verdictOrNull = it }
 
-    /** Adds reports and returns those that are new. */
-    public fun receive(reports: List<CrashReport>, nowMs: Long): List<CrashReport> {
+    /**
+     * Adds reports and returns those that are new.
+     *
+     * @param agesMs the time since each crash was noticed. A control VM that has restarted gets all reports at once;
+     *   the crashes still happened at different moments.
+     */
+    public fun receive(agesMs: Map<CrashReport, Long>, nowMs: Long): Map<CrashReport, Long> {
         expire(nowMs)
-        val added = reports.filter { reportedAtMs.putIfAbsent(it, nowMs) == null }
-        val eldest = reportedAtMs.keys.iterator()
-        while (reportedAtMs.size > MAX_REPORTS) {
+        val added = agesMs.filter { (report, ageMs) ->
+            ageMs <= CRASH_RETENTION_MS && crashedAtMs.putIfAbsent(report, nowMs - ageMs) == null
+        }
+        val eldest = crashedAtMs.keys.iterator()
+        while (crashedAtMs.size > MAX_REPORTS) {
             eldest.next()
             eldest.remove()
         }
@@ -98,7 +106,7 @@
      */
     public fun clear(soundAgesMs: Map<Fingerprint, Long>, nowMs: Long): Map<Fingerprint, Long> {
         if (soundAgesMs.isEmpty()) return emptyMap()
-        val reported = reportedAtMs.keys.mapTo(mutableSetOf()) { it.request }
+        val reported = crashedAtMs.keys.mapTo(mutableSetOf()) { it.request }
         val later = soundAgesMs.filter { (cause, ageMs) ->
             cause in reported && ageMs <= CRASH_RETENTION_MS && nowMs - ageMs > (soundAtMs[cause] ?: Long.MIN_VALUE)
         }
@@ -113,10 +121,13 @@
         }
     }
 
-    /** Returns the reports to repeat to other control VMs: recent ones, and those against suspected causes. */
-    public fun reportsToRepeat(nowMs: Long): List<CrashReport> = reportedAtMs
+    /**
+     * Returns the reports to repeat to other control VMs, recent ones and those against suspected causes, with the time
+     * since each crash was noticed.
+     */
+    public fun reportsToRepeat(nowMs: Long): Map<CrashReport, Long> = crashedAtMs
         .filter { (report, atMs) -> nowMs - atMs <= REPEAT_REPORTS_MS || report.request in verdict.suspected }
-        .keys.toList()
+        .mapValues { (_, atMs) -> nowMs - atMs }
 
     /** Returns the causes with reports that are known to be sound, with the time since this was shown. */
     public fun soundAgesMs(nowMs: Long): Map<Fingerprint, Long> = soundAtMs.entries
@@ -131,13 +142,13 @@
     public fun refused(): Set<Fingerprint> = verdict.refused
 
     private fun expire(nowMs: Long) {
-        if (!reportedAtMs.values.removeIf { nowMs - it > CRASH_RETENTION_MS }) return
-        soundAtMs.keys.retainAll(reportedAtMs.keys.mapTo(mutableSetOf()) { it.request })
+        if (!crashedAtMs.values.removeIf { nowMs - it > CRASH_RETENTION_MS }) return
+        soundAtMs.keys.retainAll(crashedAtMs.keys.mapTo(mutableSetOf()) { it.request })
         verdictOrNull = null
     }
 
     private fun judge(): Verdict {
-        val suspected = reportedAtMs.entries
+        val suspected = crashedAtMs.entries
             .filter { (report, atMs) -> atMs > (soundAtMs[report.request] ?: Long.MIN_VALUE) }
             .groupBy { it.key.request }
             .mapValues { (_, reports) -> presenceOf(reports) }
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -99,15 +99,16 @@
     public fun use(): Map<TargetId, TargetUse> = ownUse.toMap()
 
     /**
-     * Returns the crashes to be reported to a control VM, one report for each cause that was present.
+     * Returns the crashes to be reported to a control VM, one report for each cause that was present, with the time
+     * since the crash was noticed.
      *
      * @param isNewReceiver whether the control VM may lack earlier reports, as after its restart.
      */
-    public fun crashReports(isNewReceiver: Boolean = false): List<CrashReport> {
+    public fun crashReportAgesMs(isNewReceiver: Boolean = false): Map<CrashReport, Long> {
         val nowMs = clock.nowMs()
         crashReports.values.removeIf { nowMs - it > CRASH_RETENTION_MS }
         val maxAgeMs = if (isNewReceiver) CRASH_RETENTION_MS else REPORT_CRASHES_MS
-        return crashReports.filterValues { nowMs - it <= maxAgeMs }.keys.toList()
+        return crashReports.mapValues { (_, atMs) -> nowMs - atMs }.filterValues { it <= maxAgeMs }
     }
 
     /** Records that a possible cause was present at a target when it crashed. */
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptSimulationTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptSimulationTest.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.target.fleet.CrashReportTable
 import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.SoundCauses
+import fulmarshunt.target.fleet.receive
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -257,7 +257,7 @@
     }
 
     /** The crashes that this VM reports to control VMs. */
-    fun crashReports() = runBlocking { control.run { fleet.crashReports() } }
+    fun crashReports() = runBlocking { control.run { fleet.crashReportAgesMs() } }
 
     /** Exchanges reports and refusals with a control VM whose crash reports are in [table]. */
     fun exchangeCrashReports(table: CrashReportTable) {
--- a/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
@@ -32,6 +32,9 @@
 private const val TIMEOUT_MS = 10_000L
 private const val POLL_MS = 20L
 
+/** Longer than crashes of an unknown part that count once. */
+private const val CRASH_PAUSE_MS = 300L
+
 /** Several watches and exchanges. */
 private const val SETTLED_MS = 3_000L
 
@@ -55,9 +58,10 @@
             runBlocking { control.run { watcher.start() } }
         }
 
-        fun recordCrash(number: Int, causes: Set<Fingerprint>) = runBlocking {
+        /** Records a crash; the causes are whole requests, or with a [depth] above 0 parts of prompts. */
+        fun recordCrash(number: Int, causes: Set<Fingerprint>, depth: Int = 0) = runBlocking {
             control.run {
-                causes.forEach { fleet.recordCrash(CrashReport(it, TargetId("t$number"), number.toLong())) }
+                causes.forEach { fleet.recordCrash(CrashReport(it, TargetId("t$number"), number.toLong(), depth)) }
             }
         }
 
@@ -124,13 +128,22 @@
 
     /** Guards against targets that crash again because all control VMs have restarted and forgotten the crashes. */
     @Test
-    fun `a refusal outlasts the restart of all control VMs`(): Unit = runBlocking {
+    fun `a refusal outlasts the restart of all control VMs`(): Unit = checkRestart(depth = 0)
+
+    /** Guards against the same for parts of prompts, whose crashes count only at different moments. */
+    @Test
+    fun `a refusal of a part outlasts the restart of all control VMs`(): Unit = checkRestart(depth = 1)
+
+    private fun checkRestart(depth: Int): Unit = runBlocking {
         // The address of a closed control VM is not free at once.
         val nextAddresses = freeAddresses()
         EntryVm("entry", addresses + nextAddresses).use { entryVm ->
             ControlVm("a", addresses[0], addresses) { true }.use {
                 ControlVm("b", addresses[1], addresses) { true }.use {
-                    (1..3).forEach { entryVm.recordCrash(it, setOf(deadly)) }
+                    (1..3).forEach {
+                        entryVm.recordCrash(it, setOf(deadly), depth)
+                        delay(CRASH_PAUSE_MS)
+                    }
                     eventually { entryVm.refused == setOf(deadly) }
                 }
             }
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -82,8 +82,8 @@
     fun `causes at single crashes are neither suspected nor repeated for long`() {
         (1..500).forEach { table.receive(crash(it, setOf(Fingerprint("bystander$it"), deadly)), it.toLong()) }
         expectThat(table.suspected()).isEqualTo(setOf(deadly))
-        expectThat(table.reportsToRepeat(60_000).map { it.request }.toSet()).isEqualTo(setOf(deadly))
-        table.receive(emptyList(), CRASH_RETENTION_MS + PERIOD_MS)
+        expectThat(table.reportsToRepeat(60_000).keys.map { it.request }.toSet()).isEqualTo(setOf(deadly))
+        table.receive(emptyMap(), CRASH_RETENTION_MS + PERIOD_MS)
         expectThat(table.refused()).isEmpty()
     }
 
@@ -131,6 +131,25 @@
         expectThat(table.refused()).isEqualTo(setOf(shared))
     }
 
+    /** Guards against a part that is no longer refused once a restarted control VM gets all reports at one time. */
+    @Test
+    fun `crashes count at the moments at which they were noticed`() {
+        val agesMs = (1..3).associate { crashAtDepth(deadly, it, 1) to it * PERIOD_MS }
+        table.receive(agesMs, 10 * PERIOD_MS)
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.reportsToRepeat(10 * PERIOD_MS)).isEqualTo(agesMs)
+    }
+
+    /** Guards against reports that never expire because control VMs pass them on to each other. */
+    @Test
+    fun `a report expires at the age at which its crash does`() {
+        val agesMs = (1..3).associate { crashAtDepth(deadly, it, 1) to CRASH_RETENTION_MS - it * PERIOD_MS }
+        expectThat(table.receive(agesMs, 0)).isEqualTo(agesMs)
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.receive(agesMs.mapValues { it.value + 4 * PERIOD_MS }, 4 * PERIOD_MS)).isEmpty()
+        expectThat(table.refused()).isEmpty()
+    }
+
     private fun crashAtDepth(cause: Fingerprint, number: Int, depth: Int) =
         CrashReport(cause, TargetId("t$number"), number.toLong(), depth)
 }
