Refuse removals that leave a voter whose disk hangs

Change: a removal needs a majority of voters that replied while they had everything on disk that they were sent (Peer.lastStoredAtMs).

--- a/src/main/kotlin/fulmarshunt/voter/ElectionStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ElectionStep.kt
@@ -98,7 +98,7 @@
 
 /** Returns a peer whose log is unknown; replication starts after [last], the last entry of the leader. */
 internal fun newPeer(last: LogIndex, lastReplyAtMs: Long?): Peer =
-    Peer(last + 1, LogIndex(0), null, 0, null, lastReplyAtMs, Stamp(0, Long.MIN_VALUE))
+    Peer(last + 1, LogIndex(0), null, 0, null, lastReplyAtMs, lastReplyAtMs, Stamp(0, Long.MIN_VALUE))
 
 private fun StepBuilder.hasActiveLeader(): Boolean =
     state.role is Leader || context.nowMs < state.lastLeaderContactAtMs + state.timing.electionTimeoutMinMs
--- a/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.voter
 
+import fulmarshunt.LogIndex
 import fulmarshunt.VoterId
 
 /**
@@ -118,7 +119,9 @@
 
 internal fun StepBuilder.onAppended(envelope: Envelope, message: Appended) {
     val id = envelope.from
-    if (!recordReply(id, message.stamp)) return
+    // The reply to a heartbeat does not wait for the disk.
+    val isStored = { peer: Peer -> message.match > LogIndex(0) || peer.matchIndex >= state.log.last.index }
+    if (!recordReply(id, message.stamp, isStored)) return
     updatePeer(id) { peer ->
         val match = maxOf(peer.matchIndex, message.match)
         val isAcknowledged = peer.inFlightTo != null && match >= peer.inFlightTo
@@ -167,11 +170,12 @@
 }
 
 /** Records a reply from [id], and returns whether [id] is a peer of this leader. */
-private fun StepBuilder.recordReply(id: VoterId, stamp: Stamp): Boolean {
+private fun StepBuilder.recordReply(id: VoterId, stamp: Stamp, isStored: (Peer) -> Boolean = { true }): Boolean {
     if ((state.role as? Leader)?.peers?.containsKey(id) != true) return false
     updatePeer(id) { peer ->
         val acknowledged = if (stamp.round >= peer.acknowledged.round) stamp else peer.acknowledged
-        peer.copy(lastReplyAtMs = context.nowMs, acknowledged = acknowledged)
+        val storedAtMs = if (isStored(peer)) context.nowMs else peer.lastStoredAtMs
+        peer.copy(lastReplyAtMs = context.nowMs, lastStoredAtMs = storedAtMs, acknowledged = acknowledged)
     }
     return true
 }
--- a/src/main/kotlin/fulmarshunt/voter/MembershipStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/MembershipStep.kt
@@ -22,8 +22,8 @@
         when {
             next == state.membership -> AcceptedAt(state.log.last.index)
             next.voters.isEmpty() -> Refused("$id is the last voter")
-            !next.isQuorum(respondingMembers()) ->
-                Refused("without $id, the voters that respond would not be a majority")
+            !next.isQuorum(storingMembers()) ->
+                Refused("without $id, the voters that respond and write to disk would not be a majority")
             else -> AcceptedAt(changeMembership(next))
         }
 }
@@ -59,7 +59,8 @@
 private fun StepBuilder.isChangePending(): Boolean =
     state.commit < leaderRole().firstIndex || state.memberships.last().index > state.commit
 
-private fun StepBuilder.respondingMembers(): Set<VoterId> {
+/** Returns the members that could commit entries now; one whose disk hangs still replies to heartbeats. */
+private fun StepBuilder.storingMembers(): Set<VoterId> {
     val sinceMs = context.nowMs - state.timing.electionTimeoutMaxMs
-    return leaderRole().peers.filterValues { (it.lastReplyAtMs ?: Long.MIN_VALUE) > sinceMs }.keys + state.id
+    return leaderRole().peers.filterValues { (it.lastStoredAtMs ?: Long.MIN_VALUE) > sinceMs }.keys + state.id
 }
--- a/src/main/kotlin/fulmarshunt/voter/VoterState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterState.kt
@@ -59,6 +59,8 @@
     val inFlightSinceMs: Long,
     val transfer: SnapshotTransfer?,
     val lastReplyAtMs: Long?,
+    /** When the member last replied while it had everything on disk that it was sent before. */
+    val lastStoredAtMs: Long?,
     /** The latest stamp that the member has returned. */
     val acknowledged: Stamp,
 )
--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -36,6 +37,7 @@
 /** Longer than the longest election timeout. */
 private const val SLOW_SYNC_MS = 1_500L
 
+@Timeout(300)
 class ReplicatedLogTest {
     @TempDir
     lateinit var directory: Path
--- a/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/StepPropertyTest.kt
@@ -8,6 +8,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import strikt.api.expectThat
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
@@ -169,6 +170,25 @@
         expectThat(voter.sent.map { it.message }).isEqualTo(listOf<VoterMessage>(early, late))
     }
 
+    /** Guards against the removal of a voter without which nothing is committed, as the disk of another hangs. */
+    @Property(tries = 60, seed = SEED)
+    fun aVoterWhoseDiskHangsDoesNotAllowARemoval(@ForAll seed: Long) {
+        val voter = ScriptedVoter(Random(seed))
+        val term = voter.becomeLeaderOfThree()
+        voter.sync()
+        voter.handle(Propose("a".encodeToByteArray()))
+        voter.sync()
+        repeat(15) {
+            voter.advanceToDeadline()
+            voter.receive(peerB, term, Appended(LogIndex(0), Stamp(0, voter.nowMs)))
+            voter.receive(peerC, term, Appended(LogIndex(2), Stamp(0, voter.nowMs)))
+        }
+        expectThat(voter.state.commit).isEqualTo(LogIndex(2))
+        expectThat(voter.handle(RemoveMember(peerC.id))).isA<Refused>()
+        voter.receive(peerB, term, Appended(LogIndex(2), Stamp(0, voter.nowMs)))
+        expectThat(voter.handle(RemoveMember(peerC.id))).isA<AcceptedAt>()
+    }
+
     /** Guards against sending a snapshot to a peer that lacks only one batch, which was lost. */
     @Property(tries = 60, seed = SEED)
     fun aLostBatchIsSentAgain(@ForAll seed: Long) {
