Do not send calls over links that were given up

A call whose caller no longer waits is left out when its turn comes.

The test opens the link first.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -198,6 +198,8 @@
     private suspend fun writeFrames() {
         while (true) {
             val next = nextFrameOrNull() ?: return
+            // Calls that were given up while they waited would delay later ones on a slow link.
+            if (next is Call && !pending.containsKey(next.id)) continue
             output.writeFrame(next, limitedBy("${peer.process} accepted no data for $SILENCE_LIMIT_MS ms"))
         }
     }
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.builtins.serializer
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -30,6 +31,8 @@
         val server = linksOf("server", "secret", handlers)
         val client = linksOf("client", "secret", LinkHandlers())
         val address = server.listen(loopback).getOrNull()!!
+        // The first handshake of a process that has just started can take longer than a link may take to open.
+        withTimeout(30_000) { while (client.call(address, echo, "call 0", 5_000).isLeft()) delay(20) }
         val replies = (0 until 50).map { n -> async { client.call(address, echo, "call $n", 5_000) } }.awaitAll()
         expectThat(replies.map { it.getOrNull() }).isEqualTo((0 until 50).map { "re:call $it" })
         client.close()
@@ -50,6 +53,22 @@
         server.close()
     }
 
+    /** Guards against calls that wait behind others that nobody waits for any more. */
+    @Test
+    fun `calls that were given up are not sent`(): Unit = runBlocking {
+        val size = Channel("size", String.serializer(), Int.serializer())
+        val server = linksOf("server", "secret", LinkHandlers().with(size) { _, text -> text.length })
+        val client = linksOf("client", "secret", LinkHandlers())
+        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 128 * 1_024).use { proxy ->
+            withTimeout(30_000) { while (client.call(proxy.address, size, "", 5_000).isLeft()) delay(20) }
+            val text = "x".repeat(128 * 1_024)
+            (0 until 20).map { async { client.call(proxy.address, size, text, 200) } }.awaitAll()
+            expectThat(client.call(proxy.address, size, "last", 10_000).getOrNull()).isEqualTo(4)
+        }
+        client.close()
+        server.close()
+    }
+
     /** Guards against reporting a call to a process that is not running as possibly handled. */
     @Test
     fun `a call to a closed port was not sent`(): Unit = runBlocking {
