Count a crash from the loss of the request

Found by the reviewer: with two probes and a dial limit of 600 ms, targets that are lost together were reported up to 0.9 s apart and counted as several moments, so that a sound part could be refused. Reports carry the time of the loss, and of several times for one crash the earliest counts.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
@@ -22,6 +22,7 @@
     fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
         val causes = job.causes.afterEvents(events)
         if (causes.isEmpty()) return
+        val lostAtMs = dependencies.clock.nowMs()
         dependencies.background.launch {
             val address = target.record.address
             val reason = refusalOrNull(address) ?: run {
@@ -43,7 +44,9 @@
                 val reports = causes.map {
                     CrashReport(it, target.id, target.record.startedAtMs, job.causes.depthOf(it))
                 }
-                dependencies.control.run { reports.forEach(dependencies.fleet::recordCrash) }
+                // Targets that crash together are found out at different times.
+                val ageMs = dependencies.clock.nowMs() - lostAtMs
+                dependencies.control.run { reports.forEach { dependencies.fleet.recordCrash(it, ageMs) } }
             }
         }
     }
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -87,15 +87,20 @@
      */
     public fun receive(agesMs: Map<CrashReport, Long>, nowMs: Long): Map<CrashReport, Long> {
         expire(nowMs)
-        val added = agesMs.filter { (report, ageMs) ->
-            ageMs <= CRASH_RETENTION_MS && crashedAtMs.putIfAbsent(report, nowMs - ageMs) == null
+        val valid = agesMs.filterValues { it <= CRASH_RETENTION_MS }
+        val added = valid.filterKeys { it !in crashedAtMs }
+        for ((report, ageMs) in valid) {
+            // The first VM to report a crash may have been the last to notice it.
+            val knownAtMs = crashedAtMs[report] ?: Long.MAX_VALUE
+            if (nowMs - ageMs >= knownAtMs) continue
+            crashedAtMs[report] = nowMs - ageMs
+            verdictOrNull = null
         }
         val eldest = crashedAtMs.keys.iterator()
         while (crashedAtMs.size > MAX_REPORTS) {
             eldest.next()
             eldest.remove()
         }
-        if (added.isNotEmpty()) verdictOrNull = null
         return added
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -111,9 +111,9 @@
         return crashReports.mapValues { (_, atMs) -> nowMs - atMs }.filterValues { it <= maxAgeMs }
     }
 
-    /** Records that a possible cause was present at a target when it crashed. */
-    public fun recordCrash(report: CrashReport) {
-        crashReports[report] = clock.nowMs()
+    /** Records that a possible cause was present at a target when it crashed, [ageMs] ago. */
+    public fun recordCrash(report: CrashReport, ageMs: Long = 0) {
+        crashReports.merge(report, clock.nowMs() - ageMs, ::minOf)
         if (crashReports.size > MAX_CRASH_REPORTS) crashReports.remove(crashReports.keys.first())
     }
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import java.io.BufferedInputStream
 import java.util.concurrent.CopyOnWriteArrayList
@@ -151,6 +152,8 @@
             RelayFixture(target).use { relay ->
                 relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
                 eventually { relay.crashReports().isNotEmpty() }
+                // The crash counts from the loss of the request, not from the second probe.
+                expectThat(relay.crashReports().values.min()).isGreaterThan(200)
             }
         }
     }
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -46,6 +46,16 @@
         expectThat(table.suspected()).isEqualTo(setOf(shared))
     }
 
+    /** Guards against crashes that count as one because a VM that noticed one late reported it first. */
+    @Test
+    fun `a crash happened when it was first noticed`() {
+        val reports = (1..3).map { CrashReport(deadly, TargetId("t$it"), it.toLong(), depth = 1) }
+        table.receive(reports.associateWith { 0L }, PERIOD_MS)
+        expectThat(table.refused()).isEmpty()
+        table.receive(reports.withIndex().associate { (index, report) -> report to index * 300L }, PERIOD_MS)
+        expectThat(table.refused()).isEqualTo(setOf(deadly))
+    }
+
     /** Guards against a part that was sound, crashes targets since, and is never stopped. */
     @Test
     fun `a part that was sound is refused after six crashes`() {
