--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -61,7 +61,7 @@
 
     /** When a run last showed that a cause is sound, for causes with reports. */
     private val soundAtMs = mutableMapOf<Fingerprint, Long>()
-    private var verdictOrNull: Verdict? = null
+    private var evaluationOrNull: Evaluation? = null
 
     private data class Crash(val target: TargetId, val startedAtMs: Long)
 
@@ -75,9 +75,9 @@
         private val specificity: Int get() = if (depth == 0) Int.MAX_VALUE else depth
     }
 
-    private class Verdict(val suspected: Set<Fingerprint>, val refused: Set<Fingerprint>)
+    private class Evaluation(val suspected: Set<Fingerprint>, val refused: Set<Fingerprint>)
 
-    private val verdict: Verdict get() = verdictOrNull ?: judge().also { verdictOrNull = it }
+    private val evaluation: Evaluation get() = evaluationOrNull ?: evaluate().also { evaluationOrNull = it }
 
     /**
      * Adds reports and returns those that are new.
@@ -94,7 +94,7 @@
             val knownAtMs = crashedAtMs[report] ?: Long.MAX_VALUE
             if (nowMs - ageMs >= knownAtMs) continue
             crashedAtMs[report] = nowMs - ageMs
-            verdictOrNull = null
+            evaluationOrNull = null
         }
         val eldest = crashedAtMs.keys.iterator()
         while (crashedAtMs.size > MAX_REPORTS) {
@@ -116,11 +116,11 @@
             cause in reported && ageMs <= CRASH_RETENTION_MS && nowMs - ageMs > (soundAtMs[cause] ?: Long.MIN_VALUE)
         }
         if (later.isEmpty()) return emptyMap()
-        val suspectedBefore = verdict.suspected
+        val suspectedBefore = evaluation.suspected
         val knownBefore = soundAtMs.keys.toSet()
         later.forEach { (cause, ageMs) -> soundAtMs[cause] = nowMs - ageMs }
-        verdictOrNull = null
-        val suspected = verdict.suspected
+        evaluationOrNull = null
+        val suspected = evaluation.suspected
         return soundAgesMs.filterKeys {
             it in soundAtMs && (it !in knownBefore || (it in suspectedBefore && it !in suspected))
         }
@@ -131,7 +131,7 @@
      * since each crash was noticed.
      */
     public fun reportsToRepeat(nowMs: Long): Map<CrashReport, Long> = crashedAtMs
-        .filter { (report, atMs) -> nowMs - atMs <= REPEAT_REPORTS_MS || report.request in verdict.suspected }
+        .filter { (report, atMs) -> nowMs - atMs <= REPEAT_REPORTS_MS || report.request in evaluation.suspected }
         .mapValues { (_, atMs) -> nowMs - atMs }
 
     /** Returns the causes with reports that are known to be sound, with the time since this was shown. */
@@ -141,18 +141,18 @@
         .associate { (cause, atMs) -> cause to nowMs - atMs }
 
     /** Returns the causes that were present at several crashes and were not cleared since. */
-    public fun suspected(): Set<Fingerprint> = verdict.suspected
+    public fun suspected(): Set<Fingerprint> = evaluation.suspected
 
     /** Returns the causes that must not run again. */
-    public fun refused(): Set<Fingerprint> = verdict.refused
+    public fun refused(): Set<Fingerprint> = evaluation.refused
 
     private fun expire(nowMs: Long) {
         if (!crashedAtMs.values.removeIf { nowMs - it > CRASH_RETENTION_MS }) return
         soundAtMs.keys.retainAll(crashedAtMs.keys.mapTo(mutableSetOf()) { it.request })
-        verdictOrNull = null
+        evaluationOrNull = null
     }
 
-    private fun judge(): Verdict {
+    private fun evaluate(): Evaluation {
         val suspected = crashedAtMs.entries
             .filter { (report, atMs) -> atMs > (soundAtMs[report.request] ?: Long.MIN_VALUE) }
             .groupBy { it.key.request }
@@ -161,7 +161,7 @@
         val mostSuspected = suspected.entries.sortedByDescending { it.value.atMs.size }.take(MAX_LISTED)
         val candidates = mostSuspected.filter { (cause, presence) -> isRefusalDue(cause, presence) }
         val refused = candidates.filter { candidate -> candidates.none { it.value.explains(candidate.value) } }
-        return Verdict(mostSuspected.mapTo(mutableSetOf()) { it.key }, refused.mapTo(mutableSetOf()) { it.key })
+        return Evaluation(mostSuspected.mapTo(mutableSetOf()) { it.key }, refused.mapTo(mutableSetOf()) { it.key })
     }
 
     private fun presenceOf(reports: List<Map.Entry<CrashReport, Long>>): Presence = Presence(
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptSimulationTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptSimulationTest.kt
@@ -33,11 +33,11 @@
 /** The delay of exchanges between entry VMs and the control VM. */
 private const val EXCHANGE_MS = 200L
 
-private const val DEADLY = "deadly"
+private const val CRASHING = "crashing"
 
 class CrashingPromptSimulationTest {
     private class Request(val vm: Int, val parts: List<String>, val target: Int, val startedAtMs: Long) {
-        val isDeadly = DEADLY in parts
+        val isCrashing = CRASHING in parts
         val causes = crashCausesOf(Fingerprint("$parts"), parts.map(::PromptPartId))
         var isSound = false
     }
@@ -59,17 +59,17 @@
         private val upAtMs = LongArray(TARGETS)
         private var nowMs = 0L
         private var number = 0
-        var deadlyRuns = 0
+        var crashingRuns = 0
         var soundRuns = 0
         val refusedSound = mutableListOf<List<String>>()
 
-        /** Runs for [durationMs] with one request in each tick, of which the share [deadlyShare] is deadly. */
-        fun run(durationMs: Long, deadlyShare: Double) {
+        /** Runs for [durationMs] with one request in each tick, of which the share [crashingShare] is crashing. */
+        fun run(durationMs: Long, crashingShare: Double) {
             val endMs = nowMs + durationMs
             while (nowMs < endMs) {
                 nowMs += TICK_MS
-                arrive(random.nextDouble() < deadlyShare)
-                for (run in running.filter { it.isDeadly && nowMs - it.startedAtMs >= CRASH_AFTER_MS }) {
+                arrive(random.nextDouble() < crashingShare)
+                for (run in running.filter { it.isCrashing && nowMs - it.startedAtMs >= CRASH_AFTER_MS }) {
                     if (run in running) crash(run.target)
                 }
                 finishRuns()
@@ -79,24 +79,24 @@
 
         fun crash(target: Int) {
             upAtMs[target] = nowMs + RESTART_MS
-            val victims = running.filter { it.target == target }
-            running -= victims.toSet()
-            for (victim in victims) {
-                val causes = victim.causes.afterEvents(if (victim.isSound) SOUND_EVENTS else 0)
-                entryVms[victim.vm].reports += causes.map { CrashReport(it, TargetId("t$target"), nowMs) }
+            val lostRuns = running.filter { it.target == target }
+            running -= lostRuns.toSet()
+            for (lostRun in lostRuns) {
+                val causes = lostRun.causes.afterEvents(if (lostRun.isSound) SOUND_EVENTS else 0)
+                entryVms[lostRun.vm].reports += causes.map { CrashReport(it, TargetId("t$target"), nowMs) }
             }
         }
 
-        private fun arrive(isDeadly: Boolean) {
+        private fun arrive(isCrashing: Boolean) {
             number += 1
-            val middle = if (isDeadly) DEADLY else "middle${random.nextInt(10)}"
+            val middle = if (isCrashing) CRASHING else "middle${random.nextInt(10)}"
             val parts = listOf("shared", middle, "own$number")
             val target = (0 until TARGETS).filter { upAtMs[it] <= nowMs }.randomOrNull(random) ?: return
             val request = Request(random.nextInt(ENTRY_VMS), parts, target, nowMs)
             if (request.causes.refusedOrNull(entryVms[request.vm].refused) == null) {
                 running += request
-                if (isDeadly) deadlyRuns += 1 else soundRuns += 1
-            } else if (!isDeadly) {
+                if (isCrashing) crashingRuns += 1 else soundRuns += 1
+            } else if (!isCrashing) {
                 refusedSound += parts
             }
         }
@@ -127,11 +127,11 @@
     fun `only the part that crashes targets is refused`() {
         for (seed in 1..20) {
             val simulation = Simulation(seed)
-            simulation.run(3_000, deadlyShare = 0.0)
-            simulation.run(30_000, deadlyShare = 0.2)
+            simulation.run(3_000, crashingShare = 0.0)
+            simulation.run(30_000, crashingShare = 0.2)
             // Three crashes, and what is already running or admitted until the refusal is known.
-            expectThat(simulation.deadlyRuns).isGreaterThan(2)
-            expectThat(simulation.deadlyRuns).isLessThanOrEqualTo(8)
+            expectThat(simulation.crashingRuns).isGreaterThan(2)
+            expectThat(simulation.crashingRuns).isLessThanOrEqualTo(8)
             expectThat(simulation.refusedSound).describedAs("seed $seed").isEmpty()
         }
     }
@@ -141,10 +141,10 @@
     fun `several targets that crash at one moment lead to no refusal`() {
         for (crashes in listOf(3, 6, 8)) {
             val simulation = Simulation(crashes)
-            simulation.run(3_000, deadlyShare = 0.0)
+            simulation.run(3_000, crashingShare = 0.0)
             val soundBefore = simulation.soundRuns
             (0 until crashes).forEach { simulation.crash(it) }
-            simulation.run(10_000, deadlyShare = 0.0)
+            simulation.run(10_000, crashingShare = 0.0)
             expectThat(simulation.refusedSound).isEmpty()
             expectThat(simulation.soundRuns - soundBefore).isEqualTo((10_000 / TICK_MS).toInt())
         }
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPromptTest.kt
@@ -20,16 +20,16 @@
 
 private const val WAIT_MS = 5_000L
 private const val CRASH_PAUSE_MS = 250L
-private const val DEADLY_PART = "deadly"
+private const val CRASHING_PART = "crashing"
 
 class CrashingPromptTest {
     /** The bodies of the requests that crashed their targets. */
     private val crashedBy = CopyOnWriteArrayList<String>()
 
-    /** A target that crashes as it begins to respond to a request whose body names the deadly part. */
+    /** A target that crashes as it begins to respond to a request whose body names the crashing part. */
     private fun target(name: String) = ScriptedTarget(name) {
         startStream()
-        if (DEADLY_PART in request.body) {
+        if (CRASHING_PART in request.body) {
             crashedBy += request.body
             crash()
         } else {
@@ -48,10 +48,10 @@
 
     private fun RelayFixture.ask(body: String, parts: String) = call("/stream/x", body, "tokens: 10", "parts: $parts")
 
-    /** Sends a new request with the deadly part, and returns once the crash of its target has been reported. */
+    /** Sends a new request with the crashing part, and returns once the crash of its target has been reported. */
     private fun RelayFixture.crashOne(number: Int, targets: List<ScriptedTarget>, table: CrashReportTable) {
         val reportsBefore = crashReports().size
-        ask("$DEADLY_PART $number", "shared,$DEADLY_PART,own$number")
+        ask("$CRASHING_PART $number", "shared,$CRASHING_PART,own$number")
         eventually { crashReports().size > reportsBefore }
         expectThat(crashedBy).hasSize(number)
         targets.filter { target -> target.requests.any { it.body in crashedBy } }.forEach { leave(it) }
@@ -69,7 +69,7 @@
                 val table = CrashReportTable()
                 expectThat(relay.ask("sound", "shared,other,own")?.startLine).isNotNull().contains(" 200 ")
                 (1..3).forEach { relay.crashOne(it, targets, table) }
-                val fourth = relay.ask("$DEADLY_PART 4", "shared,$DEADLY_PART,own4")
+                val fourth = relay.ask("$CRASHING_PART 4", "shared,$CRASHING_PART,own4")
                 expectThat(fourth?.startLine).isNotNull().contains(" 503 ")
                 expectThat(crashedBy).hasSize(3)
                 val sound = relay.ask("also sound", "shared,other,own5")
@@ -98,7 +98,7 @@
                     first.getOutputStream().write(requestText("/stream/x", body, "tokens: 9500").encodeToByteArray())
                     eventually { target.requests.size == 1 }
                     relay.connect().use { second ->
-                        val parts = "shared,$DEADLY_PART,own"
+                        val parts = "shared,$CRASHING_PART,own"
                         val text = requestText("/stream/x", body, "tokens: 9500", "parts: $parts")
                         second.getOutputStream().write(text.encodeToByteArray())
                         eventually { relay.active == 2 }
@@ -120,7 +120,7 @@
     fun `a crash is found although another connection to the target is kept`() {
         val bothRun = CountDownLatch(2)
         val target = ScriptedTarget("a") {
-            if (DEADLY_PART in request.body) {
+            if (CRASHING_PART in request.body) {
                 stopListening()
                 reset()
             } else {
@@ -135,7 +135,7 @@
             RelayFixture(target).use { relay ->
                 val others = List(2) { thread { relay.ask("sound", "shared,own") } }
                 others.forEach { it.join() }
-                relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
+                relay.ask(CRASHING_PART, "shared,$CRASHING_PART,own")
                 eventually { relay.crashReports().isNotEmpty() }
             }
         }
@@ -150,7 +150,7 @@
         }
         target.use {
             RelayFixture(target).use { relay ->
-                relay.ask(DEADLY_PART, "shared,$DEADLY_PART,own")
+                relay.ask(CRASHING_PART, "shared,$CRASHING_PART,own")
                 eventually { relay.crashReports().isNotEmpty() }
                 // The crash counts from the loss of the request, not from the second probe.
                 expectThat(relay.crashReports().values.min()).isGreaterThan(200)
--- a/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
@@ -79,7 +79,7 @@
     }
 
     private val addresses = freeAddresses()
-    private val deadly = Fingerprint("deadly")
+    private val crashing = Fingerprint("crashing")
     private val shared = Fingerprint("shared")
 
     private fun freeAddresses() = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
@@ -95,11 +95,11 @@
                 EntryVm("reporting", addresses.take(1)).use { reporting ->
                     EntryVm("clearing", addresses.drop(1)).use { clearing ->
                         clearing.recordSound(shared)
-                        (1..3).forEach { reporting.recordCrash(it, setOf(deadly, shared)) }
-                        eventually { reporting.refused == setOf(deadly) && clearing.refused == setOf(deadly) }
+                        (1..3).forEach { reporting.recordCrash(it, setOf(crashing, shared)) }
+                        eventually { reporting.refused == setOf(crashing) && clearing.refused == setOf(crashing) }
                         delay(SETTLED_MS)
-                        expectThat(reporting.refused).isEqualTo(setOf(deadly))
-                        expectThat(clearing.refused).isEqualTo(setOf(deadly))
+                        expectThat(reporting.refused).isEqualTo(setOf(crashing))
+                        expectThat(clearing.refused).isEqualTo(setOf(crashing))
                     }
                 }
             }
@@ -113,11 +113,11 @@
             ControlVm("b", addresses[1], addresses.drop(1)) { true }.use {
                 EntryVm("reporting", addresses.take(1)).use { reporting ->
                     EntryVm("watching", addresses).use { watching ->
-                        (1..3).forEach { reporting.recordCrash(it, setOf(deadly)) }
-                        eventually { watching.refused == setOf(deadly) }
+                        (1..3).forEach { reporting.recordCrash(it, setOf(crashing)) }
+                        eventually { watching.refused == setOf(crashing) }
                         val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLED_MS)
                         while (System.nanoTime() < endNanos) {
-                            expectThat(watching.refused).isEqualTo(setOf(deadly))
+                            expectThat(watching.refused).isEqualTo(setOf(crashing))
                             delay(1)
                         }
                     }
@@ -141,20 +141,20 @@
             ControlVm("a", addresses[0], addresses) { true }.use {
                 ControlVm("b", addresses[1], addresses) { true }.use {
                     (1..3).forEach {
-                        entryVm.recordCrash(it, setOf(deadly), depth)
+                        entryVm.recordCrash(it, setOf(crashing), depth)
                         delay(CRASH_PAUSE_MS)
                     }
-                    eventually { entryVm.refused == setOf(deadly) }
+                    eventually { entryVm.refused == setOf(crashing) }
                 }
             }
             entryVm.skip(LATER_MS)
             ControlVm("a2", nextAddresses[0], nextAddresses) { true }.use {
                 ControlVm("b2", nextAddresses[1], nextAddresses) { true }.use {
                     delay(SETTLED_MS)
-                    expectThat(entryVm.refused).isEqualTo(setOf(deadly))
+                    expectThat(entryVm.refused).isEqualTo(setOf(crashing))
                     entryVm.skip(LATER_MS)
                     delay(SETTLED_MS)
-                    expectThat(entryVm.refused).isEqualTo(setOf(deadly))
+                    expectThat(entryVm.refused).isEqualTo(setOf(crashing))
                 }
             }
         }
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -15,7 +15,7 @@
 class CrashReportTableTest {
     private val table = CrashReportTable()
     private val shared = Fingerprint("shared")
-    private val deadly = Fingerprint("deadly")
+    private val crashing = Fingerprint("crashing")
 
     private fun crash(number: Int, causes: Set<Fingerprint>) =
         causes.map { CrashReport(it, TargetId("t$number"), number.toLong()) }
@@ -25,11 +25,11 @@
     fun `a part that runs without a crash in between is not refused`() {
         for (number in 1..20) {
             val nowMs = number * PERIOD_MS
-            table.receive(crash(number, setOf(shared, deadly)), nowMs)
+            table.receive(crash(number, setOf(shared, crashing)), nowMs)
             table.clear(mapOf(shared to 0L), nowMs + 1)
         }
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
-        expectThat(table.suspected()).isEqualTo(setOf(deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
+        expectThat(table.suspected()).isEqualTo(setOf(crashing))
     }
 
     /** Guards against a part that all prompts share and that is refused because a failure domain was lost. */
@@ -49,29 +49,29 @@
     /** Guards against crashes that count as one because a VM that noticed one late reported it first. */
     @Test
     fun `a crash happened when it was first noticed`() {
-        val reports = (1..3).map { CrashReport(deadly, TargetId("t$it"), it.toLong(), depth = 1) }
+        val reports = (1..3).map { CrashReport(crashing, TargetId("t$it"), it.toLong(), depth = 1) }
         table.receive(reports.associateWith { 0L }, PERIOD_MS)
         expectThat(table.refused()).isEmpty()
         table.receive(reports.withIndex().associate { (index, report) -> report to index * 300L }, PERIOD_MS)
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
     }
 
     /** Guards against a part that was sound, crashes targets since, and is never stopped. */
     @Test
     fun `a part that was sound is refused after six crashes`() {
         val sound = SoundCauses()
-        sound.record(setOf(deadly), 0)
+        sound.record(setOf(crashing), 0)
         var nowMs = 0L
         val refusals = Refusals { sound.agesMs(it, nowMs).keys }
         for (number in 1..6) {
             nowMs += PERIOD_MS
             expectThat(table.refused()).isEmpty()
-            table.receive(crash(number, setOf(deadly)), nowMs)
+            table.receive(crash(number, setOf(crashing)), nowMs)
             table.clear(sound.agesMs(table.suspected(), nowMs), nowMs)
         }
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
         expectThat(refusals.decide(table.refused(), nowMs)).isEmpty()
-        expectThat(refusals.decide(table.refused(), nowMs + PERIOD_MS)).isEqualTo(setOf(deadly))
+        expectThat(refusals.decide(table.refused(), nowMs + PERIOD_MS)).isEqualTo(setOf(crashing))
     }
 
     /** Guards against a cause that is cleared and counted again because entry VMs repeat their reports. */
@@ -90,9 +90,9 @@
     /** Guards against growing messages: a request that was present at one crash stays unlisted. */
     @Test
     fun `causes at single crashes are neither suspected nor repeated for long`() {
-        (1..500).forEach { table.receive(crash(it, setOf(Fingerprint("bystander$it"), deadly)), it.toLong()) }
-        expectThat(table.suspected()).isEqualTo(setOf(deadly))
-        expectThat(table.reportsToRepeat(60_000).keys.map { it.request }.toSet()).isEqualTo(setOf(deadly))
+        (1..500).forEach { table.receive(crash(it, setOf(Fingerprint("other$it"), crashing)), it.toLong()) }
+        expectThat(table.suspected()).isEqualTo(setOf(crashing))
+        expectThat(table.reportsToRepeat(60_000).keys.map { it.request }.toSet()).isEqualTo(setOf(crashing))
         table.receive(emptyMap(), CRASH_RETENTION_MS + PERIOD_MS)
         expectThat(table.refused()).isEmpty()
     }
@@ -111,23 +111,26 @@
     @Test
     fun `of parts that were present at the same crashes only the deepest is refused`() {
         for (number in 1..3) {
-            val causes = listOf(shared, deadly)
+            val causes = listOf(shared, crashing)
             val reports = causes.mapIndexed { index, cause -> crashAtDepth(cause, number, index + 1) }
             table.receive(reports, number * PERIOD_MS)
         }
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
-        expectThat(table.suspected()).isEqualTo(setOf(shared, deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
+        expectThat(table.suspected()).isEqualTo(setOf(shared, crashing))
     }
 
     /** Guards against a part that goes on crashing targets because another part was taken for the cause. */
     @Test
     fun `a part is refused once it was present at a crash without the deeper one`() {
         for (number in 1..3) {
-            table.receive(listOf(crashAtDepth(deadly, number, 1), crashAtDepth(shared, number, 2)), number * PERIOD_MS)
+            table.receive(
+                listOf(crashAtDepth(crashing, number, 1), crashAtDepth(shared, number, 2)),
+                number * PERIOD_MS,
+            )
         }
         expectThat(table.refused()).isEqualTo(setOf(shared))
-        table.receive(listOf(crashAtDepth(deadly, 4, 1)), 4 * PERIOD_MS)
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        table.receive(listOf(crashAtDepth(crashing, 4, 1)), 4 * PERIOD_MS)
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
     }
 
     /** Guards against a refusal of a new part for the loss of several targets at one moment. */
@@ -144,18 +147,18 @@
     /** Guards against a part that is no longer refused once a restarted control VM gets all reports at one time. */
     @Test
     fun `crashes count at the moments at which they were noticed`() {
-        val agesMs = (1..3).associate { crashAtDepth(deadly, it, 1) to it * PERIOD_MS }
+        val agesMs = (1..3).associate { crashAtDepth(crashing, it, 1) to it * PERIOD_MS }
         table.receive(agesMs, 10 * PERIOD_MS)
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
         expectThat(table.reportsToRepeat(10 * PERIOD_MS)).isEqualTo(agesMs)
     }
 
     /** Guards against reports that never expire because control VMs pass them on to each other. */
     @Test
     fun `a report expires at the age at which its crash does`() {
-        val agesMs = (1..3).associate { crashAtDepth(deadly, it, 1) to CRASH_RETENTION_MS - it * PERIOD_MS }
+        val agesMs = (1..3).associate { crashAtDepth(crashing, it, 1) to CRASH_RETENTION_MS - it * PERIOD_MS }
         expectThat(table.receive(agesMs, 0)).isEqualTo(agesMs)
-        expectThat(table.refused()).isEqualTo(setOf(deadly))
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
         expectThat(table.receive(agesMs.mapValues { it.value + 4 * PERIOD_MS }, 4 * PERIOD_MS)).isEmpty()
         expectThat(table.refused()).isEmpty()
     }
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -54,9 +54,9 @@
     fun `a request is refused after three crashes`() {
         val table = CrashReportTable()
         val cause = Fingerprint("cause")
-        val bystander = Fingerprint("bystander")
+        val other = Fingerprint("other")
         fun crash(request: Fingerprint, number: Int) = CrashReport(request, TargetId("t$number"), number.toLong())
-        table.receive(listOf(crash(cause, 1), crash(bystander, 1)), 0)
+        table.receive(listOf(crash(cause, 1), crash(other, 1)), 0)
         table.receive(listOf(crash(cause, 2)), 1)
         // The same crash reported by another entry VM.
         expectThat(table.receive(listOf(crash(cause, 2)), 2)).hasSize(0)
