--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -59,11 +59,12 @@
         val size = Channel("size", String.serializer(), Int.serializer())
         val server = linksOf("server", "secret", LinkHandlers().with(size) { _, text -> text.length })
         val client = linksOf("client", "secret", LinkHandlers())
-        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 128 * 1_024).use { proxy ->
+        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 1_024 * 1_024).use { proxy ->
             withTimeout(30_000) { while (client.call(proxy.address, size, "", 5_000).isLeft()) delay(20) }
-            val text = "x".repeat(128 * 1_024)
-            (0 until 20).map { async { client.call(proxy.address, size, text, 200) } }.awaitAll()
-            expectThat(client.call(proxy.address, size, "last", 10_000).getOrNull()).isEqualTo(4)
+            // More than the buffers of the connection take.
+            val text = "x".repeat(64 * 1_024)
+            (0 until 400).map { async { client.call(proxy.address, size, text, 200) } }.awaitAll()
+            expectThat(client.call(proxy.address, size, "last", 15_000).getOrNull()).isEqualTo(4)
         }
         client.close()
         server.close()
