Return from the shutdown only once the listening socket is closed

Cause: a channel that is registered with a selector keeps its socket until the next selection (read in the code of the JDK, not traced in a run). A caller that connects in between is accepted by the kernel and reset at the end of the process.

Change: the shutdown suspends once after it has closed the listener, so that the event loop selects before it returns. The test is unchanged.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerShutdown.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerShutdown.kt
@@ -56,5 +56,7 @@
         // Runs without a suspension after the last check, so that no request is read in between.
         listener.close()
         callers.close()
+        // The selector releases the listening socket when it next selects, which it does before a delay ends.
+        delay(1)
     }
 }
