Act on targets that say that they are leaving or want no requests

Cause: an entry VM took a target out only for an announcement that reached it through control VMs. A target that says in each response that it is leaving (Server-Leaving) kept getting requests, and one that refused with 503 and Retry-After got others at once; its callers were told to return after 0.3 to 0.8 s.

Change: what a target says in the head of a response to a request of its own takes effect at this VM at once (caller/relay/TargetNotices.kt). A leaving instance gets no more requests, its idle connections are closed and its runs move; control VMs are told and tell the others. A pause is kept per instance (target/fleet/TargetPauses.kt), at most 5 minutes; afterwards one request is tried first. Requests that no target can take while they wait are refused at once with the end of the pause. Responses of other targets (421), to other requests, and successes without proof count for nothing. Retry-After may be seconds or a date; other values are logged and ignored.

An entry VM that reaches no control VM logs it, at most once in 5 s, and both programs have a gauge of the control VMs that they reach.

--- a/src/main/kotlin/fulmarshunt/caller/PlacementRequests.kt
+++ b/src/main/kotlin/fulmarshunt/caller/PlacementRequests.kt
@@ -12,7 +12,7 @@
 import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.PlacedGrant
 import fulmarshunt.entry.Rejected
-import fulmarshunt.entry.TargetInstance
+import fulmarshunt.target.TargetInstance
 
 /** The placement requests of one caller request; their tickets extend that of [template] by a number. */
 internal class PlacementRequests(
--- a/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
@@ -12,7 +12,7 @@
     data class NotSent(val reason: String) : AttemptFailure
 
     /** The target stated that it has not run the request. */
-    data class Refused(val status: Int, val retryAfterS: Double?) : AttemptFailure
+    data class Refused(val status: Int, val retryAfterMs: Long?) : AttemptFailure
 
     /** The target may have run the request. */
     data class Lost(val reason: String) : AttemptFailure
--- a/src/main/kotlin/fulmarshunt/caller/relay/OverloadPolicy.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/OverloadPolicy.kt
@@ -74,6 +74,11 @@
 /** Returns after which delay the caller of [job] should retry; [random] is uniform in 0 until 1. */
 internal fun retryDelayMs(job: RelayJob, full: PlacementResult.Full?, nowMs: Long, random: Double): Long {
     val objectiveMs = job.route.objectiveMs
+    val pausedForMs = full?.pausedForMs ?: 0
+    if (pausedForMs > 0) {
+        // The targets accept nothing before; the callers that were refused for the same reason return one by one.
+        return pausedForMs + (objectiveMs * RETRY_SPREAD_FRACTION * random).toLong().coerceAtLeast(MIN_RETRY_DELAY_MS)
+    }
     val soonMs = objectiveMs * RETRY_OBJECTIVE_FRACTION
     if (nowMs + soonMs > timelyUntilMs(job)) {
         val fraction = MIN_LATE_RETRY_FRACTION + (MAX_LATE_RETRY_FRACTION - MIN_LATE_RETRY_FRACTION) * random
--- a/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
@@ -62,7 +62,10 @@
     public val isStamped: Boolean,
     /** Whether the target states that it has not run the request. */
     public val isNotRun: Boolean,
-    public val retryAfterS: Double?,
+    /** How long the target wants no other request from this VM. */
+    public val retryAfterMs: Long? = null,
+    /** Whether the target states that it is leaving. */
+    public val isLeaving: Boolean = false,
 )
 
 /** The memory of a run has been copied completely to another target. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -93,6 +93,11 @@
     suspend fun placeForMigration(placement: Placement, tokens: Int): Placement? =
         control.run { fleet.placeForMigration(placement, tokens)?.also { held += it } }
 
+    suspend fun shortage(job: RelayJob): PlacementResult.Full = control.run { fleet.shortage(job.service.id) }
+
+    /** Returns whether a running generation may continue at the target of [placement] now. */
+    suspend fun tryContinue(placement: Placement): Boolean = control.run { fleet.tryContinue(placement.target) }
+
     suspend fun tryRepeat(job: RelayJob): Boolean = control.run { fleet.tryRepeat(job.service.id) }
 
     fun promote(copy: Placement) {
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -69,7 +69,8 @@
 /** Relays requests of callers to targets. Confined to the traffic thread. */
 internal class RequestRelay(private val dependencies: RelayDependencies) {
     private val log = LogManager.getLogger(RequestRelay::class.java)
-    private val calls = TargetCalls(dependencies.connections, dependencies.adapter)
+    private val notices = TargetNotices(dependencies)
+    private val calls = TargetCalls(dependencies.connections, dependencies.adapter, notices::receive)
     private val admission = RequestAdmission(dependencies)
     private val crashes = CrashDetector(dependencies)
 
@@ -136,7 +137,7 @@
             }
             if (step == NextStep.TRY_ANOTHER && canSendAgain) continue
             val problem = if (job.attempts.runs > 0) "the target failed" else "no target took the request"
-            return notServed(job, "$problem: $failure", null)
+            return notServed(job, "$problem: $failure", placements.shortage(job))
         }
     }
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -369,6 +369,10 @@
             log.warn("run not continued request={} how={} to={} reason=drained", job.id, how, placement.target.id)
             return false
         }
+        if (!dependencies.placements.tryContinue(placement)) {
+            log.warn("run not continued request={} how={} to={} reason=paused", job.id, how, placement.target.id)
+            return false
+        }
         val startedAtMs = dependencies.clock.nowMs()
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -79,7 +79,12 @@
 }
 
 /** Sends requests to targets. Confined to the traffic thread. */
-internal class TargetCalls(private val connections: TargetConnections, private val adapter: ProtocolAdapter) {
+internal class TargetCalls(
+    private val connections: TargetConnections,
+    private val adapter: ProtocolAdapter,
+    /** Called with each response that a target gave to a request. */
+    private val onResponse: (KnownTarget, HttpResponse) -> Unit,
+) {
     /** Sends [job] to [target] as [dispatch] says; a body that is still arriving is forwarded in [scope]. */
     suspend fun open(
         job: RelayJob,
@@ -102,6 +107,7 @@
                 } else {
                     receiveHead(job, connection)
                 } ?: "timed out".left()
+            head.onRight { onResponse(target, it) }
             return head.mapLeft { AttemptFailure.Lost("no response: $it") }.flatMap(::validate).map {
                 isOpened = true
                 TargetResponse(target, connection, it, connections, sender)
@@ -200,7 +206,7 @@
         return when {
             metadata.request == null -> AttemptFailure.Lost("the response names no request").left()
             metadata.isNotRun || status == HttpResponseStatus.MISDIRECTED_REQUEST ->
-                AttemptFailure.Refused(status.code(), metadata.retryAfterS).left()
+                AttemptFailure.Refused(status.code(), metadata.retryAfterMs).left()
             status in NOT_RUN_STATUSES ->
                 AttemptFailure.Lost("status ${status.code()} without the statement that the request has not run").left()
             status.codeClass() == HttpStatusClass.SUCCESS && !metadata.isStamped ->
--- a/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/AdmissionMessages.kt
@@ -16,6 +16,7 @@
 import fulmarshunt.VmId
 import fulmarshunt.link.Channel
 import fulmarshunt.target.TargetAnnouncement
+import fulmarshunt.target.TargetInstance
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/src/main/kotlin/fulmarshunt/entry/CrashHistory.kt
+++ b/src/main/kotlin/fulmarshunt/entry/CrashHistory.kt
@@ -6,10 +6,9 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Fingerprint
-import fulmarshunt.Incarnation
-import fulmarshunt.TargetId
 import fulmarshunt.appending
 import fulmarshunt.dropping
+import fulmarshunt.target.TargetInstance
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -22,10 +21,6 @@
 /** The maximum number of suspects and of crashes that are kept; the oldest are removed first. */
 internal const val MAX_SUSPECTS: Int = 10_000
 
-/** One run of a target, from its start to its end. */
-@Serializable
-public data class TargetInstance(public val target: TargetId, public val incarnation: Incarnation)
-
 /** A request that was running on a target when it crashed. */
 @Serializable
 public data class PoisonSuspect(
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -16,6 +16,7 @@
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.LimitedLog
 import fulmarshunt.process.guardRound
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.FleetView
@@ -65,6 +66,7 @@
     private val clock: Clock,
 ) {
     private val log = LogManager.getLogger(FleetWatcher::class.java)
+    private val isolationLog = LimitedLog(log)
 
     /** The state of one watched control VM. */
     private inner class Slot(val number: Int) {
@@ -98,7 +100,12 @@
     private val refusals = Refusals { fleet.soundAgesMs(it).keys }
     private val viewState = MutableStateFlow(FleetView())
 
-    /** The newest view. */
+    /** The number of control VMs that reply. May be read from any thread. */
+    @Volatile
+    public var watchedControlVms: Int = 0
+        private set
+
+    /** What control VMs list, without what targets have told this VM; [Fleet.views] has both. */
     public val views: StateFlow<FleetView> = viewState.asStateFlow()
 
     /** Starts watching. */
@@ -139,6 +146,7 @@
             slot.targetChange,
             fleet.soundAgesMs(slot.suspected),
             crashAgesMs.values.toList(),
+            fleet.unlistedLeaving(),
         )
         val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
         reply.onRight {
@@ -156,6 +164,7 @@
         log.error("watch failed address={} slot={}", slot.address, slot.number, e)
         slot.address?.let { failedAtMs[it] = clock.nowMs() }
         slot.clear()
+        countWatched()
     }
 
     /** Returns the control VM that failed longest ago; ties are broken in a different order on each entry VM. */
@@ -173,6 +182,10 @@
         failedAtMs[address] = clock.nowMs()
         refusals.keep(slot.refused)
         slot.clear()
+        countWatched()
+        if (watchedControlVms == 0) {
+            isolationLog.log(Level.WARN, "no control-vm reached address=$address reason=$reason")
+        }
         publish(viewState.value)
     }
 
@@ -183,6 +196,7 @@
             refusals.keep(slot.refused)
         }
         slot.source = reply.source
+        countWatched()
         slot.targetChange = reply.targetChange
         reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
         slot.suspected = reply.suspected
@@ -201,6 +215,10 @@
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun countWatched() {
+        watchedControlVms = slots.count { it.source.isNotEmpty() }
+    }
+
     private fun isUsable(listed: ListedTarget): Boolean {
         val problem = listed.record.problemOrNull() ?: return true
         log.warn("target ignored id={} problem={}", listed.record.id, problem)
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -12,6 +12,7 @@
 import fulmarshunt.VmId
 import fulmarshunt.link.Channel
 import fulmarshunt.operator.serving.ServingSnapshot
+import fulmarshunt.target.TargetInstance
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.CrashReport
 import fulmarshunt.target.fleet.ListedTarget
@@ -34,6 +35,8 @@
     val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
     /** The time since each crash of [suspects] was noticed, in their order; older versions send none. */
     val suspectAgesMs: List<Long> = emptyList(),
+    /** Targets that have said that they are leaving, but are listed as ready. */
+    val leaving: Set<TargetInstance> = emptySet(),
 )
 
 /** The changes since a [Watch]. */
@@ -70,6 +73,8 @@
     val soundAgesMs: Map<Fingerprint, Long> = emptyMap(),
     /** The time since each crash of [suspects] was noticed, in their order; older versions send none. */
     val suspectAgesMs: List<Long> = emptyList(),
+    /** Targets that have said to entry VMs that they are leaving. */
+    val leaving: Set<TargetInstance> = emptySet(),
 )
 
 /** The reply to a [StateExchange]. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -14,6 +14,8 @@
 import fulmarshunt.link.Links
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.LimitedLog
+import fulmarshunt.target.TargetInstance
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.CrashReport
 import fulmarshunt.target.fleet.CrashReportTable
@@ -32,6 +34,7 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
 
@@ -83,6 +86,7 @@
     private val clock: Clock,
 ) {
     private val log = LogManager.getLogger(WatchService::class.java)
+    private val contactLog = LimitedLog(log)
     private val source = UUID.randomUUID().toString()
     private val suspects = CrashReportTable()
     private val lastSuspectChange = MutableStateFlow(0L)
@@ -94,6 +98,12 @@
     private val entryVmsSeenAtMs = mutableMapOf<VmId, Long>()
     private var lastRefreshAtMs = 0L
     private var lastContactAtMs = Long.MIN_VALUE / 2
+    private val reached = mutableSetOf<Address>()
+
+    /** The number of other control VMs that replied to the last exchange with them. May be read from any thread. */
+    @Volatile
+    public var reachedControlVms: Int = 0
+        private set
 
     @Volatile
     private var links: Links? = null
@@ -169,6 +179,7 @@
         }
         recordSuspects(withAges(watch.suspects, watch.suspectAgesMs))
         recordSound(watch.soundAgesMs)
+        recordLeaving(watch.leaving)
         val change = if (watch.source == source) watch.targetChange else 0
         val knownSuspectChange = lastSuspectChange.value
         withTimeoutOrNull(WATCH_HOLD_MS) {
@@ -202,6 +213,7 @@
             .forEach { dependencies.directory.receive(it.record, nowMs, it.ageMs) }
         recordSuspects(withAges(exchange.suspects, exchange.suspectAgesMs))
         recordSound(exchange.soundAgesMs)
+        dependencies.directory.receiveLeaving(exchange.leaving, nowMs)
         exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
         return StateExchangeReply(dependencies.vm, dependencies.isCurrent())
@@ -248,11 +260,20 @@
         otherControls().forEach { send(it, exchange) }
     }
 
+    /** Records what targets have said to an entry VM, and forwards it so that the other entry VMs need not hear it too. */
+    private fun recordLeaving(instances: Set<TargetInstance>) {
+        val added = dependencies.directory.receiveLeaving(instances, clock.nowMs())
+        if (added.isEmpty()) return
+        val exchange = StateExchange(dependencies.vm, emptyList(), emptyList(), null, null, leaving = added)
+        otherControls().forEach { send(it, exchange) }
+    }
+
     private fun exchangeState() {
         val nowMs = clock.nowMs()
         entryVmsSeenAtMs.values.removeIf { nowMs - it > ENTRY_VM_RETENTION_MS }
         reportsOfEntryVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         reportsOfControlVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
+        reached.retainAll(otherControls().toSet())
         val isRefreshDue = nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS
         if (isRefreshDue) lastRefreshAtMs = nowMs
         val crashAgesMs = if (isRefreshDue) suspects.reportsToRepeat(nowMs) else emptyMap()
@@ -265,6 +286,7 @@
             entryVms = reportsOfEntryVms.keys.toSet(),
             soundAgesMs = if (isRefreshDue) suspects.soundAgesMs(nowMs) else emptyMap(),
             suspectAgesMs = crashAgesMs.values.toList(),
+            leaving = if (isRefreshDue) dependencies.directory.leavingInstances() else emptySet(),
         )
         otherControls().forEach { send(it, exchange) }
     }
@@ -275,10 +297,22 @@
 
     private suspend fun exchangeWith(address: Address, exchange: StateExchange): StateExchangeReply? {
         val result = links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS) ?: return null
-        result.onLeft { log.debug("exchange to={} failed reason={}", address, it.reason) }
+        recordContact(address, result.leftOrNull()?.reason)
         return result.getOrNull()?.also { if (it.isCurrent) lastContactAtMs = clock.nowMs() }
     }
 
+    /** Logs a control VM that is reached for the first time or again, or that is lost; [problem] is null if it replied. */
+    private fun recordContact(address: Address, problem: String?) {
+        if (problem == null) {
+            if (reached.add(address)) log.info("control-vm reached address={}", address)
+        } else if (reached.remove(address)) {
+            log.warn("control-vm lost address={} reason={}", address, problem)
+        } else {
+            contactLog.log(Level.WARN, "control-vm not reached address=$address reason=$problem")
+        }
+        reachedControlVms = reached.size
+    }
+
     private fun otherControls(): List<Address> = dependencies.controls() - dependencies.own
 
     private fun totalUse(nowMs: Long): Map<TargetId, TargetUse> =
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -114,6 +114,7 @@
     val meters = processMetrics()
     listen(settings, ControlApi(servingState, watches, links, meters, wallClock()), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, it)) }
+    meters.gauge("fulmarshunt_reached_control_vms", watches) { it.reachedControlVms.toDouble() }
     log.start(links)
     directory.start(links) { log.leadership.value.leader != null }
     watches.start(links)
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -90,19 +90,19 @@
     val plannedStop = PlannedStop()
     val requestRelay = RequestRelay(
         RelayDependencies(
-            watcher.views, fleet, control, connections, adapter, relayMeters, clock,
+            fleet.views, fleet, control, connections, adapter, relayMeters, clock,
             Random.Default::nextDouble, traffic.scope, plannedStop,
         ),
     )
     val callers =
-        CallerConnections({ watcher.views.value }, adapter, relayMeters, clock, plannedStop, requestRelay::run)
-    val maxHeaderBytes = { watcher.views.value.table?.configuration?.limits?.maxHeaderBytes ?: MAX_HEADER_BYTES }
+        CallerConnections({ fleet.views.value }, adapter, relayMeters, clock, plannedStop, requestRelay::run)
+    val maxHeaderBytes = { fleet.views.value.table?.configuration?.limits?.maxHeaderBytes ?: MAX_HEADER_BYTES }
     val listener = traffic.listen(validatedAddress(settings.listen.callers), maxHeaderBytes, callers::serve)
         .getOrElse { raise(ProgramOutcome(ExitCode.USAGE, "listen.callers: $it")) }
     listenForReadiness(traffic, validatedAddress(settings.listen.readiness)) {
         if (plannedStop.hasBegun) {
             "stopping"
-        } else if (watcher.views.value.table == null) {
+        } else if (fleet.views.value.table == null) {
             "no configuration"
         } else {
             null
@@ -110,6 +110,7 @@
     }.onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.readiness: $it")) }
     listenForMetrics(traffic, validatedAddress(settings.listen.metrics), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.metrics: $it")) }
+    meters.gauge("fulmarshunt_watched_control_vms", watcher) { it.watchedControlVms.toDouble() }
     control.run { watcher.start() }
     startConnectionExpiry(traffic, connections)
     val graceMs = (settings.shutdown.graceS * MS_PER_S).toLong() - SHUTDOWN_MARGIN_MS
--- a/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
+++ b/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
@@ -40,6 +40,10 @@
     const val STAMP = "Fulmarshunt-Server-Stamp"
     const val NOT_RUN = "Fulmarshunt-Not-Run"
     const val RETRY_AFTER = "Retry-After"
+    const val DATE = "Date"
+
+    /** `1` in each response of a target that is leaving. */
+    const val LEAVING = "Server-Leaving"
 }
 
 /** Headers that only this system sets in requests to targets; values from callers are removed. Lower case. */
--- a/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
@@ -81,7 +81,8 @@
     request = headers.get(HeaderName.REQUEST_ID),
     isStamped = headers.contains(HeaderName.STAMP),
     isNotRun = headers.contains(HeaderName.NOT_RUN),
-    retryAfterS = headers.get(HeaderName.RETRY_AFTER)?.trim()?.toDoubleOrNull(),
+    retryAfterMs = readRetryAfterMs(headers),
+    isLeaving = headers.get(HeaderName.LEAVING)?.trim() == "1",
 )
 
 /** Returns the names of hop-by-hop headers in lower case: the standard ones and those that `Connection` lists. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -11,7 +11,11 @@
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.ServiceProfile
+import fulmarshunt.target.TargetInstance
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
@@ -54,7 +58,12 @@
     public data class Placed(public val placement: Placement) : PlacementResult
 
     /** Targets exist, but none has capacity; [waiting] requests wait for the same service at this VM. */
-    public data class Full(public val waiting: Int, public val targets: Int) : PlacementResult
+    public data class Full(
+        public val waiting: Int,
+        public val targets: Int,
+        /** The time after which the first target accepts requests again, if all of them have asked for a pause. */
+        public val pausedForMs: Long = 0,
+    ) : PlacementResult
 
     /** No known target of the service accepts requests. */
     public data object NoTarget : PlacementResult
@@ -77,24 +86,73 @@
     private val waiting = mutableListOf<WaitingRequest>()
     private val crashReports = linkedMapOf<CrashReport, Long>()
     private val soundCauses = SoundCauses()
+    private val leaving = LeavingTargets()
+    private val pauses = TargetPauses(nextRandom)
 
-    private class WaitingRequest(val request: PlacementRequest, val result: CompletableDeferred<Placement>)
+    /** What control VMs list, without what targets have told this VM. */
+    private var listed = FleetView()
+    private val viewState = MutableStateFlow(FleetView())
+
+    private class WaitingRequest(
+        val request: PlacementRequest,
+        val untilMs: Long,
+        /** The placement, or null if the request is refused before its time limit. */
+        val result: CompletableDeferred<Placement?>,
+    )
 
     private val admissionOrder: Comparator<WaitingRequest> =
         compareBy({ isLate(it.request) }, { it.request.rank }, { it.request.objectiveDeadlineMs })
 
+    /** The newest view: what control VMs list, and what targets have told this VM. */
+    public val views: StateFlow<FleetView> = viewState.asStateFlow()
+
     /** The current view. */
-    public var view: FleetView = FleetView()
-        private set
-
-    /** Replaces the view with a newer one. */
-    public fun update(view: FleetView) {
-        this.view = view
-        failures.keys.retainAll(view.targets.keys)
-        coldStarts.retain(view.targets.keys)
+    public val view: FleetView get() = viewState.value
+
+    /** Replaces what control VMs list. */
+    public fun update(listed: FleetView) {
+        this.listed = listed
+        val nowMs = clock.nowMs()
+        leaving.expire(nowMs)
+        pauses.expire(nowMs)
+        failures.keys.retainAll(listed.targets.keys)
+        coldStarts.retain(listed.targets.keys)
+        publish()
+    }
+
+    private fun publish() {
+        viewState.value = listed.copy(
+            targets = listed.targets.mapValues { (_, target) ->
+                val record = leaving.applyTo(target.record)
+                if (record === target.record) target else target.copy(record = record)
+            },
+        )
         admitWaiting()
     }
 
+    /** Records that [target] has said in a response that it is leaving. */
+    public fun recordLeaving(target: KnownTarget) {
+        if (!leaving.record(target.instance, clock.nowMs())) return
+        log.info("target leaves target={} born={} source=response", target.id, target.record.startedAtMs)
+        publish()
+    }
+
+    /** Returns the instances that are leaving although control VMs list them as ready. */
+    public fun unlistedLeaving(): Set<TargetInstance> = leaving.instances.filterTo(mutableSetOf()) {
+        val record = listed.targets[it.target]?.record
+        record?.phase == TargetPhase.READY && record.instance == it
+    }
+
+    /** Records that [target] has refused a request and wants no others for [durationMs]. */
+    public fun recordPause(target: KnownTarget, durationMs: Long) {
+        val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
+        log.info("target pauses target={} askedMs={} pauseMs={}", target.id, durationMs, pauseMs)
+        refuseHopeless()
+    }
+
+    /** Returns whether a running generation may continue at [target] now. */
+    public fun tryContinue(target: KnownTarget): Boolean = pauses.tryContinue(target.instance, clock.nowMs())
+
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.toMap()
 
@@ -132,23 +190,56 @@
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
         placeNow(request)?.let { return PlacementResult.Placed(it) }
-        val known = candidatesOf(request.service.id).size
-        if (known == 0 && !isDiscovering(request.service.id)) return PlacementResult.NoTarget
-        val full = PlacementResult.Full(waiting.count { it.request.service.id == request.service.id }, known)
-        if (limitMs <= 0) return full
-        val entry = WaitingRequest(request, CompletableDeferred())
+        val known = candidatesOf(request.service.id)
+        if (known.isEmpty() && !isDiscovering(request.service.id)) return PlacementResult.NoTarget
+        val entry = WaitingRequest(request, clock.nowMs() + limitMs, CompletableDeferred())
+        if (limitMs <= 0 || isHopeless(entry)) return shortage(request.service.id)
         waiting += entry
         var isTaken = false
         try {
-            withTimeoutOrNull(limitMs) { entry.result.await() }
+            withTimeoutOrNull(limitMs) { awaitAdmission(entry) }
             // The request may have been admitted just as its time limit expired.
-            if (!entry.result.isCompleted) return full
+            val placement = if (entry.result.isCompleted) entry.result.await() else null
             isTaken = true
-            return PlacementResult.Placed(entry.result.await())
+            return placement?.let { PlacementResult.Placed(it) } ?: shortage(request.service.id)
         } finally {
             waiting.remove(entry)
-            if (!isTaken && entry.result.isCompleted) end(entry.result.await(), UseOutcome.ABANDONED)
+            if (!isTaken && entry.result.isCompleted) entry.result.await()?.let { end(it, UseOutcome.ABANDONED) }
+        }
+    }
+
+    private suspend fun awaitAdmission(entry: WaitingRequest) {
+        val pausedForMs = shortage(entry.request.service.id).pausedForMs
+        if (pausedForMs > 0) {
+            withTimeoutOrNull(pausedForMs) { entry.result.await() }
+            admitWaiting()
         }
+        entry.result.await()
+    }
+
+    /** Returns what is known of the shortage of targets of [service]. */
+    public fun shortage(service: ServiceId): PlacementResult.Full {
+        val nowMs = clock.nowMs()
+        val known = candidatesOf(service)
+        return PlacementResult.Full(
+            waiting.count { it.request.service.id == service },
+            known.size,
+            known.minOfOrNull { pauses.remainingMs(it.instance, nowMs) } ?: 0,
+        )
+    }
+
+    /** Returns whether targets are known, and none of them can take the request of [entry] while it waits. */
+    private fun isHopeless(entry: WaitingRequest): Boolean {
+        val known = candidatesOf(entry.request.service.id)
+        val patienceMs = entry.untilMs - clock.nowMs()
+        return known.isNotEmpty() && known.all {
+            it.id in entry.request.excluded || pauses.remainingMs(it.instance, clock.nowMs()) > patienceMs
+        }
+    }
+
+    /** Refuses the waiting requests that cannot be admitted any more, so that their callers can retry. */
+    private fun refuseHopeless() {
+        waiting.filter { !it.result.isCompleted && isHopeless(it) }.forEach { it.result.complete(null) }
     }
 
     /** Places the rest of a generation that runs at the target of [placement], or returns null. */
@@ -181,6 +272,7 @@
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
+        if (pauses.recordOutput(placement)) admitWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
@@ -189,6 +281,7 @@
         replaceUse(placement, TargetUse.NONE)
         placement.hasEnded = true
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
+        pauses.recordEnd(placement, outcome)
         admitWaiting()
     }
 
@@ -201,7 +294,8 @@
         val requirements =
             TargetRequirements(request.service.engine, request.promptTokens, tokens, domain, isLate(request))
         val chosen = chooseOrNull(usableCandidates(request), requirements, nextRandom) ?: return null
-        return assign(request, chosen.target, TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong()))
+        val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
+        return assign(request, chosen.target, use).also { pauses.recordPlacement(it) }
     }
 
     private fun assign(request: PlacementRequest, target: KnownTarget, use: TargetUse): Placement {
@@ -246,7 +340,7 @@
         val nowMs = clock.nowMs()
         val limit = coldLimitPerS(request.service)
         val eligible = candidatesOf(request.service.id).filter { target ->
-            target.id !in request.excluded &&
+            target.id !in request.excluded && pauses.admits(target.instance, nowMs) &&
                 (
                     limit <= 0 || target.coldUntilMs <= nowMs || coldStarts.hasRoom(
                         target.id,
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.RoutingTable
+import fulmarshunt.target.TargetInstance
 
 /** A target as an entry VM knows it. */
 public data class KnownTarget(
@@ -18,6 +19,9 @@
 ) {
     /** The target's id. */
     public val id: TargetId get() = record.id
+
+    /** The run of the target that is known. */
+    public val instance: TargetInstance get() = record.instance
 }
 
 /** A view of the deployment. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetConnections.kt
@@ -69,6 +69,11 @@
         connection.onEnd = { drop(address, connection) }
     }
 
+    /** Closes the idle connections to [address]. */
+    public fun closeIdle(address: Address) {
+        idle.remove(address)?.forEach { it.connection.close() }
+    }
+
     /** Closes connections that have been idle for too long. */
     public fun expire() {
         val nowMs = clock.nowMs()
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetDirectory.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetDirectory.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.target.fleet
 
 import fulmarshunt.TargetId
+import fulmarshunt.target.TargetInstance
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -32,6 +33,7 @@
     private class Entry(var record: TargetRecord, var announcedAtMs: Long, var isSilent: Boolean, var change: Long)
 
     private val entries = mutableMapOf<TargetId, Entry>()
+    private val leaving = LeavingTargets()
     private val changeState = MutableStateFlow(0L)
 
     /** The number of the last change. */
@@ -42,7 +44,10 @@
      *
      * @return whether it changes more than the time of the last announcement.
      */
-    public fun receive(record: TargetRecord, nowMs: Long, ageMs: Long = 0): Boolean {
+    public fun receive(record: TargetRecord, nowMs: Long, ageMs: Long = 0): Boolean =
+        receiveKnown(leaving.applyTo(record), nowMs, ageMs)
+
+    private fun receiveKnown(record: TargetRecord, nowMs: Long, ageMs: Long): Boolean {
         val entry = entries[record.id]
         if (entry != null && !record.isNewerThan(entry.record)) {
             if (record == entry.record) entry.announcedAtMs = maxOf(entry.announcedAtMs, nowMs - ageMs)
@@ -98,6 +103,29 @@
         return record
     }
 
+    /**
+     * Records that targets have said to entry VMs that they are leaving.
+     *
+     * @return those for which that was not known.
+     */
+    public fun receiveLeaving(instances: Set<TargetInstance>, nowMs: Long): Set<TargetInstance> {
+        val added = instances.filterTo(mutableSetOf()) { leaving.record(it, nowMs) }
+        for (instance in added) {
+            val entry = entries[instance.target] ?: continue
+            val record = leaving.applyTo(entry.record)
+            if (record == entry.record) continue
+            entry.record = record
+            entry.change = nextChange()
+            log.info("target leaves id={} born={} source=entry VM", record.id, record.startedAtMs)
+        }
+        return added
+    }
+
+    /** Returns the listed targets that have said to entry VMs that they are leaving. */
+    public fun leavingInstances(): Set<TargetInstance> = entries.values
+        .filter { it.record.phase == TargetPhase.LEAVING && it.record.instance in leaving.instances }
+        .mapTo(mutableSetOf()) { it.record.instance }
+
     /** Marks targets that have stopped announcing themselves as silent, and removes those without a recent record. */
     public fun expire(nowMs: Long) {
         for (entry in entries.values) {
@@ -108,6 +136,7 @@
             log.warn("target silent id={} lastHeardAgeMs={}", entry.record.id, nowMs - entry.announcedAtMs)
         }
         entries.values.removeIf { nowMs - it.announcedAtMs > RETENTION_MS }
+        leaving.expire(nowMs)
     }
 
     /** Returns the targets that changed after the change with number [change]. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
@@ -6,8 +6,10 @@
 
 import fulmarshunt.Address
 import fulmarshunt.FailureDomainId
+import fulmarshunt.Incarnation
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
+import fulmarshunt.target.TargetInstance
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -40,6 +42,9 @@
     /** How long the target stays cold, counted from its announcement. */
     public val coldForMs: Long,
 ) {
+    /** The run of the target that announced this record. */
+    public val instance: TargetInstance get() = TargetInstance(id, Incarnation(startedAtMs))
+
     /** Returns whether this record replaces [other], a record of the same target. */
     internal fun isNewerThan(other: TargetRecord): Boolean =
         compareValuesBy(this, other, { it.startedAtMs }, { it.sequence }) > 0
--- a/src/main/kotlin/fulmarshunt/voter/ControlState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ControlState.kt
@@ -21,7 +21,6 @@
 import fulmarshunt.entry.RemoveVms
 import fulmarshunt.entry.SharedState
 import fulmarshunt.entry.StateChange
-import fulmarshunt.entry.TargetInstance
 import fulmarshunt.entry.changesOf
 import fulmarshunt.entry.expire
 import fulmarshunt.entry.record
@@ -34,6 +33,7 @@
 import fulmarshunt.operator.VmShutdown
 import fulmarshunt.operator.decideAction
 import fulmarshunt.operator.decideCommand
+import fulmarshunt.target.TargetInstance
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -26,6 +26,7 @@
 import fulmarshunt.target.fleet.RepeatLimits
 import fulmarshunt.target.fleet.TargetConnections
 import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.engines
 import fulmarshunt.target.fleet.here
 import fulmarshunt.target.fleet.known
@@ -35,7 +36,6 @@
 import io.netty.channel.Channel
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
-import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import java.io.BufferedInputStream
@@ -189,7 +189,7 @@
     private val records = targets.flatMap { target ->
         listOf(plain, engines).map { record("${it.id}-${target.name}", service = it, port = target.port) }
     }
-    private val views = MutableStateFlow(FleetView(table(), targets = records.associate { it.id to known(it) }))
+    private var listed = FleetView(table(), targets = records.associate { it.id to known(it) })
     private val connections = TargetConnections(traffic, clock)
 
     /** Performs the migrations of runs; the addresses are those of the targets. */
@@ -208,19 +208,28 @@
         toCallerHeaders = { headers ->
             DefaultHttpHeaders().also { copy -> headers.get("stamp")?.let { copy.set("stamp", it) } }
         },
-        readResponse = { ResponseMetadata(it.get("id"), it.contains("stamp"), it.contains("not-run"), null) },
+        readResponse = {
+            ResponseMetadata(
+                it.get("id"),
+                it.contains("stamp"),
+                it.contains("not-run"),
+                it.getInt("pause-ms")?.toLong(),
+                it.contains("leaving"),
+            )
+        },
         migrate = { source, run, destination, isLast -> this.migrate(source, run, destination, isLast) },
         copyHandle = { it.value },
     )
     private val plannedStop = PlannedStop()
     private val requestRelay = RequestRelay(
-        RelayDependencies(views, fleet, control, connections, adapter, meters, clock, {
+        RelayDependencies(fleet.views, fleet, control, connections, adapter, meters, clock, {
             0.5
         }, traffic.scope, plannedStop),
     )
-    private val callers = CallerConnections({ views.value }, adapter, meters, clock, plannedStop, requestRelay::run)
+    private val callers =
+        CallerConnections({ fleet.views.value }, adapter, meters, clock, plannedStop, requestRelay::run)
     private val listener: Channel = runBlocking {
-        control.run { fleet.update(views.value) }
+        control.run { fleet.update(listed) }
         traffic.listen(Address("127.0.0.1", 0), { 8_192 }, callers::serve).fold({ error(it) }, { it })
     }
     private val address = Address("127.0.0.1", (listener.localAddress() as InetSocketAddress).port)
@@ -263,8 +272,12 @@
     private fun <T> onTraffic(block: () -> T): T = runBlocking { withContext(traffic.dispatch) { block() } }
 
     /** Sets the configuration, or removes it, as in a process that has just started. */
-    fun configure(isConfigured: Boolean) {
-        views.value = views.value.copy(table = if (isConfigured) table() else null)
+    fun configure(isConfigured: Boolean): Unit = list(listed.copy(table = if (isConfigured) table() else null))
+
+    /** Sets what control VMs list. */
+    private fun list(view: FleetView) {
+        listed = view
+        runBlocking { control.run { fleet.update(view) } }
     }
 
     /** The crashes that this VM reports to control VMs. */
@@ -274,20 +287,14 @@
     fun exchangeCrashReports(table: CrashReportTable) {
         table.receive(crashReports(), clock.nowMs())
         table.clear(runBlocking { control.run { fleet.soundAgesMs(table.suspected()) } }, clock.nowMs())
-        views.value = views.value.copy(refused = table.refused())
-        runBlocking { control.run { fleet.update(views.value) } }
+        list(listed.copy(refused = table.refused()))
     }
 
     /** Refuses the requests with one of [causes]. */
-    fun refuse(causes: Set<Fingerprint>) {
-        views.value = views.value.copy(refused = causes)
-    }
+    fun refuse(causes: Set<Fingerprint>): Unit = list(listed.copy(refused = causes))
 
     /** Drains the failure domain of all targets. */
-    fun drain() {
-        views.value = views.value.copy(drained = setOf(here))
-        runBlocking { control.run { fleet.update(views.value) } }
-    }
+    fun drain(): Unit = list(listed.copy(drained = setOf(here)))
 
     /** Announces that [target] is leaving. */
     fun leave(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.LEAVING)
@@ -295,13 +302,18 @@
     /** Announces that [target] is ready. */
     fun ready(target: ScriptedTarget): Unit = setPhase(target, TargetPhase.READY)
 
-    private fun setPhase(target: ScriptedTarget, phase: TargetPhase) {
-        val next = views.value.targets.mapValues { (id, known) ->
-            if (id.value.endsWith("-${target.name}")) known(known.record.copy(phase = phase)) else known
-        }
-        views.value = views.value.copy(targets = next)
-        runBlocking { control.run { fleet.update(views.value) } }
-    }
+    private fun setPhase(target: ScriptedTarget, phase: TargetPhase): Unit = replace(target) { it.copy(phase = phase) }
+
+    /** Announces that [target] has been started again at the same address. */
+    fun restart(target: ScriptedTarget): Unit = replace(target) { it.copy(startedAtMs = it.startedAtMs + 1) }
+
+    private fun replace(target: ScriptedTarget, change: (TargetRecord) -> TargetRecord): Unit = list(
+        listed.copy(
+            targets = listed.targets.mapValues { (id, known) ->
+                if (id.value.endsWith("-${target.name}")) known(change(known.record)) else known
+            },
+        ),
+    )
 
     /** Opens a connection of a caller; a small buffer makes a slow reader delay its writer. */
     fun connect(receiveBufferBytes: Int? = null): Socket = Socket().also { socket ->
--- a/src/test/kotlin/fulmarshunt/entry/CrashHistoryTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/CrashHistoryTest.kt
@@ -6,6 +6,7 @@
 import fulmarshunt.Fingerprint
 import fulmarshunt.Incarnation
 import fulmarshunt.TargetId
+import fulmarshunt.target.TargetInstance
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.entry.watch.FleetWatcher
+import fulmarshunt.entry.watch.Watch
 import fulmarshunt.entry.watch.WatchReply
 import fulmarshunt.entry.watch.watchChannel
 import fulmarshunt.link.LinkHandlers
@@ -24,6 +25,7 @@
 import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.TimedFleet
 import fulmarshunt.target.fleet.record
+import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -38,6 +40,10 @@
 class FleetWatcherTest {
     private val control = startControlThread()
     private val calls = AtomicInteger()
+    private val fleet = TimedFleet().fleet
+
+    /** The last call. */
+    private val watches = MutableStateFlow<Watch?>(null)
 
     /** Returns the reply to a call, given its number from 1 on. */
     private lateinit var replyTo: (Int) -> WatchReply
@@ -45,7 +51,10 @@
     private val server = linksOf(
         "control",
         "secret-of-the-test",
-        LinkHandlers().with(watchChannel) { _, _ -> replyTo(calls.incrementAndGet()) },
+        LinkHandlers().with(watchChannel) { _, watch ->
+            watches.value = watch
+            replyTo(calls.incrementAndGet())
+        },
     )
     private val client = linksOf("entry", "secret-of-the-test", LinkHandlers())
     private val address = runBlocking { checkNotNull(server.listen(Address("127.0.0.1", 0)).getOrNull()) }
@@ -62,7 +71,7 @@
             VmId("entry"),
             { listOf(address) },
             decode,
-            TimedFleet().fleet,
+            fleet,
             client,
             control,
             monotonicClock(),
@@ -116,4 +125,16 @@
         expectThat(view.targets.keys).isEqualTo(setOf(TargetId("sound"), TargetId("last")))
         expectThat(view.targets[TargetId("sound")]?.record).isEqualTo(sound)
     }
+
+    /** Guards against a target that other entry VMs use although it said to this one that it is leaving. */
+    @Test
+    fun `control VMs are told what targets said of leaving`(): Unit = runBlocking {
+        val record = record("a")
+        replyTo = { reply(listOf(record)) }
+        val watcher = watcher { "not needed".left() }
+        val target = withTimeout(TIMEOUT_MS) { watcher.views.first { it.targets.isNotEmpty() } }.targets.values.single()
+        control.run { fleet.recordLeaving(target) }
+        withTimeout(TIMEOUT_MS) { watches.first { it?.leaving == setOf(record.instance) } }
+        expectThat(watcher.watchedControlVms).isEqualTo(1)
+    }
 }
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -4,10 +4,13 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Address
+import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.entry.watch.StateExchange
+import fulmarshunt.entry.watch.Watch
 import fulmarshunt.entry.watch.exchangeChannel
+import fulmarshunt.entry.watch.watchChannel
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.record
@@ -78,4 +81,41 @@
             expectThat(only.service.announce(leaving)).isTrue()
         }
     }
+
+    /** Guards against entry VMs that each have to find out by a response that a target is leaving. */
+    @Test
+    fun `what a target said to one entry VM reaches the other control VMs`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { true }.use { first ->
+            ControlVm("b", addresses[1], addresses) { true }.use { second ->
+                first.service.announce(record("t"))
+                val report = Watch(
+                    VmId("entry"),
+                    false,
+                    emptyMap(),
+                    emptyList(),
+                    LogIndex(0),
+                    "",
+                    0,
+                    leaving = setOf(record("t").instance),
+                )
+                second.links.call(addresses[0], watchChannel, report, TIMEOUT_MS).onLeft { error(it) }
+                withTimeout(TIMEOUT_MS) {
+                    while (second.records().map { it.phase } != listOf(TargetPhase.LEAVING)) delay(POLL_MS)
+                }
+                expectThat(first.records().map { it.phase }).isEqualTo(listOf(TargetPhase.LEAVING))
+            }
+        }
+    }
+
+    /** Guards against a control VM without contact to others that says nothing of it. */
+    @Test
+    fun `the number of reached control VMs is known`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses) { true }.use { first ->
+            expectThat(first.service.reachedControlVms).isEqualTo(0)
+            ControlVm("b", addresses[1], addresses) { true }.use {
+                withTimeout(TIMEOUT_MS) { while (first.service.reachedControlVms != 1) delay(POLL_MS) }
+            }
+            withTimeout(TIMEOUT_MS) { while (first.service.reachedControlVms != 0) delay(POLL_MS) }
+        }
+    }
 }
--- a/src/test/kotlin/fulmarshunt/target/PoolFixture.kt
+++ b/src/test/kotlin/fulmarshunt/target/PoolFixture.kt
@@ -18,7 +18,6 @@
 import fulmarshunt.entry.Granted
 import fulmarshunt.entry.LostAttempt
 import fulmarshunt.entry.Rejected
-import fulmarshunt.entry.TargetInstance
 import kotlin.random.Random
 
 internal fun announcement(
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -203,4 +203,96 @@
         timed.nowMs += 60_000
         expectThat(fleet.place(request("later"), 60_000)).isEqualTo(PlacementResult.NoTarget)
     }
+
+    private fun pausedTarget(durationMs: Long): KnownTarget {
+        val target = known(record("a", service = plain))
+        fleet.update(viewOf(target))
+        fleet.recordPause(target, durationMs)
+        return target
+    }
+
+    /** Guards against a pause that ends with a change of what control VMs list, and one that holds for a new instance. */
+    @Test
+    fun `a pause holds for the instance that asked for it`() {
+        pausedTarget(5_000)
+        fleet.update(viewOf(known(record("a", sequence = 2, service = plain))))
+        expectThat(placeNow(request("r1", plain))).isEqualTo(PlacementResult.Full(0, 1, 5_000))
+        fleet.update(viewOf(known(record("a", startedAtMs = 2, service = plain))))
+        expectThat(placeNow(request("r2", plain))).isA<PlacementResult.Placed>()
+    }
+
+    /** Guards against all entry VMs that return with all their requests when a pause ends. */
+    @Test
+    fun `after a pause one request is tried first`() {
+        pausedTarget(5_000)
+        timed.nowMs += 5_000
+        val trial = placed(request("trial", plain))
+        expectThat(placeNow(request("second", plain))).isA<PlacementResult.Full>()
+        fleet.end(trial, UseOutcome.REFUSED)
+        val next = placed(request("next", plain))
+        fleet.end(next, UseOutcome.SUCCEEDED)
+        repeat(3) { expectThat(placeNow(request("r$it", plain))).isA<PlacementResult.Placed>() }
+    }
+
+    /** Guards against requests that wait although no target will accept them while they wait. */
+    @Test
+    fun `a request that cannot be placed while it waits is refused at once`(): Unit = runBlocking {
+        val target = known(record("a", service = plain))
+        fleet.update(viewOf(target))
+        val running = (1..16).map { placed(request("r$it", plain)) }
+        val waiting = async(start = CoroutineStart.UNDISPATCHED) { fleet.place(request("waiting", plain), 4_000) }
+        fleet.recordPause(target, 5_000)
+        expectThat(waiting.await()).isA<PlacementResult.Full>().get { pausedForMs }.isEqualTo(5_000)
+        expectThat(fleet.place(request("next", plain), 4_000)).isA<PlacementResult.Full>()
+        expectThat(running.size).isEqualTo(16)
+    }
+
+    /** Guards against a request that is refused although the pause ends while it can wait. */
+    @Test
+    fun `a request waits for the end of a short pause`(): Unit = runBlocking {
+        pausedTarget(200)
+        val waiting = async(start = CoroutineStart.UNDISPATCHED) { fleet.place(request("waiting", plain), 60_000) }
+        timed.nowMs += 200
+        expectThat(waiting.await()).isA<PlacementResult.Placed>()
+    }
+
+    /** Guards against a request that waits for targets that have all refused it. */
+    @Test
+    fun `a request that all targets have refused does not wait`(): Unit = runBlocking {
+        fleet.update(viewOf(known(record("a", service = plain))))
+        val refused = request("r", plain).copy(excluded = setOf(TargetId("a")))
+        expectThat(fleet.place(refused, 60_000)).isEqualTo(PlacementResult.Full(0, 1))
+    }
+
+    /** Guards against a wrong value that takes a target out of service for good. */
+    @Test
+    fun `a pause has a maximum`() {
+        pausedTarget(Long.MAX_VALUE)
+        timed.nowMs += 301_000
+        expectThat(placeNow(request("r", plain))).isA<PlacementResult.Placed>()
+    }
+
+    /** Guards against a generation that is lost because its copy is at a target that wants no new requests. */
+    @Test
+    fun `two running generations may continue at a target during its pause`() {
+        val target = pausedTarget(5_000)
+        expectThat((1..4).map { fleet.tryContinue(target) }).isEqualTo(listOf(true, true, false, false))
+        timed.nowMs += 5_000
+        expectThat(fleet.tryContinue(target)).isEqualTo(true)
+    }
+
+    /** Guards against a target that gets work again with its next announcement, although it said that it is leaving. */
+    @Test
+    fun `what a target says of leaving holds for its instance`() {
+        val target = known(record("a"))
+        fleet.update(viewOf(target))
+        fleet.recordLeaving(target)
+        fleet.update(viewOf(known(record("a", sequence = 2))))
+        expectThat(placeNow(request("r1"))).isEqualTo(PlacementResult.NoTarget)
+        expectThat(fleet.unlistedLeaving()).isEqualTo(setOf(target.instance))
+        fleet.update(viewOf(known(record("a", sequence = 3, phase = TargetPhase.LEAVING))))
+        expectThat(fleet.unlistedLeaving()).isEqualTo(emptySet())
+        fleet.update(viewOf(known(record("a", startedAtMs = 2))))
+        expectThat(placeNow(request("r2"))).isA<PlacementResult.Placed>()
+    }
 }
--- a/src/test/kotlin/fulmarshunt/target/fleet/TargetDirectoryTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/TargetDirectoryTest.kt
@@ -63,4 +63,19 @@
         expectThat(directory.receive(record("a", 2), 4_500)).isTrue()
         expectThat(directory.changedAfter(0)).single().get { isSilent }.isFalse()
     }
+
+    /** Guards against a target that is listed as ready again by an announcement after it said that it is leaving. */
+    @Test
+    fun `what a target said to an entry VM holds until it is started again`() {
+        directory.receive(record("a", 1), 0)
+        val instance = record("a").instance
+        expectThat(directory.receiveLeaving(setOf(instance), 10)).isEqualTo(setOf(instance))
+        expectThat(directory.receiveLeaving(setOf(instance), 20)).isEqualTo(emptySet())
+        directory.receive(record("a", 2), 30)
+        expectThat(phaseOf("a")).isEqualTo(TargetPhase.LEAVING)
+        expectThat(directory.leavingInstances()).isEqualTo(setOf(instance))
+        directory.receive(record("a", 1, startedAtMs = 2), 40)
+        expectThat(phaseOf("a")).isEqualTo(TargetPhase.READY)
+        expectThat(directory.leavingInstances()).isEqualTo(emptySet())
+    }
 }
