Send what changes of the use of targets, and hold idle watches longer

Cause: an idle fleet of 3 control VMs and 9 entry VMs on loopback, each on one core, used 12 % of a core a control VM and 4 % an entry VM. Each entry VM made 15 watch calls a second, each reply had the use of all targets, and each reply rebuilt the view; control VMs sent each other the whole use five times and all records once a second. Each frame also made a new serializer with all its descriptors (seen in a profile).

The watches that report no use wait up to 1 s for a change, that of an idle VM 500 ms; a request ends it at once, and so does a control VM that loses its leader. Control VMs repeat the records that were announced to them each second, and all records each third second. The serializer of frames is kept.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -10,6 +10,7 @@
 import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.link.LinkFailure
 import fulmarshunt.link.Links
 import fulmarshunt.operator.serving.ConfigurationDocument
 import fulmarshunt.operator.serving.RoutingTable
@@ -26,18 +27,34 @@
 import fulmarshunt.target.fleet.TargetUse
 import fulmarshunt.target.fleet.problemOrNull
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** How many control VMs an entry VM watches: one may be lost and another out of contact at the same time. */
 private const val WATCHED_CONTROL_VMS = 3
-private const val WATCH_TIMEOUT_MS = 900L
+
+/** How long a reply may take beyond the time for which it waits for a change. */
+private const val WATCH_MARGIN_MS = 700L
+
+/** How long the watch that reports use waits for a change while this VM has none. */
+private const val IDLE_HOLD_MS = 500L
+
+/** How long the other watches wait, which serve to hear of changes and of the loss of a control VM. */
+private const val SECOND_HOLD_MS = 1_000L
+
+/** How often the view is updated without a change, so that targets that are no longer listed are removed. */
+private const val PUBLISH_PERIOD_MS = 1_000L
 private const val RETRY_PAUSE_MS = 100L
 
 /** The minimum time between two calls to one control VM, which limits the number of calls for a series of changes. */
@@ -77,6 +94,10 @@
         var suspected = emptySet<Fingerprint>()
         var refused = emptySet<Fingerprint>()
 
+        var use = emptyMap<TargetId, TargetUse>()
+        var useNumber = 0L
+        var controlsNumber = 0L
+
         /** The process of the control VM that has received all crash reports that are kept, if it has. */
         var reportedTo = ""
 
@@ -87,6 +108,9 @@
             targets.clear()
             suspected = emptySet()
             refused = emptySet()
+            use = emptyMap()
+            useNumber = 0
+            controlsNumber = 0
             reportedTo = ""
         }
     }
@@ -97,6 +121,7 @@
     private val knownTargets = mutableMapOf<TargetId, KnownTarget>()
     private val listedAtMs = mutableMapOf<TargetId, Long>()
     private var reportedUse = emptyMap<TargetId, TargetUse>()
+    private var publishedAtMs = Long.MIN_VALUE / 2
     private val refusals = Refusals { fleet.soundAgesMs(it).keys }
     private val viewState = MutableStateFlow(FleetView())
 
@@ -133,13 +158,19 @@
             return
         }
         slot.address = address
-        val use = fleet.use()
+        val isReporting = slot.number == 0
+        val holdMs = when {
+            !isReporting -> SECOND_HOLD_MS
+            fleet.isInUse.value -> WATCH_HOLD_MS
+            else -> IDLE_HOLD_MS
+        }
+        val use = if (isReporting) fleet.use() else emptyMap()
         val sendsAllReports = slot.reportedTo.isEmpty()
         val crashAgesMs = fleet.crashReportAgesMs(sendsAllReports)
         val request = Watch(
             vm,
-            slot.number == 0,
-            if (slot.number == 0) use else emptyMap(),
+            isReporting,
+            use,
             crashAgesMs.keys.toList(),
             viewState.value.revision,
             slot.source,
@@ -147,8 +178,15 @@
             fleet.soundAgesMs(slot.suspected),
             crashAgesMs.values.toList(),
             fleet.unlistedLeaving(),
+            holdMs,
+            slot.useNumber,
+            slot.controlsNumber,
         )
-        val reply = links.call(address, watchChannel, request, WATCH_TIMEOUT_MS)
+        val reply = call(address, request, isEndedByUse = holdMs == IDLE_HOLD_MS)
+        if (reply == null) {
+            delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
+            return
+        }
         reply.onRight {
             if (sendsAllReports) slot.reportedTo = it.source
             // The control VM has restarted between two calls.
@@ -159,6 +197,24 @@
         delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
     }
 
+    /** Calls the control VM at [address]; returns null if [isEndedByUse] and there is use to report before the reply. */
+    private suspend fun call(
+        address: Address,
+        request: Watch,
+        isEndedByUse: Boolean,
+    ): Either<LinkFailure, WatchReply>? {
+        val timeoutMs = request.holdMs + WATCH_MARGIN_MS
+        if (!isEndedByUse) return links.call(address, watchChannel, request, timeoutMs)
+        return coroutineScope {
+            val pending = async { links.call(address, watchChannel, request, timeoutMs) }
+            val used = async { fleet.isInUse.first { it } }
+            select<Either<LinkFailure, WatchReply>?> {
+                pending.onAwait { it }
+                used.onAwait { null }
+            }.also { coroutineContext.cancelChildren() }
+        }
+    }
+
     /** Leaves the control VM of [slot] after an exception; the view is not updated, because that may have caused it. */
     private fun recordFailure(slot: Slot, e: Exception) {
         log.error("watch failed address={} slot={}", slot.address, slot.number, e)
@@ -201,17 +257,17 @@
         reply.targets.filter(::isUsable).forEach { slot.targets[it.record.id] = it }
         slot.suspected = reply.suspected
         slot.refused = reply.refused
-        controls = reply.controls
+        if (reply.controls.isNotEmpty()) controls = reply.controls
+        slot.controlsNumber = reply.controlsNumber
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
         if (reply.state != null) view = view.withSnapshot(reply.state, table)
-        if (slot.number == 0) {
-            view = view.copy(othersUse = othersUse(reply.use))
-            reportedUse = reported
-        }
+        if (slot.number == 0) view = view.copy(othersUse = receiveUse(slot, reply, reported))
         val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
-        publish(view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused))
+        val next = view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused)
+        val isPublishDue = clock.nowMs() - publishedAtMs >= PUBLISH_PERIOD_MS
+        if (reply.targets.isEmpty() && next == viewState.value && !isPublishDue) fleet.retryWaiting() else publish(next)
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
@@ -266,6 +322,18 @@
         return copy(revision = state.revision, drained = state.drained, table = table ?: this.table)
     }
 
+    /** Receives the total use, and returns the part of the other entry VMs. */
+    private fun receiveUse(
+        slot: Slot,
+        reply: WatchReply,
+        reported: Map<TargetId, TargetUse>,
+    ): Map<TargetId, TargetUse> {
+        if (reply.isUseChange && reply.use.isEmpty() && reported == reportedUse) return viewState.value.othersUse
+        slot.use = if (reply.isUseChange) slot.use.withChanges(reply.use) else reply.use
+        slot.useNumber = reply.useNumber
+        return othersUse(slot.use).also { reportedUse = reported }
+    }
+
     /** Returns the use of the other entry VMs: the total without the use that this VM had reported for it. */
     private fun othersUse(total: Map<TargetId, TargetUse>): Map<TargetId, TargetUse> = total.mapValues { (id, use) ->
         val own = reportedUse[id] ?: return@mapValues use
@@ -277,6 +345,7 @@
     }
 
     private fun publish(view: FleetView) {
+        publishedAtMs = clock.nowMs()
         val newest = mutableMapOf<TargetId, ListedTarget>()
         for (listed in slots.flatMap { it.targets.values }) {
             val other = newest[listed.record.id]
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -37,6 +37,12 @@
     val suspectAgesMs: List<Long> = emptyList(),
     /** Targets that have said that they are leaving, but are listed as ready. */
     val leaving: Set<TargetInstance> = emptySet(),
+    /** How long the reply may wait for a change. */
+    val holdMs: Long = WATCH_HOLD_MS,
+    /** The number of the last [WatchReply.use] that was received from [source]; null asks for the use of all targets. */
+    val useNumber: Long? = null,
+    /** The number of the last [WatchReply.controls] that was received from [source]. */
+    val controlsNumber: Long = 0,
 )
 
 /** The changes since a [Watch]. */
@@ -49,14 +55,19 @@
     val source: String,
     val targetChange: Long,
     val targets: List<ListedTarget>,
+    /** All control VMs, or none if they have not changed since the last reply. */
     val controls: List<Address>,
     /** The number of known entry VMs; there may be more. */
     val entryVms: Int,
-    /** The total use of all entry VMs, if [Watch.isReporting]. */
+    /** The total use of all entry VMs, if [Watch.isReporting]; only what has changed, if [isUseChange]. */
     val use: Map<TargetId, TargetUse>,
     val refused: Set<Fingerprint>,
     /** The causes that were present at several crashes; entry VMs that know them to be sound say so. */
     val suspected: Set<Fingerprint> = emptySet(),
+    /** Whether [use] has only the targets whose use differs from that of number [Watch.useNumber]. */
+    val isUseChange: Boolean = false,
+    val useNumber: Long = 0,
+    val controlsNumber: Long = 0,
 )
 
 /** The records and reports that one control VM sends to the others. */
@@ -65,7 +76,7 @@
     val vm: VmId,
     val records: List<AgedRecord>,
     val suspects: List<CrashReport>,
-    /** The total use of the entry VMs that report to the sender. */
+    /** The total use of the entry VMs that report to the sender; null if this exchange says nothing of it. */
     val use: Map<TargetId, TargetUse>?,
     /** The entry VMs that report to the sender. */
     val entryVms: Set<VmId>?,
@@ -75,6 +86,10 @@
     val suspectAgesMs: List<Long> = emptyList(),
     /** Targets that have said to entry VMs that they are leaving. */
     val leaving: Set<TargetInstance> = emptySet(),
+    /** The number of the use that [use] changes, in the process [source] of the sender; null if [use] is complete. */
+    val useChanges: Long? = null,
+    val useNumber: Long = 0,
+    val source: String = "",
 )
 
 /** The reply to a [StateExchange]. */
@@ -83,6 +98,8 @@
     val vm: VmId,
     /** Whether the replying control VM is in contact with a leader, so that entry VMs watch it. */
     val isCurrent: Boolean,
+    /** Whether the receiver now has the use that was sent. */
+    val hasUse: Boolean = true,
 )
 
 /** Returns [reports] with their ages, which are 0 if [agesMs] does not have them. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -28,7 +28,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.flow.combine
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
@@ -38,15 +37,29 @@
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
 
-/** The maximum time that a watch waits for a change; it limits the age of the use that entry VMs know of each other. */
+/**
+ * How long a watch that reports use waits for a change; it limits the age of the use that entry VMs know of each other.
+ */
 internal const val WATCH_HOLD_MS: Long = 200
 
-/** How often control VMs exchange the use of targets. */
+/** The maximum time that a watch may wait for a change. */
+private const val MAX_HOLD_MS = 2_000L
+
+/** How often control VMs exchange the use of targets, if it has changed. */
 private const val EXCHANGE_PERIOD_MS = 200L
 
-/** How often an exchange also contains the records of targets and the suspects. */
+/** How often an exchange takes place in any case, with the records of targets and the suspects. */
 private const val REFRESH_PERIOD_MS = 1_000L
 
+/**
+ * How many refreshes pass from one that has the records of all targets to the next; the others have the records that
+ * targets announced to the sender. A target that announces itself on the far side of a cut is silent after more of them.
+ */
+private const val REFRESHES_PER_RELAY = 3
+
+/** The age at which the total use is computed anew; replies within this time share it. */
+private const val TOTAL_USE_AGE_MS = 50L
+
 private const val EXCHANGE_TIMEOUT_MS = 500L
 
 /** The maximum time that an acknowledgement waits until another control VM has received a change. */
@@ -56,7 +69,7 @@
  * A control VM is isolated if it has had no successful exchange for this long with another one that entry VMs watch.
  * Exchanges are more frequent.
  */
-private const val ISOLATED_AFTER_MS = 1_000L
+private const val ISOLATED_AFTER_MS = 1_500L
 
 /** How long a report of use is valid. */
 private const val REPORT_VALID_MS = 2_000L
@@ -91,12 +104,35 @@
     private val suspects = CrashReportTable()
     private val lastSuspectChange = MutableStateFlow(0L)
 
-    private class Report(val use: Map<TargetId, TargetUse>, val atMs: Long)
+    private class Report(
+        val use: Map<TargetId, TargetUse>,
+        val atMs: Long,
+        val number: Long = 0,
+        val source: String = "",
+    )
+
+    /** Another control VM, as the receiver of the use of targets. */
+    private class Peer {
+        val sent = SentUse()
+        var received: Long? = null
+        var isCalled = false
+    }
 
     private val reportsOfEntryVms = mutableMapOf<VmId, Report>()
     private val reportsOfControlVms = mutableMapOf<VmId, Report>()
     private val entryVmsSeenAtMs = mutableMapOf<VmId, Long>()
+    private val sentToEntryVms = mutableMapOf<VmId, SentUse>()
+    private val peers = mutableMapOf<Address, Peer>()
     private var lastRefreshAtMs = 0L
+    private var refreshes = 0L
+    private var totalUse = emptyMap<TargetId, TargetUse>()
+    private var totalUseAtMs = Long.MIN_VALUE / 2
+    private var controls = emptyList<Address>()
+    private var controlsNumber = 0L
+
+    /** Counts what watches may wait for, so that each needs to observe only this. */
+    private val news = MutableStateFlow(0L)
+    private var wasCurrent = false
     private var lastContactAtMs = Long.MIN_VALUE / 2
     private val reached = mutableSetOf<Address>()
 
@@ -116,12 +152,22 @@
     /** Starts the state exchange with the other control VMs. */
     public fun start(links: Links) {
         this.links = links
+        val sources = listOf(dependencies.snapshots, dependencies.directory.lastChange, lastSuspectChange)
+        sources.forEach { source -> control.scope.launch { source.collect { news.value += 1 } } }
         control.every(EXCHANGE_PERIOD_MS) {
             dependencies.directory.expire(clock.nowMs())
+            noticeContact()
             exchangeState()
         }
     }
 
+    /** Ends the waits of watches when this VM gains or loses contact with a leader. */
+    private fun noticeContact() {
+        val isCurrent = dependencies.isCurrent()
+        if (isCurrent != wasCurrent) news.value += 1
+        wasCurrent = isCurrent
+    }
+
     /**
      * Accepts the announcement of a target and forwards it to the other control VMs.
      *
@@ -129,7 +175,7 @@
      * this one may be isolated from all others.
      */
     internal suspend fun announce(record: TargetRecord): Boolean {
-        val isChange = control.run { dependencies.directory.receive(record, clock.nowMs()) }
+        val isChange = control.run { dependencies.directory.receive(record, clock.nowMs(), isDirect = true) }
         if (record.phase != TargetPhase.READY) return forwardAndAwait(record)
         if (isChange) forward(record)
         return control.run { isConnected() }
@@ -180,33 +226,55 @@
         recordSuspects(withAges(watch.suspects, watch.suspectAgesMs))
         recordSound(watch.soundAgesMs)
         recordLeaving(watch.leaving)
-        val change = if (watch.source == source) watch.targetChange else 0
+        val isKnown = watch.source == source
+        val change = if (isKnown) watch.targetChange else 0
         val knownSuspectChange = lastSuspectChange.value
-        withTimeoutOrNull(WATCH_HOLD_MS) {
-            combine(
-                dependencies.snapshots,
-                dependencies.directory.lastChange,
-                lastSuspectChange,
-            ) { state, targetChange, suspectChange ->
-                state.revision > watch.revision || targetChange > change || suspectChange > knownSuspectChange
-            }.first { it }
+        val isCurrent = dependencies.isCurrent()
+        withTimeoutOrNull(watch.holdMs.coerceIn(0, MAX_HOLD_MS)) {
+            news.first {
+                dependencies.snapshots.value.revision > watch.revision ||
+                    dependencies.directory.lastChange.value > change ||
+                    lastSuspectChange.value > knownSuspectChange ||
+                    dependencies.isCurrent() != isCurrent
+            }
         }
+        return replyNow(watch, change, isKnown)
+    }
+
+    private fun replyNow(watch: Watch, change: Long, isKnown: Boolean): WatchReply {
         val state = dependencies.snapshots.value
+        numberControls()
+        val useMessage = if (watch.isReporting) {
+            sentToEntryVms.getOrPut(watch.vm) { SentUse() }
+                .messageFor(watch.useNumber.takeIf { isKnown }, totalUse(clock.nowMs()))
+        } else {
+            null
+        }
         return WatchReply(
             isCurrent = dependencies.isCurrent(),
             state = state.takeIf { it.revision > watch.revision },
             source = source,
             targetChange = dependencies.directory.lastChange.value,
             targets = dependencies.directory.changedAfter(change),
-            controls = dependencies.controls(),
+            controls = if (isKnown && watch.controlsNumber == controlsNumber) emptyList() else controls,
             entryVms = entryVmsSeenAtMs.size,
             // An entry VM needs it from only one of the control VMs that it watches.
-            use = if (watch.isReporting) totalUse(clock.nowMs()) else emptyMap(),
+            use = useMessage?.use.orEmpty(),
             refused = suspects.refused(),
             suspected = suspects.suspected(),
+            isUseChange = useMessage?.changes != null,
+            useNumber = useMessage?.number ?: 0,
+            controlsNumber = controlsNumber,
         )
     }
 
+    private fun numberControls() {
+        val current = dependencies.controls()
+        if (current == controls) return
+        controls = current
+        controlsNumber += 1
+    }
+
     private fun receive(exchange: StateExchange): StateExchangeReply {
         val nowMs = clock.nowMs()
         exchange.records.filter { isUsable(it.record) }
@@ -214,9 +282,22 @@
         recordSuspects(withAges(exchange.suspects, exchange.suspectAgesMs))
         recordSound(exchange.soundAgesMs)
         dependencies.directory.receiveLeaving(exchange.leaving, nowMs)
-        exchange.use?.let { reportsOfControlVms[exchange.vm] = Report(it, nowMs) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
-        return StateExchangeReply(dependencies.vm, dependencies.isCurrent())
+        return StateExchangeReply(dependencies.vm, dependencies.isCurrent(), receiveUse(exchange, nowMs))
+    }
+
+    /** Receives the use in [exchange], and returns false if it changes one that this VM does not have. */
+    private fun receiveUse(exchange: StateExchange, nowMs: Long): Boolean {
+        val use = exchange.use ?: return true
+        val former = reportsOfControlVms[exchange.vm]
+        val isBaseKnown = former?.number == exchange.useChanges && former?.source == exchange.source
+        val complete = when {
+            exchange.useChanges == null -> use
+            former != null && isBaseKnown -> former.use.withChanges(use)
+            else -> return false
+        }
+        reportsOfControlVms[exchange.vm] = Report(complete, nowMs, exchange.useNumber, exchange.source)
+        return true
     }
 
     /** Returns whether [record] is valid; a control VM of an older version passes on what it has accepted. */
@@ -271,24 +352,61 @@
     private fun exchangeState() {
         val nowMs = clock.nowMs()
         entryVmsSeenAtMs.values.removeIf { nowMs - it > ENTRY_VM_RETENTION_MS }
+        sentToEntryVms.keys.retainAll(entryVmsSeenAtMs.keys)
         reportsOfEntryVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         reportsOfControlVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
-        reached.retainAll(otherControls().toSet())
-        val isRefreshDue = nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS
-        if (isRefreshDue) lastRefreshAtMs = nowMs
-        val crashAgesMs = if (isRefreshDue) suspects.reportsToRepeat(nowMs) else emptyMap()
-        val exchange = StateExchange(
+        val others = otherControls()
+        reached.retainAll(others.toSet())
+        peers.keys.retainAll(others.toSet())
+        val refresh = if (nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS) refreshAt(nowMs) else null
+        val use = sumOf(reportsOfEntryVms.values)
+        for (address in others) {
+            val peer = peers.getOrPut(address) { Peer() }
+            val isDue = refresh != null || peer.sent.isChange(peer.received, use)
+            if (isDue && !peer.isCalled) sendUse(address, peer, use, refresh)
+        }
+    }
+
+    /** Returns what all other control VMs get of the state of this one, besides the use of targets. */
+    private fun refreshAt(nowMs: Long): StateExchange {
+        lastRefreshAtMs = nowMs
+        refreshes += 1
+        val isRelay = refreshes % REFRESHES_PER_RELAY == 0L
+        val crashAgesMs = suspects.reportsToRepeat(nowMs)
+        return StateExchange(
             vm = dependencies.vm,
-            records =
-            if (isRefreshDue) dependencies.directory.announcedWithin(2 * REFRESH_PERIOD_MS, nowMs) else emptyList(),
+            records = if (isRelay) {
+                dependencies.directory.announcedWithin((REFRESHES_PER_RELAY + 1) * REFRESH_PERIOD_MS, nowMs)
+            } else {
+                dependencies.directory.announcedWithin(2 * REFRESH_PERIOD_MS, nowMs, isDirect = true)
+            },
             suspects = crashAgesMs.keys.toList(),
-            use = sumOf(reportsOfEntryVms.values),
+            use = null,
             entryVms = reportsOfEntryVms.keys.toSet(),
-            soundAgesMs = if (isRefreshDue) suspects.soundAgesMs(nowMs) else emptyMap(),
+            soundAgesMs = suspects.soundAgesMs(nowMs),
             suspectAgesMs = crashAgesMs.values.toList(),
-            leaving = if (isRefreshDue) dependencies.directory.leavingInstances() else emptySet(),
+            leaving = dependencies.directory.leavingInstances(),
         )
-        otherControls().forEach { send(it, exchange) }
+    }
+
+    /** Sends [use] and [refresh]; one call at a time, because a later one may change what an earlier one brings. */
+    private fun sendUse(address: Address, peer: Peer, use: Map<TargetId, TargetUse>, refresh: StateExchange?) {
+        val message = peer.sent.messageFor(peer.received, use)
+        val exchange = (refresh ?: StateExchange(dependencies.vm, emptyList(), emptyList(), null, null)).copy(
+            use = message.use,
+            useChanges = message.changes,
+            useNumber = message.number,
+            source = source,
+        )
+        peer.isCalled = true
+        control.scope.launch {
+            try {
+                val reply = exchangeWith(address, exchange)
+                peer.received = message.number.takeIf { reply?.hasUse == true }
+            } finally {
+                peer.isCalled = false
+            }
+        }
     }
 
     private fun send(address: Address, exchange: StateExchange) {
@@ -315,8 +433,14 @@
 
     private fun otherControls(): List<Address> = dependencies.controls() - dependencies.own
 
-    private fun totalUse(nowMs: Long): Map<TargetId, TargetUse> =
-        sumOf((reportsOfEntryVms.values + reportsOfControlVms.values).filter { nowMs - it.atMs <= REPORT_VALID_MS })
+    private fun totalUse(nowMs: Long): Map<TargetId, TargetUse> {
+        if (nowMs - totalUseAtMs >= TOTAL_USE_AGE_MS) {
+            val reports = reportsOfEntryVms.values + reportsOfControlVms.values
+            totalUse = sumOf(reports.filter { nowMs - it.atMs <= REPORT_VALID_MS })
+            totalUseAtMs = nowMs
+        }
+        return totalUse
+    }
 
     private fun sumOf(reports: Collection<Report>): Map<TargetId, TargetUse> {
         val sum = mutableMapOf<TargetId, TargetUse>()
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -67,6 +67,9 @@
 @SerialName("k")
 internal data object KeepAlive : Frame
 
+/** Kept, because the companion of a sealed interface makes a new serializer, with all its descriptors, at each call. */
+private val frameSerializer = Frame.serializer()
+
 /** Reads or writes one part of a frame, possibly within a time limit. */
 internal typealias PartOfFrame = suspend (suspend () -> Unit) -> Unit
 
@@ -74,7 +77,7 @@
 
 /** Writes [frame] in parts, each of them with [part]. */
 internal suspend fun ByteWriteChannel.writeFrame(frame: Frame, part: PartOfFrame = unlimited) {
-    val bytes = linkCbor.encodeToByteArray(Frame.serializer(), frame)
+    val bytes = linkCbor.encodeToByteArray(frameSerializer, frame)
     if (bytes.size > MAX_FRAME_BYTES) throw IOException("frame of ${bytes.size} bytes exceeds $MAX_FRAME_BYTES")
     part { writeInt(bytes.size) }
     for (from in bytes.indices step PART_BYTES) {
@@ -94,5 +97,5 @@
     while (bytes.size < size) {
         part { bytes.transferFrom(readPacket(minOf(PART_BYTES, size - bytes.size.toInt()))) }
     }
-    return linkCbor.decodeFromByteArray(Frame.serializer(), bytes.readByteArray())
+    return linkCbor.decodeFromByteArray(frameSerializer, bytes.readByteArray())
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -103,6 +103,11 @@
     private val admissionOrder: Comparator<WaitingRequest> =
         compareBy({ isLate(it.request) }, { it.request.rank }, { it.request.objectiveDeadlineMs })
 
+    private val inUseState = MutableStateFlow(false)
+
+    /** Whether a request of this VM is placed or waits for a target. */
+    public val isInUse: StateFlow<Boolean> = inUseState.asStateFlow()
+
     /** The newest view: what control VMs list, and what targets have told this VM. */
     public val views: StateFlow<FleetView> = viewState.asStateFlow()
 
@@ -195,6 +200,7 @@
         val entry = WaitingRequest(request, clock.nowMs() + limitMs, CompletableDeferred())
         if (limitMs <= 0 || isHopeless(entry)) return shortage(request.service.id)
         waiting += entry
+        noticeUse()
         var isTaken = false
         try {
             withTimeoutOrNull(limitMs) { awaitAdmission(entry) }
@@ -204,6 +210,7 @@
             return placement?.let { PlacementResult.Placed(it) } ?: shortage(request.service.id)
         } finally {
             waiting.remove(entry)
+            noticeUse()
             if (!isTaken && entry.result.isCompleted) entry.result.await()?.let { end(it, UseOutcome.ABANDONED) }
         }
     }
@@ -317,9 +324,18 @@
         )
         placement.use = use
         if (next == TargetUse.NONE) ownUse.remove(placement.target.id) else ownUse[placement.target.id] = next
+        noticeUse()
     }
 
+    private fun noticeUse() {
+        inUseState.value = ownUse.isNotEmpty() || waiting.isNotEmpty()
+    }
+
+    /** Admits waiting requests whose limits have passed, as those on the starts at cold targets. */
+    public fun retryWaiting(): Unit = admitWaiting()
+
     private fun admitWaiting() {
+        if (waiting.isEmpty()) return
         for (entry in waiting.sortedWith(admissionOrder)) {
             if (entry.result.isCompleted) continue
             placeNow(entry.request)?.let { entry.result.complete(it) }
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetDirectory.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetDirectory.kt
@@ -30,7 +30,10 @@
     private val log = LogManager.getLogger(TargetDirectory::class.java)
     private val silentAfterMs = announcementPeriodMs * SILENT_AFTER_ANNOUNCEMENTS
 
-    private class Entry(var record: TargetRecord, var announcedAtMs: Long, var isSilent: Boolean, var change: Long)
+    private class Entry(var record: TargetRecord, var announcedAtMs: Long, var isSilent: Boolean, var change: Long) {
+        /** When the target last announced itself to this control VM. */
+        var directAtMs = Long.MIN_VALUE / 2
+    }
 
     private val entries = mutableMapOf<TargetId, Entry>()
     private val leaving = LeavingTargets()
@@ -42,10 +45,14 @@
     /**
      * Processes a record that was announced [ageMs] ago.
      *
+     * @param isDirect whether the target announced it to this control VM.
      * @return whether it changes more than the time of the last announcement.
      */
-    public fun receive(record: TargetRecord, nowMs: Long, ageMs: Long = 0): Boolean =
-        receiveKnown(leaving.applyTo(record), nowMs, ageMs)
+    public fun receive(record: TargetRecord, nowMs: Long, ageMs: Long = 0, isDirect: Boolean = false): Boolean {
+        val isChange = receiveKnown(leaving.applyTo(record), nowMs, ageMs)
+        if (isDirect) entries[record.id]?.directAtMs = nowMs
+        return isChange
+    }
 
     private fun receiveKnown(record: TargetRecord, nowMs: Long, ageMs: Long): Boolean {
         val entry = entries[record.id]
@@ -143,10 +150,15 @@
     public fun changedAfter(change: Long): List<ListedTarget> =
         entries.values.filter { it.change > change }.map { ListedTarget(it.record, it.isSilent) }
 
-    /** Returns the records that were announced within [periodMs], with their ages. */
-    public fun announcedWithin(periodMs: Long, nowMs: Long): List<AgedRecord> = entries.values
-        .filter { nowMs - it.announcedAtMs <= periodMs }
-        .map { AgedRecord(it.record, nowMs - it.announcedAtMs) }
+    /**
+     * Returns the records that were announced within [periodMs], with their ages.
+     *
+     * @param isDirect whether only targets that announced themselves to this control VM are included.
+     */
+    public fun announcedWithin(periodMs: Long, nowMs: Long, isDirect: Boolean = false): List<AgedRecord> =
+        entries.values
+            .filter { nowMs - (if (isDirect) it.directAtMs else it.announcedAtMs) <= periodMs }
+            .map { AgedRecord(it.record, nowMs - it.announcedAtMs) }
 
     private fun isSuperseded(record: TargetRecord): Boolean = entries.values.any {
         it.record.address == record.address && it.record.id != record.id && it.record.startedAtMs > record.startedAtMs
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -24,7 +24,10 @@
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.TargetRecord
 import fulmarshunt.target.fleet.TimedFleet
+import fulmarshunt.target.fleet.plain
 import fulmarshunt.target.fleet.record
+import fulmarshunt.target.fleet.request
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
@@ -33,10 +36,15 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val TIMEOUT_MS = 5_000L
 
+/** How long the control VM of the test holds a watch; shorter than the time limit of a watch. */
+private const val HOLD_MS = 1_000L
+
 class FleetWatcherTest {
     private val control = startControlThread()
     private val calls = AtomicInteger()
@@ -137,4 +145,21 @@
         withTimeout(TIMEOUT_MS) { watches.first { it?.leaving == setOf(record.instance) } }
         expectThat(watcher.watchedControlVms).isEqualTo(1)
     }
+
+    /** Guards against use that other entry VMs learn of only when the watch of an idle VM ends. */
+    @Test
+    fun `a request ends the watch of an idle VM`(): Unit = runBlocking {
+        val target = record("a", service = plain)
+        replyTo = { number ->
+            if (number > 1) runBlocking { delay(HOLD_MS) }
+            reply(listOf(target))
+        }
+        val watcher = watcher { "not needed".left() }
+        withTimeout(TIMEOUT_MS) { watcher.views.first { it.targets.isNotEmpty() } }
+        withTimeout(TIMEOUT_MS) { watches.first { it?.source == "source" && it.use.isEmpty() } }
+        val placedAtNanos = System.nanoTime()
+        control.run { runBlocking { fleet.place(request("r", plain), 0) } }
+        withTimeout(TIMEOUT_MS) { watches.first { it?.use?.isNotEmpty() == true } }
+        expectThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - placedAtNanos)).isLessThan(HOLD_MS / 2)
+    }
 }
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -9,11 +9,15 @@
 import fulmarshunt.VmId
 import fulmarshunt.entry.watch.StateExchange
 import fulmarshunt.entry.watch.Watch
+import fulmarshunt.entry.watch.WatchReply
 import fulmarshunt.entry.watch.exchangeChannel
 import fulmarshunt.entry.watch.watchChannel
+import fulmarshunt.entry.watch.withChanges
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.TargetUse
 import fulmarshunt.target.fleet.record
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -21,12 +25,21 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 private const val TIMEOUT_MS = 10_000L
 private const val POLL_MS = 20L
 
+/** Longer than a total of the use is shared by replies. */
+private const val SHARED_TOTAL_MS = 100L
+
+/** Longer than the period of exchanges. */
+private const val SETTLED_MS = 300L
+
 class WatchServiceTest {
     private val addresses = List(2) { ServerSocket(0).use { Address("127.0.0.1", it.localPort) } }
     private val leaving = record("t", sequence = 2, phase = TargetPhase.LEAVING)
@@ -118,4 +131,81 @@
             withTimeout(TIMEOUT_MS) { while (first.service.reachedControlVms != 0) delay(POLL_MS) }
         }
     }
+
+    private suspend fun ControlVm.watch(at: Address, name: String, use: Int, former: WatchReply? = null): WatchReply {
+        val uses = if (use == 0) emptyMap() else mapOf(TargetId("t") to TargetUse(use, use * 100L, 0))
+        val watch = Watch(
+            VmId(name), true, uses, emptyList(), LogIndex(0), former?.source.orEmpty(), former?.targetChange ?: 0,
+            holdMs = 50, useNumber = former?.useNumber ?: 0, controlsNumber = former?.controlsNumber ?: 0,
+        )
+        return links.call(at, watchChannel, watch, TIMEOUT_MS).fold({ error(it) }, { it })
+    }
+
+    /** Guards against entry VMs that do not learn of the use at other control VMs, and against its repetition. */
+    @Test
+    fun `the use reported to one control VM reaches the entry VMs of another, and later only changes`(): Unit =
+        runBlocking {
+            ControlVm("a", addresses[0], addresses) { true }.use { first ->
+                ControlVm("b", addresses[1], addresses) { true }.use { second ->
+                    var here = first.watch(addresses[0], "one", 0)
+                    var total = here.use
+                    withTimeout(TIMEOUT_MS) {
+                        while (total[TargetId("t")]?.running != 3) {
+                            second.watch(addresses[1], "two", 3)
+                            here = first.watch(addresses[0], "one", 0, here)
+                            total = if (here.isUseChange) total.withChanges(here.use) else here.use
+                        }
+                    }
+                    expectThat(here.isUseChange).isTrue()
+                    expectThat(here.controls).isEqualTo(emptyList())
+                    second.watch(addresses[1], "two", 3)
+                    expectThat(first.watch(addresses[0], "one", 0, here).use).isEqualTo(emptyMap())
+                    expectThat(first.watch(addresses[0], "one", 0).use.keys).isEqualTo(setOf(TargetId("t")))
+                }
+            }
+        }
+
+    /** Guards against a restarted control VM that adds changes to a use which it does not have. */
+    @Test
+    fun `a control VM that lacks the use asks for all of it`(): Unit = runBlocking {
+        ControlVm("a", addresses[0], addresses.take(1)) { true }.use { vm ->
+            val exchange = StateExchange(
+                VmId("b"),
+                emptyList(),
+                emptyList(),
+                mapOf(TargetId("t") to TargetUse(2, 200, 0)),
+                null,
+                useChanges = 4,
+                useNumber = 5,
+                source = "source",
+            )
+            val reply = vm.links.call(addresses[0], exchangeChannel, exchange, TIMEOUT_MS).fold({ error(it) }, { it })
+            expectThat(reply.hasUse).isFalse()
+            expectThat(vm.watch(addresses[0], "one", 0).use).isEqualTo(emptyMap())
+            val complete = exchange.copy(useChanges = null)
+            vm.links.call(addresses[0], exchangeChannel, complete, TIMEOUT_MS).onLeft { error(it) }
+            delay(SHARED_TOTAL_MS)
+            expectThat(vm.watch(addresses[0], "one", 0).use[TargetId("t")]?.running).isEqualTo(2)
+        }
+    }
+
+    /** Guards against entry VMs that go on watching a control VM that has lost its leader until the watch ends. */
+    @Test
+    fun `a watch ends when the control VM loses its leader`(): Unit = runBlocking {
+        val isCurrent = AtomicBoolean(true)
+        ControlVm("a", addresses[0], addresses.take(1)) { isCurrent.get() }.use { vm ->
+            // The first periodic round notices the contact.
+            delay(SETTLED_MS)
+            val watch = Watch(VmId("one"), false, emptyMap(), emptyList(), LogIndex(0), "", 0, holdMs = 2_000)
+            val former = vm.links.call(addresses[0], watchChannel, watch, TIMEOUT_MS).fold({ error(it) }, { it })
+            val next = watch.copy(source = former.source, targetChange = former.targetChange)
+            val pending =
+                async { vm.links.call(addresses[0], watchChannel, next, TIMEOUT_MS).fold({ error(it) }, { it }) }
+            delay(SETTLED_MS)
+            val lostAtNanos = System.nanoTime()
+            isCurrent.set(false)
+            expectThat(pending.await().isCurrent).isFalse()
+            expectThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lostAtNanos)).isLessThan(1_200)
+        }
+    }
 }
