--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
@@ -29,6 +30,8 @@
 import java.nio.channels.ClosedChannelException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import kotlin.coroutines.CoroutineContext
 
 /** The timeout for dialing and the handshake together. */
 private const val DIAL_TIMEOUT_MS = 1_000L
@@ -40,11 +43,19 @@
     private val handlers: LinkHandlers,
 ) : AutoCloseable {
     private val log = LogManager.getLogger(Links::class.java)
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+
+    /** One thread for all links: a pool wakes threads that find nothing to do, several for each frame. */
+    private val thread = Executors
+        .newSingleThreadExecutor { task -> Thread(task, "links").apply { isDaemon = true } }
+        .asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + thread)
     private val selector = SelectorManager(Dispatchers.IO)
     private val dialed = ConcurrentHashMap<Address, Dialed>()
     private val listening = ConcurrentLinkedQueue<ServerSocket>()
 
+    /** The context of coroutines that resume on the thread of the links. */
+    internal val dispatch: CoroutineContext get() = thread
+
     private class Dialed {
         val mutex = Mutex()
 
@@ -108,6 +119,7 @@
         // Closing only the selector would leave the ports in use.
         listening.forEach { it.close() }
         scope.cancel()
+        thread.close()
         selector.close()
     }
 
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -24,13 +24,14 @@
 import fulmarshunt.process.ProgramOutcome
 import fulmarshunt.process.fleetControlSettingsCheck
 import fulmarshunt.process.linkAddressOf
+import fulmarshunt.process.measureProcess
 import fulmarshunt.process.processMain
-import fulmarshunt.process.processMetrics
 import fulmarshunt.process.readSettings
 import fulmarshunt.process.reloadedSettings
 import fulmarshunt.process.seedAddresses
 import fulmarshunt.process.shutDownOnTermination
 import fulmarshunt.process.startControlThread
+import fulmarshunt.process.startLineLogging
 import fulmarshunt.process.validatedAddress
 import fulmarshunt.target.fleet.TargetDirectory
 import fulmarshunt.voter.ControlDirectory
@@ -42,6 +43,7 @@
 import fulmarshunt.voter.openReplicatedLog
 import fulmarshunt.voter.reconcileMembership
 import fulmarshunt.wallClock
+import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
@@ -54,12 +56,15 @@
 private const val MAX_HEADER_BYTES = 16_384
 
 /** Runs the program of a control VM. */
-public fun main(args: Array<String>): Unit = processMain("fleet-control", args) { path ->
-    val settings = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck)
-        .getOrElse { return@processMain ProgramOutcome(ExitCode.USAGE, it.message) }
-    startFleetControl(settings, path).fold({ it }) { log ->
-        val failure = log.failure.filterNotNull().first()
-        ProgramOutcome(ExitCode.BROKEN_INVARIANT, "the replicated log has stopped: $failure")
+public fun main(args: Array<String>) {
+    startLineLogging()
+    processMain("fleet-control", args) { path ->
+        val settings = readSettings(path, FleetControlSettings.serializer(), fleetControlSettingsCheck)
+            .getOrElse { return@processMain ProgramOutcome(ExitCode.USAGE, it.message) }
+        startFleetControl(settings, path).fold({ it }) { log ->
+            val failure = log.failure.filterNotNull().first()
+            ProgramOutcome(ExitCode.BROKEN_INVARIANT, "the replicated log has stopped: $failure")
+        }
     }
 }
 
@@ -111,7 +116,7 @@
     val handlers = watches.handlers(servingState.handlers(directory.handlers(log.handlers(LinkHandlers()))))
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
     links.listen(own).onLeft { raise(ProgramOutcome(ExitCode.USAGE, "link.port: $it")) }
-    val meters = processMetrics()
+    val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     listen(settings, ControlApi(servingState, watches, links, meters, wallClock()), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, it)) }
     meters.gauge("fulmarshunt_reached_control_vms", watches) { it.reachedControlVms.toDouble() }
@@ -141,13 +146,22 @@
     listenForMetrics(traffic, validatedAddress(settings.listen.metrics), meters).bind()
 }
 
-/** Listens at [address] for reads of the metrics of this process. */
+/**
+ * Listens at [address] for reads of the metrics of this process. The JVM is measured from the first read on, because the
+ * classes that do so take a tenth of the time that a program needs to start.
+ */
 internal suspend fun listenForMetrics(
     traffic: Traffic,
     address: Address,
     meters: PrometheusMeterRegistry,
-): Either<String, Unit> = traffic.listen(address, { MAX_HEADER_BYTES }) { connection ->
-    connection.serveBuffered(0) { HttpReply(OK, meters.scrape().encodeToByteArray(), "text/plain; version=0.0.4") }
-}.map { }
+): Either<String, Unit> {
+    val measurement = lazy { meters.measureProcess() }
+    return traffic.listen(address, { MAX_HEADER_BYTES }) { connection ->
+        connection.serveBuffered(0) {
+            measurement.value
+            HttpReply(OK, meters.scrape().encodeToByteArray(), "text/plain; version=0.0.4")
+        }
+    }.map { }
+}
 
 private const val OK = 200
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -27,17 +27,19 @@
 import fulmarshunt.process.ProgramOutcome
 import fulmarshunt.process.fleetEntrySettingsCheck
 import fulmarshunt.process.processMain
-import fulmarshunt.process.processMetrics
 import fulmarshunt.process.readSettings
 import fulmarshunt.process.reloadedSettings
 import fulmarshunt.process.seedAddresses
 import fulmarshunt.process.shutDownOnTermination
 import fulmarshunt.process.startControlThread
+import fulmarshunt.process.startLineLogging
 import fulmarshunt.process.validatedAddress
 import fulmarshunt.target.fleet.Fleet
 import fulmarshunt.target.fleet.RepeatBudget
 import fulmarshunt.target.fleet.RepeatLimits
 import fulmarshunt.target.fleet.TargetConnections
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -54,10 +56,13 @@
 private const val EXPIRE_PERIOD_MS = 1_000L
 
 /** Runs the program of an entry VM. */
-public fun main(args: Array<String>): Unit = processMain("fleet-entry", args) { path ->
-    val settings = readSettings(path, FleetEntrySettings.serializer(), fleetEntrySettingsCheck)
-        .getOrElse { return@processMain ProgramOutcome(ExitCode.USAGE, it.message) }
-    startFleetEntry(settings, path).fold({ it }) { awaitCancellation() }
+public fun main(args: Array<String>) {
+    startLineLogging()
+    processMain("fleet-entry", args) { path ->
+        val settings = readSettings(path, FleetEntrySettings.serializer(), fleetEntrySettingsCheck)
+            .getOrElse { return@processMain ProgramOutcome(ExitCode.USAGE, it.message) }
+        startFleetEntry(settings, path).fold({ it }) { awaitCancellation() }
+    }
 }
 
 private suspend fun startFleetEntry(settings: FleetEntrySettings, path: Path): Either<ProgramOutcome, Unit> = either {
@@ -71,7 +76,7 @@
         control.scope,
     )
     val clock = monotonicClock()
-    val meters = processMetrics()
+    val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val traffic = Traffic()
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, LinkHandlers())
     val fleet = fleetOf(settings, clock)
--- a/src/main/kotlin/fulmarshunt/voter/VoterTransport.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterTransport.kt
@@ -7,7 +7,6 @@
 import fulmarshunt.Address
 import fulmarshunt.link.Links
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.BufferOverflow
@@ -32,7 +31,7 @@
 
 /** Returns a transport over [links]. */
 internal fun linkTransport(links: Links): VoterTransport {
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    val scope = CoroutineScope(SupervisorJob() + links.dispatch)
     val outboxes = ConcurrentHashMap<Address, Channel<Envelope>>()
 
     fun openOutbox(address: Address): Channel<Envelope> {
@@ -45,7 +44,7 @@
     return VoterTransport(
         send = { address, envelope -> outboxes.computeIfAbsent(address, ::openOutbox).trySend(envelope) },
         probe = { address ->
-            withContext(Dispatchers.IO) {
+            withContext(links.dispatch) {
                 links.call(address, voterChannel, Probe, SEND_TIMEOUT_MS).getOrNull() as? Identity
             }
         },
