--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -57,7 +57,11 @@
 public class LinkHandlers private constructor(internal val byChannel: Map<String, RawHandler>) {
     public constructor() : this(emptyMap())
 
-    /** Returns these handlers and one for the calls on [channel], which replies with the result of [handle]. */
+    /**
+     * Returns these handlers and one for the calls on [channel], which replies with the result of [handle].
+     *
+     * [handle] is called on the thread of the links and must not block it.
+     */
     public fun <Q : Any, R : Any> with(channel: Channel<Q, R>, handle: suspend (LinkPeer, Q) -> R): LinkHandlers {
         val raw: RawHandler = { peer, body ->
             val request = linkCbor.decodeFromByteArray(channel.request, body)
--- a/src/main/kotlin/fulmarshunt/voter/ElectionStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ElectionStep.kt
@@ -8,11 +8,22 @@
 import fulmarshunt.Term
 import fulmarshunt.VoterId
 
+/** The heartbeats that a voter waits for whose tick was late; the messages of the pause are handled in this time. */
+private const val HEARTBEATS_AFTER_PAUSE = 2
+
+/**
+ * Handles a due heartbeat or election. A tick that is late shows that this process was paused: messages that arrived
+ * meanwhile are handled only after the tick, so that the silence of others proves nothing yet.
+ */
 internal fun StepBuilder.onTick() {
     val role = state.role
+    val lateMs = context.nowMs - state.deadlineMs
     if (role is Leader) {
-        if (context.nowMs >= role.heartbeatAtMs) onHeartbeatDue()
-    } else if (context.nowMs >= state.electionAtMs) {
+        if (lateMs >= 0) onHeartbeatDue(isQuorumChecked = lateMs < state.timing.electionTimeoutMinMs)
+    } else if (lateMs >= state.timing.heartbeatMs && state.leader != null && !state.isElectionPostponed) {
+        val electionAtMs = context.nowMs + HEARTBEATS_AFTER_PAUSE * state.timing.heartbeatMs
+        state = state.copy(electionAtMs = electionAtMs, isElectionPostponed = true)
+    } else if (lateMs >= 0) {
         resetElectionTimer()
         state = state.copy(role = Follower, leader = null, leaderAddress = null)
         if (!isBlank && state.membership.isVoter(state.id)) startPreVote()
--- a/src/main/kotlin/fulmarshunt/voter/InitialState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/InitialState.kt
@@ -32,6 +32,7 @@
         leaderAddress = null,
         lastLeaderContactAtMs = nowMs,
         electionAtMs = nowMs + settings.electionTimeoutMinMs,
+        isElectionPostponed = false,
         incoming = null,
     )
 }
--- a/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
@@ -40,13 +40,14 @@
     state = state.copy(role = leader.copy(peers = peers))
 }
 
-internal fun StepBuilder.onHeartbeatDue() {
+/** Sends heartbeats, or stops leading if [isQuorumChecked] and a majority has not replied for an election timeout. */
+internal fun StepBuilder.onHeartbeatDue(isQuorumChecked: Boolean) {
     val now = context.nowMs
     val responding =
         leaderRole().peers.filterValues {
             (it.lastReplyAtMs ?: Long.MIN_VALUE) > now - state.timing.electionTimeoutMaxMs
         }.keys
-    if (!state.membership.isQuorum(responding + state.id)) {
+    if (isQuorumChecked && !state.membership.isQuorum(responding + state.id)) {
         becomeFollower(state.term)
         state = state.copy(leader = null, leaderAddress = null)
         return
--- a/src/main/kotlin/fulmarshunt/voter/Step.kt
+++ b/src/main/kotlin/fulmarshunt/voter/Step.kt
@@ -35,7 +35,10 @@
 internal fun StepBuilder.resetElectionTimer() {
     val timing = state.timing
     val spreadMs = (timing.electionTimeoutMaxMs - timing.electionTimeoutMinMs) * context.random
-    state = state.copy(electionAtMs = context.nowMs + timing.electionTimeoutMinMs + spreadMs.toLong())
+    state = state.copy(
+        electionAtMs = context.nowMs + timing.electionTimeoutMinMs + spreadMs.toLong(),
+        isElectionPostponed = false,
+    )
 }
 
 /** Makes this voter a follower, in a new term if [term] is greater than the current one. */
--- a/src/main/kotlin/fulmarshunt/voter/VoterState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterState.kt
@@ -84,6 +84,8 @@
     /** When the last message of a leader was received; for a voter that has just started, the time of its start. */
     val lastLeaderContactAtMs: Long,
     val electionAtMs: Long,
+    /** Whether the election was postponed because this voter could not handle messages; see [onTick]. */
+    val isElectionPostponed: Boolean,
     val incoming: IncomingSnapshot?,
 ) {
     val id: VoterId get() = self.id
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -54,7 +54,7 @@
     private val watches = MutableStateFlow<Watch?>(null)
 
     /** Returns the reply to a call, given its number from 1 on. */
-    private lateinit var replyTo: (Int) -> WatchReply
+    private lateinit var replyTo: suspend (Int) -> WatchReply
 
     private val server = linksOf(
         "control",
@@ -151,7 +151,7 @@
     fun `a request ends the watch of an idle VM`(): Unit = runBlocking {
         val target = record("a", service = plain)
         replyTo = { number ->
-            if (number > 1) runBlocking { delay(HOLD_MS) }
+            if (number > 1) delay(HOLD_MS)
             reply(listOf(target))
         }
         val watcher = watcher { "not needed".left() }
--- a/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
@@ -17,6 +17,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.io.BufferedInputStream
@@ -25,6 +26,7 @@
 
 private const val CONTROL_VMS = 3
 private const val SOCKET_TIMEOUT_MS = 8_000
+private const val PAUSE_S = 30
 
 @Timeout(120)
 class FleetProcessTest {
@@ -106,13 +108,19 @@
         """{"version":$version,"routes":[{"name":"r","host":"h","path_prefix":"$prefix","type":"unsafe",""" +
             """"timeout_ms":4000,"slo_ms":1000,"service":"s"}],"services":[{"name":"s"}]}"""
 
-    private fun announce(number: Int, target: ScriptedTarget, sequence: Int, state: String = "ready") = call(
+    private fun announce(
+        number: Int,
+        target: ScriptedTarget,
+        sequence: Int,
+        state: String = "ready",
+        startedAtMs: Int = 1,
+    ) = call(
         ip(number),
         requestPort,
         "POST",
         "/api/instances/${target.name}/heartbeat",
         """{"service":"s","address":"127.0.0.1:${target.port}","zone":"here","slots":4,"state":"$state",""" +
-            """"cold_remaining_ms":0,"seq":$sequence,"born":1}""",
+            """"cold_remaining_ms":0,"seq":$sequence,"born":$startedAtMs}""",
     )
 
     private fun target(name: String) = ScriptedTarget(name) {
@@ -181,4 +189,66 @@
             }
         }
     }
+
+    /** The responses of a target that a test changes. */
+    private class Mood {
+        @Volatile
+        var isLeaving = false
+
+        @Volatile
+        var isPausing = false
+    }
+
+    private fun target(name: String, mood: Mood) = ScriptedTarget(name) {
+        val id = "Fulmarshunt-Request-Id: ${request.header("fulmarshunt-request-id")}\r\n"
+        if (mood.isPausing) {
+            write(
+                "HTTP/1.1 503 Service Unavailable\r\n${id}Fulmarshunt-Not-Run: 1\r\nRetry-After: $PAUSE_S\r\n" +
+                    "Content-Length: 0\r\n\r\n",
+            )
+        } else {
+            val leaving = if (mood.isLeaving) "Server-Leaving: 1\r\n" else ""
+            write(
+                "HTTP/1.1 200 OK\r\n${id}Fulmarshunt-Server-Stamp: 1\r\n${leaving}Content-Length: ${name.length}" +
+                    "\r\n\r\n$name",
+            )
+        }
+    }
+
+    /** Guards against requests to targets that say in a response, and in no announcement, that they want none. */
+    @Test
+    fun `what a target says in a response takes effect without an announcement`() {
+        (1..CONTROL_VMS).forEach { startControl(it, bootstrap = true) }
+        startEntry()
+        val mood = Mood()
+        target("a", mood).use { a ->
+            replace(1, 1, "/one/")
+            awaitThat("target a announced") { announce(2, a, 1).isOk() }
+            awaitThat("the first answer") { request("/one/x")?.body == "a" }
+
+            mood.isPausing = true
+            val beforePause = a.requests.size
+            repeat(6) {
+                val response = checkNotNull(request("/one/x"))
+                expectThat(response.startLine).contains(" 503 ")
+                expectThat(checkNotNull(response.header("retry-after")).toDouble()).isGreaterThan(PAUSE_S - 10.0)
+            }
+            expectThat(a.requests.size).isEqualTo(beforePause + 1)
+
+            mood.isPausing = false
+            awaitThat("target a announced after a restart") { announce(1, a, 1, startedAtMs = 2).isOk() }
+            awaitThat("the restarted target gets work") { request("/one/x")?.body == "a" }
+
+            mood.isLeaving = true
+            expectThat(request("/one/x")?.body).isEqualTo("a")
+            awaitThat("the target gets no work") { request("/one/x")?.startLine?.contains(" 503 ") == true }
+            val afterNotice = a.requests.size
+            awaitThat("target a announced once more") { announce(3, a, 2, startedAtMs = 2).isOk() }
+            awaitThat("a control VM knows") {
+                (1..CONTROL_VMS).any { processes.output("control-$it").contains("event=target leaves id=a") }
+            }
+            repeat(6) { expectThat(request("/one/x")?.startLine).isNotNull().contains(" 503 ") }
+            expectThat(a.requests.size).isEqualTo(afterNotice)
+        }
+    }
 }
