Carry links over Netty: Ktor's socket writer spins on a full socket

A peer whose window is full holds a thread at 100 % of a core.

Change: link/LinkSocket.kt reads on demand and waits for the operating system on Netty's event loop, which the HTTP connections use already. Frames, handshake and limits are unchanged.

Result: LinksTest has a test for the processor time of a link whose peer reads nothing; it and the tests of watching, leases, the log and the fleet programs pass.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -10,9 +10,6 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
-import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -79,9 +76,7 @@
 
 /** A connection between two processes of this system. */
 public class LinkConnection internal constructor(
-    private val socket: Socket,
-    private val input: ByteReadChannel,
-    private val output: ByteWriteChannel,
+    private val socket: LinkSocket,
     private val handlers: LinkHandlers,
     private val scope: CoroutineScope,
     process: String,
@@ -170,7 +165,7 @@
 
     private suspend fun readFrames() {
         while (true) {
-            val frame = input.readFrame(limitedBy("${peer.process} was silent for $SILENCE_LIMIT_MS ms"))
+            val frame = socket.readFrame(limitedBy("${peer.process} was silent for $SILENCE_LIMIT_MS ms"))
             when (frame) {
                 is Call -> scope.launch { handle(frame) }
                 is Reply -> pending.remove(frame.id)?.complete(frame.body.right())
@@ -204,7 +199,7 @@
             val next = nextFrameOrNull() ?: return
             // Calls that were given up while they waited would delay later ones on a slow link.
             if (next is Call && !pending.containsKey(next.id)) continue
-            output.writeFrame(next, limitedBy("${peer.process} accepted no data for $SILENCE_LIMIT_MS ms"))
+            socket.writeFrame(next, limitedBy("${peer.process} accepted no data for $SILENCE_LIMIT_MS ms"))
         }
     }
 
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -4,19 +4,13 @@
  */
 package fulmarshunt.link
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.readPacket
-import io.ktor.utils.io.writeFully
-import io.ktor.utils.io.writeInt
-import kotlinx.io.Buffer
-import kotlinx.io.readByteArray
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
+import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.nio.ByteBuffer
 
 /** The maximum size of an encoded envelope. */
 internal const val MAX_FRAME_BYTES: Int = 4 * 1_024 * 1_024
@@ -76,26 +70,23 @@
 private val unlimited: PartOfFrame = { it() }
 
 /** Writes [frame] in parts, each of them with [part]. */
-internal suspend fun ByteWriteChannel.writeFrame(frame: Frame, part: PartOfFrame = unlimited) {
-    val bytes = linkCbor.encodeToByteArray(frameSerializer, frame)
-    if (bytes.size > MAX_FRAME_BYTES) throw IOException("frame of ${bytes.size} bytes exceeds $MAX_FRAME_BYTES")
-    part { writeInt(bytes.size) }
+internal suspend fun LinkSocket.writeFrame(frame: Frame, part: PartOfFrame = unlimited) {
+    val body = linkCbor.encodeToByteArray(frameSerializer, frame)
+    if (body.size > MAX_FRAME_BYTES) throw IOException("frame of ${body.size} bytes exceeds $MAX_FRAME_BYTES")
+    val bytes = ByteBuffer.allocate(Int.SIZE_BYTES + body.size).putInt(body.size).put(body).array()
     for (from in bytes.indices step PART_BYTES) {
-        part {
-            writeFully(bytes, from, minOf(from + PART_BYTES, bytes.size))
-            flush()
-        }
+        part { write(bytes, from, minOf(from + PART_BYTES, bytes.size)) }
     }
 }
 
 /** Reads a frame in parts, each of them with [part]. */
-internal suspend fun ByteReadChannel.readFrame(part: PartOfFrame = unlimited): Frame {
+internal suspend fun LinkSocket.readFrame(part: PartOfFrame = unlimited): Frame {
     var size = 0
-    part { size = readInt() }
+    part { size = ByteBuffer.wrap(read(Int.SIZE_BYTES)).getInt() }
     if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame size $size is not in 1..$MAX_FRAME_BYTES")
-    val bytes = Buffer()
-    while (bytes.size < size) {
-        part { bytes.transferFrom(readPacket(minOf(PART_BYTES, size - bytes.size.toInt()))) }
+    val bytes = ByteArrayOutputStream(minOf(size, PART_BYTES))
+    while (bytes.size() < size) {
+        part { bytes.write(read(minOf(PART_BYTES, size - bytes.size()))) }
     }
-    return linkCbor.decodeFromByteArray(frameSerializer, bytes.readByteArray())
+    return linkCbor.decodeFromByteArray(frameSerializer, bytes.toByteArray())
 }
--- a/src/main/kotlin/fulmarshunt/link/LinkHandshake.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkHandshake.kt
@@ -4,8 +4,6 @@
  */
 package fulmarshunt.link
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import java.security.MessageDigest
 import java.security.SecureRandom
@@ -21,20 +19,14 @@
  *
  * @throws IOException if the peer uses another version or does not know the secret.
  */
-internal suspend fun performHandshake(
-    input: ByteReadChannel,
-    output: ByteWriteChannel,
-    process: String,
-    secret: String,
-    role: LinkRole,
-): String {
+internal suspend fun performHandshake(socket: LinkSocket, process: String, secret: String, role: LinkRole): String {
     val nonce = ByteArray(NONCE_BYTES).also(random::nextBytes)
-    output.writeFrame(Hello(LINK_VERSION, process, nonce))
-    val hello = input.readFrame() as? Hello ?: throw IOException("peer sent no hello")
+    socket.writeFrame(Hello(LINK_VERSION, process, nonce))
+    val hello = socket.readFrame() as? Hello ?: throw IOException("peer sent no hello")
     if (hello.version != LINK_VERSION) throw IOException("peer speaks link version ${hello.version}, not $LINK_VERSION")
     val peerRole = if (role == LinkRole.DIALER) LinkRole.LISTENER else LinkRole.DIALER
-    output.writeFrame(Proof(mac(secret, role, process, nonce, hello.nonce)))
-    val proof = input.readFrame() as? Proof ?: throw IOException("peer sent no proof")
+    socket.writeFrame(Proof(mac(secret, role, process, nonce, hello.nonce)))
+    val proof = socket.readFrame() as? Proof ?: throw IOException("peer sent no proof")
     val expected = mac(secret, peerRole, hello.process, hello.nonce, nonce)
     if (!MessageDigest.isEqual(expected, proof.mac)) throw IOException("peer ${hello.process} has another link secret")
     return hello.process
--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -9,33 +9,43 @@
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Address
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
+import fulmarshunt.isUnicastEndpoint
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
-import java.nio.channels.ClosedChannelException
+import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.Executors
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
+import io.netty.channel.Channel as NettyChannel
 
 /** The timeout for dialing and the handshake together. */
 private const val DIAL_TIMEOUT_MS = 1_000L
 
+/** How long the end of the links may take. */
+private const val CLOSE_LIMIT_MS = 500L
+
 /** The links of one process: those that it has accepted and those that it has dialed. */
 public class Links internal constructor(
     private val process: String,
@@ -45,16 +55,19 @@
     private val log = LogManager.getLogger(Links::class.java)
 
     /** One thread for all links: a pool wakes threads that find nothing to do, several for each frame. */
-    private val thread = Executors
-        .newSingleThreadExecutor { task -> Thread(task, "links").apply { isDaemon = true } }
-        .asCoroutineDispatcher()
-    private val scope = CoroutineScope(SupervisorJob() + thread)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(
+        1,
+        ThreadFactory { task -> Thread(task, "links").apply { isDaemon = true } },
+        NioIoHandler.newFactory(),
+    )
+    private val eventLoop: EventLoop = group.next()
+    private val dispatcher = eventLoop.asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val dialed = ConcurrentHashMap<Address, Dialed>()
-    private val listening = ConcurrentLinkedQueue<ServerSocket>()
+    private val listening = ConcurrentLinkedQueue<NettyChannel>()
 
     /** The context of coroutines that resume on the thread of the links. */
-    internal val dispatch: CoroutineContext get() = thread
+    internal val dispatch: CoroutineContext get() = dispatcher
 
     private class Dialed {
         val mutex = Mutex()
@@ -69,26 +82,24 @@
      * @return the address with the actual port, or the reason why it cannot be used.
      */
     public suspend fun listen(address: Address): Either<String, Address> {
-        val server =
-            try {
-                aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                return "cannot listen at $address: ${e.message}".left()
-            }
-        listening += server
-        scope.launch {
-            try {
-                while (true) {
-                    val socket = server.accept()
-                    launch { serve(socket) }
-                }
-            } catch (_: ClosedChannelException) {
-                log.debug("No longer listening at {}", address)
-            }
-        }
-        return Address(address.host, (server.localAddress as InetSocketAddress).port).right()
+        val bound = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(
+                initializer { channel ->
+                    val socket = LinkSocket(channel)
+                    channel.pipeline().addLast(socket)
+                    scope.launch { serve(socket) }
+                },
+            )
+            .bind(address.host, address.port)
+        bound.awaitDone()
+        if (!bound.isSuccess) return "cannot listen at $address: ${bound.cause()?.message}".left()
+        listening += bound.channel()
+        return Address(address.host, (bound.channel().localAddress() as InetSocketAddress).port).right()
     }
 
     /** Returns an open connection to [address], dialing it if there is none. */
@@ -116,31 +127,63 @@
     /** Closes all connections and stops listening. */
     override fun close() {
         dialed.values.forEach { it.connection?.close("this process is stopping") }
-        // Closing only the selector would leave the ports in use.
-        listening.forEach { it.close() }
+        val closed = listening.map { it.close() }
         scope.cancel()
-        thread.close()
-        selector.close()
+        if (!eventLoop.inEventLoop()) {
+            closed.forEach { it.awaitUninterruptibly(CLOSE_LIMIT_MS) }
+            // The selector releases a socket when it next selects, which it does before a delay ends.
+            eventLoop.schedule({}, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_LIMIT_MS)
+        }
+        group.shutdownGracefully(0, CLOSE_LIMIT_MS, TimeUnit.MILLISECONDS)
     }
 
     private suspend fun dial(address: Address): Either<LinkFailure, LinkConnection> {
-        var socket: Socket? = null
-        return try {
-            withTimeoutOrNull(DIAL_TIMEOUT_MS) {
-                val opened = aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
-                socket = opened
-                openConnection(opened, LinkRole.DIALER).right()
-            } ?: LinkFailure.NotSent("no link to $address within $DIAL_TIMEOUT_MS ms").left().also { socket?.close() }
-        } catch (e: CancellationException) {
-            socket?.close()
-            throw e
-        } catch (e: Exception) {
-            socket?.close()
-            LinkFailure.NotSent("no link to $address: ${e.message ?: e::class.simpleName}").left()
+        // Netty throws for a port that does not exist, and looks up names on the event loop.
+        if (!address.isUnicastEndpoint()) return LinkFailure.NotSent("$address is no IPv4 number and port").left()
+        return withContext(dispatcher) { dialHere(address) }
+    }
+
+    private suspend fun dialHere(address: Address): Either<LinkFailure, LinkConnection> {
+        var socket: LinkSocket? = null
+        var connection: LinkConnection? = null
+        try {
+            return withTimeoutOrNull(DIAL_TIMEOUT_MS) {
+                val opened = openSocket(address) { socket = it }
+                openConnection(opened, LinkRole.DIALER).also { connection = it }.right()
+            } ?: LinkFailure.NotSent("no link to $address within $DIAL_TIMEOUT_MS ms").left()
+        } catch (e: IOException) {
+            return LinkFailure.NotSent("no link to $address: ${e.message}").left()
+        } catch (e: IllegalArgumentException) {
+            return LinkFailure.NotSent("no link to $address: unreadable handshake: ${e.message}").left()
+        } finally {
+            if (connection == null) socket?.close()
         }
     }
 
-    private suspend fun serve(socket: Socket) {
+    /** Opens a connection to [address]; [onCreated] is called before it is open. */
+    private suspend fun openSocket(address: Address, onCreated: (LinkSocket) -> Unit): LinkSocket {
+        var socket: LinkSocket? = null
+        val connecting = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_TIMEOUT_MS.toInt())
+            .handler(
+                initializer { channel ->
+                    val created = LinkSocket(channel)
+                    channel.pipeline().addLast(created)
+                    socket = created
+                    onCreated(created)
+                },
+            )
+            .connect(address.host, address.port)
+        connecting.awaitDone()
+        connecting.cause()?.let { throw IOException(it.message, it) }
+        return checkNotNull(socket) { "an open channel was not initialized" }
+    }
+
+    private suspend fun serve(socket: LinkSocket) {
         try {
             val connection = withTimeoutOrNull(DIAL_TIMEOUT_MS) { openConnection(socket, LinkRole.LISTENER) }
             connection?.join() ?: socket.close()
@@ -153,13 +196,15 @@
         }
     }
 
-    private suspend fun openConnection(socket: Socket, role: LinkRole): LinkConnection {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
-        val peer = performHandshake(input, output, process, secret, role)
-        return LinkConnection(socket, input, output, handlers, scope, peer).also { it.start() }
+    private suspend fun openConnection(socket: LinkSocket, role: LinkRole): LinkConnection {
+        val peer = performHandshake(socket, process, secret, role)
+        return LinkConnection(socket, handlers, scope, peer).also { it.start() }
     }
 }
 
+private fun initializer(prepare: (NettyChannel) -> Unit) = object : ChannelInitializer<NettyChannel>() {
+    override fun initChannel(channel: NettyChannel) = prepare(channel)
+}
+
 /** Creates the links of a process with the id [process], which handles calls with [handlers]. */
 public fun linksOf(process: String, secret: String, handlers: LinkHandlers): Links = Links(process, secret, handlers)
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.link
 
+import com.sun.management.OperatingSystemMXBean
 import fulmarshunt.Address
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
@@ -15,6 +16,9 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import java.lang.management.ManagementFactory
+import java.util.concurrent.TimeUnit
 
 private val echo = Channel("echo", String.serializer(), String.serializer())
 private val loopback = Address("127.0.0.1", 0)
@@ -109,4 +113,28 @@
         expectThat(call.await().leftOrNull()).isA<LinkFailure.Lost>()
         client.close()
     }
+
+    /** Guards against a thread that tries again and again to write to a connection whose peer reads nothing. */
+    @Test
+    fun `a peer that does not read costs no processor time`(): Unit = runBlocking {
+        val size = Channel("size", String.serializer(), Int.serializer())
+        val server = linksOf("server", "secret", LinkHandlers().with(size) { _, text -> text.length })
+        val client = linksOf("client", "secret", LinkHandlers())
+        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 16 * 1_024).use { proxy ->
+            withTimeout(30_000) { while (client.call(proxy.address, size, "", 5_000).isLeft()) delay(20) }
+            // More than the buffers of the connection take.
+            val text = "x".repeat(64 * 1_024)
+            val calls = (0 until 200).map { async { client.call(proxy.address, size, text, 1_900) } }
+            delay(800)
+            val usedNanos = processCpuNanos()
+            delay(1_000)
+            expectThat(TimeUnit.NANOSECONDS.toMillis(processCpuNanos() - usedNanos)).isLessThan(500)
+            calls.awaitAll()
+        }
+        client.close()
+        server.close()
+    }
+
+    private fun processCpuNanos(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
 }
