Split the fleet of an entry VM and the contacts of a control VM

What an entry VM knows of crashes (CrashKnowledge), its waiting requests and its own use have files of their own, as have the control VMs that a control VM reaches (ControlContacts). No decision changes.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
@@ -46,7 +46,7 @@
                 }
                 // Targets that crash together are found out at different times.
                 val ageMs = dependencies.clock.nowMs() - lostAtMs
-                dependencies.control.run { reports.forEach { dependencies.fleet.recordCrash(it, ageMs) } }
+                dependencies.control.run { reports.forEach { dependencies.fleet.crashes.record(it, ageMs) } }
             }
         }
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -114,7 +114,7 @@
 
     /** Records that a run has shown that [causes] crash no target. */
     fun recordSound(causes: Set<Fingerprint>) {
-        if (causes.isNotEmpty()) control.scope.launch { fleet.recordSound(causes) }
+        if (causes.isNotEmpty()) control.scope.launch { fleet.crashes.recordSound(causes) }
     }
 
     /** Releases the placements that are still held. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -122,7 +122,7 @@
     private val listedAtMs = mutableMapOf<TargetId, Long>()
     private var reportedUse = emptyMap<TargetId, TargetUse>()
     private var publishedAtMs = Long.MIN_VALUE / 2
-    private val refusals = Refusals { fleet.soundAgesMs(it).keys }
+    private val refusals = Refusals { fleet.crashes.soundAgesMs(it).keys }
     private val viewState = MutableStateFlow(FleetView())
 
     /** The number of control VMs that reply. May be read from any thread. */
@@ -166,7 +166,7 @@
         }
         val use = if (isReporting) fleet.use() else emptyMap()
         val sendsAllReports = slot.reportedTo.isEmpty()
-        val crashAgesMs = fleet.crashReportAgesMs(sendsAllReports)
+        val crashAgesMs = fleet.crashes.reportAgesMs(sendsAllReports)
         val request = Watch(
             vm,
             isReporting,
@@ -175,7 +175,7 @@
             viewState.value.revision,
             slot.source,
             slot.targetChange,
-            fleet.soundAgesMs(slot.suspected),
+            fleet.crashes.soundAgesMs(slot.suspected),
             crashAgesMs.values.toList(),
             fleet.unlistedLeaving(),
             holdMs,
@@ -197,7 +197,7 @@
         delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
     }
 
-    /** Calls the control VM at [address]; returns null if [isEndedByUse] and there is use to report before the reply. */
+    /** Calls the control VM at [address]; returns null if [isEndedByUse] and there is use to report first. */
     private suspend fun call(
         address: Address,
         request: Watch,
--- a/src/main/kotlin/fulmarshunt/entry/watch/UseChanges.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/UseChanges.kt
@@ -41,3 +41,12 @@
 /** Returns this use with [changes]. */
 internal fun Map<TargetId, TargetUse>.withChanges(changes: Map<TargetId, TargetUse>): Map<TargetId, TargetUse> =
     (this + changes).filterValues { it != TargetUse.NONE }
+
+/** Returns the sum of the use of several VMs. */
+internal fun sumOfUse(uses: Collection<Map<TargetId, TargetUse>>): Map<TargetId, TargetUse> {
+    val sum = mutableMapOf<TargetId, TargetUse>()
+    for (use in uses) {
+        use.forEach { (target, part) -> sum[target] = (sum[target] ?: TargetUse.NONE) + part }
+    }
+    return sum
+}
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -39,7 +39,7 @@
     val leaving: Set<TargetInstance> = emptySet(),
     /** How long the reply may wait for a change. */
     val holdMs: Long = WATCH_HOLD_MS,
-    /** The number of the last [WatchReply.use] that was received from [source]; null asks for the use of all targets. */
+    /** The number of the last [WatchReply.use] received from [source]; null asks for the use of all targets. */
     val useNumber: Long? = null,
     /** The number of the last [WatchReply.controls] that was received from [source]. */
     val controlsNumber: Long = 0,
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -14,7 +14,6 @@
 import fulmarshunt.link.Links
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
-import fulmarshunt.process.LimitedLog
 import fulmarshunt.target.TargetInstance
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.CrashReport
@@ -33,7 +32,6 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
 
@@ -53,7 +51,7 @@
 
 /**
  * How many refreshes pass from one that has the records of all targets to the next; the others have the records that
- * targets announced to the sender. A target that announces itself on the far side of a cut is silent after more of them.
+ * targets announced to the sender. With more, a target that is heard only beyond a cut would count as silent.
  */
 private const val REFRESHES_PER_RELAY = 3
 
@@ -99,7 +97,6 @@
     private val clock: Clock,
 ) {
     private val log = LogManager.getLogger(WatchService::class.java)
-    private val contactLog = LimitedLog(log)
     private val source = UUID.randomUUID().toString()
     private val suspects = CrashReportTable()
     private val lastSuspectChange = MutableStateFlow(0L)
@@ -134,12 +131,10 @@
     private val news = MutableStateFlow(0L)
     private var wasCurrent = false
     private var lastContactAtMs = Long.MIN_VALUE / 2
-    private val reached = mutableSetOf<Address>()
+    private val contacts = ControlContacts()
 
     /** The number of other control VMs that replied to the last exchange with them. May be read from any thread. */
-    @Volatile
-    public var reachedControlVms: Int = 0
-        private set
+    public val reachedControlVms: Int get() = contacts.reachedCount
 
     @Volatile
     private var links: Links? = null
@@ -341,7 +336,7 @@
         otherControls().forEach { send(it, exchange) }
     }
 
-    /** Records what targets have said to an entry VM, and forwards it so that the other entry VMs need not hear it too. */
+    /** Records what targets have said to an entry VM, and forwards it, so that others need not hear it themselves. */
     private fun recordLeaving(instances: Set<TargetInstance>) {
         val added = dependencies.directory.receiveLeaving(instances, clock.nowMs())
         if (added.isEmpty()) return
@@ -356,10 +351,10 @@
         reportsOfEntryVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         reportsOfControlVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         val others = otherControls()
-        reached.retainAll(others.toSet())
+        contacts.retain(others.toSet())
         peers.keys.retainAll(others.toSet())
         val refresh = if (nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS) refreshAt(nowMs) else null
-        val use = sumOf(reportsOfEntryVms.values)
+        val use = sumOfUse(reportsOfEntryVms.values.map { it.use })
         for (address in others) {
             val peer = peers.getOrPut(address) { Peer() }
             val isDue = refresh != null || peer.sent.isChange(peer.received, use)
@@ -415,38 +410,18 @@
 
     private suspend fun exchangeWith(address: Address, exchange: StateExchange): StateExchangeReply? {
         val result = links?.call(address, exchangeChannel, exchange, EXCHANGE_TIMEOUT_MS) ?: return null
-        recordContact(address, result.leftOrNull()?.reason)
+        contacts.record(address, result.leftOrNull()?.reason)
         return result.getOrNull()?.also { if (it.isCurrent) lastContactAtMs = clock.nowMs() }
     }
 
-    /** Logs a control VM that is reached for the first time or again, or that is lost; [problem] is null if it replied. */
-    private fun recordContact(address: Address, problem: String?) {
-        if (problem == null) {
-            if (reached.add(address)) log.info("control-vm reached address={}", address)
-        } else if (reached.remove(address)) {
-            log.warn("control-vm lost address={} reason={}", address, problem)
-        } else {
-            contactLog.log(Level.WARN, "control-vm not reached address=$address reason=$problem")
-        }
-        reachedControlVms = reached.size
-    }
-
     private fun otherControls(): List<Address> = dependencies.controls() - dependencies.own
 
     private fun totalUse(nowMs: Long): Map<TargetId, TargetUse> {
         if (nowMs - totalUseAtMs >= TOTAL_USE_AGE_MS) {
             val reports = reportsOfEntryVms.values + reportsOfControlVms.values
-            totalUse = sumOf(reports.filter { nowMs - it.atMs <= REPORT_VALID_MS })
+            totalUse = sumOfUse(reports.filter { nowMs - it.atMs <= REPORT_VALID_MS }.map { it.use })
             totalUseAtMs = nowMs
         }
         return totalUse
     }
-
-    private fun sumOf(reports: Collection<Report>): Map<TargetId, TargetUse> {
-        val sum = mutableMapOf<TargetId, TargetUse>()
-        for (report in reports) {
-            report.use.forEach { (target, use) -> sum[target] = (sum[target] ?: TargetUse.NONE) + use }
-        }
-        return sum
-    }
 }
--- a/src/main/kotlin/fulmarshunt/process/LimitedLog.kt
+++ b/src/main/kotlin/fulmarshunt/process/LimitedLog.kt
@@ -1,6 +1,6 @@
 /*
- * A log for events that can come with every request or every round of a loop. It writes at most one line in a period and
- * counts the others, so that a flood of events does not slow the process down.
+ * A log for events that can come with every request or every round of a loop. It writes at most one line in a period
+ * and counts the others, so that a flood of events does not slow the process down.
  */
 package fulmarshunt.process
 
--- a/src/main/kotlin/fulmarshunt/process/LineLogging.kt
+++ b/src/main/kotlin/fulmarshunt/process/LineLogging.kt
@@ -1,6 +1,7 @@
 /*
  * The logs of fleet programs: one line of key=value pairs for each event, on standard output. A reader of the output
- * that is slow never delays a request: lines wait in a bounded queue, and those that find it full are dropped and counted.
+ * that is slow never delays a request: lines wait in a bounded queue, and those that find it full are dropped and
+ * counted.
  *
  * This is a provider of Log4j's API without its core, whose start takes a third of the processor time of the start of a
  * program. The core is used if `log4j2.configurationFile` names a configuration.
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -6,13 +6,11 @@
 
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
-import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.ServiceProfile
 import fulmarshunt.target.TargetInstance
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -22,12 +20,6 @@
 /** How long after its start a process expects to discover targets. */
 private const val DISCOVERY_MS = 10_000L
 
-/** How long crash reports are sent repeatedly to control VMs that are watched already. */
-private const val REPORT_CRASHES_MS = 10_000L
-
-/** Beyond this number, the oldest crash reports are dropped. A report takes about 100 bytes in a message. */
-private const val MAX_CRASH_REPORTS = 2_048
-
 /** A request that needs a target. */
 public data class PlacementRequest(
     public val requestId: RequestId,
@@ -81,11 +73,9 @@
     private val log = LogManager.getLogger(Fleet::class.java)
     private val startedAtMs = clock.nowMs()
     private val coldStarts = ColdStartLimiter()
-    private val ownUse = mutableMapOf<TargetId, TargetUse>()
+    private val ownUse = OwnUse()
     private val failures = mutableMapOf<TargetId, FailureHistory>()
-    private val waiting = mutableListOf<WaitingRequest>()
-    private val crashReports = linkedMapOf<CrashReport, Long>()
-    private val soundCauses = SoundCauses()
+    private val waiting = WaitingRequests { it.isLate(clock.nowMs()) }
     private val leaving = LeavingTargets()
     private val pauses = TargetPauses(nextRandom)
 
@@ -93,15 +83,8 @@
     private var listed = FleetView()
     private val viewState = MutableStateFlow(FleetView())
 
-    private class WaitingRequest(
-        val request: PlacementRequest,
-        val untilMs: Long,
-        /** The placement, or null if the request is refused before its time limit. */
-        val result: CompletableDeferred<Placement?>,
-    )
-
-    private val admissionOrder: Comparator<WaitingRequest> =
-        compareBy({ isLate(it.request) }, { it.request.rank }, { it.request.objectiveDeadlineMs })
+    /** What this VM knows of crashes. */
+    public val crashes: CrashKnowledge = CrashKnowledge(clock)
 
     private val inUseState = MutableStateFlow(false)
 
@@ -132,7 +115,7 @@
                 if (record === target.record) target else target.copy(record = record)
             },
         )
-        admitWaiting()
+        retryWaiting()
     }
 
     /** Records that [target] has said in a response that it is leaving. */
@@ -152,39 +135,14 @@
     public fun recordPause(target: KnownTarget, durationMs: Long) {
         val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
         log.info("target pauses target={} askedMs={} pauseMs={}", target.id, durationMs, pauseMs)
-        refuseHopeless()
+        waiting.refuse(::isHopeless)
     }
 
     /** Returns whether a running generation may continue at [target] now. */
     public fun tryContinue(target: KnownTarget): Boolean = pauses.tryContinue(target.instance, clock.nowMs())
 
     /** Returns the use of each target by this VM. */
-    public fun use(): Map<TargetId, TargetUse> = ownUse.toMap()
-
-    /**
-     * Returns the crashes to be reported to a control VM, one report for each cause that was present, with the time
-     * since the crash was noticed.
-     *
-     * @param isNewReceiver whether the control VM may lack earlier reports, as after its restart.
-     */
-    public fun crashReportAgesMs(isNewReceiver: Boolean = false): Map<CrashReport, Long> {
-        val nowMs = clock.nowMs()
-        crashReports.values.removeIf { nowMs - it > CRASH_RETENTION_MS }
-        val maxAgeMs = if (isNewReceiver) CRASH_RETENTION_MS else REPORT_CRASHES_MS
-        return crashReports.mapValues { (_, atMs) -> nowMs - atMs }.filterValues { it <= maxAgeMs }
-    }
-
-    /** Records that a possible cause was present at a target when it crashed, [ageMs] ago. */
-    public fun recordCrash(report: CrashReport, ageMs: Long = 0) {
-        crashReports.merge(report, clock.nowMs() - ageMs, ::minOf)
-        if (crashReports.size > MAX_CRASH_REPORTS) crashReports.remove(crashReports.keys.first())
-    }
-
-    /** Records that a run has shown that [causes] crash no target. */
-    public fun recordSound(causes: Set<Fingerprint>): Unit = soundCauses.record(causes, clock.nowMs())
-
-    /** Returns which of [causes] runs of this VM have shown to be sound, with the time since then. */
-    public fun soundAgesMs(causes: Set<Fingerprint>): Map<Fingerprint, Long> = soundCauses.agesMs(causes, clock.nowMs())
+    public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot()
 
     /** Counts a request for [service] towards the budget of repeats. */
     public fun recordRequest(service: ServiceId): Unit = budget.recordRequest(service, clock.nowMs())
@@ -195,15 +153,18 @@
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
         placeNow(request)?.let { return PlacementResult.Placed(it) }
-        val known = candidatesOf(request.service.id)
-        if (known.isEmpty() && !isDiscovering(request.service.id)) return PlacementResult.NoTarget
-        val entry = WaitingRequest(request, clock.nowMs() + limitMs, CompletableDeferred())
+        val known = view.acceptingTargets(request.service.id)
+        // After a restart of all control VMs, targets become known only with their next announcements.
+        val isDiscovering = clock.nowMs() - startedAtMs < DISCOVERY_MS &&
+            view.targets.values.none { it.record.service == request.service.id }
+        if (known.isEmpty() && !isDiscovering) return PlacementResult.NoTarget
+        val entry = WaitingRequest(request, clock.nowMs() + limitMs)
         if (limitMs <= 0 || isHopeless(entry)) return shortage(request.service.id)
-        waiting += entry
+        waiting.add(entry)
         noticeUse()
         var isTaken = false
         try {
-            withTimeoutOrNull(limitMs) { awaitAdmission(entry) }
+            withTimeoutOrNull(limitMs) { entry.await(shortage(request.service.id).pausedForMs, ::retryWaiting) }
             // The request may have been admitted just as its time limit expired.
             val placement = if (entry.result.isCompleted) entry.result.await() else null
             isTaken = true
@@ -215,21 +176,12 @@
         }
     }
 
-    private suspend fun awaitAdmission(entry: WaitingRequest) {
-        val pausedForMs = shortage(entry.request.service.id).pausedForMs
-        if (pausedForMs > 0) {
-            withTimeoutOrNull(pausedForMs) { entry.result.await() }
-            admitWaiting()
-        }
-        entry.result.await()
-    }
-
     /** Returns what is known of the shortage of targets of [service]. */
     public fun shortage(service: ServiceId): PlacementResult.Full {
         val nowMs = clock.nowMs()
-        val known = candidatesOf(service)
+        val known = view.acceptingTargets(service)
         return PlacementResult.Full(
-            waiting.count { it.request.service.id == service },
+            waiting.count(service),
             known.size,
             known.minOfOrNull { pauses.remainingMs(it.instance, nowMs) } ?: 0,
         )
@@ -237,18 +189,13 @@
 
     /** Returns whether targets are known, and none of them can take the request of [entry] while it waits. */
     private fun isHopeless(entry: WaitingRequest): Boolean {
-        val known = candidatesOf(entry.request.service.id)
+        val known = view.acceptingTargets(entry.request.service.id)
         val patienceMs = entry.untilMs - clock.nowMs()
         return known.isNotEmpty() && known.all {
             it.id in entry.request.excluded || pauses.remainingMs(it.instance, clock.nowMs()) > patienceMs
         }
     }
 
-    /** Refuses the waiting requests that cannot be admitted any more, so that their callers can retry. */
-    private fun refuseHopeless() {
-        waiting.filter { !it.result.isCompleted && isHopeless(it) }.forEach { it.result.complete(null) }
-    }
-
     /** Places the rest of a generation that runs at the target of [placement], or returns null. */
     public fun placeForMigration(placement: Placement, tokens: Int): Placement? {
         val request = placement.request.copy(excluded = setOf(placement.target.id))
@@ -265,7 +212,7 @@
     public fun placeCopy(placement: Placement): Placement? {
         val engine = placement.request.service.engine ?: return null
         val request = placement.request.copy(excluded = setOf(placement.target.id))
-        val all = candidatesOf(request.service.id).map { useOf(it.id) }
+        val all = view.acceptingTargets(request.service.id).map { useOf(it.id) }
         val chosen =
             chooseForCopyOrNull(usableCandidates(request), all, placement.use.tokens, engine, nextRandom) ?: return null
         return assign(request, chosen.target, TargetUse(0, placement.use.tokens, 0))
@@ -279,7 +226,7 @@
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
-        if (pauses.recordOutput(placement)) admitWaiting()
+        if (pauses.recordOutput(placement)) retryWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
@@ -289,17 +236,19 @@
         placement.hasEnded = true
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
         pauses.recordEnd(placement, outcome)
-        admitWaiting()
+        retryWaiting()
     }
 
-    /** Returns whether [target] gets no more requests and its runs should migrate to other targets. */
-    public fun isLeaving(target: TargetId): Boolean =
-        view.targets[target]?.let { it.record.phase != TargetPhase.READY } ?: true
-
     private fun placeNow(request: PlacementRequest): Placement? {
         val tokens = request.promptTokens + request.outputTokens
         val requirements =
-            TargetRequirements(request.service.engine, request.promptTokens, tokens, domain, isLate(request))
+            TargetRequirements(
+                request.service.engine,
+                request.promptTokens,
+                tokens,
+                domain,
+                request.isLate(clock.nowMs()),
+            )
         val chosen = chooseOrNull(usableCandidates(request), requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also { pauses.recordPlacement(it) }
@@ -315,47 +264,24 @@
     }
 
     private fun replaceUse(placement: Placement, use: TargetUse) {
-        val current = ownUse[placement.target.id] ?: TargetUse.NONE
-        val former = placement.use
-        val next = TargetUse(
-            current.running - former.running + use.running,
-            current.tokens - former.tokens + use.tokens,
-            current.unreadTokens - former.unreadTokens + use.unreadTokens,
-        )
-        placement.use = use
-        if (next == TargetUse.NONE) ownUse.remove(placement.target.id) else ownUse[placement.target.id] = next
+        ownUse.replace(placement, use)
         noticeUse()
     }
 
     private fun noticeUse() {
-        inUseState.value = ownUse.isNotEmpty() || waiting.isNotEmpty()
+        inUseState.value = !ownUse.isEmpty || !waiting.isEmpty
     }
 
-    /** Admits waiting requests whose limits have passed, as those on the starts at cold targets. */
-    public fun retryWaiting(): Unit = admitWaiting()
-
-    private fun admitWaiting() {
-        if (waiting.isEmpty()) return
-        for (entry in waiting.sortedWith(admissionOrder)) {
-            if (entry.result.isCompleted) continue
-            placeNow(entry.request)?.let { entry.result.complete(it) }
-        }
-    }
-
-    /** After a restart of all control VMs, targets become known only with their next announcements. */
-    private fun isDiscovering(service: ServiceId): Boolean =
-        clock.nowMs() - startedAtMs < DISCOVERY_MS && view.targets.values.none { it.record.service == service }
-
-    /** Returns the targets that accept requests, with or without free capacity. */
-    private fun candidatesOf(service: ServiceId): List<KnownTarget> = view.targets.values.filter {
-        it.record.service == service && it.record.phase == TargetPhase.READY && it.record.domain !in view.drained
+    /** Admits the waiting requests for which there is capacity; limits of cold targets pass without an event. */
+    public fun retryWaiting() {
+        if (!waiting.isEmpty) waiting.admit(::placeNow)
     }
 
     /** Returns the targets that may get [request] now; silent or avoided ones only if there are no others. */
     private fun usableCandidates(request: PlacementRequest): List<Candidate> {
         val nowMs = clock.nowMs()
         val limit = coldLimitPerS(request.service)
-        val eligible = candidatesOf(request.service.id).filter { target ->
+        val eligible = view.acceptingTargets(request.service.id).filter { target ->
             target.id !in request.excluded && pauses.admits(target.instance, nowMs) &&
                 (
                     limit <= 0 || target.coldUntilMs <= nowMs || coldStarts.hasRoom(
@@ -372,8 +298,7 @@
         }
     }
 
-    private fun useOf(target: TargetId): TargetUse =
-        (ownUse[target] ?: TargetUse.NONE) + (view.othersUse[target] ?: TargetUse.NONE)
-
-    private fun isLate(request: PlacementRequest): Boolean = clock.nowMs() > request.objectiveDeadlineMs
+    private fun useOf(target: TargetId): TargetUse = ownUse.of(target) + (view.othersUse[target] ?: TargetUse.NONE)
 }
+
+private fun PlacementRequest.isLate(nowMs: Long): Boolean = nowMs > objectiveDeadlineMs
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -6,6 +6,7 @@
 import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.LogIndex
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.RoutingTable
 import fulmarshunt.target.TargetInstance
@@ -38,4 +39,9 @@
     public val othersUse: Map<TargetId, TargetUse> = emptyMap(),
     /** Requests and parts of prompts that are refused because they were present at several crashes. */
     public val refused: Set<Fingerprint> = emptySet(),
-)
+) {
+    /** Returns the targets that accept requests for [service], with or without free capacity. */
+    internal fun acceptingTargets(service: ServiceId): List<KnownTarget> = targets.values.filter {
+        it.record.service == service && it.record.phase == TargetPhase.READY && it.record.domain !in drained
+    }
+}
--- a/src/test/kotlin/fulmarshunt/caller/relay/CutResponseTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CutResponseTest.kt
@@ -27,24 +27,24 @@
     "content-type: text/plain\r\ncon",
 )
 
-private val chunkedHead = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\ntransfer-encoding: chunked\r\n\r\n"
-private val event = "id: 1\ndata: token 1\n\n"
-private val eventChunk = "${event.length.toString(16)}\r\n$event\r\n"
+private const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+private const val EVENT = "id: 1\ndata: token 1\n\n"
+private val eventChunk = "${EVENT.length.toString(16)}\r\n$EVENT\r\n"
 
 /** Responses that stop after their head, from a target that closes the connection in order. */
 private val cutBodies = listOf(
     "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\ncontent-length: 20\r\n\r\n",
     "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\ncontent-length: 20\r\n\r\nten bytes.",
-    chunkedHead,
-    chunkedHead + "1",
-    chunkedHead + eventChunk.dropLast(6),
-    chunkedHead + eventChunk,
-    chunkedHead + eventChunk + "0",
-    chunkedHead + eventChunk + "0\r\n",
+    CHUNKED_HEAD,
+    CHUNKED_HEAD + "1",
+    CHUNKED_HEAD + eventChunk.dropLast(6),
+    CHUNKED_HEAD + eventChunk,
+    CHUNKED_HEAD + eventChunk + "0",
+    CHUNKED_HEAD + eventChunk + "0\r\n",
 )
 
 class CutResponseTest {
-    /** Returns a target that writes [parts] in response to a request and closes; with [keptFirst], to its second one. */
+    /** Returns a target that writes [parts] in response to a request and closes; with [keptFirst], to the second. */
     private fun cutting(parts: List<String>, keptFirst: Boolean) = ScriptedTarget("a") {
         if (keptFirst && number == 1) {
             respond("200 OK", "first")
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -281,12 +281,12 @@
     }
 
     /** The crashes that this VM reports to control VMs. */
-    fun crashReports() = runBlocking { control.run { fleet.crashReportAgesMs() } }
+    fun crashReports() = runBlocking { control.run { fleet.crashes.reportAgesMs() } }
 
     /** Exchanges reports and refusals with a control VM whose crash reports are in [table]. */
     fun exchangeCrashReports(table: CrashReportTable) {
         table.receive(crashReports(), clock.nowMs())
-        table.clear(runBlocking { control.run { fleet.soundAgesMs(table.suspected()) } }, clock.nowMs())
+        table.clear(runBlocking { control.run { fleet.crashes.soundAgesMs(table.suspected()) } }, clock.nowMs())
         list(listed.copy(refused = table.refused()))
     }
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
@@ -31,7 +31,7 @@
 
     private fun sound(name: String) = ScriptedTarget(name) { respond("200 OK", name) }
 
-    /** Guards against requests to a target that has said in its response, and in no announcement, that it is leaving. */
+    /** Guards against requests to a target that has said in a response, and in no announcement, that it is leaving. */
     @Test
     fun `a target that says that it is leaving gets no more requests`() {
         ScriptedTarget("a") { respond("200 OK", "a", "leaving: 1") }.use { leaving ->
--- a/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/CrashRefusalTest.kt
@@ -61,11 +61,11 @@
         /** Records a crash; the causes are whole requests, or with a [depth] above 0 parts of prompts. */
         fun recordCrash(number: Int, causes: Set<Fingerprint>, depth: Int = 0) = runBlocking {
             control.run {
-                causes.forEach { fleet.recordCrash(CrashReport(it, TargetId("t$number"), number.toLong(), depth)) }
+                causes.forEach { fleet.crashes.record(CrashReport(it, TargetId("t$number"), number.toLong(), depth)) }
             }
         }
 
-        fun recordSound(cause: Fingerprint) = runBlocking { control.run { fleet.recordSound(setOf(cause)) } }
+        fun recordSound(cause: Fingerprint) = runBlocking { control.run { fleet.crashes.recordSound(setOf(cause)) } }
 
         /** Advances the clock of this VM. */
         fun skip(durationMs: Long) {
--- a/src/test/kotlin/fulmarshunt/measurement/FleetMeasurement.kt
+++ b/src/test/kotlin/fulmarshunt/measurement/FleetMeasurement.kt
@@ -1,7 +1,7 @@
 /*
  * The processor time of the fleet programs at their start and at rest, by role: real processes on loopback addresses,
- * with the command lines of deploy/system.toml. Arguments are `name=value`: entries (the number of entry VMs) and seconds
- * (how long the fleet rests). The class archives of deploy/archive-classes.sh are used if they exist.
+ * with the command lines of deploy/system.toml. Arguments are `name=value`: entries (the number of entry VMs) and
+ * seconds (how long the fleet rests). The class archives of deploy/archive-classes.sh are used if they exist.
  */
 package fulmarshunt.measurement
 
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -211,7 +211,7 @@
         return target
     }
 
-    /** Guards against a pause that ends with a change of what control VMs list, and one that holds for a new instance. */
+    /** Guards against a pause that ends with a change of what control VMs list, or that holds for a new instance. */
     @Test
     fun `a pause holds for the instance that asked for it`() {
         pausedTarget(5_000)
