Let links be closed twice

Cause: since links run on Netty, close() schedules on the event loop, which a former close() had ended. Change: only the first call closes; calls after it are not sent, with "this process is stopping", instead of a cancellation of the caller. LinksTest has a test for both; LinksTest, OrdersTest and QuestionnaireTest pass.

--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -37,6 +37,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.ThreadFactory
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.coroutines.CoroutineContext
 import io.netty.channel.Channel as NettyChannel
 
@@ -65,6 +66,7 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val dialed = ConcurrentHashMap<Address, Dialed>()
     private val listening = ConcurrentLinkedQueue<NettyChannel>()
+    private val isClosed = AtomicBoolean()
 
     /** The context of coroutines that resume on the thread of the links. */
     internal val dispatch: CoroutineContext get() = dispatcher
@@ -104,6 +106,7 @@
 
     /** Returns an open connection to [address], dialing it if there is none. */
     public suspend fun connect(address: Address): Either<LinkFailure, LinkConnection> {
+        if (isClosed.get()) return LinkFailure.NotSent("this process is stopping").left()
         val entry = dialed.computeIfAbsent(address) { Dialed() }
         entry.connection?.takeIf { it.isOpen }?.let { return it.right() }
         return entry.mutex.withLock {
@@ -124,8 +127,9 @@
         timeoutMs: Long,
     ): Either<LinkFailure, R> = connect(address).flatMap { it.call(channel, request, timeoutMs) }
 
-    /** Closes all connections and stops listening. */
+    /** Closes all connections and stops listening; later calls have no effect. */
     override fun close() {
+        if (!isClosed.compareAndSet(false, true)) return
         dialed.values.forEach { it.connection?.close("this process is stopping") }
         val closed = listening.map { it.close() }
         scope.cancel()
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -114,6 +114,17 @@
         client.close()
     }
 
+    /** Guards against an exception at the end of a process whose links were closed before. */
+    @Test
+    fun `links may be closed twice and make no calls afterwards`(): Unit = runBlocking {
+        val server = linksOf("server", "secret", LinkHandlers().with(echo) { _, text -> text })
+        val address = server.listen(loopback).getOrNull()!!
+        val client = linksOf("client", "secret", LinkHandlers())
+        repeat(2) { client.close() }
+        expectThat(client.call(address, echo, "x", 1_000).leftOrNull()).isA<LinkFailure.NotSent>()
+        repeat(2) { server.close() }
+    }
+
     /** Guards against a thread that tries again and again to write to a connection whose peer reads nothing. */
     @Test
     fun `a peer that does not read costs no processor time`(): Unit = runBlocking {
