--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -147,8 +147,8 @@
 }
 
 /**
- * Listens at [address] for reads of the metrics of this process. The JVM is measured from the first read on, because
- * the classes that do so take a tenth of the time that a program needs to start.
+ * Listens at [address] for reads of the metrics of this process. The metrics of the JVM begin with the first read,
+ * because the classes for them would only delay the start.
  */
 internal suspend fun listenForMetrics(
     traffic: Traffic,
--- a/src/main/kotlin/fulmarshunt/process/LineLogging.kt
+++ b/src/main/kotlin/fulmarshunt/process/LineLogging.kt
@@ -3,8 +3,8 @@
  * that is slow never delays a request: lines wait in a bounded queue, and those that find it full are dropped and
  * counted.
  *
- * This is a provider of Log4j's API without its core, whose start takes a third of the processor time of the start of a
- * program. The core is used if `log4j2.configurationFile` names a configuration.
+ * This is a provider of Log4j's API without its core, which loads several hundred classes when a program starts. The
+ * core is used if `log4j2.configurationFile` names a configuration.
  */
 package fulmarshunt.process
 
