--- a/src/main/kotlin/fulmarshunt/caller/ClaimService.kt
+++ b/src/main/kotlin/fulmarshunt/caller/ClaimService.kt
@@ -23,6 +23,7 @@
 
     private fun refusal(failure: ProposeFailure): ClaimReply = when (failure) {
         is ProposeFailure.NotLeader -> ClaimNotLeader(failure.leader)
+        is ProposeFailure.Refused -> ClaimNotLeader(null)
         is ProposeFailure.Undecided -> ClaimUndecided
     }
 }
--- a/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/LeaseService.kt
@@ -249,7 +249,7 @@
 
     private fun failureReply(failure: ProposeFailure): LeaseReply = when (failure) {
         is ProposeFailure.NotLeader -> LeaseNotLeader(failure.leader)
-        is ProposeFailure.Undecided -> LeaseNotLeader()
+        is ProposeFailure.Refused, is ProposeFailure.Undecided -> LeaseNotLeader()
     }
 
     private fun notLeader(): LeaseReply =
--- a/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
+++ b/src/main/kotlin/fulmarshunt/operator/OperatorService.kt
@@ -137,6 +137,7 @@
 
     private fun replyTo(failure: ProposeFailure): OperatorReply = when (failure) {
         is ProposeFailure.NotLeader -> OperatorNotLeader(failure.leader)
+        is ProposeFailure.Refused -> OperatorNotLeader(null)
         is ProposeFailure.Undecided -> OutcomeUnknown(failure.reason)
     }
 
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -51,6 +51,11 @@
     @SerialName("n")
     data class NotLeader(val leader: Address?) : LeaderReply
 
+    /** The leader has not executed the call; a leader that is elected meanwhile may be able to. */
+    @Serializable
+    @SerialName("x")
+    data class Refused(val reason: String) : LeaderReply
+
     @Serializable
     @SerialName("u")
     data class Undecided(val reason: String) : LeaderReply
@@ -96,6 +101,7 @@
             when (reply) {
                 LeaderReply.Done, is LeaderReply.State -> return reply.right()
                 is LeaderReply.NotLeader -> reason = "no leader replies, last known leader ${reply.leader ?: leader}"
+                is LeaderReply.Refused -> reason = reply.reason
                 is LeaderReply.Undecided -> reason = reply.reason
             }
             delay(RETRY_DELAY_MS)
@@ -120,6 +126,7 @@
             { failure ->
                 when (failure) {
                     is ProposeFailure.NotLeader -> LeaderReply.NotLeader(failure.leader)
+                    is ProposeFailure.Refused -> LeaderReply.Refused(failure.reason)
                     is ProposeFailure.Undecided -> LeaderReply.Undecided(failure.reason)
                 }
             },
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -39,8 +39,9 @@
 import fulmarshunt.voter.ReplicatedLog
 import fulmarshunt.voter.VoterSettings
 import fulmarshunt.voter.access
+import fulmarshunt.voter.awaitReplicatedLog
+import fulmarshunt.voter.bindDiskMetric
 import fulmarshunt.voter.controlDirectoryOf
-import fulmarshunt.voter.openReplicatedLog
 import fulmarshunt.voter.reconcileMembership
 import fulmarshunt.wallClock
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -92,7 +93,7 @@
         settings.formation.bootstrap,
         initialVoters = { directory.initialVotersOrNull() },
     )
-    val log = openReplicatedLog(voter, machine.asReplicated, control, clock).getOrElse { problem ->
+    val log = awaitReplicatedLog(voter, machine.asReplicated, control, clock).getOrElse { problem ->
         val code = if (problem.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE
         raise(ProgramOutcome(code, problem.message))
     }
@@ -119,6 +120,7 @@
     val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     listen(settings, ControlApi(servingState, watches, links, meters, wallClock()), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, it)) }
+    bindDiskMetric(meters, log.diskProblem)
     meters.gauge("fulmarshunt_reached_control_vms", watches) { it.reachedControlVms.toDouble() }
     log.start(links)
     directory.start(links) { log.leadership.value.leader != null }
--- a/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
+++ b/src/main/kotlin/fulmarshunt/process/ProcessMain.kt
@@ -21,6 +21,7 @@
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.Properties
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.reflect.KClass
 import kotlin.system.exitProcess
 
@@ -64,9 +65,13 @@
     // The servers' own hook would stop them immediately on SIGTERM and interrupt requests that must finish.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val code = runProgram(name, args.toList(), standardConsole(), options, run)
+    ownExit.set(code)
     exitProcess(code.number)
 }
 
+/** The exit code of a program that ended by itself, which no shutdown hook may replace. */
+private val ownExit = AtomicReference<ExitCode>()
+
 /**
  * Only logs on SIGHUP, on which the JVM would otherwise end the process. Settings that may change while a program runs
  * are reloaded periodically.
@@ -134,7 +139,7 @@
  * Runs [shutDown] for at most [limitMs] when the process receives a request to terminate.
  *
  * The process then ends immediately with exit code 0, because a graceful shutdown is the normal end of a server. It
- * ends with exit code 4 if [shutDown] throws.
+ * ends with exit code 4 if [shutDown] throws. A program that has ended by itself is not shut down; its code stays.
  */
 public fun shutDownOnTermination(limitMs: Long, shutDown: suspend () -> Unit) {
     // Log4j cannot be initialized once the JVM is shutting down, so the logger is created before the hook runs.
@@ -143,6 +148,11 @@
 }
 
 private fun haltAfter(limitMs: Long, log: Logger, shutDown: suspend () -> Unit) {
+    ownExit.get()?.let { code ->
+        if (code != ExitCode.DONE) log.error("process stops reason=failure code={}", code.number)
+        LogManager.shutdown()
+        Runtime.getRuntime().halt(code.number)
+    }
     val code =
         try {
             // Not a child of the coroutine with the time limit, which would wait for code that ignores cancellation.
--- a/src/main/kotlin/fulmarshunt/program/Control.kt
+++ b/src/main/kotlin/fulmarshunt/program/Control.kt
@@ -30,11 +30,12 @@
 import fulmarshunt.voter.ReplicatedLog
 import fulmarshunt.voter.VoterSettings
 import fulmarshunt.voter.access
+import fulmarshunt.voter.awaitReplicatedLog
+import fulmarshunt.voter.bindDiskMetric
 import fulmarshunt.voter.bindMetrics
 import fulmarshunt.voter.controlServiceOf
 import fulmarshunt.voter.controlStateMachineOf
 import fulmarshunt.voter.fixedInitialVoters
-import fulmarshunt.voter.openReplicatedLog
 import fulmarshunt.wallClock
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.filterNotNull
@@ -103,7 +104,7 @@
             fixedInitialVoters(settings.voters.members.associate { it.vm to validatedAddress(it.address) }),
         )
     val log =
-        openReplicatedLog(voter, machine.asReplicated, control, clock)
+        awaitReplicatedLog(voter, machine.asReplicated, control, clock)
             .getOrElse {
                 raise(ProgramOutcome(if (it.isDamaged) ExitCode.BROKEN_INVARIANT else ExitCode.USAGE, it.message))
             }
@@ -116,6 +117,7 @@
     }
     val metrics = processMetrics()
     bindMetrics(metrics, machine, log.leadership)
+    bindDiskMetric(metrics, log.diskProblem)
     val platform =
         startPlatformServer(validatedAddress(settings.platform.listen), metrics) {
             if (log.leadership.value.leader == null) "no leader is known" else null
--- a/src/main/kotlin/fulmarshunt/voter/ControlMetrics.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ControlMetrics.kt
@@ -7,6 +7,12 @@
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.flow.StateFlow
 
+/** Registers a gauge that is 1 while the disk takes no writes. */
+public fun bindDiskMetric(registry: MeterRegistry, diskProblem: StateFlow<String?>) {
+    Gauge.builder("control.disk.blocked") { if (diskProblem.value == null) 0 else 1 }
+        .description("1 while the disk takes no writes").register(registry)
+}
+
 /** Registers gauges that read the state of [machine] and the [leadership] when they are scraped. */
 public fun bindMetrics(registry: MeterRegistry, machine: ControlStateMachine, leadership: StateFlow<Leadership>) {
     fun gauge(name: String, description: String, read: (ControlState) -> Number) {
--- a/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
+++ b/src/main/kotlin/fulmarshunt/voter/DiskWriter.kt
@@ -1,28 +1,57 @@
 /*
  * Writing to disk on a thread other than the control thread. Tasks run in order. Records that are queued together are
- * written and synced as a group, and messages queued behind them are sent once the group is on disk.
+ * written and synced as a group, and messages queued behind them are sent once the group is on disk. A group that does
+ * not fit on the disk is written again until there is room; what is queued behind it waits.
  */
 package fulmarshunt.voter
 
+import fulmarshunt.Clock
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
 
 /** A group commit takes no further tasks once its entries have this size. */
 private const val GROUP_COMMIT_BYTES = 4 * 1_024 * 1_024
 
-/** Writes to the storage of one voter. The callbacks are called on the writing thread. */
+/** The pause before a write to a full disk is repeated; it doubles up to the maximum. */
+private const val FULL_DISK_PAUSE_MS = 25L
+private const val MAX_FULL_DISK_PAUSE_MS = 400L
+
+/** What a [DiskWriter] reports. The functions are called on the writing thread. */
+internal class DiskWriterEvents(
+    val send: (Send) -> Unit,
+    val onStored: (Stored) -> Unit,
+    /** A write did not fit on the disk and is repeated. */
+    val onFull: (IOException) -> Unit,
+    /** Nothing more is written or sent. */
+    val onFailure: (Throwable) -> Unit,
+)
+
+/** Writes to the storage of one voter. */
 internal class DiskWriter(
     private val storage: VoterStorage,
-    private val send: (Send) -> Unit,
-    private val onStored: (Stored) -> Unit,
-    private val onFailure: (Throwable) -> Unit,
+    private val clock: Clock,
+    private val events: DiskWriterEvents,
 ) {
     private val tasks = Channel<Action>(Channel.UNLIMITED)
 
+    private val unwritten = AtomicInteger()
+
+    @Volatile
+    private var isFinishing = false
+
+    @Volatile
+    private var writingSinceMs: Long? = null
+
+    /** When the write that is under way began, with all its repetitions, or null if there is none. */
+    val currentWriteSinceMs: Long? get() = writingSinceMs
+
     /** Runs tasks until [finish] is called; after a failure, nothing more is written or sent. */
     fun start(scope: CoroutineScope): Job = scope.launch(Dispatchers.IO) {
         try {
@@ -31,23 +60,28 @@
             throw e
         } catch (e: Throwable) {
             tasks.cancel()
-            onFailure(e)
+            events.onFailure(e)
         } finally {
             storage.close()
         }
     }
 
+    /** Whether everything that was submitted is written. */
+    val isIdle: Boolean get() = unwritten.get() == 0
+
     /** Queues a [Store], a [StoreSnapshot], or a [Send] that must wait for earlier ones. */
     fun submit(task: Action) {
+        if (task !is Send) unwritten.incrementAndGet()
         tasks.trySend(task)
     }
 
-    /** Ends the writer after the queued tasks. */
+    /** Ends the writer after the queued tasks, or at once if they wait for room on the disk. */
     fun finish() {
+        isFinishing = true
         tasks.close()
     }
 
-    private fun runGroup(first: Action) {
+    private suspend fun runGroup(first: Action) {
         var task: Action? = first
         while (task != null) {
             val group = mutableListOf<Action>()
@@ -59,20 +93,48 @@
             }
             commit(group)
             if (task is StoreSnapshot) {
-                storage.replace(task)
-                val last = task.entries.lastOrNull()?.index ?: task.base.index
-                onStored(Stored(task.hard.term, last))
+                replace(task)
                 task = null
             }
         }
     }
 
-    private fun commit(group: List<Action>) {
+    private suspend fun commit(group: List<Action>) {
         val stores = group.filterIsInstance<Store>()
         if (stores.isNotEmpty()) {
-            storage.append(stores.last().hard, stores.last().committed, stores.flatMap { it.entries })
-            onStored(Stored(stores.last().term, stores.last().lastIndex))
+            val last = stores.last()
+            val entries = stores.flatMap { it.entries }
+            val tookMs = write { storage.append(last.hard, last.committed, entries) }
+            unwritten.addAndGet(-stores.size)
+            events.onStored(Stored(last.term, last.lastIndex, tookMs))
+        }
+        group.filterIsInstance<Send>().forEach(events.send)
+    }
+
+    private suspend fun replace(task: StoreSnapshot) {
+        val tookMs = write { storage.replace(task) }
+        unwritten.decrementAndGet()
+        val last = task.entries.lastOrNull()?.index ?: task.base.index
+        events.onStored(Stored(task.hard.term, last, tookMs))
+    }
+
+    /** Repeats [attempt] while the disk is full, and returns how long the last attempt took in milliseconds. */
+    private suspend fun write(attempt: () -> Unit): Long {
+        var pauseMs = FULL_DISK_PAUSE_MS
+        writingSinceMs = clock.nowMs()
+        while (true) {
+            val startedAtMs = clock.nowMs()
+            try {
+                attempt()
+                writingSinceMs = null
+                return clock.nowMs() - startedAtMs
+            } catch (e: IOException) {
+                if (!e.isOutOfSpace()) throw e
+                if (isFinishing) throw CancellationException("the voter stops while its disk is full")
+                events.onFull(e)
+            }
+            delay(pauseMs)
+            pauseMs = (pauseMs * 2).coerceAtMost(MAX_FULL_DISK_PAUSE_MS)
         }
-        group.filterIsInstance<Send>().forEach(send)
     }
 }
--- a/src/main/kotlin/fulmarshunt/voter/EntryLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/EntryLog.kt
@@ -46,6 +46,24 @@
         return slice(from, to)
     }
 
+    /** Returns the total size of the entries after [from] up to [to]; those before the base are not counted. */
+    fun sizeBytesBetween(from: LogIndex, to: LogIndex): Long {
+        val first = maxOf(from, base.index) + 1
+        return if (first > to) 0 else (offset(first)..offset(to)).sumOf { buffer[it].sizeBytes.toLong() }
+    }
+
+    /** Returns the index before the last [count] entries up to [to], or fewer if they are larger than [limitBytes]. */
+    fun indexBeforeLast(to: LogIndex, count: Int, limitBytes: Long): LogIndex {
+        var index = to
+        var bytes = 0L
+        while (index > base.index && to.value - index.value < count) {
+            bytes += buffer[offset(index)].sizeBytes
+            if (bytes > limitBytes) break
+            index -= 1
+        }
+        return index
+    }
+
     /** Returns the log with [entries] after its last entry. */
     fun append(entries: List<LogEntry>): EntryLog {
         if (entries.isEmpty()) return this
--- a/src/main/kotlin/fulmarshunt/voter/FollowerStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/FollowerStep.kt
@@ -23,16 +23,16 @@
     commitTo(minOf(message.commit, match))
     if (message.entries.isEmpty()) {
         // Behind queued writes, replies could take longer than an election timeout and cost the leader its quorum.
-        sendReply(envelope, Appended(LogIndex(0), message.stamp), isAfterStore = false)
+        sendReply(envelope, Appended(LogIndex(0), message.stamp, state.isDiskBlocked), isAfterStore = false)
     } else {
-        sendReply(envelope, Appended(match, message.stamp))
+        sendReply(envelope, Appended(match, message.stamp), isAfterStore = true)
     }
 }
 
 /** Replies that the entries do not follow this log, or that the sender no longer leads. */
 internal fun StepBuilder.refuseAppend(envelope: Envelope, message: Append) {
     val hint = if (isBlank) LogIndex(0) else matchUpperBound(message.previous)
-    sendReply(envelope, AppendRefused(message.previous.index, hint, isBlank, message.stamp))
+    sendReply(envelope, AppendRefused(message.previous.index, hint, isBlank, message.stamp), isAfterStore = false)
 }
 
 /** Returns the greatest index before [previous] at which this log can match the leader's. */
@@ -58,7 +58,7 @@
     check(state.role !is Leader) { "${envelope.from} and ${state.id} both lead in term ${state.term}" }
     state =
         state.copy(
-            role = Follower,
+            role = state.idleRole,
             leader = envelope.from,
             leaderAddress = envelope.replyTo,
             lastLeaderContactAtMs = context.nowMs,
--- a/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/LeaderStep.kt
@@ -18,6 +18,10 @@
         reply = Refused("not the leader")
         return
     }
+    if (!isMajorityWriting()) {
+        reply = Refused("the disks of a majority of the voters take no writes")
+        return
+    }
     reply = AcceptedAt(appendOwn(Command(event.command)).index)
 }
 
@@ -53,7 +57,8 @@
         return
     }
     state = state.copy(role = leaderRole().copy(heartbeatAtMs = now + state.timing.heartbeatMs))
-    startRound()
+    if (state.isDiskBlocked) handOverIfPossible()
+    if (state.role is Leader) startRound()
 }
 
 internal fun StepBuilder.onConfirmLeadership() {
@@ -131,6 +136,7 @@
             nextIndex = maxOf(peer.nextIndex, match + 1),
             inFlightTo = if (isAcknowledged) null else peer.inFlightTo,
             transfer = peer.transfer?.takeIf { match < it.snapshot.header.position.index },
+            isDiskBlocked = message.isDiskBlocked,
         )
     }
     advanceCommit()
--- a/src/main/kotlin/fulmarshunt/voter/MembershipStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/MembershipStep.kt
@@ -58,9 +58,3 @@
  */
 private fun StepBuilder.isChangePending(): Boolean =
     state.commit < leaderRole().firstIndex || state.memberships.last().index > state.commit
-
-/** Returns the members that could commit entries now; one whose disk hangs still replies to heartbeats. */
-private fun StepBuilder.storingMembers(): Set<VoterId> {
-    val sinceMs = context.nowMs - state.timing.electionTimeoutMaxMs
-    return leaderRole().peers.filterValues { (it.lastStoredAtMs ?: Long.MIN_VALUE) > sinceMs }.keys + state.id
-}
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedLog.kt
@@ -31,6 +31,9 @@
 /** The maximum size of a command, so that a batch with one command fits a frame. */
 private const val MAX_COMMAND_BYTES = 1_024 * 1_024
 
+/** A write that takes this many of the longest election timeouts counts as hanging. */
+private const val HANG_ELECTION_TIMEOUTS = 2
+
 /** How often a blank voter with the bootstrap flag requests the ids of the other initial voters. */
 private const val FORMATION_PERIOD_MS = 250L
 
@@ -48,10 +51,19 @@
     /** The id of this voter, created together with its data directory. */
     public val id: VoterId = openStorage.stored.id
 
-    private var state: VoterState = initialState(settings, openStorage.stored, clock.nowMs())
+    private var state: VoterState = initialState(settings, openStorage.stored, clock.nowMs(), nextRandom())
     private var isSnapshotStored = openStorage.stored.snapshot != null
     private val waiters = Waiters()
-    private val writer = DiskWriter(openStorage.storage, ::sendNow, ::onStored, ::onWriteFailure)
+    private val writer = DiskWriter(
+        openStorage.storage,
+        clock,
+        DiskWriterEvents(
+            send = ::sendNow,
+            onStored = ::onStored,
+            onFull = { cause -> control.scope.launch { disk.block(cause.message.orEmpty()) } },
+            onFailure = ::onWriteFailure,
+        ),
+    )
     private var writerJob: Job? = null
     private var encodingJob: Job? = null
     private var timerJob: Job? = null
@@ -62,6 +74,13 @@
 
     private val leadershipState = MutableStateFlow(leadershipOf(state))
     private val failureState = MutableStateFlow<String?>(null)
+    private val disk = DiskMonitor(
+        control.scope,
+        clock,
+        "${settings.dataDirectory}",
+        hangLimitMs = HANG_ELECTION_TIMEOUTS * settings.electionTimeoutMaxMs,
+        periodMs = settings.electionTimeoutMinMs,
+    ) { dispatch(DiskBlocked) }
 
     /** The leader, as far as this voter knows. */
     public val leadership: StateFlow<Leadership> = leadershipState.asStateFlow()
@@ -69,6 +88,9 @@
     /** Why the voter has stopped permanently, or null. The process must then end as with a broken invariant. */
     public val failure: StateFlow<String?> = failureState.asStateFlow()
 
+    /** Why the disk takes no writes at the moment, or null. The voter goes on by itself once it does. */
+    public val diskProblem: StateFlow<String?> get() = disk.problem
+
     /** Returns [base] with a handler for the calls of other voters. */
     public fun handlers(base: LinkHandlers): LinkHandlers =
         base.with(voterChannel) { _, call -> control.run { onCall(call) } }
@@ -97,12 +119,18 @@
      */
     public suspend fun propose(command: ByteArray, timeoutMs: Long): Either<ProposeFailure, ByteArray> {
         require(command.size <= MAX_COMMAND_BYTES) { "a command of ${command.size} bytes exceeds $MAX_COMMAND_BYTES" }
-        val result =
+        val outcome: Either<ProposeFailure, Deferred<Either<ProposeFailure, ByteArray>>> =
             control.run {
-                (dispatch(Propose(command)) as? AcceptedAt)?.let { waiters.awaitProposal(it.index) }
-            } ?: return ProposeFailure.NotLeader(leadership.value.leader).left()
-        return withTimeoutOrNull(timeoutMs) { result.await() }
-            ?: ProposeFailure.Undecided("the command was not committed within $timeoutMs ms").left()
+                when (val reply = dispatch(Propose(command))) {
+                    is AcceptedAt -> waiters.awaitProposal(reply.index).right()
+                    is Refused -> failureOf(reply, leadership.value).left()
+                    is ConfirmedBy -> error("a proposal is not confirmed by a round")
+                }
+            }
+        return outcome.fold({ it.left() }) { result ->
+            withTimeoutOrNull(timeoutMs) { result.await() }
+                ?: ProposeFailure.Undecided("the command was not committed within $timeoutMs ms").left()
+        }
     }
 
     /**
@@ -221,7 +249,10 @@
 
     private fun perform(action: Action) {
         when (action) {
-            is Store, is StoreSnapshot -> writer.submit(action)
+            is Store, is StoreSnapshot -> {
+                writer.submit(action)
+                disk.watch(writer)
+            }
             is Send -> if (action.isAfterStore) writer.submit(action) else sendNow(action)
             is Apply -> action.entries.forEach(::applyEntry)
             is Restore -> restore(action.snapshot)
@@ -259,6 +290,7 @@
         control.scope.launch {
             // A blank voter stores nothing before its first snapshot.
             isSnapshotStored = true
+            disk.unblock()
             dispatch(event)
         }
     }
@@ -273,6 +305,7 @@
         if (failureState.value != null) return
         failureState.value = reason
         timerJob?.cancel()
+        disk.stop()
         writer.finish()
         waiters.fail(reason)
         leadershipState.value = Leadership(state.term, false, null)
@@ -299,3 +332,9 @@
             }
     }
 }
+
+private fun failureOf(refused: Refused, leadership: Leadership): ProposeFailure = if (leadership.isLeader) {
+    ProposeFailure.Refused(refused.reason)
+} else {
+    ProposeFailure.NotLeader(leadership.leader)
+}
--- a/src/main/kotlin/fulmarshunt/voter/ReplicatedStateMachine.kt
+++ b/src/main/kotlin/fulmarshunt/voter/ReplicatedStateMachine.kt
@@ -25,6 +25,9 @@
     /** The command was not proposed, because this voter does not lead; [leader] does, if known. */
     public data class NotLeader(val leader: Address?) : ProposeFailure
 
+    /** The command was not proposed, because it could not be committed now. */
+    public data class Refused(val reason: String) : ProposeFailure
+
     /** The command may or may not commit. */
     public data class Undecided(val reason: String) : ProposeFailure
 }
--- a/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
+++ b/src/main/kotlin/fulmarshunt/voter/SnapshotStep.kt
@@ -16,8 +16,17 @@
     val header = SnapshotHeader(current.cluster, position, event.point.membership, event.data.size)
     val snapshot = Snapshot(header, event.data)
     // Some entries before the snapshot are kept for slow followers, because sending a snapshot costs far more.
-    val log = state.log.compactedTo(position.index - state.timing.snapshotEveryEntries / KEPT_ENTRIES_DIVISOR)
-    state = state.copy(snapshot = snapshot, log = log)
+    val timing = state.timing
+    val base = state.log.indexBeforeLast(
+        position.index,
+        timing.snapshotEveryEntries / KEPT_DIVISOR,
+        timing.snapshotEveryBytes / KEPT_DIVISOR,
+    )
+    state = state.copy(
+        snapshot = snapshot,
+        log = state.log.compactedTo(base),
+        uncoveredBytes = state.log.sizeBytesBetween(position.index, state.commit),
+    )
     storeSnapshot(snapshot)
 }
 
@@ -31,7 +40,7 @@
     followLeader(envelope)
     val header = message.header
     if (!isBlank && header.position.index <= state.commit) {
-        return sendReply(envelope, Appended(header.position.index, message.stamp))
+        return sendReply(envelope, Appended(header.position.index, message.stamp), isAfterStore = true)
     }
     val incoming =
         state.incoming?.takeIf { it.header == header && message.offsetBytes > 0 }
@@ -42,14 +51,15 @@
     val extended = if (isNext) incoming.with(message.bytes) else incoming
     if (extended.receivedBytes < header.sizeBytes) {
         state = state.copy(incoming = extended)
-        return sendReply(envelope, SnapshotChunkReply(header.position.index, extended.receivedBytes, message.stamp))
+        val reply = SnapshotChunkReply(header.position.index, extended.receivedBytes, message.stamp)
+        return sendReply(envelope, reply, isAfterStore = false)
     }
     install(extended.assemble())
-    sendReply(envelope, Appended(header.position.index, message.stamp))
+    sendReply(envelope, Appended(header.position.index, message.stamp), isAfterStore = true)
 }
 
 internal fun StepBuilder.refuseChunk(envelope: Envelope, message: SnapshotChunk) {
-    sendReply(envelope, SnapshotChunkReply(message.header.position.index, 0, message.stamp))
+    sendReply(envelope, SnapshotChunkReply(message.header.position.index, 0, message.stamp), isAfterStore = false)
 }
 
 private fun StepBuilder.install(snapshot: Snapshot) {
@@ -65,6 +75,7 @@
             memberships = listOf(IndexedMembership(position.index, header.membership)) + later,
             commit = position.index,
             incoming = null,
+            uncoveredBytes = 0,
         )
     actions += Restore(snapshot)
     storeSnapshot(snapshot)
@@ -74,5 +85,5 @@
     actions += StoreSnapshot(state.hard, snapshot, state.log.base, state.log.slice(state.log.base.index + 1))
 }
 
-/** One of this many entries between two snapshots is kept after a snapshot. */
-private const val KEPT_ENTRIES_DIVISOR = 10
+/** This part of the entries and bytes between two snapshots is kept after a snapshot. */
+private const val KEPT_DIVISOR = 10
--- a/src/main/kotlin/fulmarshunt/voter/Step.kt
+++ b/src/main/kotlin/fulmarshunt/voter/Step.kt
@@ -14,6 +14,7 @@
         is Tick -> builder.onTick()
         is MessageReceived -> builder.onEnvelope(event.envelope)
         is Stored -> builder.onStored(event)
+        is DiskBlocked -> builder.onDiskBlocked()
         is Propose -> builder.onPropose(event)
         is ConfirmLeadership -> builder.onConfirmLeadership()
         is AddMember -> builder.onAddMember(event.member)
@@ -34,7 +35,7 @@
 
 internal fun StepBuilder.resetElectionTimer() {
     val timing = state.timing
-    val spreadMs = (timing.electionTimeoutMaxMs - timing.electionTimeoutMinMs) * context.random
+    val spreadMs = (timing.electionTimeoutMaxMs - timing.electionTimeoutMinMs + state.electionSyncsMs) * context.random
     state = state.copy(
         electionAtMs = context.nowMs + timing.electionTimeoutMinMs + spreadMs.toLong(),
         isElectionPostponed = false,
@@ -44,7 +45,7 @@
 /** Makes this voter a follower, in a new term if [term] is greater than the current one. */
 internal fun StepBuilder.becomeFollower(term: Term) {
     if (state.role is Leader) resetElectionTimer()
-    state = state.copy(role = Follower)
+    state = state.copy(role = state.idleRole)
     if (term > state.term) {
         state = state.copy(hard = HardState(term), leader = null, leaderAddress = null, incoming = null)
         // A blank voter never votes, so that it need not store the term until it has a snapshot.
@@ -65,9 +66,10 @@
 
 /**
  * Sends [message] in reply to [envelope] once everything stored so far is on disk, or at once if [isAfterStore] is
- * false. Only a message that acknowledges nothing stored may be sent at once.
+ * false. Only a message that acknowledges nothing stored may be sent at once, and it should be: behind the writes of a
+ * slow or full disk it would come too late.
  */
-internal fun StepBuilder.sendReply(envelope: Envelope, message: VoterMessage, isAfterStore: Boolean = true) {
+internal fun StepBuilder.sendReply(envelope: Envelope, message: VoterMessage, isAfterStore: Boolean) {
     val response = Envelope(envelope.cluster, state.id, state.self.address, envelope.from, state.term, message)
     actions += Send(envelope.replyTo, response, isAfterStore)
 }
@@ -84,9 +86,15 @@
 /** Advances the commit index to [index] and applies the newly committed entries. */
 internal fun StepBuilder.commitTo(index: LogIndex) {
     if (index <= state.commit) return
-    actions += Apply(state.log.slice(state.commit + 1, index))
+    val entries = state.log.slice(state.commit + 1, index)
+    actions += Apply(entries)
     val current = state.memberships.indexOfLast { it.index <= index }
-    state = state.copy(commit = index, memberships = state.memberships.drop(current))
+    state =
+        state.copy(
+            commit = index,
+            memberships = state.memberships.drop(current),
+            uncoveredBytes = state.uncoveredBytes + entries.sumOf { it.sizeBytes.toLong() },
+        )
     if (state.isSnapshotDue) actions += TakeSnapshot
 }
 
@@ -112,6 +120,7 @@
         is SnapshotChunk -> if (isCurrent) onSnapshotChunk(envelope, message) else refuseChunk(envelope, message)
         is VoteReply -> if (isCurrent) onVoteReply(envelope, message)
         is Appended -> if (isCurrent) onAppended(envelope, message)
+        is HandOver -> if (isCurrent) onHandOver(envelope)
         is AppendRefused -> if (isCurrent) onAppendRefused(envelope, message)
         is SnapshotChunkReply -> if (isCurrent) onSnapshotChunkReply(envelope, message)
         is PreVote, is PreVoteReply, is VoteRequest -> error("handled by onEnvelope")
--- a/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterEvents.kt
@@ -18,8 +18,11 @@
 
 internal data class MessageReceived(val envelope: Envelope) : VoterEvent
 
-/** Everything up to a [Store] or [StoreSnapshot] with this term and index is on disk. */
-internal data class Stored(val term: Term, val lastIndex: LogIndex) : VoterEvent
+/** Everything up to a [Store] or [StoreSnapshot] with this term and index is on disk; the write took [tookMs]. */
+internal data class Stored(val term: Term, val lastIndex: LogIndex, val tookMs: Long = 0) : VoterEvent
+
+/** A write finds no room on the disk, or does not end in time; everything is stored again with the next [Stored]. */
+internal data object DiskBlocked : VoterEvent
 
 internal class Propose(val command: ByteArray) : VoterEvent
 
--- a/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterFiles.kt
@@ -57,10 +57,10 @@
     directory: Path,
     vm: VmId,
     newId: () -> VoterId,
-    sync: Sync = forceToDisk,
+    disk: DiskAccess = DiskAccess(),
 ): Either<StorageProblem, OpenStorage> = try {
     Files.createDirectories(directory)
-    val files = VoterFiles(directory, sync)
+    val files = VoterFiles(directory, disk)
     try {
         files.open(vm, newId).right()
     } catch (e: IOException) {
@@ -70,14 +70,21 @@
 } catch (e: UnusableDirectory) {
     StorageProblem("data directory $directory: ${e.message}", e.isDamaged).left()
 } catch (e: IOException) {
-    val fix = "give the path of a directory that this process can read and write"
-    StorageProblem("data directory $directory cannot be opened (${e::class.simpleName}): $fix", false).left()
+    if (e.isOutOfSpace()) {
+        StorageProblem("data directory $directory: the disk is full", isDamaged = false, isFull = true).left()
+    } else {
+        val fix = "give the path of a directory that this process can read and write"
+        StorageProblem("data directory $directory cannot be opened (${e::class.simpleName}): $fix", false).left()
+    }
 }
 
-private class VoterFiles(private val directory: Path, private val sync: Sync) {
+private class VoterFiles(private val directory: Path, private val disk: DiskAccess) {
     private val lock = lockDirectory(directory)
     private var wal: FileChannel? = null
 
+    /** The length of the complete records of the write-ahead file; a write that failed may have left more. */
+    private var walBytes = 0L
+
     fun open(vm: VmId, newId: () -> VoterId): OpenStorage {
         listOf(IDENTITY_FILE, SNAPSHOT_FILE, WAL_FILE).forEach { Files.deleteIfExists(path(it + TEMPORARY_SUFFIX)) }
         val identity = readIdentity() ?: initializeDirectory(StoredIdentity(vm, newId()))
@@ -91,7 +98,7 @@
         }
         // A crash between writing the snapshot and the write-ahead file leaves entries that the snapshot has replaced.
         if (log !== walLog) replaceWal(hard, log.base, emptyList())
-        wal = FileChannel.open(path(WAL_FILE), StandardOpenOption.WRITE, StandardOpenOption.APPEND)
+        openWal()
         val state = StoredState(identity.id, hard, snapshot, log, stored.committed)
         return OpenStorage(state, VoterStorage(::append, ::replace, ::close))
     }
@@ -103,8 +110,24 @@
 
     private fun append(hard: HardState, committed: LogIndex, entries: List<LogEntry>) {
         val channel = checkNotNull(wal)
-        channel.writeFully(encode(WalRecord(null, hard, entries, committed)))
-        sync(channel)
+        val bytes = encode(WalRecord(null, hard, entries, committed))
+        if (channel.size() > walBytes) removeTornEnd(channel)
+        channel.position(walBytes)
+        disk.write(channel, ByteBuffer.wrap(bytes))
+        disk.sync(channel)
+        walBytes += bytes.size
+    }
+
+    /** Syncs before the next write, so that a power loss cannot leave a mixture of both writes. */
+    private fun removeTornEnd(channel: FileChannel) {
+        channel.truncate(walBytes)
+        disk.sync(channel)
+    }
+
+    private fun openWal() {
+        val channel = FileChannel.open(path(WAL_FILE), StandardOpenOption.WRITE)
+        wal = channel
+        walBytes = channel.size()
     }
 
     private fun replace(action: StoreSnapshot) {
@@ -112,7 +135,7 @@
         replaceFile(SNAPSHOT_FILE, encodeRecord(header), encodeRecord(action.snapshot.data))
         wal?.close()
         replaceWal(action.hard, action.base, action.entries)
-        wal = FileChannel.open(path(WAL_FILE), StandardOpenOption.WRITE, StandardOpenOption.APPEND)
+        openWal()
     }
 
     private fun replaceWal(hard: HardState, base: LogPosition, entries: List<LogEntry>) {
@@ -165,7 +188,7 @@
         FileChannel.open(path(WAL_FILE), StandardOpenOption.WRITE).use { channel ->
             if (channel.size() == intactBytes) return
             channel.truncate(intactBytes)
-            sync(channel)
+            disk.sync(channel)
         }
     }
 
@@ -175,12 +198,26 @@
     private fun replaceFile(name: String, vararg records: ByteArray) {
         val temporary = path(name + TEMPORARY_SUFFIX)
         val options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
-        FileChannel.open(temporary, *options).use { channel ->
-            records.forEach { channel.writeFully(it) }
-            sync(channel)
+        try {
+            FileChannel.open(temporary, *options).use { channel ->
+                records.forEach { disk.write(channel, ByteBuffer.wrap(it)) }
+                disk.sync(channel)
+            }
+            Files.move(temporary, path(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        } catch (e: IOException) {
+            // The remains would keep a full disk full.
+            deleteAfter(e, temporary)
+            throw e
+        }
+        FileChannel.open(directory, StandardOpenOption.READ).use { disk.sync(it) }
+    }
+
+    private fun deleteAfter(failure: IOException, file: Path) {
+        try {
+            Files.deleteIfExists(file)
+        } catch (e: IOException) {
+            failure.addSuppressed(e)
         }
-        Files.move(temporary, path(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-        FileChannel.open(directory, StandardOpenOption.READ).use { sync(it) }
     }
 
     private fun path(name: String): Path = directory.resolve(name)
@@ -213,10 +250,5 @@
     return channel
 }
 
-private fun FileChannel.writeFully(bytes: ByteArray) {
-    val buffer = ByteBuffer.wrap(bytes)
-    while (buffer.hasRemaining()) write(buffer)
-}
-
 private fun encode(record: WalRecord): ByteArray =
     encodeRecord(linkCbor.encodeToByteArray(WalRecord.serializer(), record))
--- a/src/main/kotlin/fulmarshunt/voter/VoterMessages.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterMessages.kt
@@ -72,7 +72,11 @@
 /** Requests the vote of the recipient in the term of the envelope. */
 @Serializable
 @SerialName("v")
-internal data class VoteRequest(val last: LogPosition) : VoterMessage
+internal data class VoteRequest(
+    val last: LogPosition,
+    /** Whether the leader asked for this election, so that it does not matter that it was heard a moment ago. */
+    val isHandOver: Boolean = false,
+) : VoterMessage
 
 @Serializable
 @SerialName("vr")
@@ -90,11 +94,16 @@
 
 /**
  * Confirms that the log of the sender equals the leader's up to [match] and is on disk up to there. The reply to a
- * heartbeat confirms no entries.
+ * heartbeat confirms no entries, and says whether the disk of the sender takes writes.
  */
 @Serializable
 @SerialName("ar")
-internal data class Appended(val match: LogIndex, val stamp: Stamp) : VoterMessage
+internal data class Appended(val match: LogIndex, val stamp: Stamp, val isDiskBlocked: Boolean = false) : VoterMessage
+
+/** Asks the recipient to start an election, because the disk of the leader, which sends this, takes no writes. */
+@Serializable
+@SerialName("h")
+internal data object HandOver : VoterMessage
 
 /** Reports that the sender lacks the entry at [previous]; its log matches the leader's at most up to [hint]. */
 @Serializable
--- a/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterSettings.kt
@@ -10,6 +10,10 @@
 import fulmarshunt.VmId
 import fulmarshunt.VoterId
 import fulmarshunt.process.ControlThread
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.HexFormat
@@ -29,10 +33,15 @@
     public val electionTimeoutMaxMs: Long = 1_000,
     public val heartbeatMs: Long = 100,
     public val snapshotEveryEntries: Int = 10_000,
+    /** Bounds the log of a state with large commands, on disk and in memory. */
+    public val snapshotEveryBytes: Long = 4L * 1_024 * 1_024,
 )
 
 private const val ID_BYTES = 16
 
+/** How often a process that starts on a full disk looks for room. */
+private const val FULL_DISK_RETRY_MS = 200L
+
 /** Returns the initial voters [members]; the voter with the least VM id forms the cluster. */
 public fun fixedInitialVoters(members: Map<VmId, Address>): () -> InitialVoters? {
     val formingVm = members.keys.minByOrNull { it.value }
@@ -50,19 +59,53 @@
     machine: ReplicatedStateMachine,
     control: ControlThread,
     clock: Clock,
-): Either<StorageProblem, ReplicatedLog> = openReplicatedLog(settings, machine, control, clock, forceToDisk)
+): Either<StorageProblem, ReplicatedLog> = openReplicatedLog(settings, machine, control, clock, DiskAccess())
+
+/**
+ * Opens the replicated log as [openReplicatedLog] does, and waits while the disk is full: a process that ended instead
+ * would be started again and again.
+ */
+public suspend fun awaitReplicatedLog(
+    settings: VoterSettings,
+    machine: ReplicatedStateMachine,
+    control: ControlThread,
+    clock: Clock,
+): Either<StorageProblem, ReplicatedLog> = awaitReplicatedLog(settings, machine, control, clock, DiskAccess())
+
+internal suspend fun awaitReplicatedLog(
+    settings: VoterSettings,
+    machine: ReplicatedStateMachine,
+    control: ControlThread,
+    clock: Clock,
+    disk: DiskAccess,
+): Either<StorageProblem, ReplicatedLog> {
+    val log = LogManager.getLogger("fulmarshunt.voter.VoterSettings")
+    val startedAtMs = clock.nowMs()
+    var isWaiting = false
+    while (true) {
+        val opened = withContext(Dispatchers.IO) { openReplicatedLog(settings, machine, control, clock, disk) }
+        val problem = opened.leftOrNull()
+        if (problem == null || !problem.isFull) {
+            if (isWaiting) log.info("disk writable again blockedMs={}", clock.nowMs() - startedAtMs)
+            return opened
+        }
+        if (!isWaiting) log.warn("disk blocked directory={} reason={}", settings.dataDirectory, problem.message)
+        isWaiting = true
+        delay(FULL_DISK_RETRY_MS)
+    }
+}
 
-/** Opens the replicated log with [sync] instead of the sync of the operating system. */
+/** Opens the replicated log with [disk] instead of the writes and syncs of the operating system. */
 internal fun openReplicatedLog(
     settings: VoterSettings,
     machine: ReplicatedStateMachine,
     control: ControlThread,
     clock: Clock,
-    sync: Sync,
+    disk: DiskAccess,
 ): Either<StorageProblem, ReplicatedLog> {
     val problem = problemOf(settings)
     if (problem != null) return StorageProblem(problem, isDamaged = false).left()
-    return openVoterFiles(settings.dataDirectory, settings.vm, { newVoterId(settings.vm) }, sync)
+    return openVoterFiles(settings.dataDirectory, settings.vm, { newVoterId(settings.vm) }, disk)
         .map { ReplicatedLog(settings, machine, control, clock, it, Random.Default::nextDouble) }
 }
 
--- a/src/main/kotlin/fulmarshunt/voter/VoterState.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterState.kt
@@ -10,12 +10,19 @@
 import fulmarshunt.VoterId
 import kotlinx.serialization.Serializable
 
+/** An election waits for the disk of the candidate, and then for a voter's, which can be busy with another write. */
+private const val SYNCS_OF_ELECTION = 3
+
+/** A slower disk does not delay elections further. */
+private const val MAX_ELECTION_SYNC_MS = 2_000L
+
 /** The intervals of elections, heartbeats and snapshots. */
 internal data class VoterTiming(
     val electionTimeoutMinMs: Long,
     val electionTimeoutMaxMs: Long,
     val heartbeatMs: Long,
     val snapshotEveryEntries: Int,
+    val snapshotEveryBytes: Long,
 )
 
 /** The part of the state that must be on disk before a message that depends on it is sent. */
@@ -30,6 +37,9 @@
 
 internal data object Follower : Role
 
+/** Follows, but neither votes nor leads, because its disk takes no writes; it forwards calls and is kept up to date. */
+internal data object Suspended : Role
+
 /** Collects pre-votes before it starts a new term, which interrupts the other voters. */
 internal data class PreCandidate(val grantedBy: Set<VoterId>) : Role
 
@@ -63,6 +73,8 @@
     val lastStoredAtMs: Long?,
     /** The latest stamp that the member has returned. */
     val acknowledged: Stamp,
+    /** Whether the member reported that its disk takes no writes. */
+    val isDiskBlocked: Boolean,
 )
 
 /** A snapshot that is being sent to a peer. The transfer goes on with it when the leader takes a newer one. */
@@ -86,7 +98,16 @@
     val electionAtMs: Long,
     /** Whether the election was postponed because this voter could not handle messages; see [onTick]. */
     val isElectionPostponed: Boolean,
+    /** The voter that got the latest pre-vote; no other gets one before [preVoteUntilMs]. */
+    val preVotedFor: VoterId?,
+    val preVoteUntilMs: Long,
     val incoming: IncomingSnapshot?,
+    /** Whether a write to the own disk waits for room, or has taken too long. */
+    val isDiskBlocked: Boolean,
+    /** The recent time of a write with its sync; it falls slowly. */
+    val syncMs: Long,
+    /** The size of the committed entries that the snapshot does not cover. */
+    val uncoveredBytes: Long,
 ) {
     val id: VoterId get() = self.id
     val term: Term get() = hard.term
@@ -96,11 +117,18 @@
     /** The time at which the next [Tick] is due. */
     val deadlineMs: Long get() = (role as? Leader)?.heartbeatAtMs ?: electionAtMs
 
+    /** The time that the disks need during an election, as far as this voter knows from its own disk. */
+    val electionSyncsMs: Long get() = SYNCS_OF_ELECTION * minOf(syncMs, MAX_ELECTION_SYNC_MS)
+
+    /** The role of a voter that neither leads nor stands for election. */
+    val idleRole: Role get() = if (isDiskBlocked) Suspended else Follower
+
     /** Whether enough entries were applied since the last snapshot to take another one. */
     val isSnapshotDue: Boolean
         get() {
             val covered = snapshot?.header?.position?.index ?: return false
-            return commit.value - covered.value >= timing.snapshotEveryEntries
+            return commit.value - covered.value >= timing.snapshotEveryEntries ||
+                uncoveredBytes >= timing.snapshotEveryBytes
         }
 
     /** The point of a snapshot captured now; must not be read while the voter is blank. */
--- a/src/test/kotlin/fulmarshunt/voter/DiskWriterTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/DiskWriterTest.kt
@@ -6,6 +6,8 @@
 import fulmarshunt.ClusterId
 import fulmarshunt.LogIndex
 import fulmarshunt.Term
+import fulmarshunt.monotonicClock
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -24,20 +26,29 @@
         return Send(peerB.address, Envelope(ClusterId("a#1"), self.id, self.address, peerB.id, Term(1), message), true)
     }
 
-    private fun run(tasks: List<Action>, isBroken: Boolean = false) = runBlocking {
+    private fun run(tasks: List<Action>, isBroken: Boolean = false, fullTimes: Int = 0) = runBlocking {
+        var remainingFullTimes = fullTimes
         val storage =
             VoterStorage(
                 append = { _, _, entries ->
                     if (isBroken) throw IOException("no space left")
+                    if (remainingFullTimes-- > 0) throw IOException("No space left on device")
                     events += "append ${entries.map { it.index }}"
                 },
                 replace = { events += "replace" },
                 close = { events += "close" },
             )
         val send: (Send) -> Unit = { events += "send ${(it.envelope.message as Appended).match}" }
-        val writer = DiskWriter(storage, send, { events += "stored ${it.lastIndex}" }, { events += "failed" })
+        val reports = DiskWriterEvents(
+            send,
+            onStored = { events += "stored ${it.lastIndex}" },
+            onFull = { events += "full" },
+            onFailure = { events += "failed" },
+        )
+        val writer = DiskWriter(storage, monotonicClock(), reports)
         tasks.forEach(writer::submit)
         val writing = writer.start(this)
+        while (fullTimes > 0 && !writer.isIdle) delay(5)
         writer.finish()
         writing.join()
     }
@@ -56,4 +67,32 @@
         run(listOf(store(1), answer(1), replacement), isBroken = true)
         expectThat(events.toList()).isEqualTo(listOf("failed", "close"))
     }
+
+    /** Guards against a voter that ends on a full disk, or that acknowledges a record before there was room for it. */
+    @Test
+    fun `a record that finds no room is written again before anything behind it`() {
+        run(listOf(store(1), answer(1)), fullTimes = 3)
+        expectThat(events.toList())
+            .isEqualTo(listOf("full", "full", "full", "append [1]", "stored 1", "send 1", "close"))
+    }
+
+    /** Guards against a shutdown that waits for room on the disk. */
+    @Test
+    fun `a writer that is finished gives up on a full disk`() {
+        runBlocking {
+            val storage = VoterStorage(
+                append = { _, _, _ -> throw IOException("No space left on device") },
+                replace = {},
+                close = { events += "close" },
+            )
+            val reports = DiskWriterEvents({}, {}, { events += "full" }, { events += "failed" })
+            val writer = DiskWriter(storage, monotonicClock(), reports)
+            writer.submit(store(1))
+            val writing = writer.start(this)
+            while (events.isEmpty()) delay(5)
+            writer.finish()
+            writing.join()
+        }
+        expectThat(events.toSet()).isEqualTo(setOf("full", "close"))
+    }
 }
--- a/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/ReplicatedLogTest.kt
@@ -14,11 +14,13 @@
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
@@ -319,4 +321,34 @@
         learner.close()
         voter.close()
     }
+
+    /** Guards against a voter that ends when its disk is full, and against changes that are refused long after. */
+    @Test
+    fun `the disks of all voters are full one after another while changes come`(): Unit = runBlocking {
+        val full = ConcurrentHashMap.newKeySet<VmId>()
+        val voters = vms.map { vm ->
+            val sync: Sync = { if (vm in full) throw IOException("No space left on device") else it.force(true) }
+            startVoter(vm, addresses, directory.resolve(vm.value), sync = sync)
+        }
+        commit(voters, "before")
+        var count = 1
+        // The leader first, so that it has to hand over.
+        val leader = leaderOf(voters)
+        val order = vms.indices.sortedBy { voters[it] !== leader }
+        for (position in order) {
+            full += vms[position]
+            val fullUntilNanos = System.nanoTime() + 1_500_000_000
+            while (System.nanoTime() < fullUntilNanos) {
+                val took = measureTime { commit(voters, "while ${vms[position]} is full ${count++}") }
+                expectThat(took.inWholeMilliseconds).isLessThan(4_000)
+                delay(100)
+            }
+            expectThat(voters[position].log.leadership.value.isLeader).isFalse()
+            full.clear()
+        }
+        commit(voters, "after")
+        expectThat(voters.map { it.log.failure.value }).all { isEqualTo(null) }
+        expectEqualStates(voters, count + 1)
+        voters.forEach { it.close() }
+    }
 }
--- a/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFilesTest.kt
@@ -29,11 +29,15 @@
     private val hard = HardState(Term(2), VoterId("b#1"))
     private val wal get() = directory.resolve("wal")
 
-    private fun open(vm: String = "a", sync: Sync = {}): Either<StorageProblem, OpenStorage> =
-        openVoterFiles(directory, VmId(vm), { VoterId("$vm#1") }, sync)
+    private fun open(
+        vm: String = "a",
+        sync: Sync = {},
+        write: Write = writeFully,
+    ): Either<StorageProblem, OpenStorage> =
+        openVoterFiles(directory, VmId(vm), { VoterId("$vm#1") }, DiskAccess(sync, write))
 
-    private fun <T> use(sync: Sync = {}, block: (OpenStorage) -> T): T {
-        val files = open(sync = sync).fold({ error(it.message) }, { it })
+    private fun <T> use(sync: Sync = {}, write: Write = writeFully, block: (OpenStorage) -> T): T {
+        val files = open(sync = sync, write = write).fold({ error(it.message) }, { it })
         return try {
             block(files)
         } finally {
@@ -168,4 +172,67 @@
         Files.write(directory.resolve("snapshot"), bytes)
         expectThat(open().leftOrNull()?.message).isNotNull().contains("snapshot")
     }
+
+    /** Guards against a file whose earlier records are lost, or that is unreadable, after writes that found no room. */
+    @Test
+    fun `a record is written completely after attempts that found no room`() {
+        fill()
+        var writtenBytes = 0
+        val write: Write = { channel, buffer ->
+            if (writtenBytes >= 0) {
+                // The disk takes a growing part of the record before it is full.
+                buffer.limit(buffer.position() + minOf(writtenBytes++, buffer.remaining() - 1))
+                writeFully(channel, buffer)
+                if (writtenBytes > 90) writtenBytes = -1
+                throw IOException("No space left on device")
+            }
+            writeFully(channel, buffer)
+        }
+        use(write = write) { files ->
+            val entries = listOf(command(7, 2), command(8, 2))
+            while (runCatching { files.storage.append(hard, LogIndex(6), entries) }.isFailure) {
+                val before = Files.readAllBytes(wal)
+                expectThat(scanRecords(before).isRight()).isTrue()
+            }
+            files.storage.append(hard, LogIndex(8), listOf(command(9, 2)))
+        }
+        expectThat(use { it.stored.log.last.index }).isEqualTo(LogIndex(9))
+    }
+
+    /** Guards against the remains of a snapshot that keep a full disk full, and against a log that is lost then. */
+    @Test
+    fun `a snapshot that finds no room leaves no file behind and is written later`() {
+        fill()
+        val position = LogPosition(LogIndex(6), Term(2))
+        val header = SnapshotHeader(threeVoters.header.cluster, position, threeVoters.header.membership, 4)
+        val replacement = StoreSnapshot(hard, Snapshot(header, ByteArray(4) { 7 }), position, emptyList())
+        var attempts = 0
+        val write: Write = { channel, buffer ->
+            if (++attempts <= 4) throw IOException("No space left on device")
+            writeFully(channel, buffer)
+        }
+        use(write = write) { files ->
+            while (runCatching { files.storage.replace(replacement) }.isFailure) {
+                val names = Files.list(directory).use { paths -> paths.map { "${it.fileName}" }.toList() }
+                expectThat(names.none { it.endsWith(".tmp") }).isTrue()
+            }
+            files.storage.append(hard, LogIndex(6), listOf(command(7, 2)))
+        }
+        val stored = use { it.stored }
+        expectThat(stored.snapshot!!.header.position).isEqualTo(position)
+        expectThat(stored.log.last.index).isEqualTo(LogIndex(7))
+    }
+
+    /** Guards against a process that ends when it starts on a full disk, and is started again in a loop. */
+    @Test
+    fun `a full disk is told from a directory that cannot be used`() {
+        val write: Write = { _, _ -> throw IOException("No space left on device") }
+        expectThat(open(write = write).leftOrNull()).isNotNull().and {
+            get { isFull }.isTrue()
+            get { isDamaged }.isFalse()
+        }
+        val broken: Write = { _, _ -> throw IOException("Input/output error") }
+        expectThat(open(write = broken).leftOrNull()).isNotNull().get { isFull }.isFalse()
+        expectThat(open().isRight()).isTrue()
+    }
 }
--- a/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
+++ b/src/test/kotlin/fulmarshunt/voter/VoterFixture.kt
@@ -101,6 +101,7 @@
     snapshotEveryEntries: Int = 10_000,
     bootstrap: Boolean = true,
     sync: Sync = forceToDisk,
+    write: Write = writeFully,
     paddingBytes: Int = 0,
     onEncode: () -> Unit = {},
 ): TestVoter {
@@ -117,7 +118,7 @@
             snapshotEveryEntries = snapshotEveryEntries,
         )
     val log =
-        openReplicatedLog(settings, machine.asReplicated, control, monotonicClock(), sync).fold({
+        openReplicatedLog(settings, machine.asReplicated, control, monotonicClock(), DiskAccess(sync, write)).fold({
             error(it.message)
         }, { it })
     val links: Links = linksOf(log.id.value, "secret", log.handlers(LinkHandlers()))
@@ -153,7 +154,8 @@
         timeoutMs: Long = 5_000,
     ): Either<ProposeFailure, ByteArray> {
         val outcome = voter.log.propose(command.encodeToByteArray(), timeoutMs)
-        if (outcome.leftOrNull() !is ProposeFailure.NotLeader) timesProposed.merge(command, 1, Int::plus)
+        val isProposed = outcome.fold({ it is ProposeFailure.Undecided }, { true })
+        if (isProposed) timesProposed.merge(command, 1, Int::plus)
         if (outcome.isRight()) committed += command
         return outcome
     }
