Share limits among many entry VMs without rounding each share up or down

Cause: the share of a cold target's limit was at least one request in 1.25 s for each entry VM, so that 91 entry VMs could send 73 requests a second where 33 are allowed, and 330 could send 264. The share of the budget of repeats was rounded down, so that an entry VM with few requests never repeated one.

Change: an entry VM whose share of a cold target is less than one request takes turns that start at random and are forgotten when the cold time ends. Shares of repeats are rounded up or down at random for each window.

Result: simulations of the decisions with 52, 91 and 330 entry VMs that always have a request stay within 33.5 requests in any second and use a third of it or more; 10, 91 and 330 use a third of the budget of repeats or more and keep it.

--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -72,7 +72,7 @@
 ) {
     private val log = LogManager.getLogger(Fleet::class.java)
     private val startedAtMs = clock.nowMs()
-    private val coldStarts = ColdStartLimiter()
+    private val coldStarts = ColdStartLimiter(nextRandom)
     private val ownUse = OwnUse()
     private val failures = mutableMapOf<TargetId, FailureHistory>()
     private val waiting = WaitingRequests { it.isLate(clock.nowMs()) }
@@ -289,6 +289,7 @@
                         limit,
                         view.entryVms,
                         nowMs,
+                        target.coldUntilMs,
                     )
                     )
         }
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -1,11 +1,13 @@
 /*
  * Limits how many requests are repeated at another target, as a share of the requests in a sliding window. Without it,
  * the repeats of a failing service would overload its remaining targets. The budget applies to all entry VMs together;
- * each uses only a share that depends on its own requests. Confined to the control thread.
+ * each uses only a share that depends on its own requests. A share is rounded up or down at random, so that many entry
+ * VMs with less than one repeat each use their budget. Confined to the control thread.
  */
 package fulmarshunt.target.fleet
 
 import fulmarshunt.ServiceId
+import kotlin.math.floor
 
 /** The share of the budget that is used, so that windows that start at other times stay within the budget too. */
 private const val USED_SHARE = 0.7
@@ -20,8 +22,14 @@
 )
 
 /** The requests and repeats of this entry VM. */
-internal class RepeatBudget(private val limits: RepeatLimits) {
+internal class RepeatBudget(
+    private val limits: RepeatLimits,
+    /** Returns a random number in 0 until 1. */
+    private val nextRandom: () -> Double,
+) {
     private class Window {
+        var rounding = 0.0
+        var roundingUntilMs = Long.MIN_VALUE
         val requestsAtMs = ArrayDeque<Long>()
         val repeatsAtMs = ArrayDeque<Long>()
     }
@@ -36,7 +44,8 @@
     /** Takes one repeat for [service], or returns false if the share of this VM among [entryVms] is used up. */
     fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): Boolean {
         val window = windowOf(service, nowMs)
-        val bound = USED_SHARE * (limits.ratio * window.requestsAtMs.size + limits.allowance / entryVms)
+        val share = USED_SHARE * (limits.ratio * window.requestsAtMs.size + limits.allowance / entryVms)
+        val bound = floor(share + window.rounding)
         if (window.repeatsAtMs.size + 1 > bound) return false
         window.repeatsAtMs.addLast(nowMs)
         return true
@@ -47,6 +56,10 @@
         for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
             while (times.isNotEmpty() && nowMs - times.first() >= limits.windowMs) times.removeFirst()
         }
+        if (nowMs >= window.roundingUntilMs) {
+            window.rounding = nextRandom()
+            window.roundingUntilMs = nowMs + limits.windowMs
+        }
         return window
     }
 }
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -10,7 +10,9 @@
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
 
 class SharesTest {
     private val target = TargetId("t")
@@ -20,15 +22,67 @@
     fun `all entry VMs together stay within the limit of a cold target`() {
         for (entryVms in listOf(1, 3, 9, 20)) {
             val sent = (1..entryVms).sumOf {
-                val limiter = ColdStartLimiter()
+                val limiter = ColdStartLimiter { 0.0 }
                 (0L until 1_000L).count { nowMs ->
-                    limiter.hasRoom(target, 51.5, entryVms, nowMs).also { if (it) limiter.record(target, nowMs) }
+                    limiter.hasRoom(target, 51.5, entryVms, nowMs, 1_000).also { if (it) limiter.record(target, nowMs) }
                 }
             }
             expectThat(sent).isLessThanOrEqualTo(51)
         }
     }
 
+    /**
+     * Guards against an overload of a cold target because each of many entry VMs sends it at least one request, at the
+     * moment at which it becomes cold or later. The load is the worst: every entry VM has a request at any time.
+     */
+    @Test
+    fun `many entry VMs with a share of less than one request stay within the limit`() {
+        for (entryVms in listOf(52, 91, 330)) {
+            val random = Random(entryVms)
+            // 19 requests a second for one and a half times of it and five more, as on the largest deployment.
+            val limitPerS = 33.5
+            val limiters = List(entryVms) { ColdStartLimiter(random::nextDouble) }
+            val sentAtMs = mutableListOf<Long>()
+            // The target is cold, then warm for a while, and cold again.
+            for (nowMs in (0L until 20_000L step 10) + (60_000L until 80_000L step 10)) {
+                for (limiter in limiters) {
+                    val coldUntilMs = if (nowMs < 20_000) 20_000L else 80_000L
+                    if (!limiter.hasRoom(target, limitPerS, entryVms, nowMs, coldUntilMs)) continue
+                    limiter.record(target, nowMs)
+                    sentAtMs += nowMs
+                }
+            }
+            val most = sentAtMs.maxOf { from -> sentAtMs.count { it in from until from + 1_000 } }
+            expectThat(most.toDouble()).isLessThanOrEqualTo(limitPerS)
+            // The target still gets enough to become warm.
+            expectThat(sentAtMs.count { it < 20_000 } / 20.0).isGreaterThan(limitPerS / 3)
+        }
+    }
+
+    /** Guards against entry VMs that never repeat a request because their share of the budget is less than one. */
+    @Test
+    fun `many entry VMs with few requests use the budget of repeats and keep it`() {
+        for (entryVms in listOf(10, 91, 330)) {
+            val random = Random(entryVms)
+            val limits = RepeatLimits(0.2, 0.3 * entryVms, 10_000)
+            val service = ServiceId("s")
+            val budgets = List(entryVms) { RepeatBudget(limits, random::nextDouble) }
+            val repeatsAtMs = mutableListOf<Long>()
+            for (nowMs in 0L until 40_000L step 500) {
+                for (budget in budgets) {
+                    if (nowMs % 5_000 == 0L) budget.recordRequest(service, nowMs)
+                    if (budget.tryTake(service, entryVms, nowMs)) repeatsAtMs += nowMs
+                }
+            }
+            val bound = 0.2 * 2 * entryVms + limits.allowance
+            val most = (0L until 30_000L step 500).maxOf { from ->
+                repeatsAtMs.count { it in from until from + 10_000 }
+            }
+            expectThat(most.toDouble()).isLessThanOrEqualTo(bound)
+            expectThat(repeatsAtMs.size / 4.0).isGreaterThan(bound / 3)
+        }
+    }
+
     /** Guards against repeats of all entry VMs that together exceed the budget in any window. */
     @Test
     fun `all entry VMs together stay within the budget of repeats`() {
@@ -38,7 +92,7 @@
         val repeatsAtMs = mutableListOf<Long>()
         var requests = 0
         repeat(entryVms) {
-            val budget = RepeatBudget(limits)
+            val budget = RepeatBudget(limits) { 0.99 }
             for (nowMs in 0L until 30_000L step 100) {
                 budget.recordRequest(service, nowMs)
                 if (nowMs < 10_000) requests += 1
