Let delays of the control thread end on that thread

Cause: its executor could not schedule, so that another thread woke for each delay and time limit. Change: a scheduled executor, which forgets cancelled delays.

--- a/src/main/kotlin/fulmarshunt/process/ControlThread.kt
+++ b/src/main/kotlin/fulmarshunt/process/ControlThread.kt
@@ -17,7 +17,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
-import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledThreadPoolExecutor
 import kotlin.coroutines.CoroutineContext
 
 /** A periodic run that is later than this is logged, because followers elect another leader after such a pause. */
@@ -59,8 +59,12 @@
 }
 
 /** Starts a control thread as a daemon, so that it does not keep the process alive. */
-public fun startControlThread(): ControlThread = ControlThread(
-    Executors
-        .newSingleThreadExecutor { task -> Thread(task, "control-state").apply { isDaemon = true } }
-        .asCoroutineDispatcher(),
-)
+public fun startControlThread(): ControlThread {
+    // Delays end on this thread; with an executor that cannot schedule, another thread would wake for each of them.
+    val executor = ScheduledThreadPoolExecutor(1) { task ->
+        Thread(task, "control-state").apply { isDaemon = true }
+    }
+    executor.removeOnCancelPolicy = true
+    executor.executeExistingDelayedTasksAfterShutdownPolicy = false
+    return ControlThread(executor.asCoroutineDispatcher())
+}
