--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -69,9 +69,9 @@
 }
 
 /** How often a side that has no other frame to send sends a keep-alive frame. */
-internal const val KEEP_ALIVE_MS: Long = 500
+internal const val KEEP_ALIVE_MS: Long = 700
 
-/** The time without any part of a frame after which a connection is closed: three keep-alives and some delay. */
+/** The time without any part of a frame after which a connection is closed: two keep-alives and some delay. */
 internal const val SILENCE_LIMIT_MS: Long = 2_000
 
 /** A connection between two processes of this system. */
