Bound the bytes that frames and bodies of others may hold

Cause: a link read frames of up to 4 MiB before the handshake had shown that the peer knows the secret, and each call of a peer was held until it was handled, without a bound on all of them; a control VM buffered up to 1 MB for each call of operators and targets, on any number of connections.

Change: frames of the handshake have at most 1 KiB.

EndlessTargetTest plays callers that do not read, which was sound before.

--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -7,6 +7,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.process.ByteBudget
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -43,8 +44,48 @@
     public val contentType: String = "application/json",
 )
 
-/** Responds to the calls on this connection, one after another; bodies over [maxBodyBytes] are refused. */
-public suspend fun HttpConnection.serveBuffered(maxBodyBytes: Int, respond: suspend (HttpCall) -> HttpReply) {
+/** The bytes that one call holds of a budget. */
+private class HeldBytes(private val budget: ByteBudget) {
+    private var bytes = 0L
+
+    /** Whether the budget did not suffice. */
+    var isExceeded = false
+        private set
+
+    fun tryHold(count: Int): Boolean {
+        isExceeded = !budget.tryHold(count)
+        if (!isExceeded) bytes += count
+        return !isExceeded
+    }
+
+    fun release() {
+        budget.release(bytes)
+        bytes = 0
+    }
+}
+
+/**
+ * Responds to the calls on this connection, one after another. Bodies over [maxBodyBytes] are refused, and those for
+ * which [budget] has no memory.
+ */
+public suspend fun HttpConnection.serveBuffered(
+    maxBodyBytes: Int,
+    budget: ByteBudget,
+    respond: suspend (HttpCall) -> HttpReply,
+) {
+    val held = HeldBytes(budget)
+    try {
+        serveBuffered(maxBodyBytes, held, respond)
+    } finally {
+        held.release()
+    }
+}
+
+private suspend fun HttpConnection.serveBuffered(
+    maxBodyBytes: Int,
+    held: HeldBytes,
+    respond: suspend (HttpCall) -> HttpReply,
+) {
     while (end == null) {
         val head = withTimeoutOrNull(IDLE_MS) { receiveOrNull() }
         // A request may arrive at the moment at which the time limit passes.
@@ -55,15 +96,19 @@
             sendReply(HttpReply(HttpResponseStatus.BAD_REQUEST.code()), false)
             return
         }
-        val body = withTimeoutOrNull(BODY_LIMIT_MS) { readBodyOrNull(maxBodyBytes) }
+        val body = withTimeoutOrNull(BODY_LIMIT_MS) { readBodyOrNull(maxBodyBytes, held::tryHold) }
         if (body == null) {
-            val isTooLong = HttpUtil.getContentLength(head, 0L) > maxBodyBytes
-            val status = if (isTooLong) HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE else HttpResponseStatus.BAD_REQUEST
+            val status = when {
+                held.isExceeded -> HttpResponseStatus.SERVICE_UNAVAILABLE
+                HttpUtil.getContentLength(head, 0L) > maxBodyBytes -> HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                else -> HttpResponseStatus.BAD_REQUEST
+            }
             sendReply(HttpReply(status.code()), false)
             return
         }
         val keepsOpen = HttpUtil.isKeepAlive(head)
         sendReply(respond(HttpCall(head.method().name(), head.uri().substringBefore('?'), body)), keepsOpen)
+        held.release()
         if (!keepsOpen) return
     }
 }
@@ -99,8 +144,8 @@
     } ?: "no response within $limitMs ms".left()
 }
 
-/** Reads the body of a message, or returns null if it ends early or exceeds [maxBytes]. */
-private suspend fun HttpConnection.readBodyOrNull(maxBytes: Int): ByteArray? {
+/** Reads the body of a message, or returns null if it ends early, exceeds [maxBytes], or [tryHold] refuses a part. */
+private suspend fun HttpConnection.readBodyOrNull(maxBytes: Int, tryHold: (Int) -> Boolean = { true }): ByteArray? {
     val body = ByteArrayOutputStream()
     while (true) {
         val piece = receiveOrNull() ?: return null
@@ -109,6 +154,10 @@
             return null
         }
         val content = piece.content()
+        if (!tryHold(content.readableBytes())) {
+            piece.release()
+            return null
+        }
         content.readBytes(body, content.readableBytes())
         piece.release()
         if (body.size() > maxBytes) return null
--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -10,6 +10,7 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.process.ByteBudget
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -21,6 +22,7 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
+import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.channels.Channel as Queue
@@ -80,6 +82,7 @@
     private val handlers: LinkHandlers,
     private val scope: CoroutineScope,
     process: String,
+    private val budget: ByteBudget,
 ) {
     private val log = LogManager.getLogger(LinkConnection::class.java)
     private val peer = LinkPeer(process, this)
@@ -164,15 +167,37 @@
     }
 
     private suspend fun readFrames() {
+        val part = limitedBy("${peer.process} was silent for $SILENCE_LIMIT_MS ms")
         while (true) {
-            val frame = socket.readFrame(limitedBy("${peer.process} was silent for $SILENCE_LIMIT_MS ms"))
-            when (frame) {
-                is Call -> scope.launch { handle(frame) }
-                is Reply -> pending.remove(frame.id)?.complete(frame.body.right())
-                is Fault -> pending.remove(frame.id)?.complete(LinkFailure.Faulted(frame.reason).left())
-                is KeepAlive -> Unit
-                is Hello, is Proof -> close("${peer.process} repeated the handshake")
+            var heldBytes = 0L
+            var isCall = false
+            try {
+                val frame = socket.readFrame(part = part) { size ->
+                    if (!budget.tryHold(size)) throw IOException("no memory for a frame of $size bytes")
+                    heldBytes = size.toLong()
+                }
+                isCall = frame is Call
+                receive(frame, heldBytes)
+            } finally {
+                if (!isCall) budget.release(heldBytes)
+            }
+        }
+    }
+
+    /** Handles [frame]; a call holds its [heldBytes] until it has been handled. */
+    private fun receive(frame: Frame, heldBytes: Long) {
+        when (frame) {
+            is Call -> scope.launch {
+                try {
+                    handle(frame)
+                } finally {
+                    budget.release(heldBytes)
+                }
             }
+            is Reply -> pending.remove(frame.id)?.complete(frame.body.right())
+            is Fault -> pending.remove(frame.id)?.complete(LinkFailure.Faulted(frame.reason).left())
+            is KeepAlive -> Unit
+            is Hello, is Proof -> close("${peer.process} repeated the handshake")
         }
     }
 
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -15,6 +15,9 @@
 /** The maximum size of an encoded envelope. */
 internal const val MAX_FRAME_BYTES: Int = 4 * 1_024 * 1_024
 
+/** The maximum size of a frame of the handshake, whose sender has not shown yet that it knows the secret. */
+internal const val MAX_HANDSHAKE_BYTES: Int = 1_024
+
 /** The size of the parts in which a frame is read and written, so that one that is slow to arrive is not silence. */
 private const val PART_BYTES = 16 * 1_024
 
@@ -79,11 +82,20 @@
     }
 }
 
-/** Reads a frame in parts, each of them with [part]. */
-internal suspend fun LinkSocket.readFrame(part: PartOfFrame = unlimited): Frame {
+/**
+ * Reads a frame of up to [maxBytes] in parts, each of them with [part].
+ *
+ * @param hold called with the size of the frame before it is read; it throws if there is no memory for it.
+ */
+internal suspend fun LinkSocket.readFrame(
+    maxBytes: Int = MAX_FRAME_BYTES,
+    part: PartOfFrame = unlimited,
+    hold: (Int) -> Unit = {},
+): Frame {
     var size = 0
     part { size = ByteBuffer.wrap(read(Int.SIZE_BYTES)).getInt() }
-    if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame size $size is not in 1..$MAX_FRAME_BYTES")
+    if (size !in 1..maxBytes) throw IOException("frame size $size is not in 1..$maxBytes")
+    hold(size)
     val bytes = ByteArrayOutputStream(minOf(size, PART_BYTES))
     while (bytes.size() < size) {
         part { bytes.write(read(minOf(PART_BYTES, size - bytes.size()))) }
--- a/src/main/kotlin/fulmarshunt/link/LinkHandshake.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkHandshake.kt
@@ -22,11 +22,11 @@
 internal suspend fun performHandshake(socket: LinkSocket, process: String, secret: String, role: LinkRole): String {
     val nonce = ByteArray(NONCE_BYTES).also(random::nextBytes)
     socket.writeFrame(Hello(LINK_VERSION, process, nonce))
-    val hello = socket.readFrame() as? Hello ?: throw IOException("peer sent no hello")
+    val hello = socket.readFrame(MAX_HANDSHAKE_BYTES) as? Hello ?: throw IOException("peer sent no hello")
     if (hello.version != LINK_VERSION) throw IOException("peer speaks link version ${hello.version}, not $LINK_VERSION")
     val peerRole = if (role == LinkRole.DIALER) LinkRole.LISTENER else LinkRole.DIALER
     socket.writeFrame(Proof(mac(secret, role, process, nonce, hello.nonce)))
-    val proof = socket.readFrame() as? Proof ?: throw IOException("peer sent no proof")
+    val proof = socket.readFrame(MAX_HANDSHAKE_BYTES) as? Proof ?: throw IOException("peer sent no proof")
     val expected = mac(secret, peerRole, hello.process, hello.nonce, nonce)
     if (!MessageDigest.isEqual(expected, proof.mac)) throw IOException("peer ${hello.process} has another link secret")
     return hello.process
--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -10,6 +10,8 @@
 import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.isUnicastEndpoint
+import fulmarshunt.process.ByteBudget
+import fulmarshunt.process.byteBudgetOfHeap
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.ChannelInitializer
@@ -52,6 +54,8 @@
     private val process: String,
     private val secret: String,
     private val handlers: LinkHandlers,
+    /** The bytes of the frames of all links that are being read or handled. */
+    private val budget: ByteBudget,
 ) : AutoCloseable {
     private val log = LogManager.getLogger(Links::class.java)
 
@@ -202,7 +206,7 @@
 
     private suspend fun openConnection(socket: LinkSocket, role: LinkRole): LinkConnection {
         val peer = performHandshake(socket, process, secret, role)
-        return LinkConnection(socket, handlers, scope, peer).also { it.start() }
+        return LinkConnection(socket, handlers, scope, peer, budget).also { it.start() }
     }
 }
 
@@ -211,4 +215,5 @@
 }
 
 /** Creates the links of a process with the id [process], which handles calls with [handlers]. */
-public fun linksOf(process: String, secret: String, handlers: LinkHandlers): Links = Links(process, secret, handlers)
+public fun linksOf(process: String, secret: String, handlers: LinkHandlers): Links =
+    Links(process, secret, handlers, byteBudgetOfHeap(leastBytes = 2L * MAX_FRAME_BYTES))
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -22,6 +22,7 @@
 import fulmarshunt.process.ExitCode
 import fulmarshunt.process.FleetControlSettings
 import fulmarshunt.process.ProgramOutcome
+import fulmarshunt.process.byteBudgetOfHeap
 import fulmarshunt.process.fleetControlSettingsCheck
 import fulmarshunt.process.linkAddressOf
 import fulmarshunt.process.measureProcess
@@ -144,7 +145,8 @@
 ): Either<String, Unit> = either {
     val traffic = Traffic()
     val requests = validatedAddress(settings.listen.requests)
-    traffic.listen(requests, { MAX_HEADER_BYTES }) { it.serveBuffered(MAX_CALL_BYTES, api::handle) }.bind()
+    val budget = byteBudgetOfHeap(leastBytes = 2L * MAX_CALL_BYTES)
+    traffic.listen(requests, { MAX_HEADER_BYTES }) { it.serveBuffered(MAX_CALL_BYTES, budget, api::handle) }.bind()
     listenForMetrics(traffic, validatedAddress(settings.listen.metrics), meters).bind()
 }
 
@@ -159,7 +161,7 @@
 ): Either<String, Unit> {
     val measurement = lazy { meters.measureProcess() }
     return traffic.listen(address, { MAX_HEADER_BYTES }) { connection ->
-        connection.serveBuffered(0) {
+        connection.serveBuffered(0, byteBudgetOfHeap(0)) {
             measurement.value
             HttpReply(OK, meters.scrape().encodeToByteArray(), "text/plain; version=0.0.4")
         }
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -25,6 +25,7 @@
 import fulmarshunt.process.FleetBoundsSettings
 import fulmarshunt.process.FleetEntrySettings
 import fulmarshunt.process.ProgramOutcome
+import fulmarshunt.process.byteBudgetOfHeap
 import fulmarshunt.process.fleetEntrySettingsCheck
 import fulmarshunt.process.processMain
 import fulmarshunt.process.readSettings
@@ -133,7 +134,7 @@
     address: Address,
     problem: () -> String?,
 ): Either<String, Unit> = traffic.listen(address, { MAX_HEADER_BYTES }) { connection ->
-    connection.serveBuffered(0) { call ->
+    connection.serveBuffered(0, byteBudgetOfHeap(0)) { call ->
         val reason = if (call.path == "/api/ready") problem() else "no such path"
         if (reason == null) HttpReply(OK) else HttpReply(UNAVAILABLE, reason.encodeToByteArray(), "text/plain")
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EndlessTargetTest.kt
@@ -34,6 +34,13 @@
 private const val IDLE_AFTER_MS = 200L
 
 private const val BLOCK_BYTES = 16_384
+
+/** The callers that read nothing at the same time. */
+private const val SLOW_CALLERS = 12
+
+/** A target that writes nothing for so long is held back. */
+private const val HELD_BACK_MS = 1_000L
+
 private const val PIECE_BYTES = 4_096L
 
 private const val HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n"
@@ -294,4 +301,34 @@
             }
         }
     }
+
+    /** Guards against a target whose proper bytes without end fill the memory because callers do not read them. */
+    @Test
+    fun `callers that do not read hold back their targets`() {
+        val written = List(SLOW_CALLERS) { AtomicLong() }
+        val target = ScriptedTarget("a") {
+            val text = "x".repeat(BLOCK_BYTES)
+            write(CHUNKED_HEAD.replace("id: r1", "id: ${request.header("id")}"))
+            val chunk = "${text.length.toString(16)}\r\n$text\r\n"
+            socket.writeEndlessly(chunk, written[number - 1])
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                val callers = List(SLOW_CALLERS) {
+                    relay.connect(BLOCK_BYTES).also { socket ->
+                        socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                    }
+                }
+                var before = -1L
+                while (written.sumOf { it.get() } != before) {
+                    before = written.sumOf { it.get() }
+                    Thread.sleep(HELD_BACK_MS)
+                }
+                expectThat(target.requests).hasSize(SLOW_CALLERS)
+                written.forEach { expectThat(it.get()).isLessThan(MAX_ACCEPTED_BYTES) }
+                callers.forEach { it.close() }
+                relay.awaitIdle()
+            }
+        }
+    }
 }
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -5,6 +5,7 @@
 
 import com.sun.management.OperatingSystemMXBean
 import fulmarshunt.Address
+import fulmarshunt.process.ByteBudget
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -16,8 +17,11 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.lang.management.ManagementFactory
+import java.net.Socket
+import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
 
 private val echo = Channel("echo", String.serializer(), String.serializer())
@@ -148,4 +152,49 @@
 
     private fun processCpuNanos(): Long =
         (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+
+    /** Guards against a peer that fills the memory before it has shown that it knows the secret. */
+    @Test
+    fun `a large frame before the handshake is not read`(): Unit = runBlocking {
+        val server = linksOf("server", "secret", LinkHandlers().with(echo) { _, text -> text })
+        val client = linksOf("client", "secret", LinkHandlers())
+        val address = server.listen(loopback).getOrNull()!!
+        for (claimedBytes in listOf(Int.MAX_VALUE, -1, 0, MAX_FRAME_BYTES, MAX_HANDSHAKE_BYTES + 1)) {
+            Socket(address.host, address.port).use { socket ->
+                socket.soTimeout = 5_000
+                socket.getOutputStream().write(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(claimedBytes).array())
+                val block = ByteArray(64 * 1_024)
+                val written = runCatching { repeat(1_000) { socket.getOutputStream().write(block) } }
+                expectThat(written.isFailure).describedAs("$claimedBytes").isEqualTo(true)
+            }
+        }
+        withTimeout(30_000) { while (client.call(address, echo, "x", 5_000).isLeft()) delay(20) }
+        client.close()
+        server.close()
+    }
+
+    /** Guards against a peer that fills the memory with calls that take long, and with it ends the calls of others. */
+    @Test
+    fun `calls that hold too much memory end their own link only`(): Unit = runBlocking {
+        val handlers = LinkHandlers().with(echo) { _, text ->
+            if (text.length > 10) delay(3_000)
+            text.take(10)
+        }
+        val budget = ByteBudget(8L * 1_024 * 1_024)
+        val server = Links("server", "secret", handlers, budget)
+        val address = server.listen(loopback).getOrNull()!!
+        val faulty = linksOf("faulty", "secret", LinkHandlers())
+        val sound = linksOf("sound", "secret", LinkHandlers())
+        withTimeout(30_000) { while (sound.call(address, echo, "x", 5_000).isLeft()) delay(20) }
+        val large = "x".repeat(1_024 * 1_024)
+        val calls = (0 until 30).map { async { faulty.call(address, echo, large, 10_000) } }
+        while (calls.none { it.isCompleted }) {
+            expectThat(sound.call(address, echo, "x", 5_000).getOrNull()).isEqualTo("x")
+            expectThat(budget.heldBytes).isLessThan(8L * 1_024 * 1_024 + 1)
+            delay(20)
+        }
+        expectThat(calls.awaitAll().count { it.isLeft() }).isGreaterThan(0)
+        withTimeout(30_000) { while (budget.heldBytes > 0) delay(20) }
+        listOf(faulty, sound, server).forEach { it.close() }
+    }
 }
