Measure the progress of a stream in events, not in bytes

Cause: any byte of a target counted as progress, so that a stalled run whose target wrote a space or a comment now and then was never continued from its copy and ended only with its time limit. A comment or a blank line was also taken for an event without an id, after which the run could not continue elsewhere at all.

Change: only blocks with a field are events; everything is forwarded as before. A run is stalled once it was waited for during four gap objectives without an event; the time in which the caller is slow to read does not count.

Result: BrokenStreamTest (bytes but no events; a caller that reads nothing) and EventFramerTest play both. ProcessMainTest plays a program that ends by itself and keeps its exit code.

--- a/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -9,6 +9,7 @@
 
 private const val NEW_LINE = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private const val COMMENT = ':'.code.toByte()
 private val ID_FIELD = "id:".encodeToByteArray()
 
 /** An event that is longer than this is taken for bytes without end; proper events hold a few tokens. */
@@ -25,6 +26,9 @@
     /** The id of the event that begins with [rest], if its line has been read. */
     private var restEventId: Long? = null
 
+    /** Whether [rest] has a line other than comments, so that it is the beginning of an event. */
+    private var restHasField = false
+
     /** Whether the stream would end inside an event if it ended now. */
     val hasIncompleteEvent: Boolean get() = rest.isReadable
 
@@ -43,7 +47,10 @@
     var events: Long = 0
         private set
 
-    /** Appends [bytes], which it releases, and returns the events that are now complete, or null if there are none. */
+    /**
+     * Appends [bytes], which it releases, and returns what is now complete, or null if nothing is. Comments and blank
+     * lines are returned as well, but are no events.
+     */
     fun appendOrNull(bytes: ByteBuf): ByteBuf? {
         val readBytes = rest.readableBytes()
         val all = joinRest(bytes)
@@ -51,6 +58,7 @@
         var lineStart = all.readerIndex() + restLineStart
         var searchFrom = all.readerIndex() + readBytes
         var eventId = restEventId
+        var hasField = restHasField
         while (true) {
             val newLine = all.indexOf(searchFrom, all.writerIndex(), NEW_LINE)
             if (newLine < 0) break
@@ -58,9 +66,11 @@
             val isBlank = length == 0 || (length == 1 && all.getByte(lineStart) == CARRIAGE_RETURN)
             if (isBlank) {
                 end = newLine + 1
-                recordEvent(eventId)
+                if (hasField) recordEvent(eventId)
                 eventId = null
-            } else {
+                hasField = false
+            } else if (all.getByte(lineStart) != COMMENT) {
+                hasField = true
                 idOrNull(all, lineStart, newLine)?.let { eventId = it }
             }
             lineStart = newLine + 1
@@ -69,6 +79,7 @@
         val completeEvents = if (end < 0) null else all.readRetainedSlice(end - all.readerIndex())
         restLineStart = lineStart - all.readerIndex()
         restEventId = eventId
+        restHasField = hasField
         if (all !== rest || completeEvents != null) {
             // The rest is copied, so that it does not retain a large buffer.
             rest = if (all.isReadable) Unpooled.copiedBuffer(all) else Unpooled.EMPTY_BUFFER
@@ -83,6 +94,7 @@
         rest = Unpooled.EMPTY_BUFFER
         restLineStart = 0
         restEventId = null
+        restHasField = false
     }
 
     /** Returns [bytes] with [rest] before them; they are copied only if there is a rest. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -89,6 +89,9 @@
     /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
     private var destinationHandle: String? = null
     private var lastEventAtMs = 0L
+
+    /** How long the run was waited for since its last event or its continuation; other bytes are no progress. */
+    private var silentMs = 0L
     private var isSoundRecorded = false
 
     private sealed interface Next {
@@ -135,15 +138,19 @@
         val isInterrupted = { isTransferDue() }
         if (isTransferDue()) return Next.TransferDue
         val canContinue = current.copy != null && copyRefusals == 0 && framer.lastEventId != null
-        val stallMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
+        val limitMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
+        val startedAtMs = dependencies.clock.nowMs()
         var isStalled = false
         val piece =
             if (canContinue) {
-                withTimeoutOrNull(stallMs) { current.response.nextPieceOrNull(isInterrupted) }
+                withTimeoutOrNull((limitMs - silentMs).coerceAtLeast(1)) {
+                    current.response.nextPieceOrNull(isInterrupted)
+                }
                     .also { isStalled = it == null && current.response.connection.end == null && !isTransferDue() }
             } else {
                 current.response.nextPieceOrNull(isInterrupted)
             }
+        silentMs += dependencies.clock.nowMs() - startedAtMs
         return when {
             piece != null -> Next.Piece(piece)
             isStalled -> Next.Stalled
@@ -184,10 +191,10 @@
      */
     private suspend fun forward(content: HttpContent): Boolean? {
         val isLast = content is LastHttpContent
-        val isFirst = framer.events == 0L
+        val eventsBefore = framer.events
         val completeEvents = framer.appendOrNull(content.content())
+        if (framer.events > eventsBefore) recordEvents(isFirst = eventsBefore == 0L)
         if (completeEvents != null) {
-            recordEvents(isFirst)
             caller.send(DefaultHttpContent(completeEvents))
         }
         if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
@@ -218,6 +225,7 @@
             job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
         }
         lastEventAtMs = nowMs
+        silentMs = 0
         if (!isSoundRecorded && events >= SOUND_EVENTS) {
             isSoundRecorded = true
             dependencies.placements.recordSound(job.causes.parts)
@@ -407,6 +415,7 @@
         job.trace.append(" $how:${placement.target.id}")
         isLeaving = false
         copyRefusals = 0
+        silentMs = 0
         migration = MigrationState.NONE
         if (destination === placement) destination = null
         releaseDestination()
--- a/src/test/kotlin/fulmarshunt/caller/relay/BrokenStreamTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/BrokenStreamTest.kt
@@ -18,6 +18,15 @@
 /** The time in which written bytes reach the relay before a reset, which discards what is unread. */
 private const val TRANSFER_MS = 200L
 
+/** How often a stalled target writes a byte; less than the silence after which a run continues from its copy. */
+private const val NOISE_PERIOD_MS = 100L
+
+/** Longer than the silence after which a run continues from its copy. */
+private const val SLOW_CALLER_MS = 2_000L
+
+/** With their padding, more than the buffers between a target and its caller take. */
+private const val SLOW_EVENTS = 1_000
+
 private const val PARTIAL_EVENT = "id: 4\ndata: tok"
 
 /** A way to delimit the body of a response. */
@@ -184,4 +193,67 @@
             }
         }
     }
+
+    /** Guards against a stalled stream that never ends, because its target writes a byte or a comment now and then. */
+    @Test
+    fun `a run that writes bytes but no events continues from its copy`() {
+        for (noise in listOf(":", " ", ": alive\n\n", "\n")) {
+            val hasStalled = CountDownLatch(1)
+            val serve: ScriptedTarget.RequestScope.() -> Unit = {
+                val resume = request.header("resume")
+                start(framings.first())
+                if (resume == null) {
+                    write(framings.first().encode(events(1..2)))
+                    // Until the relay has left; the deadline of the request is after 8 s.
+                    runCatching {
+                        while (hasStalled.count > 0) {
+                            write(framings.first().encode(noise))
+                            Thread.sleep(NOISE_PERIOD_MS)
+                        }
+                    }
+                } else {
+                    hasStalled.countDown()
+                    write(framings.first().encode(events(resume.substringAfter('@').toInt() + 1..4)))
+                    write(framings.first().end)
+                }
+            }
+            ScriptedTarget("a", serve).use { a ->
+                ScriptedTarget("b", serve).use { b ->
+                    RelayFixture(a, b).use { relay ->
+                        val body = relay.stream().orEmpty()
+                        val proper = body.replace(": alive\n\n", "").replace(Regex("\n{3,}"), "\n\n")
+                        expectThat(proper).describedAs("noise '$noise'").isEqualTo(events(1..4))
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against a slow but sound stream that is cut off or leaves its target while its caller reads slowly. */
+    @Test
+    fun `a caller that reads nothing for a while is no stall`() {
+        val target = ScriptedTarget("a") {
+            startStream()
+            val padding = "x".repeat(PIECE_BYTES)
+            for (id in 1..SLOW_EVENTS) {
+                val text = "id: $id\ndata: $padding\n\n"
+                write("${text.length.toString(16)}\r\n$text\r\n")
+            }
+            endStream()
+        }
+        val other = ScriptedTarget("b") { respond("503 Service Unavailable", "", "not-run: 1") }
+        target.use {
+            other.use {
+                RelayFixture(target, other).use { relay ->
+                    relay.connect(receiveBufferBytes = PIECE_BYTES).use { socket ->
+                        socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                        Thread.sleep(SLOW_CALLER_MS)
+                        val response = socket.getInputStream().buffered().readMessageOrNull()
+                        expectThat(response?.body.orEmpty().split("id: ").size - 1).isEqualTo(SLOW_EVENTS)
+                        expectThat(target.requests.size to other.requests.size).isEqualTo(1 to 0)
+                    }
+                }
+            }
+        }
+    }
 }
--- a/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
@@ -72,4 +72,19 @@
         expectThat(framer.lastEventId).isNull()
         expectThat(framer.hasEventWithoutId).isTrue()
     }
+
+    /** Guards against a stream that cannot continue elsewhere because its target sends comments to keep it alive. */
+    @Test
+    fun `comments and blank lines are forwarded but are no events`() {
+        val framer = EventFramer()
+        val pieces = listOf("id: 1\ndata: x\n\n", ": alive\n\n", "\n", ":", " alive\n", "\r\n", ": note\nid: 2\n", "\n")
+        val forwarded = pieces.mapNotNull { framer.appendOrNull(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
+        expectThat(forwarded.joinToString("") { it.toString(Charsets.UTF_8) }).isEqualTo(pieces.joinToString(""))
+        forwarded.forEach { it.release() }
+        expectThat(framer.events).isEqualTo(2L)
+        expectThat(framer.lastEventId).isEqualTo(2L)
+        expectThat(framer.hasEventWithoutId).isEqualTo(false)
+        expectThat(framer.hasIncompleteEvent).isEqualTo(false)
+        framer.discardRest()
+    }
 }
--- a/src/test/kotlin/fulmarshunt/process/ProcessMainTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/ProcessMainTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -107,6 +108,16 @@
         }
     }
 
+    /** Guards against a process that ends because of a failure and looks like one that was told to stop. */
+    @Test
+    fun `a program that ends by itself keeps its exit code`() {
+        withServer("failing") { process ->
+            expectThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue()
+            expectThat(process.exitValue()).isEqualTo(ExitCode.BROKEN_INVARIANT.number)
+            expectThat(process.inputStream.bufferedReader().readText()).not().contains("stopped gracefully")
+        }
+    }
+
     /** Runs [block] with a process whose shutdown is [kind]; see [main]. */
     private fun withServer(kind: String, block: (Process) -> Unit) {
         val process =
@@ -126,8 +137,14 @@
     }
 }
 
-/** The process that the last tests terminate. */
+/** The process that the last tests terminate or that ends by itself. */
 fun main(args: Array<String>): Unit = runBlocking {
+    if (args.single() == "failing") {
+        processMain("test", arrayOf("--settings", "unused")) {
+            shutDownOnTermination(limitMs = 5_000) { println("stopped gracefully") }
+            ProgramOutcome(ExitCode.BROKEN_INVARIANT, "the disk is broken")
+        }
+    }
     if (args.single() == "endless") {
         shutDownOnTermination(limitMs = 1_000) { withContext(NonCancellable) { awaitCancellation() } }
     } else {
