Outlast unreadable bytes from other processes of the system

Cause: the CBOR decoder throws exceptions of several types for malformed bytes, and only one type was handled where a reply or a handshake is decoded. Such a reply ended the coroutine that sends messages to a voter, for good. Change: unreadable frames and replies are failures of their link or call, whatever the type, and the sender of messages goes on after any failure.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -150,7 +150,8 @@
 
     private fun <R : Any> decode(channel: Channel<*, R>, body: ByteArray): Either<LinkFailure, R> = try {
         linkCbor.decodeFromByteArray(channel.reply, body).right()
-    } catch (e: IllegalArgumentException) {
+    } catch (e: RuntimeException) {
+        // Depending on what is wrong with the bytes, the decoder throws exceptions of several types.
         LinkFailure.Faulted("reply on ${channel.name} cannot be decoded: ${e.message}").left()
     }
 
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -100,5 +100,9 @@
     while (bytes.size() < size) {
         part { bytes.write(read(minOf(PART_BYTES, size - bytes.size()))) }
     }
-    return linkCbor.decodeFromByteArray(frameSerializer, bytes.toByteArray())
+    return try {
+        linkCbor.decodeFromByteArray(frameSerializer, bytes.toByteArray())
+    } catch (e: RuntimeException) {
+        throw IOException("unreadable frame: ${e.message}", e)
+    }
 }
--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -161,8 +161,6 @@
             } ?: LinkFailure.NotSent("no link to $address within $DIAL_TIMEOUT_MS ms").left()
         } catch (e: IOException) {
             return LinkFailure.NotSent("no link to $address: ${e.message}").left()
-        } catch (e: IllegalArgumentException) {
-            return LinkFailure.NotSent("no link to $address: unreadable handshake: ${e.message}").left()
         } finally {
             if (connection == null) socket?.close()
         }
--- a/src/main/kotlin/fulmarshunt/voter/VoterTransport.kt
+++ b/src/main/kotlin/fulmarshunt/voter/VoterTransport.kt
@@ -6,6 +6,7 @@
 
 import fulmarshunt.Address
 import fulmarshunt.link.Links
+import fulmarshunt.process.guardRound
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -13,6 +14,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
 
 private const val OUTBOX_MESSAGES = 64
@@ -32,12 +34,18 @@
 /** Returns a transport over [links]. */
 internal fun linkTransport(links: Links): VoterTransport {
     val scope = CoroutineScope(SupervisorJob() + links.dispatch)
+    val log = LogManager.getLogger(VoterTransport::class.java)
     val outboxes = ConcurrentHashMap<Address, Channel<Envelope>>()
 
     fun openOutbox(address: Address): Channel<Envelope> {
         val outbox = Channel<Envelope>(OUTBOX_MESSAGES, BufferOverflow.DROP_OLDEST)
         scope.launch {
-            for (envelope in outbox) links.call(address, voterChannel, envelope, SEND_TIMEOUT_MS)
+            for (envelope in outbox) {
+                // The outbox must outlast any failure: without it, the peer would get no message any more.
+                guardRound({ log.error("message not sent to={}", address, it) }) {
+                    links.call(address, voterChannel, envelope, SEND_TIMEOUT_MS)
+                }
+            }
         }
         return outbox
     }
