Refuse frames that make the decoder call itself without end

Cause: found by fuzzing. Some malformed frames of 20 bytes, also before the handshake, make the CBOR decoder call itself until the stack is full. The error of the JVM was handled nowhere, and ended the process. Change: bytes of other processes are decoded in one place, where this and every exception is a failure of the link or call.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -63,7 +63,7 @@
      */
     public fun <Q : Any, R : Any> with(channel: Channel<Q, R>, handle: suspend (LinkPeer, Q) -> R): LinkHandlers {
         val raw: RawHandler = { peer, body ->
-            val request = linkCbor.decodeFromByteArray(channel.request, body)
+            val request = decodeFromPeer(channel.request, body)
             linkCbor.encodeToByteArray(channel.reply, handle(peer, request))
         }
         return LinkHandlers(byChannel + (channel.name to raw))
@@ -149,9 +149,8 @@
     }
 
     private fun <R : Any> decode(channel: Channel<*, R>, body: ByteArray): Either<LinkFailure, R> = try {
-        linkCbor.decodeFromByteArray(channel.reply, body).right()
-    } catch (e: RuntimeException) {
-        // Depending on what is wrong with the bytes, the decoder throws exceptions of several types.
+        decodeFromPeer(channel.reply, body).right()
+    } catch (e: IllegalArgumentException) {
         LinkFailure.Faulted("reply on ${channel.name} cannot be decoded: ${e.message}").left()
     }
 
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -101,8 +101,8 @@
         part { bytes.write(read(minOf(PART_BYTES, size - bytes.size()))) }
     }
     return try {
-        linkCbor.decodeFromByteArray(frameSerializer, bytes.toByteArray())
-    } catch (e: RuntimeException) {
-        throw IOException("unreadable frame: ${e.message}", e)
+        decodeFromPeer(frameSerializer, bytes.toByteArray())
+    } catch (e: IllegalArgumentException) {
+        throw IOException("frame refused: ${e.message}", e)
     }
 }
