--- a/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
@@ -89,8 +89,9 @@
         """"born":5}"""
 private val configuration =
     """{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","type":"stream","timeout_ms":6000,""" +
-        """"slo_ms":1500,"priority":1,"service":"s","max_attempts":1}],"services":[{"name":"s"}],"limits":{"max_header_bytes":16384,""" +
-        """"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
+        """"slo_ms":1500,"priority":1,"service":"s","max_attempts":1}],"services":[{"name":"s"}],""" +
+        """"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,""" +
+        """"idle_timeout_ms":15000}}"""
 private val settings =
     """
     [vm]
