--- a/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
@@ -84,10 +84,10 @@
 )
 private val append =
     Append(LogPosition.START, listOf(command(1, 1), command(2, 1)), LogIndex(1), Stamp(1, 2))
-private val announcement =
+private const val ANNOUNCEMENT =
     """{"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,"state":"ready","cold_remaining_ms":0,"seq":4,""" +
         """"born":5}"""
-private val configuration =
+private const val CONFIGURATION =
     """{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","type":"stream","timeout_ms":6000,""" +
         """"slo_ms":1500,"priority":1,"service":"s","max_attempts":1}],"services":[{"name":"s"}],""" +
         """"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,""" +
@@ -121,9 +121,9 @@
         VoterCall.serializer(),
         Envelope(ClusterId("c"), peerB.id, peerB.address, self.id, Term(2), Appended(LogIndex(3), Stamp(1, 2), true)),
     ),
-    Decoder("announcement", announcement.encodeToByteArray()) { decodeAnnouncement(TargetId("t"), it, 1_000) },
+    Decoder("announcement", ANNOUNCEMENT.encodeToByteArray()) { decodeAnnouncement(TargetId("t"), it, 1_000) },
     Decoder("deregistration", """{"born":17}""".encodeToByteArray()) { decodeDeregistration(it, 1_000) },
-    Decoder("configuration", configuration.encodeToByteArray()) { decodeConfiguration(it) },
+    Decoder("configuration", CONFIGURATION.encodeToByteArray()) { decodeConfiguration(it) },
     Decoder("settings", settings.encodeToByteArray()) {
         parseSettings(it.decodeToString(), FleetEntrySettings.serializer())
     },
