--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -50,12 +50,6 @@
 /** How long the watch that reports use waits for a change while this VM has none. */
 private const val IDLE_HOLD_MS = 1_000L
 
-/** With more entry VMs than this, each reports its use less often, so that control VMs get no more calls. */
-private const val ENTRY_VMS_WITH_SHORT_HOLD = 45
-
-/** The longest time between two reports of use; placements of others are not known for as long. */
-private const val MAX_USE_HOLD_MS = 400L
-
 /** How long the other watches wait, which serve to hear of changes and of the loss of a control VM. */
 private const val SECOND_HOLD_MS = 2_000L
 
@@ -78,10 +72,6 @@
 /** Decodes a document into a configuration, or returns the reason why it cannot be used. */
 public typealias DecodeConfiguration = (ConfigurationDocument) -> Either<String, ServingConfiguration>
 
-/** Returns how long the watch that reports use waits for a change, in a fleet of [entryVms]. */
-internal fun holdMsFor(entryVms: Int): Long =
-    (WATCH_HOLD_MS * entryVms / ENTRY_VMS_WITH_SHORT_HOLD).coerceIn(WATCH_HOLD_MS, MAX_USE_HOLD_MS)
-
 /** Watches control VMs and updates the view of [fleet]. */
 public class FleetWatcher internal constructor(
     private val vm: VmId,
@@ -171,7 +161,7 @@
         val isReporting = slot.number == 0
         val holdMs = when {
             !isReporting -> SECOND_HOLD_MS
-            fleet.isInUse.value -> holdMsFor(viewState.value.entryVms)
+            fleet.isInUse.value -> WATCH_HOLD_MS
             else -> IDLE_HOLD_MS
         }
         val use = if (isReporting) fleet.use() else emptyMap()
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -13,7 +13,6 @@
 import fulmarshunt.entry.watch.FleetWatcher
 import fulmarshunt.entry.watch.Watch
 import fulmarshunt.entry.watch.WatchReply
-import fulmarshunt.entry.watch.holdMsFor
 import fulmarshunt.entry.watch.watchChannel
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.linksOf
@@ -163,10 +162,4 @@
         withTimeout(TIMEOUT_MS) { watches.first { it?.use?.isNotEmpty() == true } }
         expectThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - placedAtNanos)).isLessThan(HOLD_MS / 2)
     }
-
-    /** Guards against control VMs that get more calls with each entry VM, and against use that is reported too late. */
-    @Test
-    fun `use is reported less often in large fleets`() {
-        expectThat(listOf(1, 9, 45, 60, 91, 330).map(::holdMsFor)).isEqualTo(listOf(200L, 200L, 200L, 266L, 400L, 400L))
-    }
 }
