--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -204,7 +204,9 @@
         return "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-look\",\"host\":\"site.example\",\"path_prefix\":\"/look/\","
             + "\"type\":\"safe\",\"timeout_ms\":2500,\"slo_ms\":150,\"priority\":2,\"service\":\"app\",\"max_attempts\":2,\"public\":true},"
             + "{\"name\":\"r-book\",\"host\":\"site.example\",\"path_prefix\":\"/book/\",\"type\":\"unsafe\",\"timeout_ms\":2500,"
-            + "\"slo_ms\":150,\"priority\":2,\"service\":\"app\",\"max_attempts\":1,\"public\":true}],"
+            + "\"slo_ms\":150,\"priority\":2,\"service\":\"app\",\"max_attempts\":1,\"public\":true},"
+            + "{\"name\":\"r-write\",\"host\":\"site.example\",\"path_prefix\":\"/write/\",\"type\":\"stream\",\"timeout_ms\":6000,"
+            + "\"slo_ms\":1500,\"gap_slo_ms\":180,\"priority\":1,\"service\":\"app\",\"max_attempts\":1,\"public\":true}],"
             + "\"services\":[{\"name\":\"app\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false,"
             + "\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
             + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
@@ -280,6 +282,7 @@
                         answer = "HTTP/1.1 200 OK\r\nFulmarshunt-Request-Id: " + request + "\r\nFulmarshunt-Server-Stamp: s-" + id
                             + "\r\nFulmarshunt-Server-Load: 0,0,6\r\nContent-Length: " + request.length() + "\r\n\r\n" + request;
                     }
+                    if (start.contains(" /write/") && answer.startsWith("HTTP/1.1 200")) answer = events(request, start.startsWith("HEAD "));
                     channel.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                     channel.getOutputStream().flush();
                 }
@@ -288,6 +291,18 @@
             }
         }
 
+        /** A stream of five events; the answer to HEAD has the same head and no body. */
+        private String events(String request, boolean isHead) {
+            StringBuilder answer = new StringBuilder("HTTP/1.1 200 OK\r\nFulmarshunt-Request-Id: " + request
+                + "\r\nFulmarshunt-Server-Stamp: s-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (isHead) return answer.toString();
+            for (int i = 1; i <= 5; i++) {
+                String event = "id: " + i + "\ndata: token " + i + "\n\n";
+                answer.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
+            }
+            return answer.append("0\r\n\r\n").toString();
+        }
+
         @Override public void close() throws IOException {
             isOpen = false;
             socket.close();
