--- a/review/standin/FirstStart.java
+++ b/review/standin/FirstStart.java
@@ -1,6 +1,6 @@
 import java.nio.file.*;
 
-/** Case 3: a control VM is lost for good while the whole system starts for the first time, and is replaced. */
+/** Case 2: a control VM is lost for good while the whole system starts for the first time, and is replaced. */
 final class FirstStart {
     private static final int VICTIM = 4, SUCCESSOR = 5;
     /** From here on, traffic runs; the pages start it 15 s after the machines. */
--- a/review/standin/HeadOfStream.java
+++ b/review/standin/HeadOfStream.java
@@ -4,7 +4,7 @@
 import java.nio.file.*;
 import java.util.*;
 
-/** Case 2: HEAD on a stream route leaves bytes on the kept channel that belong to no answer. */
+/** Case 4: HEAD on a stream route leaves bytes on the kept channel that belong to no answer. */
 final class HeadOfStream {
     private static final int ROUNDS = 20;
 
