--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -245,7 +245,11 @@
                     + ",\"born\":" + born + "}";
                 if (call(controlIp(node), controlPort, "POST", "/api/instances/" + id + "/heartbeat", "", body, 1000).status == 200)
                     sleep(1200);
-                else node = (node + 1) % controls;
+                else {
+                    node = (node + 1) % controls;
+                    // Without a pause, refused calls while the programs start would use up all sequence numbers.
+                    sleep(100);
+                }
                 if (seq.get() > 10_000) return;
             }
         }
