Log the state of the former target with each continuation of a run

The users saw runs that continued elsewhere while their target still worked. The line 'run continued' named the targets but not whether the connection to the former one had ended, how long it was silent, whether it had confirmed a stop, and whether an earlier continuation may have run. 'attempt failed' now tells whether an attempt so far may have run.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -125,8 +125,14 @@
             job.triedTargets += placement.target.id
             val failure = attempt(job, placements, placement).fold({ it }, { return it })
             dependencies.meters.attemptFailed(failure::class.simpleName.orEmpty(), job.service.id.value)
-            log.info("attempt failed request={} target={} failure={}", job.id, placement.target.id, failure)
             recordFailure(job, failure)
+            log.info(
+                "attempt failed request={} target={} failure={} mayHaveRun={}",
+                job.id,
+                placement.target.id,
+                failure,
+                job.attempts.runs > 0,
+            )
             // The rest of a long body is read while the target has the request.
             bodyProblemOrNull(job.request)?.let { return it }
             val route = job.route
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -94,6 +94,12 @@
     private var silentMs = 0L
     private var isSoundRecorded = false
 
+    /** Whether the current target has confirmed that it has stopped the run. */
+    private var isFormerStopped = false
+
+    /** Whether a continuation that failed may have reached its target, which may still run the request. */
+    private var mayRunElsewhere = false
+
     private sealed interface Next {
         class Piece(val content: HttpContent) : Next
 
@@ -341,6 +347,7 @@
         val result = dependencies.adapter.migrate(source, job.id, placement.target.record.address, true)
         when (result) {
             is Either.Right -> {
+                isFormerStopped = true
                 forwardRemainingEvents()
                 val resume = ResumePoint(source, result.value.handle, framer.lastEventId)
                 destinationHandle = null
@@ -352,6 +359,7 @@
                 val handle = result.value.handle
                 abandonMigration("last copy failed: ${result.value.reason}")
                 if (handle != null) {
+                    isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
                     continueAt(current.placement, resume, "stay", "move failed")
@@ -396,11 +404,15 @@
         val response = result?.getOrNull()
         val isSuccess = response != null && response.head.status().code() == HTTP_OK
         log.info(
-            "run continued request={} how={} why={} from={} to={} lastId={} success={} result={} tookMs={}",
+            "run continued request={} how={} why={} from={} to={} lastId={} success={} result={} tookMs={} " +
+                "formerEnd={} silentMs={} formerStopped={} earlierMayRun={}",
             job.id, how, why, current.placement.target.id, placement.target.id, resume.lastEventId, isSuccess,
             result?.fold({ it.toString() }, { it.head.status().toString() }) ?: "no response",
             dependencies.clock.nowMs() - startedAtMs,
+            current.response.connection.end ?: "OPEN", silentMs, isFormerStopped, mayRunElsewhere,
         )
+        if (result != null && result.fold({ it is AttemptFailure.Lost }, { !isSuccess })) mayRunElsewhere = true
+        if (result == null && job.request.body.isRepeatable) mayRunElsewhere = true
         dependencies.meters.continued(how, isSuccess)
         if (response == null || !isSuccess) {
             response?.abandon()
@@ -416,6 +428,7 @@
         isLeaving = false
         copyRefusals = 0
         silentMs = 0
+        isFormerStopped = false
         migration = MigrationState.NONE
         if (destination === placement) destination = null
         releaseDestination()
