Count no pause of the entry process as silence of a target

Cause: the stall timer ran while the process did not. After a pause, each stream of the VM had been silent for as long, and continued from its copy although the bytes of its target were waiting in the socket; the former target still worked.

Change: silence is measured in waits of 100 ms. A wait that ends more than 100 ms late does not count, and a stall is concluded only at the end of a wait that was on time, in which the socket was read.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -34,6 +34,15 @@
 private const val STALL_GAPS = 4
 private const val MIN_STALL_MS = 600L
 
+/** Silence is measured in waits of this length, so that a pause of this process falls into one of them. */
+private const val SILENCE_WAIT_MS = 100L
+
+/** The shortest wait; the event loop reads what has arrived at least once in it. */
+private const val MIN_SILENCE_WAIT_MS = 20L
+
+/** A wait that ends later than this did so because this process did not run. */
+private const val MAX_LATENESS_MS = 100L
+
 /** How long the target at which a run continues may take to respond. */
 private const val CONTINUE_LIMIT_MS = 1_500L
 
@@ -144,27 +153,37 @@
         val isInterrupted = { isTransferDue() }
         if (isTransferDue()) return Next.TransferDue
         val canContinue = current.copy != null && copyRefusals == 0 && framer.lastEventId != null
+        if (!canContinue) {
+            val startedAtMs = dependencies.clock.nowMs()
+            val piece = current.response.nextPieceOrNull(isInterrupted)
+            silentMs += dependencies.clock.nowMs() - startedAtMs
+            return nextOf(piece)
+        }
         val limitMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
-        val startedAtMs = dependencies.clock.nowMs()
-        var isStalled = false
-        val piece =
-            if (canContinue) {
-                withTimeoutOrNull((limitMs - silentMs).coerceAtLeast(1)) {
-                    current.response.nextPieceOrNull(isInterrupted)
-                }
-                    .also { isStalled = it == null && current.response.connection.end == null && !isTransferDue() }
-            } else {
-                current.response.nextPieceOrNull(isInterrupted)
+        while (true) {
+            val waitMs = (limitMs - silentMs).coerceIn(MIN_SILENCE_WAIT_MS, SILENCE_WAIT_MS)
+            val startedAtMs = dependencies.clock.nowMs()
+            var hasReturned = false
+            val piece = withTimeoutOrNull(waitMs) {
+                current.response.nextPieceOrNull(isInterrupted).also { hasReturned = true }
             }
-        silentMs += dependencies.clock.nowMs() - startedAtMs
-        return when {
-            piece != null -> Next.Piece(piece)
-            isStalled -> Next.Stalled
-            current.response.connection.end == null && isTransferDue() -> Next.TransferDue
-            else -> Next.Ended
+            val waitedMs = dependencies.clock.nowMs() - startedAtMs
+            // After a pause of this process, bytes of the target may wait in the socket.
+            val isTimely = waitedMs <= waitMs + MAX_LATENESS_MS
+            if (isTimely) silentMs += minOf(waitedMs, waitMs)
+            if (piece != null || hasReturned || current.response.connection.end != null || isTransferDue()) {
+                return nextOf(piece)
+            }
+            if (isTimely && silentMs >= limitMs) return Next.Stalled
         }
     }
 
+    private fun nextOf(piece: HttpContent?): Next = when {
+        piece != null -> Next.Piece(piece)
+        current.response.connection.end == null && isTransferDue() -> Next.TransferDue
+        else -> Next.Ended
+    }
+
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
         isLeaving && framer.lastEventId != null && !framer.hasEventWithoutId && transferStep() != TransferStep.NONE
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
@@ -0,0 +1,101 @@
+/*
+ * Requests that must not run at two targets, with targets that are slow, silent or cut off but alive.
+ */
+package fulmarshunt.caller.relay
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.startsWith
+import java.io.BufferedInputStream
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+private const val WAIT_MS = 5_000L
+
+/** Longer than the silence after which a run continues from its copy. */
+private const val PROCESS_PAUSE_MS = 1_500L
+
+class ConcurrentRunTest {
+    private fun events(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
+
+    private fun ScriptedTarget.RequestScope.isResumed() = request.header("resume") != null
+
+    private fun ScriptedTarget.RequestScope.begin() {
+        startStream()
+        (1..2).forEach { event(it) }
+    }
+
+    private fun ScriptedTarget.RequestScope.resumeUntil(last: Int) {
+        startStream()
+        (checkNotNull(request.header("resume")).substringAfter('@').toInt() + 1..last).forEach { event(it) }
+        endStream()
+    }
+
+    /** Starts a stream, calls [change] with the target that runs it after its first events, and returns the body. */
+    private fun RelayFixture.streamWhile(vararg targets: ScriptedTarget, change: (ScriptedTarget) -> Unit): String =
+        connect().use { socket ->
+            socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+            val input = BufferedInputStream(socket.getInputStream())
+            input.mark(65_536)
+            val seen = StringBuilder()
+            while ("token 2" !in seen) seen.append(input.read().toChar())
+            change(targets.first { it.requests.isNotEmpty() })
+            input.reset()
+            checkNotNull(input.readMessageOrNull()).body
+        }
+
+    private fun withTwoTargets(
+        serve: ScriptedTarget.RequestScope.() -> Unit,
+        test: (ScriptedTarget, ScriptedTarget, RelayFixture) -> Unit,
+    ) = ScriptedTarget("a", serve).use { a ->
+        ScriptedTarget("b", serve).use { b -> RelayFixture(a, b).use { test(a, b, it) } }
+    }
+
+    private fun resumes(vararg targets: ScriptedTarget) =
+        targets.flatMap { it.requests }.mapNotNull { it.header("resume") }
+
+    /** Guards against all streams of a VM that continue elsewhere at once after its process did not run for a while. */
+    @Test
+    fun `a pause of the entry process is no silence of a target`() {
+        val hasPaused = CountDownLatch(1)
+        withTwoTargets({
+            if (isResumed()) {
+                resumeUntil(4)
+            } else {
+                begin()
+                hasPaused.await(WAIT_MS, TimeUnit.MILLISECONDS)
+                Thread.sleep(100)
+                (3..4).forEach { event(it) }
+                endStream()
+            }
+        }) { a, b, relay ->
+            val body = relay.streamWhile(a, b) {
+                relay.pause(PROCESS_PAUSE_MS)
+                hasPaused.countDown()
+            }
+            expectThat(body).isEqualTo(events(1..4))
+            expectThat(resumes(a, b)).isEmpty()
+        }
+    }
+
+    /** Guards against a plain request that is sent to a second target although its bytes reached the first one. */
+    @Test
+    fun `a request that reached a target that does not respond is not sent again`() {
+        withTwoTargets({ Thread.sleep(WAIT_MS) }) { a, b, relay ->
+            for (length in listOf(0, 150_000)) {
+                val response = relay.call("/once/x", "x".repeat(length), "caller-timeout: 1500")
+                expectThat(response?.startLine).isNotNull().contains(" 504 ")
+            }
+            expectThat(a.requests.size + b.requests.size).isEqualTo(2)
+        }
+        withTwoTargets({ reset() }) { a, b, relay ->
+            val response = relay.call("/once/x", "x".repeat(10_000))
+            expectThat(response?.startLine).isNotNull().startsWith("HTTP/1.1 502 ")
+            expectThat(a.requests.size + b.requests.size).isEqualTo(1)
+        }
+    }
+}
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -269,6 +269,9 @@
     /** Closes the connections of callers, as at the end of the process. */
     fun closeCallers(): Unit = onTraffic { callers.close() }
 
+    /** Keeps the traffic thread from running for [pauseMs], as a process that is stopped. */
+    fun pause(pauseMs: Long): Unit = onTraffic { Thread.sleep(pauseMs) }
+
     private fun <T> onTraffic(block: () -> T): T = runBlocking { withContext(traffic.dispatch) { block() } }
 
     /** Sets the configuration, or removes it, as in a process that has just started. */
