Send a run nowhere else while a continuation may have run

The request may wait in the socket of a stopped target and run when it wakes; meanwhile the run stayed at its source, and the request was sent to the same target up to three times, and once more to the destination of a migration.

Change: only 'not sent' and 'stated not run' prove that a continuation has not run. After any other failure the run leaves its target and is sent nowhere; the caller's stream ends incomplete.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -152,7 +152,7 @@
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
         if (isTransferDue()) return Next.TransferDue
-        val canContinue = current.copy != null && copyRefusals == 0 && framer.lastEventId != null
+        val canContinue = !mayRunElsewhere && current.copy != null && copyRefusals == 0 && framer.lastEventId != null
         if (!canContinue) {
             val startedAtMs = dependencies.clock.nowMs()
             val piece = current.response.nextPieceOrNull(isInterrupted)
@@ -186,7 +186,8 @@
 
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
-        isLeaving && framer.lastEventId != null && !framer.hasEventWithoutId && transferStep() != TransferStep.NONE
+        isLeaving && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
+            transferStep() != TransferStep.NONE
 
     private fun transferStep(): TransferStep = nextTransferStep(
         TransferState(
@@ -399,6 +400,10 @@
 
     /** Sends the request to [placement] to continue from [resume]; the new response replaces the current one. */
     private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean {
+        if (mayRunElsewhere) {
+            log.warn("run not continued request={} how={} to={} reason=may run", job.id, how, placement.target.id)
+            return false
+        }
         if (isDrained(placement)) {
             // The failure domain may have been drained after the copy was made.
             log.warn("run not continued request={} how={} to={} reason=drained", job.id, how, placement.target.id)
@@ -430,12 +435,14 @@
             dependencies.clock.nowMs() - startedAtMs,
             current.response.connection.end ?: "OPEN", silentMs, isFormerStopped, mayRunElsewhere,
         )
-        if (result != null && result.fold({ it is AttemptFailure.Lost }, { !isSuccess })) mayRunElsewhere = true
-        if (result == null && job.request.body.isRepeatable) mayRunElsewhere = true
         dependencies.meters.continued(how, isSuccess)
         if (response == null || !isSuccess) {
             response?.abandon()
             copy?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
+            if (!isProvenNotRun(result)) {
+                mayRunElsewhere = true
+                current.response.abandon()
+            }
             return false
         }
         current.response.abandon()
@@ -454,6 +461,13 @@
         return true
     }
 
+    /** Without a response, the request may wait in the socket of a target that is stopped, and run when it wakes. */
+    private fun isProvenNotRun(result: Either<AttemptFailure, TargetResponse>?): Boolean {
+        if (!job.request.body.isRepeatable) return true
+        val failure = result?.leftOrNull()
+        return failure is AttemptFailure.NotSent || failure is AttemptFailure.Refused
+    }
+
     private fun watchTarget(scope: CoroutineScope, target: KnownTarget): Job = scope.launch {
         dependencies.views.first { view ->
             view.targets[target.id]?.let { it.record.phase != TargetPhase.READY } ?: true
--- a/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
@@ -3,9 +3,11 @@
  */
 package fulmarshunt.caller.relay
 
+import arrow.core.right
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
@@ -35,6 +37,12 @@
         endStream()
     }
 
+    /** Waits until the relay closes the connection of this request. */
+    private fun ScriptedTarget.RequestScope.awaitClose() {
+        socket.soTimeout = WAIT_MS.toInt()
+        runCatching { socket.getInputStream().read() }
+    }
+
     /** Starts a stream, calls [change] with the target that runs it after its first events, and returns the body. */
     private fun RelayFixture.streamWhile(vararg targets: ScriptedTarget, change: (ScriptedTarget) -> Unit): String =
         connect().use { socket ->
@@ -58,6 +66,44 @@
     private fun resumes(vararg targets: ScriptedTarget) =
         targets.flatMap { it.requests }.mapNotNull { it.header("resume") }
 
+    /** Guards against copies of a request that wait in the sockets of a stopped target and run when it wakes. */
+    @Test
+    fun `a continuation without a response is not sent again and the run ends`() {
+        val closed = CountDownLatch(1)
+        withTwoTargets({
+            if (isResumed()) {
+                Thread.sleep(WAIT_MS)
+            } else {
+                begin()
+                awaitClose()
+                closed.countDown()
+            }
+        }) { a, b, relay ->
+            val body = relay.streamWhile(a, b) { relay.leave(it) }
+            expectThat(body).isEqualTo(events(1..2) + TRUNCATED)
+            expectThat(resumes(a, b)).hasSize(1)
+            expectThat(closed.count).isEqualTo(0)
+        }
+    }
+
+    /** Guards against a run that is sent again although its target still runs the continuation that broke off. */
+    @Test
+    fun `a continuation that broke off is not sent again while its target has the run`() {
+        withTwoTargets({
+            if (isResumed()) {
+                reset()
+            } else {
+                begin()
+                awaitClose()
+            }
+        }) { a, b, relay ->
+            relay.migrate = { _, _, _, _ -> Moved("h", null).right() }
+            val body = relay.streamWhile(a, b) { relay.leave(it) }
+            expectThat(body).isEqualTo(events(1..2) + TRUNCATED)
+            expectThat(resumes(a, b)).hasSize(1)
+        }
+    }
+
     /** Guards against all streams of a VM that continue elsewhere at once after its process did not run for a while. */
     @Test
     fun `a pause of the entry process is no silence of a target`() {
