Leave the former target of a run soon after its continuation is sent

Cause: the connection to a leaving target was closed only when the head of the new response had been read, up to 1,500 ms after the new target had the request. Both targets worked on the run meanwhile; the users allow 400 ms.

Change: the former target is left 100 ms after the continuation is sent. A refusal by a sound target takes a few milliseconds, after which the run stays where it is, as before.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -46,6 +46,12 @@
 /** How long the target at which a run continues may take to respond. */
 private const val CONTINUE_LIMIT_MS = 1_500L
 
+/**
+ * How long after a continuation is sent a run stays at its former target, in case the new one refuses it. Both may work
+ * on a run for 400 ms at most, and the end of a connection takes time to arrive.
+ */
+private const val HANDOVER_MS = 100L
+
 /**
  * A run is stopped for its last copy once a copy takes less than this, so that its caller notices no pause. Copies from
  * one target are queued, and a leaving target has many to make.
@@ -416,11 +422,20 @@
         val startedAtMs = dependencies.clock.nowMs()
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
+        val former = current.response
         // A body that is still arriving cannot be sent again.
         val result =
             if (job.request.body.isRepeatable) {
                 withTimeoutOrNull(CONTINUE_LIMIT_MS) {
-                    coroutineScope { dependencies.calls.open(job, placement.target, dispatch, this) }
+                    coroutineScope {
+                        var handover: Job? = null
+                        dependencies.calls.open(job, placement.target, dispatch, this) {
+                            handover = launch {
+                                delay(HANDOVER_MS)
+                                former.abandon()
+                            }
+                        }.also { handover?.cancel() }
+                    }
                 }
             } else {
                 null
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -91,12 +91,15 @@
         target: KnownTarget,
         dispatch: Dispatch,
         scope: CoroutineScope,
+        /** Called just before the first byte is sent. */
+        onSending: () -> Unit = {},
     ): Either<AttemptFailure, TargetResponse> {
         val isIdempotent = job.route.repeatability == Repeatability.IDEMPOTENT
         val connection = connect(job, target, isIdempotent).getOrElse { return AttemptFailure.NotSent(it).left() }
         var isOpened = false
         var sender: Job? = null
         try {
+            onSending()
             sender = send(job, connection, adapter.toTargetHeaders(job.request.head.headers(), dispatch), scope)
             // The deadline of the request is enforced where the request is served.
             val head =
--- a/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
@@ -15,9 +15,13 @@
 import java.io.BufferedInputStream
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 private const val WAIT_MS = 5_000L
 
+/** Longer than a run may stay at its former target, also on a busy machine; its continuation waits longer. */
+private const val SLOW_HEAD_MS = 1_000L
+
 /** Longer than the silence after which a run continues from its copy. */
 private const val PROCESS_PAUSE_MS = 1_500L
 
@@ -104,6 +108,26 @@
         }
     }
 
+    /** Guards against a leaving target that works on a run until the head of its continuation has arrived. */
+    @Test
+    fun `a run ends at its former target before a slow continuation responds`() {
+        val closed = CountDownLatch(1)
+        val hasClosedInTime = AtomicBoolean()
+        withTwoTargets({
+            if (isResumed()) {
+                hasClosedInTime.set(closed.await(SLOW_HEAD_MS, TimeUnit.MILLISECONDS))
+                resumeUntil(4)
+            } else {
+                begin()
+                awaitClose()
+                closed.countDown()
+            }
+        }) { a, b, relay ->
+            expectThat(relay.streamWhile(a, b) { relay.leave(it) }).isEqualTo(events(1..4))
+            expectThat(hasClosedInTime.get()).isEqualTo(true)
+        }
+    }
+
     /** Guards against all streams of a VM that continue elsewhere at once after its process did not run for a while. */
     @Test
     fun `a pause of the entry process is no silence of a target`() {
