Stop a silent or cut off run at its target before it continues

Cause: from silence, or from the end of a connection, an entry VM concluded that a target was lost. It may be alive: it preempted the run, is slow, or the connection was reset on one side. The run then continued elsewhere and worked on.

Change: the former target is first asked to stop the run, with a last migration to the new target. A handle is continued from; 'no such run', no connection, or no response within 250 ms lead to the copy; a call that is in progress proves that the run works on. The connection is closed before the continuation is sent. A continuation that broke off counts as not run if its target has no such run. The reasons of failed migrations are types now, decoded in platform/.

Tests: MoveFailure is a type in EngineMigrationClientTest, RelayTest and RelayFixture, whose targets by default have no such run; the checks are the same, one status is now checked exactly.

--- a/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
@@ -71,8 +71,26 @@
 /** The memory of a run has been copied completely to another target. */
 public data class Moved(public val handle: String, public val eventsMade: Long?)
 
-/** Why a run was not migrated. If [handle] is not null, the run has stopped and can continue at its target. */
-public data class MoveFailure(public val reason: String, public val handle: String?)
+/** Why a run was not migrated. */
+public sealed interface MoveFailure {
+    /** No connection to the target could be opened. */
+    public data class Unreachable(public val reason: String) : MoveFailure
+
+    /** The target was asked and did not respond. */
+    public data class NoResponse(public val reason: String) : MoveFailure
+
+    /** The target has no such run, so that it has ended there. */
+    public data object NoSuchRun : MoveFailure
+
+    /** The run exists, and another migration of it is in progress. */
+    public data object InProgress : MoveFailure
+
+    /** The run has stopped and can continue at its target from [handle]. */
+    public data class Stopped(public val handle: String) : MoveFailure
+
+    /** The target responded in another way, which does not tell whether it works on the run. */
+    public data class Rejected(public val status: Int) : MoveFailure
+}
 
 /** The functions that translate between the relay and the protocol of callers and targets. */
 public class ProtocolAdapter(
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -8,6 +8,7 @@
 package fulmarshunt.caller.relay
 
 import arrow.core.Either
+import arrow.core.left
 import fulmarshunt.Address
 import fulmarshunt.Clock
 import fulmarshunt.http.HttpConnection
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -61,6 +63,10 @@
 /** The maximum number of copies. If none is quick, the target may end first; the run continues from what was copied. */
 private const val MAX_COPIES = 20
 
+/** How long a target is asked to stop a run. The caller waits meanwhile; a target that is reached takes far less. */
+private const val STOP_LIMIT_MS = 250L
+private const val STOP_RETRY_MS = 50L
+
 /** How long the source may take to end the stream after the run was stopped. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
 
@@ -101,6 +107,9 @@
     private var migration: MigrationState = MigrationState.NONE
     private var destination: Placement? = null
 
+    /** Copies the run to [destination] while it runs. */
+    private var copying: Job? = null
+
     /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
     private var destinationHandle: String? = null
     private var lastEventAtMs = 0L
@@ -109,6 +118,9 @@
     private var silentMs = 0L
     private var isSoundRecorded = false
 
+    /** Whether bytes arrived while the run was to be stopped, so that nothing was done. */
+    private var hasLateInput = false
+
     /** Whether the current target has confirmed that it has stopped the run. */
     private var isFormerStopped = false
 
@@ -133,10 +145,10 @@
             while (isComplete == null) {
                 val previous = current
                 isComplete = when (val next = next()) {
-                    is Next.Piece -> forward(next.content)
+                    is Next.Piece -> forward(next.content, this)
                     Next.TransferDue -> transfer(this)
-                    Next.Stalled -> null.also { continueFromCopy("stalled") }
-                    Next.Ended -> continueOrEnd()
+                    Next.Stalled -> null.also { continueFromCopy("stalled", this) }
+                    Next.Ended -> continueOrEnd(this)
                 }
                 if (current !== previous) {
                     watcher.cancel()
@@ -152,8 +164,8 @@
     }
 
     /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
-    private suspend fun continueOrEnd(): Boolean? =
-        if (continueFromCopy("lost") || continueFromDestination()) null else false
+    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? =
+        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) null else false
 
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
@@ -221,7 +233,7 @@
      *
      * @return true at the end of a complete stream, false at that of another, and null before.
      */
-    private suspend fun forward(content: HttpContent): Boolean? {
+    private suspend fun forward(content: HttpContent, scope: CoroutineScope): Boolean? {
         val isLast = content is LastHttpContent
         val eventsBefore = framer.events
         val completeEvents = framer.appendOrNull(content.content())
@@ -239,7 +251,7 @@
             )
             framer.discardRest()
             current.response.abandon()
-            return continueOrEnd()
+            return continueOrEnd(scope)
         }
         if (!isLast) return null
         caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -267,7 +279,7 @@
     /** Makes the next step of the transfer from a leaving target, by its copy or by a migration. */
     private suspend fun transfer(scope: CoroutineScope): Boolean? {
         when (transferStep()) {
-            TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving")) wakeForRetry(scope)
+            TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving", null)) wakeForRetry(scope)
             TransferStep.START_MOVE -> startMigration(scope)
             TransferStep.FINISH_MOVE -> finishMigration()
             TransferStep.NONE -> Unit
@@ -283,15 +295,21 @@
         }
     }
 
-    private suspend fun continueFromCopy(why: String): Boolean {
+    /** Continues from the copy; the run is stopped first, with calls in [stopScope], unless that is null. */
+    private suspend fun continueFromCopy(why: String, stopScope: CoroutineScope?): Boolean {
         val copy = current.copy ?: return false
         val lastEventId = framer.lastEventId
         if (lastEventId == null || framer.hasEventWithoutId) return false
         val resume = ResumePoint(copy.target.record.address, dependencies.adapter.copyHandle(job.id), lastEventId)
-        val hasContinued = continueAt(copy, resume, "copy", why)
+        val hasContinued =
+            if (stopScope != null) {
+                stopAndContinueAt(copy, resume, "copy", why, stopScope)
+            } else {
+                continueAt(copy, resume, "copy", why)
+            }
         if (hasContinued) {
-            dependencies.placements.promote(copy)
-        } else {
+            if (current.placement === copy) dependencies.placements.promote(copy)
+        } else if (!hasLateInput) {
             copyRefusals += 1
             copyRefusedAtMs = dependencies.clock.nowMs()
         }
@@ -299,13 +317,90 @@
     }
 
     /** Continues from what a migration had copied when the target was lost. */
-    private suspend fun continueFromDestination(): Boolean {
+    private suspend fun continueFromDestination(scope: CoroutineScope): Boolean {
         val placement = destination ?: return false
         val handle = destinationHandle ?: return false
         if (framer.hasEventWithoutId) return false
         destinationHandle = null
         val source = current.response.target.record.address
-        return continueAt(placement, ResumePoint(source, handle, framer.lastEventId), "move", "lost")
+        return stopAndContinueAt(placement, ResumePoint(source, handle, framer.lastEventId), "move", "lost", scope)
+    }
+
+    /**
+     * Continues at [placement] a run that is silent, or whose connection has ended, once its target has stopped it or
+     * does not respond. The target may be alive: it may have preempted the run, or be cut off on one side only.
+     */
+    private suspend fun stopAndContinueAt(
+        placement: Placement,
+        resume: ResumePoint,
+        how: String,
+        why: String,
+        scope: CoroutineScope,
+    ): Boolean {
+        if (job.service.engine?.canMigrate != true) return continueAt(placement, resume, how, why)
+        if (!mayContinueAt(placement, how)) return false
+        val source = current
+        // The target makes one copy at a time.
+        if (migration == MigrationState.COPYING) migration = MigrationState.GIVEN_UP
+        copying?.cancel()
+        val stop = stopRun(source.placement, placement, scope)
+        val isOpen = source.response.connection.end == null
+        log.info(
+            "run stop requested request={} why={} target={} result={}",
+            job.id,
+            why,
+            source.placement.target.id,
+            stop,
+        )
+        val failure = stop.leftOrNull()
+        if (failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)) return false
+        // The run may have ended just before it was to be stopped; the rest of its stream has then arrived.
+        hasLateInput = failure == MoveFailure.NoSuchRun && isOpen && !source.response.connection.isInboxEmpty
+        if (hasLateInput) return false
+        val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
+        isFormerStopped = sourceHandle != null
+        if (isFormerStopped && isOpen) forwardRemainingEvents()
+        source.response.abandon()
+        val address = source.response.target.record.address
+        val hasContinued =
+            if (stop.isRight()) {
+                sendContinuation(
+                    placement,
+                    ResumePoint(address, checkNotNull(sourceHandle), framer.lastEventId),
+                    "move",
+                    why,
+                )
+            } else {
+                sendContinuation(placement, resume.copy(lastEventId = framer.lastEventId), how, why)
+            }
+        if (hasContinued || sourceHandle == null) return hasContinued
+        return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
+    }
+
+    /** Asks the target of [run] to stop it, and to copy its memory to that of [destination]. */
+    private suspend fun stopRun(
+        run: Placement,
+        destination: Placement,
+        scope: CoroutineScope,
+    ): Either<MoveFailure, Moved> {
+        val endsAtMs = dependencies.clock.nowMs() + STOP_LIMIT_MS
+        var last: Either<MoveFailure, Moved> = MoveFailure.NoResponse("no response within $STOP_LIMIT_MS ms").left()
+        // The call goes on when it is no longer waited for, so that a target that wakes later reads it.
+        val calls = scope.async {
+            do {
+                last = dependencies.adapter.migrate(
+                    run.target.record.address,
+                    job.id,
+                    destination.target.record.address,
+                    true,
+                )
+                val failure = last.leftOrNull()
+                if (failure != MoveFailure.InProgress && failure !is MoveFailure.NoResponse) break
+                delay(STOP_RETRY_MS)
+            } while (dependencies.clock.nowMs() < endsAtMs)
+            last
+        }
+        return withTimeoutOrNull(STOP_LIMIT_MS) { calls.await() } ?: last
     }
 
     private suspend fun startMigration(scope: CoroutineScope) {
@@ -319,12 +414,12 @@
         destination = placement
         migration = MigrationState.COPYING
         val source = current
-        scope.launch {
+        copying = scope.launch {
             val result = copyWhileRunning(source, placement.target.record.address)
             if (current !== source) return@launch
             val from = source.placement.target.id
             log.info("run copied request={} from={} to={} result={}", job.id, from, placement.target.id, result)
-            result.fold({ abandonMigration("copy failed: ${it.reason}") }, { migration = MigrationState.COPIED })
+            result.fold({ abandonMigration("copy failed: $it") }, { migration = MigrationState.COPIED })
             source.response.connection.wake()
         }
     }
@@ -382,8 +477,8 @@
                 }
             }
             is Either.Left -> {
-                val handle = result.value.handle
-                abandonMigration("last copy failed: ${result.value.reason}")
+                val handle = (result.value as? MoveFailure.Stopped)?.handle
+                abandonMigration("last copy failed: ${result.value}")
                 if (handle != null) {
                     isFormerStopped = true
                     forwardRemainingEvents()
@@ -405,7 +500,10 @@
     }
 
     /** Sends the request to [placement] to continue from [resume]; the new response replaces the current one. */
-    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean {
+    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean =
+        mayContinueAt(placement, how) && sendContinuation(placement, resume, how, why)
+
+    private suspend fun mayContinueAt(placement: Placement, how: String): Boolean {
         if (mayRunElsewhere) {
             log.warn("run not continued request={} how={} to={} reason=may run", job.id, how, placement.target.id)
             return false
@@ -419,6 +517,15 @@
             log.warn("run not continued request={} how={} to={} reason=paused", job.id, how, placement.target.id)
             return false
         }
+        return true
+    }
+
+    private suspend fun sendContinuation(
+        placement: Placement,
+        resume: ResumePoint,
+        how: String,
+        why: String,
+    ): Boolean {
         val startedAtMs = dependencies.clock.nowMs()
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
@@ -454,7 +561,7 @@
         if (response == null || !isSuccess) {
             response?.abandon()
             copy?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
-            if (!isProvenNotRun(result)) {
+            if (!isProvenNotRun(result) && !(result != null && hasNoRun(placement))) {
                 mayRunElsewhere = true
                 current.response.abandon()
             }
@@ -469,6 +576,7 @@
         isLeaving = false
         copyRefusals = 0
         silentMs = 0
+        hasLateInput = false
         isFormerStopped = false
         migration = MigrationState.NONE
         if (destination === placement) destination = null
@@ -483,6 +591,14 @@
         return failure is AttemptFailure.NotSent || failure is AttemptFailure.Refused
     }
 
+    /** Whether the target of [placement] states that the continuation that broke off there does not run. */
+    private suspend fun hasNoRun(placement: Placement): Boolean {
+        if (job.service.engine?.canMigrate != true || placement === current.placement) return false
+        val stop =
+            coroutineScope { stopRun(placement, current.placement, this).also { coroutineContext.cancelChildren() } }
+        return stop.leftOrNull() == MoveFailure.NoSuchRun
+    }
+
     private fun watchTarget(scope: CoroutineScope, target: KnownTarget): Job = scope.launch {
         dependencies.views.first { view ->
             view.targets[target.id]?.let { it.record.phase != TargetPhase.READY } ?: true
--- a/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
+++ b/src/main/kotlin/fulmarshunt/platform/EngineMigrationClient.kt
@@ -24,6 +24,8 @@
 /** The time limit for a migration, which may wait for other migrations on the links of the engines. */
 private const val MIGRATION_TIMEOUT_MS = 3_000L
 private const val HTTP_OK = 200
+private const val HTTP_NOT_FOUND = 404
+private const val HTTP_CONFLICT = 409
 
 @Serializable
 private class WireMigration(
@@ -60,11 +62,11 @@
             WireMigration.serializer(),
             WireMigration(request.value, "$destination", isLast),
         )
-        val connection = connections.openNew(source).getOrElse { return MoveFailure(it, null).left() }
+        val connection = connections.openNew(source).getOrElse { return MoveFailure.Unreachable(it).left() }
         return try {
             connection
                 .callBuffered("POST", MIGRATION_PATH, "$source", body.encodeToByteArray(), MIGRATION_TIMEOUT_MS)
-                .fold({ MoveFailure(it, null).left() }, ::read)
+                .fold({ MoveFailure.NoResponse(it).left() }, ::read)
         } finally {
             connection.close()
         }
@@ -78,10 +80,12 @@
             WireMigrationResult()
         }
         val handle = result.handle
-        return if (reply.status == HTTP_OK && handle != null) {
-            Moved(handle, result.events).right()
-        } else {
-            MoveFailure("status ${reply.status}", handle).left()
+        return when {
+            reply.status == HTTP_OK && handle != null -> Moved(handle, result.events).right()
+            reply.status == HTTP_NOT_FOUND -> MoveFailure.NoSuchRun.left()
+            reply.status == HTTP_CONFLICT -> MoveFailure.InProgress.left()
+            handle != null -> MoveFailure.Stopped(handle).left()
+            else -> MoveFailure.Rejected(reply.status).left()
         }
     }
 }
--- a/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
@@ -4,15 +4,18 @@
 package fulmarshunt.caller.relay
 
 import arrow.core.right
+import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.endsWith
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.startsWith
 import java.io.BufferedInputStream
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -128,6 +131,74 @@
         }
     }
 
+    /** Guards against a run that continues elsewhere while its target is alive and only silent. */
+    @Test
+    fun `a stalled run is stopped at its target before it continues`() {
+        withTwoTargets({
+            if (isResumed()) {
+                resumeUntil(4)
+            } else {
+                begin()
+                awaitClose()
+            }
+        }) { a, b, relay ->
+            val stops = CopyOnWriteArrayList<Pair<Boolean, Int>>()
+            relay.migrate = { _, _, _, isLast ->
+                stops += isLast to resumes(a, b).size
+                Moved("h1", null).right()
+            }
+            var source = ""
+            val body = relay.streamWhile(a, b) { source = "${relay.addressOf(it)}" }
+            expectThat(body).isEqualTo(events(1..4))
+            expectThat(stops.toList()).isEqualTo(listOf(true to 0))
+            expectThat(resumes(a, b)).isEqualTo(listOf("$source/h1@2"))
+        }
+    }
+
+    /** Guards against a run that continues elsewhere while its target works on behind a connection that was reset. */
+    @Test
+    fun `a run whose connection was reset is stopped at its target before it continues`() {
+        val mayReset = CountDownLatch(1)
+        withTwoTargets({
+            if (isResumed()) {
+                resumeUntil(4)
+            } else {
+                begin()
+                mayReset.await(WAIT_MS, TimeUnit.MILLISECONDS)
+                reset()
+            }
+        }) { a, b, relay ->
+            val stops = CopyOnWriteArrayList<Pair<Boolean, Int>>()
+            relay.migrate = { _, _, _, isLast ->
+                stops += isLast to resumes(a, b).size
+                Moved("h1", null).right()
+            }
+            expectThat(relay.streamWhile(a, b) { mayReset.countDown() }).isEqualTo(events(1..4))
+            expectThat(stops.toList()).isEqualTo(listOf(true to 0))
+            expectThat(resumes(a, b).single()).endsWith("/h1@2")
+        }
+    }
+
+    /** Guards against a stream that waits for a target that is not reached. */
+    @Test
+    fun `a run whose target does not answer continues from its copy`() {
+        withTwoTargets({
+            if (isResumed()) {
+                resumeUntil(4)
+            } else {
+                begin()
+                awaitClose()
+            }
+        }) { a, b, relay ->
+            relay.migrate = { _, _, _, _ ->
+                delay(WAIT_MS)
+                Moved("late", null).right()
+            }
+            expectThat(relay.streamWhile(a, b) {}).isEqualTo(events(1..4))
+            expectThat(resumes(a, b).single()).endsWith("/r1@2")
+        }
+    }
+
     /** Guards against all streams of a VM that continue elsewhere at once after its process did not run for a while. */
     @Test
     fun `a pause of the entry process is no silence of a target`() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -194,7 +194,7 @@
 
     /** Performs the migrations of runs; the addresses are those of the targets. */
     var migrate: suspend (Address, RequestId, Address, Boolean) -> arrow.core.Either<MoveFailure, Moved> =
-        { _, _, _, _ -> MoveFailure("not scripted", null).left() }
+        { _, _, _, _ -> MoveFailure.NoSuchRun.left() }
 
     private val meters = RelayMeters(SimpleMeterRegistry())
     private val adapter = ProtocolAdapter(
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -312,7 +312,7 @@
                     relay.migrate = { _, _, _, isLast ->
                         if (isLast) {
                             lost.countDown()
-                            MoveFailure("the connection is closed", null).left()
+                            MoveFailure.NoResponse("the connection is closed").left()
                         } else {
                             Moved("h1", null).right()
                         }
--- a/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/EngineMigrationClientTest.kt
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
@@ -72,7 +73,7 @@
     @Test
     fun `a refused migration keeps its handle`() {
         ScriptedTarget("a") { reply("503 Service Unavailable", """{"handle":"h"}""") }.use { target ->
-            expectThat(migrate(target, 1).single().leftOrNull()).isEqualTo(MoveFailure("status 503", "h"))
+            expectThat(migrate(target, 1).single().leftOrNull()).isEqualTo(MoveFailure.Stopped("h"))
         }
     }
 
@@ -80,10 +81,29 @@
     @Test
     fun `a malformed response is a failure`() {
         ScriptedTarget("a") { reply("200 OK", "not JSON") }.use { target ->
-            expectThat(migrate(target, 1).single().leftOrNull()?.reason).isNotNull().contains("200")
+            expectThat(migrate(target, 1).single().leftOrNull()).isEqualTo(MoveFailure.Rejected(200))
         }
     }
 
+    /** Guards against a run that is taken for ended, or for running, because refusals are not told apart. */
+    @Test
+    fun `the reasons of failures are told apart`() {
+        for ((status, expected) in listOf(
+            "404 Not Found" to MoveFailure.NoSuchRun,
+            "409 Conflict" to MoveFailure.InProgress,
+            "503 Service Unavailable" to MoveFailure.Rejected(503),
+        )) {
+            ScriptedTarget("a") { reply(status, "{}") }.use { target ->
+                expectThat(migrate(target, 1).single().leftOrNull()).isEqualTo(expected)
+            }
+        }
+        ScriptedTarget("a") { socket.close() }.use { target ->
+            expectThat(migrate(target, 1).single().leftOrNull()).isA<MoveFailure.NoResponse>()
+        }
+        val gone = ScriptedTarget("a") {}.also { it.close() }
+        expectThat(migrate(gone, 1).single().leftOrNull()).isA<MoveFailure.Unreachable>()
+    }
+
     /** Guards against an earlier reply, which names no run, that is taken for the reply to the next call. */
     @Test
     fun `a reply that is written twice is not the reply to the next call`() {
