--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -8,7 +8,6 @@
 package fulmarshunt.caller.relay
 
 import arrow.core.Either
-import arrow.core.left
 import fulmarshunt.Address
 import fulmarshunt.Clock
 import fulmarshunt.http.HttpConnection
@@ -22,7 +21,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -63,10 +61,6 @@
 /** The maximum number of copies. If none is quick, the target may end first; the run continues from what was copied. */
 private const val MAX_COPIES = 20
 
-/** How long a target is asked to stop a run. The caller waits meanwhile; a target that is reached takes far less. */
-private const val STOP_LIMIT_MS = 250L
-private const val STOP_RETRY_MS = 50L
-
 /** How long the source may take to end the stream after the run was stopped. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
 
@@ -169,6 +163,13 @@
 
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
+        val nextOf = { piece: HttpContent? ->
+            when {
+                piece != null -> Next.Piece(piece)
+                current.response.connection.end == null && isTransferDue() -> Next.TransferDue
+                else -> Next.Ended
+            }
+        }
         if (isTransferDue()) return Next.TransferDue
         val canContinue = !mayRunElsewhere && current.copy != null && copyRefusals == 0 && framer.lastEventId != null
         if (!canContinue) {
@@ -189,19 +190,13 @@
             // After a pause of this process, bytes of the target may wait in the socket.
             val isTimely = waitedMs <= waitMs + MAX_LATENESS_MS
             if (isTimely) silentMs += minOf(waitedMs, waitMs)
-            if (piece != null || hasReturned || current.response.connection.end != null || isTransferDue()) {
+            if (hasReturned || current.response.connection.end != null || isTransferDue()) {
                 return nextOf(piece)
             }
             if (isTimely && silentMs >= limitMs) return Next.Stalled
         }
     }
 
-    private fun nextOf(piece: HttpContent?): Next = when {
-        piece != null -> Next.Piece(piece)
-        current.response.connection.end == null && isTransferDue() -> Next.TransferDue
-        else -> Next.Ended
-    }
-
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
         isLeaving && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
@@ -221,12 +216,10 @@
     /** Returns false for a copy at a target that is leaving as well, because the run would have to leave it at once. */
     private fun hasUsableCopy(): Boolean {
         val copy = current.copy ?: return false
-        return !isDrained(copy) && dependencies.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
+        return !dependencies.views.value.isDrained(copy) &&
+            dependencies.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
     }
 
-    private fun isDrained(placement: Placement): Boolean =
-        placement.target.record.domain in dependencies.views.value.drained
-
     /**
      * Forwards the events that [content] completes. A stream that ends inside an event was broken off, and one whose
      * event has no end is treated in the same way.
@@ -343,7 +336,7 @@
         // The target makes one copy at a time.
         if (migration == MigrationState.COPYING) migration = MigrationState.GIVEN_UP
         copying?.cancel()
-        val stop = stopRun(source.placement, placement, scope)
+        val stop = stopRun(dependencies, job, source.placement, placement, scope)
         val isOpen = source.response.connection.end == null
         log.info(
             "run stop requested request={} why={} target={} result={}",
@@ -377,32 +370,6 @@
         return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
     }
 
-    /** Asks the target of [run] to stop it, and to copy its memory to that of [destination]. */
-    private suspend fun stopRun(
-        run: Placement,
-        destination: Placement,
-        scope: CoroutineScope,
-    ): Either<MoveFailure, Moved> {
-        val endsAtMs = dependencies.clock.nowMs() + STOP_LIMIT_MS
-        var last: Either<MoveFailure, Moved> = MoveFailure.NoResponse("no response within $STOP_LIMIT_MS ms").left()
-        // The call goes on when it is no longer waited for, so that a target that wakes later reads it.
-        val calls = scope.async {
-            do {
-                last = dependencies.adapter.migrate(
-                    run.target.record.address,
-                    job.id,
-                    destination.target.record.address,
-                    true,
-                )
-                val failure = last.leftOrNull()
-                if (failure != MoveFailure.InProgress && failure !is MoveFailure.NoResponse) break
-                delay(STOP_RETRY_MS)
-            } while (dependencies.clock.nowMs() < endsAtMs)
-            last
-        }
-        return withTimeoutOrNull(STOP_LIMIT_MS) { calls.await() } ?: last
-    }
-
     private suspend fun startMigration(scope: CoroutineScope) {
         val tokens = (job.request.metadata.generation?.promptTokens ?: 0) + job.expectedOutputTokens
         val placement = dependencies.placements.placeForMigration(current.placement, tokens)
@@ -508,7 +475,7 @@
             log.warn("run not continued request={} how={} to={} reason=may run", job.id, how, placement.target.id)
             return false
         }
-        if (isDrained(placement)) {
+        if (dependencies.views.value.isDrained(placement)) {
             // The failure domain may have been drained after the copy was made.
             log.warn("run not continued request={} how={} to={} reason=drained", job.id, how, placement.target.id)
             return false
@@ -561,7 +528,9 @@
         if (response == null || !isSuccess) {
             response?.abandon()
             copy?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
-            if (!isProvenNotRun(result) && !(result != null && hasNoRun(placement))) {
+            if (!isProvenNotRun(job, result) &&
+                !(result != null && hasNoRun(dependencies, job, placement, current.placement))
+            ) {
                 mayRunElsewhere = true
                 current.response.abandon()
             }
@@ -584,21 +553,6 @@
         return true
     }
 
-    /** Without a response, the request may wait in the socket of a target that is stopped, and run when it wakes. */
-    private fun isProvenNotRun(result: Either<AttemptFailure, TargetResponse>?): Boolean {
-        if (!job.request.body.isRepeatable) return true
-        val failure = result?.leftOrNull()
-        return failure is AttemptFailure.NotSent || failure is AttemptFailure.Refused
-    }
-
-    /** Whether the target of [placement] states that the continuation that broke off there does not run. */
-    private suspend fun hasNoRun(placement: Placement): Boolean {
-        if (job.service.engine?.canMigrate != true || placement === current.placement) return false
-        val stop =
-            coroutineScope { stopRun(placement, current.placement, this).also { coroutineContext.cancelChildren() } }
-        return stop.leftOrNull() == MoveFailure.NoSuchRun
-    }
-
     private fun watchTarget(scope: CoroutineScope, target: KnownTarget): Job = scope.launch {
         dependencies.views.first { view ->
             view.targets[target.id]?.let { it.record.phase != TargetPhase.READY } ?: true
@@ -612,3 +566,5 @@
         const val HTTP_OK = 200
     }
 }
+
+private fun FleetView.isDrained(placement: Placement): Boolean = placement.target.record.domain in drained
