--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -34,9 +34,24 @@
 private const val STALL_GAPS = 4
 private const val MIN_STALL_MS = 600L
 
+/** Silence is measured in waits of this length, so that a pause of this process falls into one of them. */
+private const val SILENCE_WAIT_MS = 100L
+
+/** The shortest wait; the event loop reads what has arrived at least once in it. */
+private const val MIN_SILENCE_WAIT_MS = 20L
+
+/** A wait that ends later than this did so because this process did not run. */
+private const val MAX_LATENESS_MS = 100L
+
 /** How long the target at which a run continues may take to respond. */
 private const val CONTINUE_LIMIT_MS = 1_500L
 
+/**
+ * How long after a continuation is sent a run stays at its former target, in case the new one refuses it. Both may work
+ * on a run for 400 ms at most, and the end of a connection takes time to arrive.
+ */
+private const val HANDOVER_MS = 100L
+
 /**
  * A run is stopped for its last copy once a copy takes less than this, so that its caller notices no pause. Copies from
  * one target are queued, and a leaving target has many to make.
@@ -86,6 +101,9 @@
     private var migration: MigrationState = MigrationState.NONE
     private var destination: Placement? = null
 
+    /** Copies the run to [destination] while it runs. */
+    private var copying: Job? = null
+
     /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
     private var destinationHandle: String? = null
     private var lastEventAtMs = 0L
@@ -94,6 +112,15 @@
     private var silentMs = 0L
     private var isSoundRecorded = false
 
+    /** Whether bytes arrived while the run was to be stopped, so that nothing was done. */
+    private var hasLateInput = false
+
+    /** Whether the current target has confirmed that it has stopped the run. */
+    private var isFormerStopped = false
+
+    /** Whether a continuation that failed may have reached its target, which may still run the request. */
+    private var mayRunElsewhere = false
+
     private sealed interface Next {
         class Piece(val content: HttpContent) : Next
 
@@ -112,10 +139,10 @@
             while (isComplete == null) {
                 val previous = current
                 isComplete = when (val next = next()) {
-                    is Next.Piece -> forward(next.content)
+                    is Next.Piece -> forward(next.content, this)
                     Next.TransferDue -> transfer(this)
-                    Next.Stalled -> null.also { continueFromCopy("stalled") }
-                    Next.Ended -> continueOrEnd()
+                    Next.Stalled -> null.also { continueFromCopy("stalled", this) }
+                    Next.Ended -> continueOrEnd(this)
                 }
                 if (current !== previous) {
                     watcher.cancel()
@@ -131,37 +158,49 @@
     }
 
     /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
-    private suspend fun continueOrEnd(): Boolean? =
-        if (continueFromCopy("lost") || continueFromDestination()) null else false
+    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? =
+        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) null else false
 
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
+        val nextOf = { piece: HttpContent? ->
+            when {
+                piece != null -> Next.Piece(piece)
+                current.response.connection.end == null && isTransferDue() -> Next.TransferDue
+                else -> Next.Ended
+            }
+        }
         if (isTransferDue()) return Next.TransferDue
-        val canContinue = current.copy != null && copyRefusals == 0 && framer.lastEventId != null
+        val canContinue = !mayRunElsewhere && current.copy != null && copyRefusals == 0 && framer.lastEventId != null
+        if (!canContinue) {
+            val startedAtMs = dependencies.clock.nowMs()
+            val piece = current.response.nextPieceOrNull(isInterrupted)
+            silentMs += dependencies.clock.nowMs() - startedAtMs
+            return nextOf(piece)
+        }
         val limitMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
-        val startedAtMs = dependencies.clock.nowMs()
-        var isStalled = false
-        val piece =
-            if (canContinue) {
-                withTimeoutOrNull((limitMs - silentMs).coerceAtLeast(1)) {
-                    current.response.nextPieceOrNull(isInterrupted)
-                }
-                    .also { isStalled = it == null && current.response.connection.end == null && !isTransferDue() }
-            } else {
-                current.response.nextPieceOrNull(isInterrupted)
+        while (true) {
+            val waitMs = (limitMs - silentMs).coerceIn(MIN_SILENCE_WAIT_MS, SILENCE_WAIT_MS)
+            val startedAtMs = dependencies.clock.nowMs()
+            var hasReturned = false
+            val piece = withTimeoutOrNull(waitMs) {
+                current.response.nextPieceOrNull(isInterrupted).also { hasReturned = true }
+            }
+            val waitedMs = dependencies.clock.nowMs() - startedAtMs
+            // After a pause of this process, bytes of the target may wait in the socket.
+            val isTimely = waitedMs <= waitMs + MAX_LATENESS_MS
+            if (isTimely) silentMs += minOf(waitedMs, waitMs)
+            if (hasReturned || current.response.connection.end != null || isTransferDue()) {
+                return nextOf(piece)
             }
-        silentMs += dependencies.clock.nowMs() - startedAtMs
-        return when {
-            piece != null -> Next.Piece(piece)
-            isStalled -> Next.Stalled
-            current.response.connection.end == null && isTransferDue() -> Next.TransferDue
-            else -> Next.Ended
+            if (isTimely && silentMs >= limitMs) return Next.Stalled
         }
     }
 
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
-        isLeaving && framer.lastEventId != null && !framer.hasEventWithoutId && transferStep() != TransferStep.NONE
+        isLeaving && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
+            transferStep() != TransferStep.NONE
 
     private fun transferStep(): TransferStep = nextTransferStep(
         TransferState(
@@ -177,19 +216,17 @@
     /** Returns false for a copy at a target that is leaving as well, because the run would have to leave it at once. */
     private fun hasUsableCopy(): Boolean {
         val copy = current.copy ?: return false
-        return !isDrained(copy) && dependencies.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
+        return !dependencies.views.value.isDrained(copy) &&
+            dependencies.views.value.targets[copy.target.id]?.record?.phase == TargetPhase.READY
     }
 
-    private fun isDrained(placement: Placement): Boolean =
-        placement.target.record.domain in dependencies.views.value.drained
-
     /**
      * Forwards the events that [content] completes. A stream that ends inside an event was broken off, and one whose
      * event has no end is treated in the same way.
      *
      * @return true at the end of a complete stream, false at that of another, and null before.
      */
-    private suspend fun forward(content: HttpContent): Boolean? {
+    private suspend fun forward(content: HttpContent, scope: CoroutineScope): Boolean? {
         val isLast = content is LastHttpContent
         val eventsBefore = framer.events
         val completeEvents = framer.appendOrNull(content.content())
@@ -207,7 +244,7 @@
             )
             framer.discardRest()
             current.response.abandon()
-            return continueOrEnd()
+            return continueOrEnd(scope)
         }
         if (!isLast) return null
         caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -235,7 +272,7 @@
     /** Makes the next step of the transfer from a leaving target, by its copy or by a migration. */
     private suspend fun transfer(scope: CoroutineScope): Boolean? {
         when (transferStep()) {
-            TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving")) wakeForRetry(scope)
+            TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving", null)) wakeForRetry(scope)
             TransferStep.START_MOVE -> startMigration(scope)
             TransferStep.FINISH_MOVE -> finishMigration()
             TransferStep.NONE -> Unit
@@ -251,15 +288,21 @@
         }
     }
 
-    private suspend fun continueFromCopy(why: String): Boolean {
+    /** Continues from the copy; the run is stopped first, with calls in [stopScope], unless that is null. */
+    private suspend fun continueFromCopy(why: String, stopScope: CoroutineScope?): Boolean {
         val copy = current.copy ?: return false
         val lastEventId = framer.lastEventId
         if (lastEventId == null || framer.hasEventWithoutId) return false
         val resume = ResumePoint(copy.target.record.address, dependencies.adapter.copyHandle(job.id), lastEventId)
-        val hasContinued = continueAt(copy, resume, "copy", why)
+        val hasContinued =
+            if (stopScope != null) {
+                stopAndContinueAt(copy, resume, "copy", why, stopScope)
+            } else {
+                continueAt(copy, resume, "copy", why)
+            }
         if (hasContinued) {
-            dependencies.placements.promote(copy)
-        } else {
+            if (current.placement === copy) dependencies.placements.promote(copy)
+        } else if (!hasLateInput) {
             copyRefusals += 1
             copyRefusedAtMs = dependencies.clock.nowMs()
         }
@@ -267,13 +310,64 @@
     }
 
     /** Continues from what a migration had copied when the target was lost. */
-    private suspend fun continueFromDestination(): Boolean {
+    private suspend fun continueFromDestination(scope: CoroutineScope): Boolean {
         val placement = destination ?: return false
         val handle = destinationHandle ?: return false
         if (framer.hasEventWithoutId) return false
         destinationHandle = null
         val source = current.response.target.record.address
-        return continueAt(placement, ResumePoint(source, handle, framer.lastEventId), "move", "lost")
+        return stopAndContinueAt(placement, ResumePoint(source, handle, framer.lastEventId), "move", "lost", scope)
+    }
+
+    /**
+     * Continues at [placement] a run that is silent, or whose connection has ended, once its target has stopped it or
+     * does not respond. The target may be alive: it may have preempted the run, or be cut off on one side only.
+     */
+    private suspend fun stopAndContinueAt(
+        placement: Placement,
+        resume: ResumePoint,
+        how: String,
+        why: String,
+        scope: CoroutineScope,
+    ): Boolean {
+        if (job.service.engine?.canMigrate != true) return continueAt(placement, resume, how, why)
+        if (!mayContinueAt(placement, how)) return false
+        val source = current
+        // The target makes one copy at a time.
+        if (migration == MigrationState.COPYING) migration = MigrationState.GIVEN_UP
+        copying?.cancel()
+        val stop = stopRun(dependencies, job, source.placement, placement, scope)
+        val isOpen = source.response.connection.end == null
+        log.info(
+            "run stop requested request={} why={} target={} result={}",
+            job.id,
+            why,
+            source.placement.target.id,
+            stop,
+        )
+        val failure = stop.leftOrNull()
+        if (failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)) return false
+        // The run may have ended just before it was to be stopped; the rest of its stream has then arrived.
+        hasLateInput = failure == MoveFailure.NoSuchRun && isOpen && !source.response.connection.isInboxEmpty
+        if (hasLateInput) return false
+        val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
+        isFormerStopped = sourceHandle != null
+        if (isFormerStopped && isOpen) forwardRemainingEvents()
+        source.response.abandon()
+        val address = source.response.target.record.address
+        val hasContinued =
+            if (stop.isRight()) {
+                sendContinuation(
+                    placement,
+                    ResumePoint(address, checkNotNull(sourceHandle), framer.lastEventId),
+                    "move",
+                    why,
+                )
+            } else {
+                sendContinuation(placement, resume.copy(lastEventId = framer.lastEventId), how, why)
+            }
+        if (hasContinued || sourceHandle == null) return hasContinued
+        return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
     }
 
     private suspend fun startMigration(scope: CoroutineScope) {
@@ -287,12 +381,12 @@
         destination = placement
         migration = MigrationState.COPYING
         val source = current
-        scope.launch {
+        copying = scope.launch {
             val result = copyWhileRunning(source, placement.target.record.address)
             if (current !== source) return@launch
             val from = source.placement.target.id
             log.info("run copied request={} from={} to={} result={}", job.id, from, placement.target.id, result)
-            result.fold({ abandonMigration("copy failed: ${it.reason}") }, { migration = MigrationState.COPIED })
+            result.fold({ abandonMigration("copy failed: $it") }, { migration = MigrationState.COPIED })
             source.response.connection.wake()
         }
     }
@@ -341,6 +435,7 @@
         val result = dependencies.adapter.migrate(source, job.id, placement.target.record.address, true)
         when (result) {
             is Either.Right -> {
+                isFormerStopped = true
                 forwardRemainingEvents()
                 val resume = ResumePoint(source, result.value.handle, framer.lastEventId)
                 destinationHandle = null
@@ -349,9 +444,10 @@
                 }
             }
             is Either.Left -> {
-                val handle = result.value.handle
-                abandonMigration("last copy failed: ${result.value.reason}")
+                val handle = (result.value as? MoveFailure.Stopped)?.handle
+                abandonMigration("last copy failed: ${result.value}")
                 if (handle != null) {
+                    isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
                     continueAt(current.placement, resume, "stay", "move failed")
@@ -371,8 +467,15 @@
     }
 
     /** Sends the request to [placement] to continue from [resume]; the new response replaces the current one. */
-    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean {
-        if (isDrained(placement)) {
+    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean =
+        mayContinueAt(placement, how) && sendContinuation(placement, resume, how, why)
+
+    private suspend fun mayContinueAt(placement: Placement, how: String): Boolean {
+        if (mayRunElsewhere) {
+            log.warn("run not continued request={} how={} to={} reason=may run", job.id, how, placement.target.id)
+            return false
+        }
+        if (dependencies.views.value.isDrained(placement)) {
             // The failure domain may have been drained after the copy was made.
             log.warn("run not continued request={} how={} to={} reason=drained", job.id, how, placement.target.id)
             return false
@@ -381,14 +484,32 @@
             log.warn("run not continued request={} how={} to={} reason=paused", job.id, how, placement.target.id)
             return false
         }
+        return true
+    }
+
+    private suspend fun sendContinuation(
+        placement: Placement,
+        resume: ResumePoint,
+        how: String,
+        why: String,
+    ): Boolean {
         val startedAtMs = dependencies.clock.nowMs()
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
+        val former = current.response
         // A body that is still arriving cannot be sent again.
         val result =
             if (job.request.body.isRepeatable) {
                 withTimeoutOrNull(CONTINUE_LIMIT_MS) {
-                    coroutineScope { dependencies.calls.open(job, placement.target, dispatch, this) }
+                    coroutineScope {
+                        var handover: Job? = null
+                        dependencies.calls.open(job, placement.target, dispatch, this) {
+                            handover = launch {
+                                delay(HANDOVER_MS)
+                                former.abandon()
+                            }
+                        }.also { handover?.cancel() }
+                    }
                 }
             } else {
                 null
@@ -396,15 +517,23 @@
         val response = result?.getOrNull()
         val isSuccess = response != null && response.head.status().code() == HTTP_OK
         log.info(
-            "run continued request={} how={} why={} from={} to={} lastId={} success={} result={} tookMs={}",
+            "run continued request={} how={} why={} from={} to={} lastId={} success={} result={} tookMs={} " +
+                "formerEnd={} silentMs={} formerStopped={} earlierMayRun={}",
             job.id, how, why, current.placement.target.id, placement.target.id, resume.lastEventId, isSuccess,
             result?.fold({ it.toString() }, { it.head.status().toString() }) ?: "no response",
             dependencies.clock.nowMs() - startedAtMs,
+            current.response.connection.end ?: "OPEN", silentMs, isFormerStopped, mayRunElsewhere,
         )
         dependencies.meters.continued(how, isSuccess)
         if (response == null || !isSuccess) {
             response?.abandon()
             copy?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
+            if (!isProvenNotRun(job, result) &&
+                !(result != null && hasNoRun(dependencies, job, placement, current.placement))
+            ) {
+                mayRunElsewhere = true
+                current.response.abandon()
+            }
             return false
         }
         current.response.abandon()
@@ -416,6 +545,8 @@
         isLeaving = false
         copyRefusals = 0
         silentMs = 0
+        hasLateInput = false
+        isFormerStopped = false
         migration = MigrationState.NONE
         if (destination === placement) destination = null
         releaseDestination()
@@ -435,3 +566,5 @@
         const val HTTP_OK = 200
     }
 }
+
+private fun FleetView.isDrained(placement: Placement): Boolean = placement.target.record.domain in drained
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -194,7 +194,7 @@
 
     /** Performs the migrations of runs; the addresses are those of the targets. */
     var migrate: suspend (Address, RequestId, Address, Boolean) -> arrow.core.Either<MoveFailure, Moved> =
-        { _, _, _, _ -> MoveFailure("not scripted", null).left() }
+        { _, _, _, _ -> MoveFailure.NoSuchRun.left() }
 
     private val meters = RelayMeters(SimpleMeterRegistry())
     private val adapter = ProtocolAdapter(
@@ -269,6 +269,9 @@
     /** Closes the connections of callers, as at the end of the process. */
     fun closeCallers(): Unit = onTraffic { callers.close() }
 
+    /** Keeps the traffic thread from running for [pauseMs], as a process that is stopped. */
+    fun pause(pauseMs: Long): Unit = onTraffic { Thread.sleep(pauseMs) }
+
     private fun <T> onTraffic(block: () -> T): T = runBlocking { withContext(traffic.dispatch) { block() } }
 
     /** Sets the configuration, or removes it, as in a process that has just started. */
