--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -80,7 +80,11 @@
 }
 
 /** The placements of one request. Each is released, also when the request is cancelled while one is being made. */
-internal class JobPlacements(private val fleet: Fleet, private val control: ControlThread) {
+internal class JobPlacements(
+    private val fleet: Fleet,
+    private val control: ControlThread,
+    private val meters: RelayMeters,
+) {
     private val held = mutableListOf<Placement>()
 
     suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult = withContext(control.dispatch) {
@@ -98,7 +102,12 @@
     /** Returns whether a running generation may continue at the target of [placement] now. */
     suspend fun tryContinue(placement: Placement): Boolean = control.run { fleet.tryContinue(placement.target) }
 
-    suspend fun tryRepeat(job: RelayJob): Boolean = control.run { fleet.tryRepeat(job.service.id) }
+    /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
+    suspend fun tryRepeat(job: RelayJob): Boolean {
+        val decision = control.run { fleet.repeats.tryTake(job.service.id) }
+        meters.repeatDecided(job.service.id.value, decision)
+        return decision.isTaken
+    }
 
     fun promote(copy: Placement) {
         control.scope.launch { fleet.promote(copy) }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.target.fleet.RepeatDecision
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import java.util.concurrent.TimeUnit
@@ -42,6 +43,16 @@
         registry.counter("fulmarshunt_continued_runs", "how", how, "success", isSuccess.toString()).increment()
     }
 
+    /** Counts a repeat that was taken from the budget or refused, and records the share that decided it. */
+    internal fun repeatDecided(service: String, decision: RepeatDecision) {
+        val result = if (decision.isTaken) "taken" else "refused"
+        registry.counter("fulmarshunt_repeats", "result", result, "service", service).increment()
+        registry.summary("fulmarshunt_repeat_used", "service", service).record(decision.used.toDouble())
+        registry.summary("fulmarshunt_repeat_bound", "service", service).record(decision.bound.toDouble())
+        registry.summary("fulmarshunt_repeat_requests", "service", service).record(decision.requests.toDouble())
+        registry.summary("fulmarshunt_repeat_entry_vms").record(decision.entryVms.toDouble())
+    }
+
     private fun timer(name: String, service: String) = Timer
         .builder(name)
         .tag("service", service)
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -81,8 +81,8 @@
         val job = admission.admit(request).getOrElse { response ->
             return RelayOutcome.Local(response).also { logUnrouted(request, it) }
         }
-        val placements = JobPlacements(dependencies.fleet, dependencies.control)
-        dependencies.control.scope.launch { dependencies.fleet.recordRequest(job.service.id) }
+        val placements = JobPlacements(dependencies.fleet, dependencies.control, dependencies.meters)
+        dependencies.control.scope.launch { dependencies.fleet.repeats.recordRequest(job.service.id) }
         var outcome: RelayOutcome? = null
         try {
             val remainingMs = job.deadlineAtMs - dependencies.clock.nowMs()
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -65,7 +65,7 @@
 public class Fleet internal constructor(
     private val clock: Clock,
     private val domain: FailureDomainId,
-    private val budget: RepeatBudget,
+    budget: RepeatBudget,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
     private val coldLimitPerS: (ServiceProfile) -> Double,
@@ -83,6 +83,9 @@
     private var listed = FleetView()
     private val viewState = MutableStateFlow(FleetView())
 
+    /** The budget of repeats. */
+    public val repeats: Repeats = Repeats(budget, clock) { view.entryVms }
+
     /** What this VM knows of crashes. */
     public val crashes: CrashKnowledge = CrashKnowledge(clock)
 
@@ -144,12 +147,6 @@
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot()
 
-    /** Counts a request for [service] towards the budget of repeats. */
-    public fun recordRequest(service: ServiceId): Unit = budget.recordRequest(service, clock.nowMs())
-
-    /** Takes a repeat from the budget of [service], or returns false if it is used up. */
-    public fun tryRepeat(service: ServiceId): Boolean = budget.tryTake(service, view.entryVms, clock.nowMs())
-
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
         placeNow(request)?.let { return PlacementResult.Placed(it) }
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -21,6 +21,19 @@
     public val windowMs: Long,
 )
 
+/** A decision on a repeat, and what it was based on. */
+public data class RepeatDecision(
+    public val isTaken: Boolean,
+    /** The repeats of this entry VM in the window, without this one. */
+    public val used: Int,
+    /** The repeats that this entry VM may make in the window. */
+    public val bound: Int,
+    /** The requests of this entry VM in the window. */
+    public val requests: Int,
+    /** The number of entry VMs by which the allowance was divided. */
+    public val entryVms: Int,
+)
+
 /** The requests and repeats of this entry VM. */
 internal class RepeatBudget(
     private val limits: RepeatLimits,
@@ -41,14 +54,16 @@
         windowOf(service, nowMs).requestsAtMs.addLast(nowMs)
     }
 
-    /** Takes one repeat for [service], or returns false if the share of this VM among [entryVms] is used up. */
-    fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): Boolean {
+    /** Takes one repeat for [service], unless the share of this VM among [entryVms] is used up. */
+    fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): RepeatDecision {
         val window = windowOf(service, nowMs)
-        val share = USED_SHARE * (limits.ratio * window.requestsAtMs.size + limits.allowance / entryVms)
-        val bound = floor(share + window.rounding)
-        if (window.repeatsAtMs.size + 1 > bound) return false
-        window.repeatsAtMs.addLast(nowMs)
-        return true
+        val requests = window.requestsAtMs.size
+        val used = window.repeatsAtMs.size
+        val share = USED_SHARE * (limits.ratio * requests + limits.allowance / entryVms)
+        val bound = floor(share + window.rounding).toInt()
+        val isTaken = used < bound
+        if (isTaken) window.repeatsAtMs.addLast(nowMs)
+        return RepeatDecision(isTaken, used, bound, requests, entryVms)
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -71,7 +71,7 @@
             for (nowMs in 0L until 40_000L step 500) {
                 for (budget in budgets) {
                     if (nowMs % 5_000 == 0L) budget.recordRequest(service, nowMs)
-                    if (budget.tryTake(service, entryVms, nowMs)) repeatsAtMs += nowMs
+                    if (budget.tryTake(service, entryVms, nowMs).isTaken) repeatsAtMs += nowMs
                 }
             }
             val bound = 0.2 * 2 * entryVms + limits.allowance
@@ -96,13 +96,24 @@
             for (nowMs in 0L until 30_000L step 100) {
                 budget.recordRequest(service, nowMs)
                 if (nowMs < 10_000) requests += 1
-                if (budget.tryTake(service, entryVms, nowMs)) repeatsAtMs += nowMs
+                if (budget.tryTake(service, entryVms, nowMs).isTaken) repeatsAtMs += nowMs
             }
         }
         val maximum = (0L until 20_000L step 100).maxOf { from -> repeatsAtMs.count { it in from until from + 10_000 } }
         expectThat(maximum.toDouble()).isLessThanOrEqualTo(0.2 * requests + 58)
     }
 
+    /** Guards against an excess of repeats whose cause cannot be found because nothing names the share. */
+    @Test
+    fun `a decision on a repeat names the share that it was based on`() {
+        val service = ServiceId("s")
+        val budget = RepeatBudget(RepeatLimits(0.2, 10.0, 10_000)) { 0.0 }
+        repeat(10) { budget.recordRequest(service, 0) }
+        expectThat(budget.tryTake(service, 5, 0)).isEqualTo(RepeatDecision(true, 0, 2, 10, 5))
+        budget.tryTake(service, 5, 0)
+        expectThat(budget.tryTake(service, 5, 0)).isEqualTo(RepeatDecision(false, 2, 2, 10, 5))
+    }
+
     /** Guards against a request that crashes more targets under new ids, and against refusing unrelated requests. */
     @Test
     fun `a request is refused after three crashes`() {
