Divide limits by a number of entry VMs that is not too low after a start

Cause: a control VM that has just started reports the entry VMs that it has heard of itself, an entry VM used the number of whichever reply came last, and 1 before the first reply. After restarts each entry VM used a part that was too large, up to the whole allowance. The limit of cold targets is divided by the same number.

Fix: a control VM says that its count is complete after five refreshes in contact with a leader, in which entry VMs turn to it or to another one. An entry VM uses the highest count of the last ten minutes, once it has received a complete one and the others had time to count it. Until then it assumes the planned 330. Older control VMs do not say that a count is complete; with them the allowance stays at the part of one of 330.

The fixtures of tests state their number of entry VMs, which was 1.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -123,6 +123,7 @@
     private var reportedUse = emptyMap<TargetId, TargetUse>()
     private var publishedAtMs = Long.MIN_VALUE / 2
     private val refusals = Refusals { fleet.crashes.soundAgesMs(it).keys }
+    private val entryVmCount = EntryVmCount()
     private val viewState = MutableStateFlow(FleetView())
 
     /** The number of control VMs that reply. May be read from any thread. */
@@ -265,12 +266,20 @@
         if (slot.number == 0) view = view.copy(othersUse = receiveUse(slot, reply, reported))
         val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
-        val next = view.copy(entryVms = reply.entryVms.coerceAtLeast(1), refused = refused)
+        val next = view.copy(entryVms = countEntryVms(reply, view.entryVms), refused = refused)
         val isPublishDue = clock.nowMs() - publishedAtMs >= PUBLISH_PERIOD_MS
         if (reply.targets.isEmpty() && next == viewState.value && !isPublishDue) fleet.retryWaiting() else publish(next)
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
     }
 
+    private fun countEntryVms(reply: WatchReply, former: Int): Int {
+        val nowMs = clock.nowMs()
+        entryVmCount.receive(reply.entryVms, reply.isEntryCountComplete, nowMs)
+        return entryVmCount.at(nowMs).also {
+            if (it != former) log.info("entry-vms counted count={} former={} reported={}", it, former, reply.entryVms)
+        }
+    }
+
     private fun countWatched() {
         watchedControlVms = slots.count { it.source.isNotEmpty() }
     }
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -68,6 +68,8 @@
     val isUseChange: Boolean = false,
     val useNumber: Long = 0,
     val controlsNumber: Long = 0,
+    /** Whether [entryVms] has all entry VMs in contact; false from older versions, which do not say it. */
+    val isEntryCountComplete: Boolean = false,
 )
 
 /** The records and reports that one control VM sends to the others. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -72,8 +72,14 @@
 /** How long a report of use is valid. */
 private const val REPORT_VALID_MS = 2_000L
 
-/** How long entry VMs are counted after their last watch, so that shares stay small while some are disconnected. */
-private const val ENTRY_VM_RETENTION_MS = 30_000L
+/** How long the use that was sent to an entry VM is kept after its last watch. */
+private const val SENT_USE_RETENTION_MS = 30_000L
+
+/**
+ * The refreshes in contact with a leader after which the count of entry VMs is complete. In this time, entry VMs turn
+ * to this control VM or to another one, which takes the longest watch, and the refreshes of the other one arrive.
+ */
+private const val COMPLETE_AFTER_REFRESHES = 5
 
 /** The maximum number of crash reports or causes that are logged at once. */
 private const val MAX_LOGGED = 16
@@ -122,6 +128,7 @@
     private val peers = mutableMapOf<Address, Peer>()
     private var lastRefreshAtMs = 0L
     private var refreshes = 0L
+    private var refreshesInContact = 0
     private var totalUse = emptyMap<TargetId, TargetUse>()
     private var totalUseAtMs = Long.MIN_VALUE / 2
     private var controls = emptyList<Address>()
@@ -260,6 +267,7 @@
             isUseChange = useMessage?.changes != null,
             useNumber = useMessage?.number ?: 0,
             controlsNumber = controlsNumber,
+            isEntryCountComplete = refreshesInContact >= COMPLETE_AFTER_REFRESHES,
         )
     }
 
@@ -347,7 +355,7 @@
     private fun exchangeState() {
         val nowMs = clock.nowMs()
         entryVmsSeenAtMs.values.removeIf { nowMs - it > ENTRY_VM_RETENTION_MS }
-        sentToEntryVms.keys.retainAll(entryVmsSeenAtMs.keys)
+        sentToEntryVms.keys.removeIf { nowMs - (entryVmsSeenAtMs[it] ?: 0) > SENT_USE_RETENTION_MS }
         reportsOfEntryVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         reportsOfControlVms.values.removeIf { nowMs - it.atMs > REPORT_VALID_MS }
         val others = otherControls()
@@ -366,6 +374,7 @@
     private fun refreshAt(nowMs: Long): StateExchange {
         lastRefreshAtMs = nowMs
         refreshes += 1
+        if (dependencies.isCurrent() && refreshesInContact < COMPLETE_AFTER_REFRESHES) refreshesInContact += 1
         val isRelay = refreshes % REFRESHES_PER_RELAY == 0L
         val crashAgesMs = suspects.reportsToRepeat(nowMs)
         return StateExchange(
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -11,6 +11,9 @@
 import fulmarshunt.operator.serving.RoutingTable
 import fulmarshunt.target.TargetInstance
 
+/** The number of entry VMs that is assumed until it is known: the planned size in docs/CAPACITY.md. */
+internal const val PLANNED_ENTRY_VMS: Int = 330
+
 /** A target as an entry VM knows it. */
 public data class KnownTarget(
     public val record: TargetRecord,
@@ -33,8 +36,8 @@
     public val revision: LogIndex = LogIndex(0),
     public val drained: Set<FailureDomainId> = emptySet(),
     public val targets: Map<TargetId, KnownTarget> = emptyMap(),
-    /** The minimum number of entry VMs, including this one. */
-    public val entryVms: Int = 1,
+    /** The number of entry VMs that share limits, including this one. */
+    public val entryVms: Int = PLANNED_ENTRY_VMS,
     /** The use of each target by the other entry VMs. */
     public val othersUse: Map<TargetId, TargetUse> = emptyMap(),
     /** Requests and parts of prompts that are refused because they were present at several crashes. */
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -189,7 +189,7 @@
     private val records = targets.flatMap { target ->
         listOf(plain, engines).map { record("${it.id}-${target.name}", service = it, port = target.port) }
     }
-    private var listed = FleetView(table(), targets = records.associate { it.id to known(it) })
+    private var listed = FleetView(table(), targets = records.associate { it.id to known(it) }, entryVms = 1)
     private val connections = TargetConnections(traffic, clock)
 
     /** Performs the migrations of runs; the addresses are those of the targets. */
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetFixture.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetFixture.kt
@@ -34,7 +34,7 @@
 
 internal fun known(record: TargetRecord, coldUntilMs: Long = 0) = KnownTarget(record, false, coldUntilMs)
 
-internal fun viewOf(vararg targets: KnownTarget) = FleetView(targets = targets.associateBy { it.id })
+internal fun viewOf(vararg targets: KnownTarget) = FleetView(targets = targets.associateBy { it.id }, entryVms = 1)
 
 internal fun request(name: String, service: ServiceProfile = engines, prompt: Int = 1_000, output: Int = 500) =
     PlacementRequest(RequestId(name), service, prompt, output, 0)
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -120,6 +120,15 @@
         expectThat(placeNow(small(4))).isA<PlacementResult.Placed>()
     }
 
+    /** Guards against entry VMs that each use the whole limit of a cold target before they know of each other. */
+    @Test
+    fun `a cold target gets almost nothing from an entry VM that does not know the others`() {
+        val cold = known(record("cold"), coldUntilMs = timed.nowMs + 5_000)
+        fleet.update(FleetView(targets = mapOf(cold.id to cold)))
+        val placed = (1..10).count { placeNow(request("r$it", prompt = 1, output = 1)) is PlacementResult.Placed }
+        expectThat(placed).isEqualTo(1)
+    }
+
     /** Guards against copies that take the memory of requests, or that are at the same target as the run. */
     @Test
     fun `a copy goes to another target while memory is free`() {
