Use no allowance of repeats in the first window after a start

What callers saw: more repeats in a window than the budget allows.

Cause: a process forgets the repeats of the one before it. Each restart within a window gave its entry VM another part of the allowance.

Fix: in the first window after its start a process makes only the repeats that its own requests earn. The repeats of the former process have left every window before the allowance is used again.

--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -154,7 +154,7 @@
 }
 
 private fun fleetOf(settings: FleetEntrySettings, clock: Clock): Fleet {
-    val budget = RepeatBudget(repeatLimits(settings.bounds), Random.Default::nextDouble)
+    val budget = RepeatBudget(repeatLimits(settings.bounds), clock.nowMs(), Random.Default::nextDouble)
     return Fleet(clock, settings.vm.failureDomain, budget, Random.Default::nextDouble) { service ->
         if (service.coldRequestsPerS <= 0) 0.0 else coldLimitPerS(service.coldRequestsPerS, settings.bounds)
     }
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -37,6 +37,8 @@
 /** The requests and repeats of this entry VM. */
 internal class RepeatBudget(
     private val limits: RepeatLimits,
+    /** When the process started; what an earlier one has repeated is not known. */
+    private val startedAtMs: Long,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
 ) {
@@ -59,13 +61,17 @@
         val window = windowOf(service, nowMs)
         val requests = window.requestsAtMs.size
         val used = window.repeatsAtMs.size
-        val share = USED_SHARE * (limits.ratio * requests + limits.allowance / entryVms)
+        val share = USED_SHARE * (limits.ratio * requests + allowanceOf(entryVms, nowMs))
         val bound = floor(share + window.rounding).toInt()
         val isTaken = used < bound
         if (isTaken) window.repeatsAtMs.addLast(nowMs)
         return RepeatDecision(isTaken, used, bound, requests, entryVms)
     }
 
+    /** Returns the part of the allowance of this VM; none while an earlier process may have used it in the window. */
+    private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
+        if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
+
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
         val window = windows.getOrPut(service) { Window() }
         for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
@@ -0,0 +1,45 @@
+/*
+ * What counts towards the budget of repeats: the requests and repeats of one process.
+ */
+package fulmarshunt.target.fleet
+
+import fulmarshunt.ServiceId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+
+private const val WINDOW_MS = 10_000L
+private const val ALLOWANCE = 40.0
+
+class RepeatBudgetTest {
+    private val limits = RepeatLimits(0.2, ALLOWANCE, WINDOW_MS)
+    private val service = engines.id
+
+    /** Returns the fleet of one of [entryVms], which has run for [runningMs] and has [requests] in the window. */
+    private fun fleetOf(entryVms: Int, runningMs: Long, requests: Int = 0) = TimedFleet(limits = limits).also { timed ->
+        timed.nowMs += runningMs
+        timed.fleet.update(viewOf(target).copy(entryVms = entryVms))
+        repeat(requests) { timed.fleet.repeats.recordRequest(service) }
+    }
+
+    private val target = known(record("a"))
+
+    private fun TimedFleet.takeAll(): Int =
+        generateSequence { fleet.repeats.tryTake(service) }.takeWhile { it.isTaken }.count()
+
+    /** Guards against an allowance that a process uses once more after each of several restarts within one window. */
+    @Test
+    fun `restarts within a window give no further allowance`() {
+        val taken = fleetOf(1, 2 * WINDOW_MS).takeAll() + (1..4).sumOf { fleetOf(1, 1_000L).takeAll() }
+        expectThat(taken).isGreaterThan(0).isLessThanOrEqualTo(ALLOWANCE.toInt())
+    }
+
+    /** Guards against a process that never uses its allowance. */
+    @Test
+    fun `the allowance is used one window after the start`() {
+        expectThat(fleetOf(1, WINDOW_MS - 1).takeAll()).isEqualTo(0)
+        expectThat(fleetOf(1, WINDOW_MS).takeAll()).isGreaterThan(0)
+    }
+}
