Count continued runs towards the budget of repeats

What callers saw: more repeats in a window than the budget allows.

Cause: a run that continues at another target arrives there beyond the first arrival of its request, also if it is refused, and was not counted.

Fix: a continuation is taken from the budget, so that ordinary repeats give way. A first continuation may use the margin of the allowance that ordinary repeats leave, because its stream ends without it; this margin is for windows in which requests become fewer, and the allowance does not depend on them. It is not rounded up, so that the parts of all entry VMs stay within the allowance. A later try of the same run needs what an ordinary repeat needs. Without budget a continuation is refused: a run whose target is lost then ends incomplete, and one whose target leaves runs on there.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -87,6 +87,9 @@
 ) {
     private val held = mutableListOf<Placement>()
 
+    /** Whether the generation was sent to another target to continue there. */
+    private var hasContinued = false
+
     suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult = withContext(control.dispatch) {
         fleet.place(request, limitMs).also { if (it is PlacementResult.Placed) held += it.placement }
     }
@@ -100,7 +103,9 @@
     suspend fun shortage(job: RelayJob): PlacementResult.Full = control.run { fleet.shortage(job.service.id) }
 
     /** Returns whether a running generation may continue at the target of [placement] now. */
-    suspend fun tryContinue(placement: Placement): Boolean = control.run { fleet.tryContinue(placement.target) }
+    suspend fun tryContinue(placement: Placement): Boolean = control.run {
+        fleet.tryContinue(placement.target, isFirst = !hasContinued).also { if (it) hasContinued = true }
+    }
 
     /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
     suspend fun tryRepeat(job: RelayJob): Boolean {
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -378,7 +378,7 @@
             return false
         }
         if (!dependencies.placements.tryContinue(placement)) {
-            log.warn("run not continued request={} how={} to={} reason=paused", job.id, how, placement.target.id)
+            log.warn("run not continued request={} how={} to={} reason=pause/budget", job.id, how, placement.target.id)
             return false
         }
         val startedAtMs = dependencies.clock.nowMs()
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -141,8 +141,13 @@
         waiting.refuse(::isHopeless)
     }
 
-    /** Returns whether a running generation may continue at [target] now. */
-    public fun tryContinue(target: KnownTarget): Boolean = pauses.tryContinue(target.instance, clock.nowMs())
+    /**
+     * Returns whether a running generation may continue at [target] now, and counts it towards the budget of repeats;
+     * [isFirst] says that it has not continued before, nor been sent to continue in vain.
+     */
+    public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean =
+        pauses.tryContinue(target.instance, clock.nowMs()) &&
+            repeats.tryContinue(target.record.service, isFirst).isTaken
 
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot()
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -58,11 +58,14 @@
 
     /** Takes one repeat for [service], unless the share of this VM among [entryVms] is used up. */
     fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): RepeatDecision {
-        val window = windowOf(service, nowMs)
+        return take(windowOf(service, nowMs), entryVms, 0, nowMs)
+    }
+
+    private fun take(window: Window, entryVms: Int, minimumBound: Int, nowMs: Long): RepeatDecision {
         val requests = window.requestsAtMs.size
         val used = window.repeatsAtMs.size
         val share = USED_SHARE * (limits.ratio * requests + allowanceOf(entryVms, nowMs))
-        val bound = floor(share + window.rounding).toInt()
+        val bound = maxOf(minimumBound, floor(share + window.rounding).toInt())
         val isTaken = used < bound
         if (isTaken) window.repeatsAtMs.addLast(nowMs)
         return RepeatDecision(isTaken, used, bound, requests, entryVms)
@@ -72,6 +75,17 @@
     private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
         if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
 
+    /**
+     * Takes one continuation of a run for [service]. The first one of a run may use the margin of the allowance that
+     * repeats leave, because its stream ends without it.
+     */
+    fun tryContinue(service: ServiceId, entryVms: Int, isFirst: Boolean, nowMs: Long): RepeatDecision {
+        val window = windowOf(service, nowMs)
+        val share = USED_SHARE * limits.ratio * window.requestsAtMs.size + allowanceOf(entryVms, nowMs)
+        val firstBound = if (isFirst) floor(share).toInt() else 0
+        return take(window, entryVms, firstBound, nowMs)
+    }
+
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
         val window = windows.getOrPut(service) { Window() }
         for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -27,6 +27,10 @@
     public fun tryTake(service: ServiceId): RepeatDecision =
         budget.tryTake(service, entryVms(), clock.nowMs()).also { logIfRefused(service, it) }
 
+    /** Takes a continuation of a run from the budget of [service], which is sent at once. */
+    internal fun tryContinue(service: ServiceId, isFirst: Boolean): RepeatDecision =
+        budget.tryContinue(service, entryVms(), isFirst, clock.nowMs()).also { logIfRefused(service, it) }
+
     private fun logIfRefused(service: ServiceId, decision: RepeatDecision) {
         if (decision.isTaken) return
         refusalLogs.getOrPut(service) { LimitedLog(log, clock = clock) }.log(
--- a/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
@@ -1,5 +1,5 @@
 /*
- * What counts towards the budget of repeats: the requests and repeats of one process.
+ * What counts towards the budget of repeats: restarts and continued runs.
  */
 package fulmarshunt.target.fleet
 
@@ -7,8 +7,10 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
 
 private const val WINDOW_MS = 10_000L
 private const val ALLOWANCE = 40.0
@@ -42,4 +44,24 @@
         expectThat(fleetOf(1, WINDOW_MS - 1).takeAll()).isEqualTo(0)
         expectThat(fleetOf(1, WINDOW_MS).takeAll()).isGreaterThan(0)
     }
+
+    /** Guards against streams that all continue elsewhere when their targets leave, on top of other repeats. */
+    @Test
+    fun `continued runs and repeats of all entry VMs together keep the budget`() {
+        val entryVms = 8
+        val requests = 25
+        val arrivals = List(entryVms) { fleetOf(entryVms, 2 * WINDOW_MS, requests) }.sumOf { timed ->
+            (1..20).count { timed.fleet.tryContinue(target) } + timed.takeAll()
+        }
+        expectThat(arrivals.toDouble()).isLessThanOrEqualTo(limits.ratio * entryVms * requests + ALLOWANCE)
+    }
+
+    /** Guards against lost streams that end because repeats of requests have used the budget. */
+    @Test
+    fun `a first continuation is allowed when ordinary repeats are not, and a later one is not`() {
+        val timed = fleetOf(1, 2 * WINDOW_MS)
+        timed.takeAll()
+        expectThat(timed.fleet.tryContinue(target, isFirst = false)).isFalse()
+        expectThat(timed.fleet.tryContinue(target)).isTrue()
+    }
 }
