Count a repeat in the window in which it is sent

What callers saw: more repeats in a window than the budget allows.

Cause: a repeat was counted when it was granted, before its wait for a target. It could reach the target after that entry had left the window, together with as many new ones; a process that was stopped meanwhile sends all of them at once.

Evidence: with an allowance of 40, 56 repeats were sent within one window.

Fix: a granted repeat is reserved without expiry and is counted as of the time at which its target is chosen. One that is not sent is returned.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -7,6 +7,7 @@
 import fulmarshunt.ClientAccountId
 import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.Repeatability
 import fulmarshunt.operator.serving.Route
@@ -87,11 +88,20 @@
 ) {
     private val held = mutableListOf<Placement>()
 
+    /** The services of repeats that were granted and have not been sent. */
+    private val reservedRepeats = mutableListOf<ServiceId>()
+
     /** Whether the generation was sent to another target to continue there. */
     private var hasContinued = false
 
     suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult = withContext(control.dispatch) {
-        fleet.place(request, limitMs).also { if (it is PlacementResult.Placed) held += it.placement }
+        fleet.place(request, limitMs).also { result ->
+            if (result is PlacementResult.Placed) {
+                held += result.placement
+                reservedRepeats.forEach(fleet.repeats::recordSent)
+                reservedRepeats.clear()
+            }
+        }
     }
 
     suspend fun placeCopy(placement: Placement): Placement? =
@@ -109,8 +119,11 @@
 
     /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
     suspend fun tryRepeat(job: RelayJob): Boolean {
-        val decision = control.run { fleet.repeats.tryTake(job.service.id) }
-        meters.repeatDecided(job.service.id.value, decision)
+        val service = job.service.id
+        val decision = control.run {
+            fleet.repeats.tryTake(service).also { if (it.isTaken) reservedRepeats += service }
+        }
+        meters.repeatDecided(service.value, decision)
         return decision.isTaken
     }
 
@@ -131,8 +144,12 @@
         if (causes.isNotEmpty()) control.scope.launch { fleet.crashes.recordSound(causes) }
     }
 
-    /** Releases the placements that are still held. */
+    /** Releases the placements that are still held, and the repeats that were not sent. */
     fun endAll() {
-        control.scope.launch { held.forEach { fleet.end(it, UseOutcome.ABANDONED) } }
+        control.scope.launch {
+            held.forEach { fleet.end(it, UseOutcome.ABANDONED) }
+            reservedRepeats.forEach(fleet.repeats::release)
+            reservedRepeats.clear()
+        }
     }
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -47,6 +47,9 @@
         var roundingUntilMs = Long.MIN_VALUE
         val requestsAtMs = ArrayDeque<Long>()
         val repeatsAtMs = ArrayDeque<Long>()
+
+        /** The repeats that were taken and have not been sent yet; they may reach a target in a later window. */
+        var reserved = 0
     }
 
     private val windows = mutableMapOf<ServiceId, Window>()
@@ -56,19 +59,33 @@
         windowOf(service, nowMs).requestsAtMs.addLast(nowMs)
     }
 
-    /** Takes one repeat for [service], unless the share of this VM among [entryVms] is used up. */
+    /**
+     * Reserves one repeat for [service] until [recordSent] or [release], unless the share of this VM among [entryVms]
+     * is used up.
+     */
     fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): RepeatDecision {
-        return take(windowOf(service, nowMs), entryVms, 0, nowMs)
+        val window = windowOf(service, nowMs)
+        return decide(window, entryVms, 0, nowMs).also { if (it.isTaken) window.reserved += 1 }
+    }
+
+    /** Records that a reserved repeat is sent now. */
+    fun recordSent(service: ServiceId, nowMs: Long) {
+        val window = windowOf(service, nowMs)
+        window.reserved -= 1
+        window.repeatsAtMs.addLast(nowMs)
+    }
+
+    /** Returns a reserved repeat that is not sent. */
+    fun release(service: ServiceId) {
+        windows[service]?.let { it.reserved -= 1 }
     }
 
-    private fun take(window: Window, entryVms: Int, minimumBound: Int, nowMs: Long): RepeatDecision {
+    private fun decide(window: Window, entryVms: Int, minimumBound: Int, nowMs: Long): RepeatDecision {
         val requests = window.requestsAtMs.size
-        val used = window.repeatsAtMs.size
+        val used = window.repeatsAtMs.size + window.reserved
         val share = USED_SHARE * (limits.ratio * requests + allowanceOf(entryVms, nowMs))
         val bound = maxOf(minimumBound, floor(share + window.rounding).toInt())
-        val isTaken = used < bound
-        if (isTaken) window.repeatsAtMs.addLast(nowMs)
-        return RepeatDecision(isTaken, used, bound, requests, entryVms)
+        return RepeatDecision(used < bound, used, bound, requests, entryVms)
     }
 
     /** Returns the part of the allowance of this VM; none while an earlier process may have used it in the window. */
@@ -83,7 +100,7 @@
         val window = windowOf(service, nowMs)
         val share = USED_SHARE * limits.ratio * window.requestsAtMs.size + allowanceOf(entryVms, nowMs)
         val firstBound = if (isFirst) floor(share).toInt() else 0
-        return take(window, entryVms, firstBound, nowMs)
+        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.repeatsAtMs.addLast(nowMs) }
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -23,10 +23,19 @@
     /** Counts a request for [service] towards the budget. */
     public fun recordRequest(service: ServiceId): Unit = budget.recordRequest(service, clock.nowMs())
 
-    /** Takes a repeat from the budget of [service], unless it is used up. */
+    /**
+     * Takes a repeat from the budget of [service], unless it is used up. A granted one is reserved until [recordSent]
+     * or [release].
+     */
     public fun tryTake(service: ServiceId): RepeatDecision =
         budget.tryTake(service, entryVms(), clock.nowMs()).also { logIfRefused(service, it) }
 
+    /** Records that a repeat that [tryTake] has granted is sent now. */
+    public fun recordSent(service: ServiceId): Unit = budget.recordSent(service, clock.nowMs())
+
+    /** Returns a repeat that [tryTake] has granted and that is not sent. */
+    public fun release(service: ServiceId): Unit = budget.release(service)
+
     /** Takes a continuation of a run from the budget of [service], which is sent at once. */
     internal fun tryContinue(service: ServiceId, isFirst: Boolean): RepeatDecision =
         budget.tryContinue(service, entryVms(), isFirst, clock.nowMs()).also { logIfRefused(service, it) }
--- a/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
@@ -1,5 +1,5 @@
 /*
- * What counts towards the budget of repeats: restarts and continued runs.
+ * What counts towards the budget of repeats: restarts, continued runs, and repeats that wait before they are sent.
  */
 package fulmarshunt.target.fleet
 
@@ -28,9 +28,13 @@
 
     private val target = known(record("a"))
 
-    private fun TimedFleet.takeAll(): Int =
+    private fun TimedFleet.reserveAll(): Int =
         generateSequence { fleet.repeats.tryTake(service) }.takeWhile { it.isTaken }.count()
 
+    private fun TimedFleet.takeAll(): Int = reserveAll().also { taken ->
+        repeat(taken) { fleet.repeats.recordSent(service) }
+    }
+
     /** Guards against an allowance that a process uses once more after each of several restarts within one window. */
     @Test
     fun `restarts within a window give no further allowance`() {
@@ -64,4 +68,23 @@
         expectThat(timed.fleet.tryContinue(target, isFirst = false)).isFalse()
         expectThat(timed.fleet.tryContinue(target)).isTrue()
     }
+
+    /** Guards against repeats that waited for a target, and reach it together with those of a later window. */
+    @Test
+    fun `a repeat counts in the window in which it is sent`() {
+        val timed = fleetOf(1, 2 * WINDOW_MS)
+        val waiting = timed.reserveAll()
+        timed.nowMs += WINDOW_MS + 1
+        repeat(waiting) { timed.fleet.repeats.recordSent(service) }
+        expectThat(waiting + timed.takeAll()).isGreaterThan(0).isLessThanOrEqualTo(ALLOWANCE.toInt())
+    }
+
+    /** Guards against a budget that stays used by requests that ended before their repeat was sent. */
+    @Test
+    fun `a repeat that is not sent is returned`() {
+        val timed = fleetOf(1, 2 * WINDOW_MS)
+        val taken = timed.reserveAll()
+        repeat(taken) { timed.fleet.repeats.release(service) }
+        expectThat(timed.takeAll()).isEqualTo(taken)
+    }
 }
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -71,7 +71,10 @@
             for (nowMs in 0L until 40_000L step 500) {
                 for (budget in budgets) {
                     if (nowMs % 5_000 == 0L) budget.recordRequest(service, nowMs)
-                    if (budget.tryTake(service, entryVms, nowMs).isTaken) repeatsAtMs += nowMs
+                    if (budget.tryTake(service, entryVms, nowMs).isTaken) {
+                        budget.recordSent(service, nowMs)
+                        repeatsAtMs += nowMs
+                    }
                 }
             }
             val bound = 0.2 * 2 * entryVms + limits.allowance
@@ -96,7 +99,10 @@
             for (nowMs in 0L until 30_000L step 100) {
                 budget.recordRequest(service, nowMs)
                 if (nowMs < 10_000) requests += 1
-                if (budget.tryTake(service, entryVms, nowMs).isTaken) repeatsAtMs += nowMs
+                if (budget.tryTake(service, entryVms, nowMs).isTaken) {
+                    budget.recordSent(service, nowMs)
+                    repeatsAtMs += nowMs
+                }
             }
         }
         val maximum = (0L until 20_000L step 100).maxOf { from -> repeatsAtMs.count { it in from until from + 10_000 } }
