--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -7,6 +7,7 @@
 import fulmarshunt.ClientAccountId
 import fulmarshunt.Fingerprint
 import fulmarshunt.RequestId
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.Repeatability
 import fulmarshunt.operator.serving.Route
@@ -80,11 +81,27 @@
 }
 
 /** The placements of one request. Each is released, also when the request is cancelled while one is being made. */
-internal class JobPlacements(private val fleet: Fleet, private val control: ControlThread) {
+internal class JobPlacements(
+    private val fleet: Fleet,
+    private val control: ControlThread,
+    private val meters: RelayMeters,
+) {
     private val held = mutableListOf<Placement>()
 
+    /** The services of repeats that were granted and have not been sent. */
+    private val reservedRepeats = mutableListOf<ServiceId>()
+
+    /** Whether the generation was sent to another target to continue there. */
+    private var hasContinued = false
+
     suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult = withContext(control.dispatch) {
-        fleet.place(request, limitMs).also { if (it is PlacementResult.Placed) held += it.placement }
+        fleet.place(request, limitMs).also { result ->
+            if (result is PlacementResult.Placed) {
+                held += result.placement
+                reservedRepeats.forEach(fleet.repeats::recordSent)
+                reservedRepeats.clear()
+            }
+        }
     }
 
     suspend fun placeCopy(placement: Placement): Placement? =
@@ -96,9 +113,19 @@
     suspend fun shortage(job: RelayJob): PlacementResult.Full = control.run { fleet.shortage(job.service.id) }
 
     /** Returns whether a running generation may continue at the target of [placement] now. */
-    suspend fun tryContinue(placement: Placement): Boolean = control.run { fleet.tryContinue(placement.target) }
+    suspend fun tryContinue(placement: Placement): Boolean = control.run {
+        fleet.tryContinue(placement.target, isFirst = !hasContinued).also { if (it) hasContinued = true }
+    }
 
-    suspend fun tryRepeat(job: RelayJob): Boolean = control.run { fleet.tryRepeat(job.service.id) }
+    /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
+    suspend fun tryRepeat(job: RelayJob): Boolean {
+        val service = job.service.id
+        val decision = control.run {
+            fleet.repeats.tryTake(service).also { if (it.isTaken) reservedRepeats += service }
+        }
+        meters.repeatDecided(service.value, decision)
+        return decision.isTaken
+    }
 
     fun promote(copy: Placement) {
         control.scope.launch { fleet.promote(copy) }
@@ -117,8 +144,12 @@
         if (causes.isNotEmpty()) control.scope.launch { fleet.crashes.recordSound(causes) }
     }
 
-    /** Releases the placements that are still held. */
+    /** Releases the placements that are still held, and the repeats that were not sent. */
     fun endAll() {
-        control.scope.launch { held.forEach { fleet.end(it, UseOutcome.ABANDONED) } }
+        control.scope.launch {
+            held.forEach { fleet.end(it, UseOutcome.ABANDONED) }
+            reservedRepeats.forEach(fleet.repeats::release)
+            reservedRepeats.clear()
+        }
     }
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -21,9 +21,24 @@
     public val windowMs: Long,
 )
 
+/** A decision on a repeat, and what it was based on. */
+public data class RepeatDecision(
+    public val isTaken: Boolean,
+    /** The repeats of this entry VM in the window, without this one. */
+    public val used: Int,
+    /** The repeats that this entry VM may make in the window. */
+    public val bound: Int,
+    /** The requests of this entry VM in the window. */
+    public val requests: Int,
+    /** The number of entry VMs by which the allowance was divided. */
+    public val entryVms: Int,
+)
+
 /** The requests and repeats of this entry VM. */
 internal class RepeatBudget(
     private val limits: RepeatLimits,
+    /** When the process started; what an earlier one has repeated is not known. */
+    private val startedAtMs: Long,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
 ) {
@@ -32,6 +47,9 @@
         var roundingUntilMs = Long.MIN_VALUE
         val requestsAtMs = ArrayDeque<Long>()
         val repeatsAtMs = ArrayDeque<Long>()
+
+        /** The repeats that were taken and have not been sent yet; they may reach a target in a later window. */
+        var reserved = 0
     }
 
     private val windows = mutableMapOf<ServiceId, Window>()
@@ -41,14 +59,48 @@
         windowOf(service, nowMs).requestsAtMs.addLast(nowMs)
     }
 
-    /** Takes one repeat for [service], or returns false if the share of this VM among [entryVms] is used up. */
-    fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): Boolean {
+    /**
+     * Reserves one repeat for [service] until [recordSent] or [release], unless the share of this VM among [entryVms]
+     * is used up.
+     */
+    fun tryTake(service: ServiceId, entryVms: Int, nowMs: Long): RepeatDecision {
         val window = windowOf(service, nowMs)
-        val share = USED_SHARE * (limits.ratio * window.requestsAtMs.size + limits.allowance / entryVms)
-        val bound = floor(share + window.rounding)
-        if (window.repeatsAtMs.size + 1 > bound) return false
+        return decide(window, entryVms, 0, nowMs).also { if (it.isTaken) window.reserved += 1 }
+    }
+
+    /** Records that a reserved repeat is sent now. */
+    fun recordSent(service: ServiceId, nowMs: Long) {
+        val window = windowOf(service, nowMs)
+        window.reserved -= 1
         window.repeatsAtMs.addLast(nowMs)
-        return true
+    }
+
+    /** Returns a reserved repeat that is not sent. */
+    fun release(service: ServiceId) {
+        windows[service]?.let { it.reserved -= 1 }
+    }
+
+    private fun decide(window: Window, entryVms: Int, minimumBound: Int, nowMs: Long): RepeatDecision {
+        val requests = window.requestsAtMs.size
+        val used = window.repeatsAtMs.size + window.reserved
+        val share = USED_SHARE * (limits.ratio * requests + allowanceOf(entryVms, nowMs))
+        val bound = maxOf(minimumBound, floor(share + window.rounding).toInt())
+        return RepeatDecision(used < bound, used, bound, requests, entryVms)
+    }
+
+    /** Returns the part of the allowance of this VM; none while an earlier process may have used it in the window. */
+    private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
+        if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
+
+    /**
+     * Takes one continuation of a run for [service]. The first one of a run may use the margin of the allowance that
+     * repeats leave, because its stream ends without it.
+     */
+    fun tryContinue(service: ServiceId, entryVms: Int, isFirst: Boolean, nowMs: Long): RepeatDecision {
+        val window = windowOf(service, nowMs)
+        val share = USED_SHARE * limits.ratio * window.requestsAtMs.size + allowanceOf(entryVms, nowMs)
+        val firstBound = if (isFirst) floor(share).toInt() else 0
+        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.repeatsAtMs.addLast(nowMs) }
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
