--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -0,0 +1,203 @@
+/*
+ * Decides from the records of clients, targets, operator and fault injector which rules of the platform were broken. It
+ * reads no log of the programs.
+ */
+package fulmarshunt.soak
+
+private const val NS_PER_MS = 1_000_000L
+
+/** The rules that the soak checks. */
+internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED }
+
+/** A broken rule with its evidence. */
+internal data class SoakViolation(val rule: SoakRule, val request: String, val evidence: String) {
+    override fun toString(): String = "$rule request=$request $evidence"
+}
+
+/** The bounds of the rules. */
+internal data class SoakBounds(
+    val contactMs: Long = 3_000,
+    val evacuateMs: Long = 5_000,
+    val maxStretchMs: Long = 5_000,
+    val overlapMs: Long = 400,
+    val budgetWindowMs: Long = 10_000,
+    val repeatRatio: Double = 0.2,
+    val repeatAllowance: Int = 56,
+)
+
+/** Returns the violations in [events], which are in the order of time. */
+internal fun checkSoak(events: List<SoakEvent>, bounds: SoakBounds = SoakBounds()): List<SoakViolation> {
+    val checked = CheckedRecords(events, bounds)
+    return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed()
+}
+
+/** A span of time; an end that was not recorded is the greatest value. */
+private data class Span(val fromNs: Long, val toNs: Long) {
+    fun overlaps(fromNs: Long, toNs: Long) = this.fromNs <= toNs && fromNs <= this.toNs
+}
+
+private class TargetRun(val target: String, val beginNs: Long, val endNs: Long, val source: String)
+
+private class CheckedRecords(private val events: List<SoakEvent>, private val bounds: SoakBounds) {
+    private val originNs = events.firstOrNull()?.atNs ?: 0
+    private val sends = events.filter { it.kind == SoakKind.SEND }
+    private val sendOf = sends.associateBy { it["request"] }
+    private val killedAtNs = events.filter { it.kind == SoakKind.KILLED }.groupBy({ it["node"] }, { it.atNs })
+    private val disturbances = disturbances()
+    private val coreDisturbances =
+        disturbances.filterKeys { it.startsWith("control-") }.values.flatten()
+    private val runs = runs()
+
+    /** The spans in which each process was disturbed, without the time that it then needs to be in touch again. */
+    private fun disturbances(): Map<String, List<Span>> {
+        val spans = HashMap<String, MutableList<Span>>()
+        val open = HashMap<String, Long>()
+        for (event in events) {
+            val node = event["node"]
+            when (event.kind) {
+                SoakKind.DISTURBED, SoakKind.KILLED -> open.putIfAbsent(node, event.atNs)
+                SoakKind.RECOVERED -> {
+                    val fromNs = open.remove(node) ?: event.atNs
+                    spans.getOrPut(node) { mutableListOf() } += Span(fromNs, event.atNs)
+                }
+                else -> {}
+            }
+        }
+        open.forEach { (node, fromNs) -> spans.getOrPut(node) { mutableListOf() } += Span(fromNs, Long.MAX_VALUE) }
+        return spans
+    }
+
+    private fun runs(): Map<String, List<TargetRun>> {
+        val ends = events.filter { it.kind == SoakKind.END }.groupBy { it["request"] to it["target"] }
+        return events.filter { it.kind == SoakKind.BEGIN }.groupBy({ it["request"] }) { begin ->
+            val endNs = ends[begin["request"] to begin["target"]]?.firstOrNull { it.atNs >= begin.atNs }?.atNs
+            val killNs = killedAtNs[begin["target"]]?.firstOrNull { it >= begin.atNs }
+            TargetRun(
+                begin["target"], begin.atNs, minOf(endNs ?: Long.MAX_VALUE, killNs ?: Long.MAX_VALUE), begin["from"],
+            )
+        }
+    }
+
+    private fun Long.inS() = if (this == Long.MAX_VALUE) "never" else "%.3f".format((this - originNs) / 1e9)
+
+    /** Whether [node] was disturbed at any time from contactMs before [fromNs] until [toNs]. */
+    private fun wasDisturbed(node: String, fromNs: Long, toNs: Long): Boolean =
+        disturbances[node].orEmpty().any { it.overlaps(fromNs - bounds.contactMs * NS_PER_MS, toNs) }
+
+    private fun isSafe(request: String) = sendOf[request]?.get("kind") == "safe"
+
+    fun twice(): List<SoakViolation> = runs.filterKeys { !isSafe(it) }.flatMap { (request, all) ->
+        all.sortedBy { it.beginNs }.zipWithNext().mapNotNull { (former, next) -> twiceOrNull(request, former, next) }
+    }
+
+    private fun twiceOrNull(request: String, former: TargetRun, next: TargetRun): SoakViolation? {
+        val limitNs = next.beginNs + bounds.overlapMs * NS_PER_MS
+        val entry = sendOf[request]?.get("entry").orEmpty()
+        if (next.source.isNotEmpty()) {
+            if (former.endNs <= limitNs) return null
+            if (wasDisturbed(entry, next.beginNs, limitNs) || wasDisturbed(former.target, next.beginNs, limitNs)) {
+                return null
+            }
+        }
+        val evidence = "entry=$entry former=${former.target} begin=${former.beginNs.inS()} " +
+            "end=${former.endNs.inS()} next=${next.target} begin=${next.beginNs.inS()} end=${next.endNs.inS()} " +
+            "kv_from=${next.source.ifEmpty { "none" }}"
+        return SoakViolation(SoakRule.TWICE, request, evidence)
+    }
+
+    fun budget(): List<SoakViolation> {
+        val sentNs = sends.groupBy({ it["service"] }, { it.atNs })
+        return events.filter { it.kind == SoakKind.ARRIVE }.groupBy { it["service"] }.mapNotNull { (service, arrivals) ->
+            val seen = HashSet<String>()
+            val repeats = arrivals.filter { !seen.add(it["request"]) }
+            worstWindowOrNull(service, repeats, sentNs[service].orEmpty())
+        }
+    }
+
+    /** Returns the window with the greatest excess; neighbouring windows show the same cause. */
+    private fun worstWindowOrNull(service: String, repeats: List<SoakEvent>, sentNs: List<Long>): SoakViolation? {
+        val windowNs = bounds.budgetWindowMs * NS_PER_MS
+        var first = 0
+        var worst: Pair<Double, SoakViolation>? = null
+        repeats.forEachIndexed { last, repeat ->
+            while (repeats[first].atNs <= repeat.atNs - windowNs) first++
+            val count = last - first + 1
+            val requests = listOf(0L, windowNs / 2, windowNs)
+                .maxOf { back -> sentNs.countIn(repeat.atNs - back - windowNs, repeat.atNs - back) }
+            val allowed = bounds.repeatRatio * requests + bounds.repeatAllowance
+            if (count > allowed && count - allowed > (worst?.first ?: 0.0)) {
+                val evidence = "service=$service window_end=${repeat.atNs.inS()} repeats=$count requests=$requests " +
+                    "allowed=%.1f by_entry=%s by_target=%s".format(
+                        allowed,
+                        repeats.subList(first, last + 1).groupingBy { sendOf[it["request"]]?.get("entry") }.eachCount(),
+                        repeats.subList(first, last + 1).groupingBy { it["target"] }.eachCount(),
+                    )
+                worst = count - allowed to SoakViolation(SoakRule.BUDGET, repeat["request"], evidence)
+            }
+        }
+        return worst?.second
+    }
+
+    private fun List<Long>.countIn(afterNs: Long, untilNs: Long) = countUntil(untilNs) - countUntil(afterNs)
+
+    private fun List<Long>.countUntil(untilNs: Long): Int {
+        val found = binarySearch(untilNs)
+        return if (found >= 0) found + 1 else -found - 1
+    }
+
+    fun evacuations(): List<SoakViolation> {
+        val arrivals = events.filter { it.kind == SoakKind.ARRIVE && it["misdirected"] != "true" }
+        return evacuationSpans().flatMap { (zone, span) ->
+            arrivals.filter { it["zone"] == zone && it.atNs > dueNs(span.fromNs) && it.atNs < span.toNs }
+                .mapNotNull { arrivalInTouchOrNull(it, zone, span) }
+        }
+    }
+
+    private fun arrivalInTouchOrNull(arrival: SoakEvent, zone: String, span: Span): SoakViolation? {
+        val entry = sendOf[arrival["request"]]?.get("entry").orEmpty()
+        if (wasDisturbed(entry, arrival.atNs, arrival.atNs)) return null
+        val evidence = "zone=$zone acknowledged=${span.fromNs.inS()} arrived=${arrival.atNs.inS()} " +
+            "ended=${span.toNs.inS()} entry=$entry target=${arrival["target"]} kv_from=${arrival["from"]}"
+        return SoakViolation(SoakRule.EVAC, arrival["request"], evidence)
+    }
+
+    /** Returns when an evacuation acknowledged at [acknowledgedNs] has to be in effect. */
+    private fun dueNs(acknowledgedNs: Long): Long {
+        val contactNs = bounds.contactMs * NS_PER_MS
+        val dueNs = acknowledgedNs + bounds.evacuateMs * NS_PER_MS
+        val wasUnstable = coreDisturbances.any { it.overlaps(acknowledgedNs - contactNs, dueNs) }
+        return if (wasUnstable) dueNs + bounds.maxStretchMs * NS_PER_MS else dueNs
+    }
+
+    /** The spans from the acknowledgement of each evacuation until the operator orders its end. */
+    private fun evacuationSpans(): List<Pair<String, Span>> {
+        val spans = mutableListOf<Pair<String, Span>>()
+        val open = HashMap<String, Long>()
+        for (event in events) {
+            val words = event["path"].split('/').filter { it.isNotEmpty() }
+            if (words.size != 4 || words[1] != "evacuation") continue
+            val zone = words[2]
+            if (event.kind == SoakKind.ACKNOWLEDGED && words[3] == "start") open.putIfAbsent(zone, event.atNs)
+            if (event.kind == SoakKind.ORDER && words[3] == "end") {
+                open.remove(zone)?.let { spans += zone to Span(it, event.atNs) }
+            }
+        }
+        return spans + open.map { (zone, fromNs) -> zone to Span(fromNs, Long.MAX_VALUE) }
+    }
+
+    fun refused(): List<SoakViolation> =
+        events.filter { it.kind == SoakKind.ANSWER && it["status"] in promises && !isSafe(it["request"]) }
+            .mapNotNull { answer ->
+                val run = runs[answer["request"]]?.firstOrNull() ?: return@mapNotNull null
+                val evidence = "status=${answer["status"]} answered=${answer.atNs.inS()} entry=" +
+                    "${sendOf[answer["request"]]?.get("entry")} target=${run.target} begin=${run.beginNs.inS()}"
+                SoakViolation(SoakRule.REFUSED, answer["request"], evidence)
+            }
+
+    fun mixed(): List<SoakViolation> =
+        events.filter { it.kind == SoakKind.ANSWER && it["status"].startsWith("2") && it["sound"] != "true" }.map {
+            SoakViolation(SoakRule.MIXED, it["request"], "status=${it["status"]} answered=${it.atNs.inS()} ${it["problem"]}")
+        }
+}
+
+private val promises = setOf("408", "421", "429", "503")
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -0,0 +1,84 @@
+/*
+ * What clients, targets, the operator and the fault injector record: one line for each event, with System.nanoTime,
+ * which is the same clock in all JVMs of one Linux machine.
+ */
+package fulmarshunt.soak
+
+import java.io.File
+import java.io.FileOutputStream
+
+/** The kinds of recorded events. */
+internal enum class SoakKind {
+    /** A client sends a request to an entry VM. */
+    SEND,
+
+    /** A client has a complete response. */
+    ANSWER,
+
+    /** A client has no complete response. */
+    FAIL,
+
+    /** A request arrives at a target. */
+    ARRIVE,
+
+    /** A target begins to run a request. */
+    BEGIN,
+
+    /** A target no longer works on a request. */
+    END,
+
+    /** A target rejects a request without running it. */
+    REFUSE,
+
+    /** The fault injector disturbs a process, until the next RECOVERED of the same process. */
+    DISTURBED,
+
+    /** A disturbed process runs again. */
+    RECOVERED,
+
+    /** A process was killed; its runs have ended. */
+    KILLED,
+
+    /** The operator sends an order. */
+    ORDER,
+
+    /** An order was acknowledged. */
+    ACKNOWLEDGED,
+}
+
+/** One recorded event. Values hold no spaces. */
+internal data class SoakEvent(val atNs: Long, val kind: SoakKind, val fields: Map<String, String>) {
+    /** Returns the value of [name], or an empty text. */
+    operator fun get(name: String): String = fields[name].orEmpty()
+
+    override fun toString(): String = "$atNs $kind" + fields.entries.joinToString("") { " ${it.key}=${it.value}" }
+}
+
+/** Creates an event of [kind] at [atNs]. */
+internal fun soakEvent(atNs: Long, kind: SoakKind, vararg fields: Pair<String, Any>): SoakEvent =
+    SoakEvent(atNs, kind, fields.associate { (name, value) -> name to value.toString().replace(' ', '_') })
+
+/** Decodes a line, or returns null for one that was cut by the end of its writer. */
+internal fun soakEventOrNull(line: String): SoakEvent? {
+    val words = line.split(' ')
+    val atNs = words[0].toLongOrNull() ?: return null
+    val kind = SoakKind.entries.find { it.name == words.getOrNull(1) } ?: return null
+    return SoakEvent(atNs, kind, words.drop(2).associate { it.substringBefore('=') to it.substringAfter('=') })
+}
+
+/** Writes events to [file]; each is in the file when [add] returns, so that a killed writer loses none. */
+internal class SoakRecord(file: File) : AutoCloseable {
+    private val output = FileOutputStream(file, true)
+
+    fun add(kind: SoakKind, vararg fields: Pair<String, Any>): Unit = synchronized(output) {
+        output.write("${soakEvent(System.nanoTime(), kind, *fields)}\n".encodeToByteArray())
+    }
+
+    override fun close(): Unit = synchronized(output) { output.close() }
+}
+
+/** Reads all records in [directory], in the order of time. */
+internal fun readSoakRecords(directory: File): List<SoakEvent> = directory.listFiles { it -> it.extension == "record" }
+    .orEmpty()
+    .flatMap { it.readLines().mapNotNull(::soakEventOrNull) }
+    .sortedBy { it.atNs }
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -0,0 +1,326 @@
+/*
+ * A target of the fault soak as a program of its own, so that signals act on it as on the programs under test. It
+ * announces itself, runs requests, keeps copies of other targets' runs and records what it sees. Faults other than
+ * signals are requested with private calls under /soak/.
+ */
+package fulmarshunt.soak
+
+import java.io.BufferedInputStream
+import java.io.File
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+private const val HEARTBEAT_MS = 1_000L
+private const val FAILED_HEARTBEAT_MS = 100L
+private const val CALL_TIMEOUT_MS = 1_000
+private const val COPY_PERIOD_MS = 150L
+private const val COPY_TIMEOUT_MS = 300
+private const val COPY_LIFETIME_NS = 5_000_000_000L
+private const val MIN_PAUSE_MS = 20
+private const val MAX_PAUSE_MS = 60
+private const val MAX_WORK_MS = 120
+private const val TOKENS_PER_EVENT = 4
+private const val DRAIN_MS = 3_000L
+
+/** The part of the runs that go on although their channel has closed, as 1 in this number. */
+private const val STUBBORN_ONE_IN = 5
+private const val BACKLOG = 256
+private const val ERROR_DELAY_MS = 1_200L
+
+/** What a target does to a request besides running it. */
+private enum class Mishap { NONE, REFUSE, FAIL, LOSE, DELAY, RESET }
+
+/** Runs a target with `name=value` arguments. */
+public fun main(arguments: Array<String>) {
+    val values = arguments.associate { it.substringBefore('=') to it.substringAfter('=') }
+    SoakTarget(
+        id = values.getValue("id"),
+        address = soakAddress(values.getValue("address")),
+        service = values.getValue("service"),
+        zone = values.getValue("zone"),
+        slots = values.getValue("slots").toInt(),
+        controls = values.getValue("controls").split(',').map(::soakAddress),
+        random = Random(values.getValue("seed").toLong()),
+        record = SoakRecord(File(values.getValue("record"))),
+    ).run()
+}
+
+private class Run(val request: String, val backup: SoakAddress?) {
+    val made = AtomicInteger()
+    val isStopped = ConcurrentHashMap.newKeySet<String>()
+}
+
+private class SoakTarget(
+    private val id: String,
+    private val address: SoakAddress,
+    private val service: String,
+    private val zone: String,
+    private val slots: Int,
+    private val controls: List<SoakAddress>,
+    private val random: Random,
+    private val record: SoakRecord,
+) {
+    private val startedAtMs = System.currentTimeMillis()
+    private val runs = ConcurrentHashMap<String, Run>()
+    private val running = AtomicInteger()
+    private val handles = AtomicLong()
+    private val mishaps = ConcurrentHashMap<Mishap, Double>()
+
+    /** When each copy was last extended, by request id or handle. */
+    private val copies = ConcurrentHashMap<String, Long>()
+
+    @Volatile
+    private var isDraining = false
+
+    fun run() {
+        val socket = ServerSocket()
+        socket.reuseAddress = true
+        socket.bind(InetSocketAddress(address.ip, address.port), BACKLOG)
+        thread(isDaemon = true) { announce() }
+        thread(isDaemon = true) { sendCopies() }
+        while (true) {
+            val channel = socket.accept()
+            thread(isDaemon = true) {
+                try {
+                    channel.use(::serve)
+                } catch (e: IOException) {
+                    // The caller has closed the channel; a run that this ends has been recorded.
+                }
+            }
+        }
+    }
+
+    private fun announce() {
+        var node = random.nextInt(controls.size)
+        var sequence = 0L
+        var drainedAtMs: Long? = null
+        while (true) {
+            val isDrainingNow = isDraining
+            val body = """{"service":"$service","address":"$address","zone":"$zone","version":"v1","slots":$slots,""" +
+                """"state":"${if (isDrainingNow) "draining" else "ready"}","cold_remaining_ms":0,""" +
+                """"seq":${++sequence},"born":$startedAtMs}"""
+            val status = callOnce(controls[node], "POST", "/api/instances/$id/heartbeat", body, CALL_TIMEOUT_MS)
+            if (status == OK) {
+                if (isDrainingNow && drainedAtMs == null) drainedAtMs = System.currentTimeMillis()
+            } else {
+                node = (node + 1) % controls.size
+            }
+            if (drainedAtMs != null && System.currentTimeMillis() > drainedAtMs + DRAIN_MS) {
+                callOnce(controls[node], "POST", "/api/instances/$id/deregister", """{"born":$startedAtMs}""", 1_000)
+                runs.keys.forEach { record.add(SoakKind.END, "request" to it, "target" to id, "reason" to "exit") }
+                exitProcess(0)
+            }
+            val pauseMs = if (status == OK) HEARTBEAT_MS else FAILED_HEARTBEAT_MS
+            var waitedMs = 0L
+            while (waitedMs < pauseMs && isDraining == isDrainingNow) {
+                Thread.sleep(50)
+                waitedMs += 50
+            }
+        }
+    }
+
+    /** Sends the progress of runs to the targets that keep their copies, one thread for each of these. */
+    private fun sendCopies() {
+        val senders = ConcurrentHashMap.newKeySet<SoakAddress>()
+        while (true) {
+            Thread.sleep(COPY_PERIOD_MS)
+            val atNs = System.nanoTime()
+            copies.entries.removeIf { atNs - it.value > COPY_LIFETIME_NS }
+            runs.values.filter { it.backup != null && it.made.get() > 0 }.groupBy { it.backup }.forEach { (to, group) ->
+                if (to != null && senders.add(to)) {
+                    thread(isDaemon = true) {
+                        callOnce(to, "POST", "/soak/copy", group.joinToString(",") { it.request }, COPY_TIMEOUT_MS)
+                        senders -= to
+                    }
+                }
+            }
+        }
+    }
+
+    private fun serve(channel: Socket) {
+        channel.tcpNoDelay = true
+        val input = BufferedInputStream(channel.getInputStream())
+        while (true) {
+            channel.soTimeout = 0
+            val message = input.readSoakMessageOrNull() ?: return
+            val path = message.startLine.split(' ')[1]
+            when {
+                path == "/soak/copy" -> {
+                    message.body.split(',').forEach { copies[it] = System.nanoTime() }
+                    channel.write(200, "", "")
+                }
+                path == "/soak/drain" -> {
+                    isDraining = true
+                    channel.write(200, "", "")
+                }
+                path.startsWith("/soak/mishap/") -> {
+                    mishaps[Mishap.valueOf(path.substringAfterLast('/'))] = message.body.toDouble()
+                    channel.write(200, "", "")
+                }
+                path == "/api/kv-move" -> move(channel, message.body)
+                path == "/health" -> {
+                    channel.write(if (isDraining) 503 else 200, "Fulmarshunt-Instance-Id: $id\r\n", "")
+                }
+                else -> if (!take(channel, input, message, path)) return
+            }
+        }
+    }
+
+    private fun move(channel: Socket, body: String) {
+        fun field(name: String) = Regex("\"$name\"\\s*:\\s*\"?([^\",}]+)").find(body)?.groupValues?.get(1).orEmpty()
+        val run = runs[field("id")] ?: return channel.write(404, "", "{}")
+        if (!run.isStopped.add("moving")) return channel.write(409, "", "{}")
+        val handle = "h-$id-${handles.incrementAndGet()}"
+        if (field("last") == "true") {
+            run.isStopped += "stopped"
+            while (runs[run.request] === run) Thread.sleep(5)
+            copies[handle] = System.nanoTime()
+        } else {
+            Thread.sleep(50)
+        }
+        run.isStopped -= "moving"
+        val status = callOnce(soakAddress(field("target")), "POST", "/soak/copy", handle, CALL_TIMEOUT_MS)
+        channel.write(if (status == OK) 200 else 503, "", """{"handle":"$handle","made":${run.made.get()}}""")
+    }
+
+    private fun drawMishap(): Mishap = synchronized(random) {
+        mishaps.entries.firstOrNull { random.nextDouble() < it.value }?.key ?: Mishap.NONE
+    }
+
+    /** Handles one request; returns whether the channel can be used again. */
+    private fun take(channel: Socket, input: InputStream, message: SoakMessage, path: String): Boolean {
+        val request = message.headers["fulmarshunt-request-id"].orEmpty()
+        val expected = message.headers["fulmarshunt-expect-instance"]
+        val isMisdirected = expected != null && expected != id
+        val source = message.headers["kv-from"].orEmpty()
+        record.add(
+            SoakKind.ARRIVE, "request" to request, "target" to id, "zone" to zone, "service" to service,
+            "misdirected" to isMisdirected, "from" to source, "last" to message.headers["last-event-id"].orEmpty(),
+        )
+        val mishap = drawMishap()
+        val key = source.substringAfter('/')
+        val reason = when {
+            isMisdirected -> "misdirected"
+            source.isNotEmpty() && !copies.containsKey(key) -> "no_copy"
+            source.isEmpty() && running.get() >= slots -> "full"
+            mishap == Mishap.REFUSE -> "mood"
+            else -> null
+        }
+        if (reason != null) {
+            record.add(SoakKind.REFUSE, "request" to request, "target" to id, "reason" to reason)
+            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n"
+            channel.write(if (isMisdirected) 421 else 503, headers, "")
+            return true
+        }
+        if (key.startsWith("h-")) copies -= key
+        val run = Run(request, message.headers["fulmarshunt-kv-backup"]?.let(::soakAddress))
+        runs[request] = run
+        running.incrementAndGet()
+        record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
+        var reasonOfEnd = "closed"
+        try {
+            reasonOfEnd = work(channel, input, message, path, run, mishap)
+        } finally {
+            runs.remove(request, run)
+            running.decrementAndGet()
+            record.add(SoakKind.END, "request" to request, "target" to id, "reason" to reasonOfEnd)
+        }
+        return reasonOfEnd == "done"
+    }
+
+    private fun work(
+        channel: Socket,
+        input: InputStream,
+        message: SoakMessage,
+        path: String,
+        run: Run,
+        mishap: Mishap,
+    ): String {
+        val isStubborn = run.request.hashCode().mod(STUBBORN_ONE_IN) == 0
+        val head = "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
+            "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
+        val isStream = path.startsWith("/stream/")
+        if (!isStream || mishap == Mishap.FAIL) {
+            val pauseMs = nextInt(MIN_PAUSE_MS, MAX_WORK_MS)
+            if (!pause(channel, input, pauseMs, isStubborn)) return "closed"
+            if (mishap == Mishap.DELAY) Thread.sleep(ERROR_DELAY_MS)
+            if (mishap == Mishap.LOSE) return "lost"
+            if (mishap == Mishap.RESET) return reset(channel)
+            channel.write(if (mishap == Mishap.FAIL) 500 else 200, head, "body of ${run.request}")
+            return "done"
+        }
+        val text = "HTTP/1.1 200 OK\r\n${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val output = channel.getOutputStream()
+        val count = (message.headers["fulmarshunt-token-counts"]?.substringAfter(',')?.toInt() ?: 80) / TOKENS_PER_EVENT
+        val first = (message.headers["last-event-id"]?.toInt() ?: 0) + 1
+        var isOpen = true
+        val cutAt = if (mishap == Mishap.LOSE || mishap == Mishap.RESET) first + nextInt(0, count) else Int.MAX_VALUE
+        if (mishap == Mishap.DELAY) Thread.sleep(ERROR_DELAY_MS)
+        isOpen = send(isOpen, isStubborn) { output.write(text.encodeToByteArray()) }
+        for (number in first..count) {
+            if ("stopped" in run.isStopped) return "stopped"
+            if (number == cutAt) return if (mishap == Mishap.RESET) reset(channel) else "lost"
+            val event = "id: $number\ndata: ${run.request}\n\n"
+            run.made.set(number)
+            isOpen = send(isOpen, isStubborn) {
+                output.write("${event.length.toString(16)}\r\n$event\r\n".encodeToByteArray())
+            }
+            if (!pause(channel, input, nextInt(MIN_PAUSE_MS, MAX_PAUSE_MS), isStubborn)) return "closed"
+        }
+        send(isOpen, isStubborn) { output.write("0\r\n\r\n".encodeToByteArray()) }
+        return if (isOpen) "done" else "ended_unheard"
+    }
+
+    /** Writes unless the channel has ended; a failure ends the run unless [isStubborn]. */
+    private fun send(isOpen: Boolean, isStubborn: Boolean, write: () -> Unit): Boolean = try {
+        if (isOpen) write()
+        isOpen
+    } catch (e: IOException) {
+        if (!isStubborn) throw e
+        false
+    }
+
+    private fun reset(channel: Socket): String {
+        channel.setSoLinger(true, 0)
+        return "reset"
+    }
+
+    private fun nextInt(from: Int, until: Int) = synchronized(random) { random.nextInt(from, maxOf(from + 1, until)) }
+
+    /** Waits for [pauseMs]; returns false as soon as the caller has closed the channel, unless [isStubborn]. */
+    private fun pause(channel: Socket, input: InputStream, pauseMs: Int, isStubborn: Boolean): Boolean {
+        if (isStubborn) {
+            Thread.sleep(pauseMs.toLong())
+            return true
+        }
+        return try {
+            channel.soTimeout = pauseMs
+            input.mark(1)
+            val byte = input.read()
+            if (byte >= 0) {
+                input.reset()
+                Thread.sleep(pauseMs.toLong())
+            }
+            byte >= 0
+        } catch (e: SocketTimeoutException) {
+            true
+        }
+    }
+
+    private fun Socket.write(status: Int, headers: String, body: String) {
+        val text = "HTTP/1.1 $status Status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body"
+        getOutputStream().write(text.encodeToByteArray())
+    }
+}
+
+private const val OK = 200
