--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -0,0 +1,81 @@
+/*
+ * Runs the fault soak: the programs as processes, seeded faults, clients and an operator, and the checks of what they
+ * saw. See CONTRIBUTING.md for its use.
+ */
+package fulmarshunt.soak
+
+import fulmarshunt.standin.runTool
+import java.io.File
+import java.nio.file.Files
+
+private const val FORMATION_LIMIT_MS = 60_000L
+private const val AFTERMATH_MS = 2_000L
+
+/** What one seed showed. */
+internal class SoakResult(
+    val seed: Long,
+    val faultCount: Int,
+    val requestCount: Int,
+    val servedCount: Int,
+    val violations: List<SoakViolation>,
+    val directory: File,
+) {
+    override fun toString(): String = "seed=$seed faults=$faultCount requests=$requestCount served=$servedCount " +
+        SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
+        if (violations.isEmpty()) "" else " folder=$directory"
+}
+
+/** Runs one seed with faults for [seconds]. The folder of a run without violations is removed. */
+internal fun runSoak(seed: Long, seconds: Long, entries: Int = 4, engines: Int = 4): SoakResult {
+    val directory = Files.createTempDirectory("fulmarshunt-soak-$seed-").toFile()
+    var faultCount = 0
+    SoakRecord(File(directory, "driver.record")).use { record ->
+        SoakDeployment(directory, entries, engines, record).use { site ->
+            site.start()
+            val operator = SoakOperator(site, seed)
+            check(operator.configure(FORMATION_LIMIT_MS)) { "no configuration was accepted, see $directory" }
+            val limitNs = System.nanoTime() + FORMATION_LIMIT_MS * 1_000_000
+            while (!(0 until entries).all(site::isReady)) {
+                check(System.nanoTime() < limitNs) { "an entry VM was not ready, see $directory" }
+                Thread.sleep(200)
+            }
+            SoakClients(site, seed).use {
+                Thread.sleep(AFTERMATH_MS)
+                faultCount = SoakFaults(site, operator, seed, seconds * 1_000).run()
+                Thread.sleep(AFTERMATH_MS)
+            }
+        }
+    }
+    val events = readSoakRecords(directory)
+    val violations = checkSoak(events)
+    val result = SoakResult(
+        seed,
+        faultCount,
+        events.count { it.kind == SoakKind.SEND },
+        events.count { it.kind == SoakKind.ANSWER && it["status"] == "200" },
+        violations,
+        directory,
+    )
+    File(directory, "violations.txt").writeText(violations.joinToString("\n", postfix = "\n"))
+    if (violations.isEmpty()) directory.deleteRecursively()
+    return result
+}
+
+/** Runs the seeds from `seed=` on, `seeds=` of them, and prints one line for each and one for each violation. */
+public fun main(arguments: Array<String>): Unit =
+    runTool("soak", arguments, setOf("seed", "seeds", "seconds", "entries", "engines")) { values ->
+        val first = values["seed"]?.toLong() ?: 1L
+        var isSound = true
+        for (seed in first until first + (values["seeds"]?.toLong() ?: 1L)) {
+            val result = runSoak(
+                seed,
+                values["seconds"]?.toLong() ?: 60L,
+                values["entries"]?.toInt() ?: 4,
+                values["engines"]?.toInt() ?: 4,
+            )
+            println(result)
+            result.violations.forEach { println("  seed=$seed $it") }
+            isSound = isSound && result.violations.isEmpty()
+        }
+        check(isSound) { "rules were broken" }
+    }
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -0,0 +1,198 @@
+/*
+ * The processes of a fault soak on loopback addresses of their own: control VMs, entry VMs and targets, which can be
+ * stopped, resumed, killed and started again. Each disturbance is recorded.
+ */
+package fulmarshunt.soak
+
+import fulmarshunt.standin.Processes
+import fulmarshunt.standin.freePort
+import java.io.File
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+internal const val CONTROL_VMS = 5
+internal const val PLAIN = "plain"
+internal const val ENGINE = "engine"
+private const val SEEDS = 3
+private const val FIRST_NETWORK = 64
+private const val NETWORKS = 128
+private const val NETWORK_SIZE = 256
+private const val TARGET_SLOTS = 8
+private const val CALL_TIMEOUT_MS = 1_000
+private const val PROGRAM_END_S = 10L
+
+/** The failure domains of the deployment. */
+internal val soakZones: List<String> = listOf("zone-a", "zone-b", "zone-c")
+
+private val networks = AtomicInteger(ProcessHandle.current().pid().toInt() * 4)
+
+/** One target; a restart is a new one at the same address. */
+internal class TargetNode(val id: String, val service: String, val zone: String, val address: SoakAddress)
+
+/** The deployment of one run, with its files in [directory]. */
+internal class SoakDeployment(
+    private val directory: File,
+    val entryCount: Int,
+    private val engineCount: Int,
+    val record: SoakRecord,
+) : AutoCloseable {
+    private val processes = Processes(directory)
+    private val network = networks.getAndIncrement().let {
+        "127.${FIRST_NETWORK + (it / NETWORK_SIZE).mod(NETWORKS)}.${it.mod(NETWORK_SIZE)}"
+    }
+    private val linkPort = freePort()
+    private val requestPort = freePort()
+    private val metricsPort = freePort()
+    private val callerPort = freePort()
+    private val readinessPort = freePort()
+    private val targetPort = freePort()
+    private val byNode = ConcurrentHashMap<String, Process>()
+    private val targetNumbers = AtomicInteger()
+
+    /** The targets that run now. */
+    val targets: MutableMap<String, TargetNode> = ConcurrentHashMap()
+
+    fun controlAddress(number: Int): SoakAddress = SoakAddress("$network.${10 + number}", requestPort)
+
+    fun callerAddress(entry: Int): SoakAddress = SoakAddress("$network.${40 + entry}", callerPort)
+
+    fun isReady(entry: Int): Boolean {
+        val address = SoakAddress("$network.${40 + entry}", readinessPort)
+        return callOnce(address, "GET", "/api/ready", "", CALL_TIMEOUT_MS) == 200
+    }
+
+    fun start() {
+        (0 until CONTROL_VMS).forEach { startControl(it, bootstrap = true) }
+        (0 until entryCount).forEach(::startEntry)
+        repeat(engineCount) { startTarget(ENGINE, soakZones[it % soakZones.size]) }
+        soakZones.forEach { startTarget(PLAIN, it) }
+    }
+
+    private fun common(node: String, ip: String, zone: String) = """
+        [vm]
+        id = "$node"
+        failure_domain = "$zone"
+        ip = "$ip"
+        [link]
+        port = $linkPort
+        secret = "secret-of-the-fault-soak"
+        [control]
+        seeds = [${(0 until SEEDS).joinToString { "\"${controlAddress(it)}\"" }}]
+    """.trimIndent()
+
+    fun startControl(number: Int, bootstrap: Boolean = false) {
+        val ip = controlAddress(number).ip
+        val settings = """
+            [data]
+            directory = "$directory/data-$number"
+            [listen]
+            requests = "$ip:$requestPort"
+            metrics = "$ip:$metricsPort"
+            [formation]
+            bootstrap = $bootstrap
+            [targets]
+            period_ms = 1000
+        """.trimIndent()
+        startProgram("control-$number", "fulmarshunt.platform.FleetControlKt", ip, number, settings)
+    }
+
+    fun startEntry(number: Int) {
+        val ip = callerAddress(number).ip
+        val settings = """
+            [listen]
+            callers = "$ip:$callerPort"
+            readiness = "$ip:$readinessPort"
+            metrics = "$ip:$metricsPort"
+            [bounds]
+            repeat_ratio = 0.2
+            repeat_allowance = 56
+            repeat_window_s = 10
+            [shutdown]
+            grace_s = 6.0
+        """.trimIndent()
+        startProgram("entry-$number", "fulmarshunt.platform.FleetEntryKt", ip, number, settings)
+    }
+
+    private fun startProgram(node: String, mainClass: String, ip: String, number: Int, settings: String) {
+        val zone = soakZones[number % soakZones.size]
+        val path = processes.settings("$node.toml", "${common(node, ip, zone)}\n$settings\n")
+        val flags = listOf("-Xmx112m", "-Xss256k", "-XX:+ExitOnOutOfMemoryError")
+        byNode[node] = processes.start(node, mainClass, "--settings", path, jvmFlags = flags)
+        record.add(SoakKind.RECOVERED, "node" to node, "action" to "start")
+    }
+
+    /** Starts a target, at the address of an earlier one if [address] is given. */
+    fun startTarget(service: String, zone: String, address: SoakAddress? = null): TargetNode {
+        val number = targetNumbers.incrementAndGet()
+        val id = "i-$service-$number"
+        val node = TargetNode(id, service, zone, address ?: SoakAddress("$network.${100 + number % 150}", targetPort))
+        val controls = (0 until CONTROL_VMS).joinToString(",") { "${controlAddress(it)}" }
+        byNode[id] = processes.start(
+            id, "fulmarshunt.soak.SoakTargetKt", "id=$id", "address=${node.address}", "service=$service", "zone=$zone",
+            "slots=$TARGET_SLOTS", "controls=$controls", "seed=$number", "record=$directory/$id.record",
+            jvmFlags = listOf("-Xmx32m", "-Xss256k"),
+        )
+        targets[id] = node
+        return node
+    }
+
+    /** Stops a process for [durationMs]. */
+    fun pause(node: String, durationMs: Long) {
+        stop(node)
+        try {
+            Thread.sleep(durationMs)
+        } finally {
+            resume(node)
+        }
+    }
+
+    fun stop(node: String) {
+        record.add(SoakKind.DISTURBED, "node" to node, "action" to "SIGSTOP")
+        signal(node, "STOP")
+    }
+
+    fun resume(node: String) {
+        signal(node, "CONT")
+        record.add(SoakKind.RECOVERED, "node" to node, "action" to "SIGCONT")
+    }
+
+    fun kill(node: String) {
+        record.add(SoakKind.DISTURBED, "node" to node, "action" to "SIGKILL")
+        byNode.getValue(node).destroyForcibly().waitFor()
+        record.add(SoakKind.KILLED, "node" to node)
+        targets -= node
+    }
+
+    /** Sends SIGTERM and waits for the end of the process. */
+    fun terminate(node: String) {
+        record.add(SoakKind.DISTURBED, "node" to node, "action" to "SIGTERM")
+        signal(node, "TERM")
+        val process = byNode.getValue(node)
+        if (!process.waitFor(PROGRAM_END_S, TimeUnit.SECONDS)) process.destroyForcibly().waitFor()
+    }
+
+    /** Requests a mishap of each request at the target with the given probability. */
+    fun setMishap(target: TargetNode, name: String, probability: Double) {
+        callOnce(target.address, "POST", "/soak/mishap/$name", "$probability", CALL_TIMEOUT_MS)
+        record.add(
+            if (probability > 0 && name in channelFaults) SoakKind.DISTURBED else SoakKind.RECOVERED,
+            "node" to target.id, "action" to "$name:$probability",
+        )
+    }
+
+    /** Lets a target announce that it leaves; it ends by itself. */
+    fun drain(target: TargetNode) {
+        targets -= target.id
+        callOnce(target.address, "POST", "/soak/drain", "", CALL_TIMEOUT_MS)
+    }
+
+    private fun signal(node: String, name: String) {
+        ProcessBuilder("kill", "-$name", "${byNode.getValue(node).pid()}").start().waitFor()
+    }
+
+    override fun close(): Unit = processes.close()
+}
+
+/** The mishaps that count as a disturbance, because the sender cannot know whether the target still works. */
+private val channelFaults = setOf("RESET", "LOSE", "DELAY")
--- /dev/null
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -0,0 +1,152 @@
+/*
+ * The seeded faults of a soak. Three series run side by side: one for control VMs, of which at most one is disturbed at
+ * a time, one for entry VMs and one for targets. Each begins with the faults of issue 32 and goes on at random.
+ */
+package fulmarshunt.soak
+
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+/** The duration for which an evacuation is observed after the core is calm again. */
+private const val OBSERVED_EVACUATION_MS = 12_000L
+private const val SHUTDOWN_OF_SERIES_MS = 20_000L
+
+/** Runs the faults for [durationMs]; [run] returns the number of faults. */
+internal class SoakFaults(
+    private val site: SoakDeployment,
+    private val operator: SoakOperator,
+    private val seed: Long,
+    durationMs: Long,
+) {
+    private val endNs = System.nanoTime() + durationMs * 1_000_000
+    private val count = AtomicInteger()
+
+    private fun isOver() = System.nanoTime() > endNs
+
+    fun run(): Int {
+        val series = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate).mapIndexed { index, body ->
+            thread(isDaemon = true) { body(Random(seed * 10 + index)) }
+        }
+        series.forEach { it.join(maxOf(0, (endNs - System.nanoTime()) / 1_000_000) + SHUTDOWN_OF_SERIES_MS) }
+        return count.get()
+    }
+
+    /** Waits up to [ms], at most until the end of the faults. */
+    private fun rest(ms: Long) {
+        Thread.sleep(maxOf(0, minOf(ms, (endNs - System.nanoTime()) / 1_000_000)))
+    }
+
+    private fun disturbControls(random: Random) {
+        var isFirst = true
+        while (!isOver()) {
+            val number = random.nextInt(CONTROL_VMS)
+            val node = "control-$number"
+            when (if (isFirst) 0 else random.nextInt(4)) {
+                0 -> repeatEvacuation(number, soakZones.random(random), random)
+                1 -> site.pause(node, random.nextLong(1_000, 6_000))
+                2 -> restartControl(number, random.nextLong(100, 2_000))
+                else -> (0 until CONTROL_VMS).forEach {
+                    if (!isOver()) restartControl(it, 100)
+                    rest(3_000)
+                }
+            }
+            count.incrementAndGet()
+            isFirst = false
+            rest(random.nextLong(1_500, 4_500))
+        }
+    }
+
+    private fun restartControl(number: Int, downMs: Long) {
+        site.kill("control-$number")
+        Thread.sleep(downMs)
+        site.startControl(number)
+    }
+
+    /** Ends and starts an evacuation again while a control VM is stopped, which gets the first call of its end. */
+    private fun repeatEvacuation(stopped: Int, zone: String, random: Random) {
+        val others = (0 until CONTROL_VMS).filter { it != stopped }
+        operator.evacuate(zone, isStart = true, first = others.random(random))
+        rest(1_000)
+        site.stop("control-$stopped")
+        val resumeNs = System.nanoTime() + random.nextLong(3_500, 5_500) * 1_000_000
+        try {
+            operator.evacuate(zone, isStart = false, first = stopped)
+            Thread.sleep(random.nextLong(200, 800))
+            operator.evacuate(zone, isStart = true, first = others.random(random))
+            Thread.sleep(maxOf(0, (resumeNs - System.nanoTime()) / 1_000_000))
+        } finally {
+            site.resume("control-$stopped")
+        }
+        rest(OBSERVED_EVACUATION_MS)
+        operator.evacuate(zone, isStart = false)
+    }
+
+    private fun disturbEntries(random: Random) {
+        var isFirst = true
+        rest(2_000)
+        while (!isOver()) {
+            val number = random.nextInt(site.entryCount)
+            when (if (isFirst) 0 else random.nextInt(5)) {
+                0 -> {
+                    val killed = (0 until site.entryCount).shuffled(random).take(maxOf(2, site.entryCount - 1))
+                    killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
+                    killed.forEach(site::startEntry)
+                }
+                1, 2 -> site.pause("entry-$number", random.nextLong(1_000, 6_000))
+                3 -> {
+                    site.kill("entry-$number")
+                    site.startEntry(number)
+                }
+                else -> (0 until site.entryCount).forEach {
+                    if (!isOver()) {
+                        site.terminate("entry-$it")
+                        site.startEntry(it)
+                    }
+                }
+            }
+            count.incrementAndGet()
+            isFirst = false
+            rest(random.nextLong(2_000, 6_000))
+        }
+    }
+
+    private fun disturbTargets(random: Random) {
+        var isFirst = true
+        while (!isOver()) {
+            val target = site.targets.values.sortedBy { it.id }.random(random)
+            when (if (isFirst) 0 else random.nextInt(6)) {
+                0 -> mishap(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
+                1 -> site.pause(target.id, random.nextLong(1_000, 6_000))
+                2 -> {
+                    site.kill(target.id)
+                    Thread.sleep(random.nextLong(200, 2_000))
+                    site.startTarget(target.service, target.zone, target.address)
+                }
+                3 -> {
+                    site.startTarget(target.service, target.zone)
+                    rest(3_000)
+                    site.drain(target)
+                }
+                4 -> mishap(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
+                else -> mishap(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
+            }
+            count.incrementAndGet()
+            isFirst = false
+            rest(random.nextLong(500, 3_000))
+        }
+    }
+
+    private fun mishap(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
+        targets.forEach { site.setMishap(it, name, probability) }
+        rest(durationMs)
+        targets.forEach { site.setMishap(it, name, 0.0) }
+    }
+
+    private fun operate(random: Random) {
+        while (!isOver()) {
+            rest(random.nextLong(2_000, 5_000))
+            operator.configure(limitMs = 6_000)
+        }
+    }
+}
