--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -73,7 +73,10 @@
             val endNs = ends[begin["request"] to begin["target"]]?.firstOrNull { it.atNs >= begin.atNs }?.atNs
             val killNs = killedAtNs[begin["target"]]?.firstOrNull { it >= begin.atNs }
             TargetRun(
-                begin["target"], begin.atNs, minOf(endNs ?: Long.MAX_VALUE, killNs ?: Long.MAX_VALUE), begin["from"],
+                begin["target"],
+                begin.atNs,
+                minOf(endNs ?: Long.MAX_VALUE, killNs ?: Long.MAX_VALUE),
+                begin["from"],
             )
         }
     }
@@ -107,7 +110,9 @@
 
     fun budget(): List<SoakViolation> {
         val sentNs = sends.groupBy({ it["service"] }, { it.atNs })
-        return events.filter { it.kind == SoakKind.ARRIVE }.groupBy { it["service"] }.mapNotNull { (service, arrivals) ->
+        return events.filter {
+            it.kind == SoakKind.ARRIVE
+        }.groupBy { it["service"] }.mapNotNull { (service, arrivals) ->
             val seen = HashSet<String>()
             val repeats = arrivals.filter { !seen.add(it["request"]) }
             worstWindowOrNull(service, repeats, sentNs[service].orEmpty())
@@ -196,7 +201,11 @@
 
     fun mixed(): List<SoakViolation> =
         events.filter { it.kind == SoakKind.ANSWER && it["status"].startsWith("2") && it["sound"] != "true" }.map {
-            SoakViolation(SoakRule.MIXED, it["request"], "status=${it["status"]} answered=${it.atNs.inS()} ${it["problem"]}")
+            SoakViolation(
+                SoakRule.MIXED,
+                it["request"],
+                "status=${it["status"]} answered=${it.atNs.inS()} ${it["problem"]}",
+            )
         }
 }
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -23,7 +23,8 @@
     /** Guards against a second run that is not found. */
     @Test
     fun `an unsafe request on two targets breaks TWICE`() {
-        val found = checkSoak(events("$SENT\n$FIRST_RUN\n1100 END request=q target=a\n1200 BEGIN request=q target=b from="))
+        val found =
+            checkSoak(events("$SENT\n$FIRST_RUN\n1100 END request=q target=a\n1200 BEGIN request=q target=b from="))
         expectThat(found.map { it.rule }).isEqualTo(listOf(SoakRule.TWICE))
         expectThat(found.single().evidence).contains("former=a").contains("next=b").contains("entry=entry-1")
     }
@@ -77,7 +78,9 @@
     /** Guards against findings for repeats that the requests of the window before allow. */
     @Test
     fun `requests of the window before count`() {
-        val requests = (1..200).joinToString("\n") { "${2_000 + it} SEND request=p$it kind=safe service=s entry=entry-1" }
+        val requests = (1..200).joinToString("\n") {
+            "${2_000 + it} SEND request=p$it kind=safe service=s entry=entry-1"
+        }
         val late = repeats(71) { 30_000 + it } + "\n31000 ARRIVE request=q1 service=s target=c"
         expectThat(rules(late)).isEqualTo(listOf(SoakRule.BUDGET))
         expectThat(rules("$requests\n$late")).isEqualTo(listOf(SoakRule.BUDGET))
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -175,10 +175,12 @@
     /** Requests a mishap of each request at the target with the given probability. */
     fun setMishap(target: TargetNode, name: String, probability: Double) {
         callOnce(target.address, "POST", "/soak/mishap/$name", "$probability", CALL_TIMEOUT_MS)
-        record.add(
-            if (probability > 0 && name in channelFaults) SoakKind.DISTURBED else SoakKind.RECOVERED,
-            "node" to target.id, "action" to "$name:$probability",
-        )
+        val kind = when {
+            name !in channelFaults -> SoakKind.MISHAP
+            probability > 0 -> SoakKind.DISTURBED
+            else -> SoakKind.RECOVERED
+        }
+        record.add(kind, "node" to target.id, "action" to "$name:$probability")
     }
 
     /** Lets a target announce that it leaves; it ends by itself. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -12,6 +12,11 @@
 private const val OBSERVED_EVACUATION_MS = 12_000L
 private const val SHUTDOWN_OF_SERIES_MS = 20_000L
 
+/** The time for which restarted entry VMs serve before they are killed again. */
+private const val SERVED_BETWEEN_KILLS_MS = 2_000L
+private const val READY_LIMIT_NS = 8_000_000_000L
+private const val READY_POLL_MS = 100L
+
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
     private val site: SoakDeployment,
@@ -25,7 +30,10 @@
     private fun isOver() = System.nanoTime() > endNs
 
     fun run(): Int {
-        val series = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate).mapIndexed { index, body ->
+        val series = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate).mapIndexed {
+                index,
+                body,
+            ->
             thread(isDaemon = true) { body(Random(seed * 10 + index)) }
         }
         series.forEach { it.join(maxOf(0, (endNs - System.nanoTime()) / 1_000_000) + SHUTDOWN_OF_SERIES_MS) }
@@ -88,11 +96,7 @@
         while (!isOver()) {
             val number = random.nextInt(site.entryCount)
             when (if (isFirst) 0 else random.nextInt(5)) {
-                0 -> {
-                    val killed = (0 until site.entryCount).shuffled(random).take(maxOf(2, site.entryCount - 1))
-                    killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
-                    killed.forEach(site::startEntry)
-                }
+                0 -> killEntriesTwice(random)
                 1, 2 -> site.pause("entry-$number", random.nextLong(1_000, 6_000))
                 3 -> {
                     site.kill("entry-$number")
@@ -111,6 +115,21 @@
         }
     }
 
+    /**
+     * Kills several entry VMs at one moment, and once more as soon as they have served again for a while. What each
+     * process remembers of its repeats is lost twice within the window of the budget.
+     */
+    private fun killEntriesTwice(random: Random) {
+        val killed = (0 until site.entryCount).shuffled(random).take(maxOf(2, site.entryCount - 1))
+        repeat(2) {
+            killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
+            killed.forEach(site::startEntry)
+            val limitNs = System.nanoTime() + READY_LIMIT_NS
+            while (System.nanoTime() < limitNs && !killed.all(site::isReady)) Thread.sleep(READY_POLL_MS)
+            rest(SERVED_BETWEEN_KILLS_MS)
+        }
+    }
+
     private fun disturbTargets(random: Random) {
         var isFirst = true
         while (!isOver()) {
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -39,6 +39,9 @@
     /** A process was killed; its runs have ended. */
     KILLED,
 
+    /** A target was told to mishandle a part of its requests, which is no disturbance. */
+    MISHAP,
+
     /** The operator sends an order. */
     ORDER,
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -204,8 +204,14 @@
         val isMisdirected = expected != null && expected != id
         val source = message.headers["kv-from"].orEmpty()
         record.add(
-            SoakKind.ARRIVE, "request" to request, "target" to id, "zone" to zone, "service" to service,
-            "misdirected" to isMisdirected, "from" to source, "last" to message.headers["last-event-id"].orEmpty(),
+            SoakKind.ARRIVE,
+            "request" to request,
+            "target" to id,
+            "zone" to zone,
+            "service" to service,
+            "misdirected" to isMisdirected,
+            "from" to source,
+            "last" to message.headers["last-event-id"].orEmpty(),
         )
         val mishap = drawMishap()
         val key = source.substringAfter('/')
--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -30,8 +30,9 @@
     @Volatile
     private var isOver = false
 
-    private val threads = (0 until PLAIN_CLIENTS + STREAM_CLIENTS).map { thread(isDaemon = true) { Client(it).run() } } +
-        (0 until site.entryCount).map { thread(isDaemon = true) { probe(it) } }
+    private val threads =
+        (0 until PLAIN_CLIENTS + STREAM_CLIENTS).map { thread(isDaemon = true) { Client(it).run() } } +
+            (0 until site.entryCount).map { thread(isDaemon = true) { probe(it) } }
 
     /** Asks for readiness once a second; a second miss takes the entry VM out. */
     private fun probe(entry: Int) {
@@ -77,7 +78,8 @@
         private fun chooseEntry(): Int {
             val choices = ready.toList().ifEmpty { (0 until site.entryCount).toList() }
             // A client stays with its entry VM while that one is ready.
-            return (number % site.entryCount).takeIf { it in choices && random.nextInt(4) > 0 } ?: choices.random(random)
+            return (number % site.entryCount).takeIf { it in choices && random.nextInt(4) > 0 }
+                ?: choices.random(random)
         }
 
         /** Sends a request and returns the status of its response, or 0 if there is none. */
@@ -98,7 +100,10 @@
                         "Fulmarshunt-Prefix-Hash: ${request.hashCode().toUInt().toString(16)}:400"
                 }
             site.record.add(
-                SoakKind.SEND, "request" to request, "kind" to kind, "entry" to "entry-$entry",
+                SoakKind.SEND,
+                "request" to request,
+                "kind" to kind,
+                "entry" to "entry-$entry",
                 "service" to if (isStream) ENGINE else PLAIN,
             )
             val patienceMs = when {
@@ -115,7 +120,10 @@
             }
             val problem = problemOrNull(response, request, isStream)
             site.record.add(
-                SoakKind.ANSWER, "request" to request, "status" to response.status, "sound" to (problem == null),
+                SoakKind.ANSWER,
+                "request" to request,
+                "status" to response.status,
+                "sound" to (problem == null),
                 "problem" to problem.orEmpty(),
             )
             if (response.isLast) connections.remove(entry)?.close()
