--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -267,13 +267,7 @@
         "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
             "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
 
-    private fun answer(
-        channel: Socket,
-        input: InputStream,
-        run: Run,
-        mishap: Mishap,
-        isStubborn: Boolean,
-    ): String {
+    private fun answer(channel: Socket, input: InputStream, run: Run, mishap: Mishap, isStubborn: Boolean): String {
         val pauseMs = nextInt(MIN_PAUSE_MS, MAX_WORK_MS)
         if (!pause(channel, input, pauseMs, isStubborn)) return "closed"
         if (mishap == Mishap.LOSE) return "lost"
