Kill the entry VMs of the soak three times in a row

Change: three kills, 1.5 s of service between them. With 4 entry VMs it was not run; restarts take too long there on the busy machine.

--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -13,7 +13,10 @@
 private const val SHUTDOWN_OF_SERIES_MS = 20_000L
 
 /** The time for which restarted entry VMs serve before they are killed again. */
-private const val SERVED_BETWEEN_KILLS_MS = 2_000L
+private const val SERVED_BETWEEN_KILLS_MS = 1_500L
+
+/** The kills of all entry VMs within about one window of the budget; each loses what the processes remember. */
+private const val KILLS_OF_ENTRIES = 3
 private const val READY_LIMIT_NS = 8_000_000_000L
 private const val READY_POLL_MS = 100L
 
@@ -96,7 +99,7 @@
         while (!isOver()) {
             val number = random.nextInt(site.entryCount)
             when (if (isFirst) 0 else random.nextInt(5)) {
-                0 -> killEntriesTwice(random)
+                0 -> killEntriesRepeatedly(random)
                 1, 2 -> site.pause("entry-$number", random.nextLong(1_000, 6_000))
                 3 -> {
                     site.kill("entry-$number")
@@ -116,12 +119,12 @@
     }
 
     /**
-     * Kills all entry VMs, or all except one, at one moment, and once more as soon as they have served again for a
-     * while. What each process remembers of its repeats is lost twice within the window of the budget.
+     * Kills all entry VMs, or all except one, at one moment, and again each time that they have served for a while.
+     * What each process remembers of its repeats is lost several times within the window of the budget.
      */
-    private fun killEntriesTwice(random: Random) {
+    private fun killEntriesRepeatedly(random: Random) {
         val killed = (0 until site.entryCount).shuffled(random).drop(if (random.nextInt(3) == 0) 1 else 0)
-        repeat(2) {
+        repeat(KILLS_OF_ENTRIES) {
             killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
             killed.forEach(site::startEntry)
             val limitNs = System.nanoTime() + READY_LIMIT_NS
