--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -7,6 +7,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.Clock
+import fulmarshunt.monotonicClock
 import fulmarshunt.process.ByteBudget
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -22,6 +24,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 
@@ -31,11 +34,22 @@
 /** How long the body of a request may take to arrive after its head. */
 private const val BODY_LIMIT_MS = 10_000L
 
+/** The event loop polls its sockets before it runs what is due after this time. */
+private const val END_POLL_MS = 1L
+
 /** The maximum size of the body of a response, which holds a few fields. */
 private const val MAX_REPLY_BYTES = 1_048_576
 
 /** A request with its complete body. */
-public class HttpCall(public val method: String, public val path: String, public val body: ByteArray)
+public class HttpCall(
+    public val method: String,
+    public val path: String,
+    public val body: ByteArray,
+    /** When the request was read completely, on a monotonic clock. */
+    public val readAtMs: Long = 0,
+    /** Looks for the end of the connection and returns whether the caller still waits. */
+    public val isCallerConnected: suspend () -> Boolean = { true },
+)
 
 /** A response with its complete body. */
 public class HttpReply(
@@ -71,11 +85,12 @@
 public suspend fun HttpConnection.serveBuffered(
     maxBodyBytes: Int,
     budget: ByteBudget,
+    clock: Clock = monotonicClock(),
     respond: suspend (HttpCall) -> HttpReply,
 ) {
     val held = HeldBytes(budget)
     try {
-        serveBuffered(maxBodyBytes, held, respond)
+        serveBuffered(maxBodyBytes, held, clock, respond)
     } finally {
         held.release()
     }
@@ -84,6 +99,7 @@
 private suspend fun HttpConnection.serveBuffered(
     maxBodyBytes: Int,
     held: HeldBytes,
+    clock: Clock,
     respond: suspend (HttpCall) -> HttpReply,
 ) {
     while (end == null) {
@@ -107,12 +123,21 @@
             return
         }
         val keepsOpen = HttpUtil.isKeepAlive(head)
-        sendReply(respond(HttpCall(head.method().name(), head.uri().substringBefore('?'), body)), keepsOpen)
+        val path = head.uri().substringBefore('?')
+        val call = HttpCall(head.method().name(), path, body, clock.nowMs()) { isPeerConnected() }
+        sendReply(respond(call), keepsOpen)
         held.release()
         if (!keepsOpen) return
     }
 }
 
+/** Returns whether the peer has not ended the connection; a request that was read late is followed by its end. */
+private suspend fun HttpConnection.isPeerConnected(): Boolean {
+    watchForEnd()
+    delay(END_POLL_MS)
+    return end == null
+}
+
 /** Sends a request and returns the complete response, or why there is none within [limitMs]. */
 public suspend fun HttpConnection.callBuffered(
     method: String,
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -74,9 +74,22 @@
         ReplicatedStateMachine(
             apply = ::apply,
             snapshot = { state.value.let { captured -> { encode(captured) } } },
-            restore = { _, bytes -> if (bytes.isNotEmpty()) state.value = decode(bytes) },
+            restore = ::restore,
         )
 
+    private fun restore(index: LogIndex, bytes: ByteArray) {
+        if (bytes.isEmpty()) return
+        val restored = decode(bytes)
+        state.value = restored
+        log.info(
+            "state restored index={} revision={} version={} drained={}",
+            index,
+            restored.revision,
+            restored.document?.version,
+            restored.drained,
+        )
+    }
+
     private fun apply(index: LogIndex, bytes: ByteArray): ByteArray {
         val command = linkCbor.decodeFromByteArray(ServingCommand.serializer(), bytes)
         val previous = state.value
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -10,6 +10,7 @@
 import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.LogIndex
 import fulmarshunt.link.Channel
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
@@ -76,6 +77,9 @@
     /** Returns [base] with the handler for calls of other control VMs added. */
     internal fun handlers(base: LinkHandlers): LinkHandlers = base.with(leaderChannel) { _, call -> handle(call) }
 
+    /** The index of the last change that this VM has applied; the leader may have applied later ones. */
+    public val appliedRevision: LogIndex get() = machine.snapshots.value.revision
+
     /** Commits [command]; on the left is why its outcome is unknown: it may still take effect. */
     public suspend fun submit(command: ServingCommand, links: Links): Either<String, Unit> =
         callLeader(LeaderCall.Propose(command), links).map { }
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -14,6 +14,7 @@
 import fulmarshunt.http.HttpCall
 import fulmarshunt.http.HttpReply
 import fulmarshunt.link.Links
+import fulmarshunt.monotonicClock
 import fulmarshunt.operator.serving.ConfigurationDocument
 import fulmarshunt.operator.serving.ServingCommand
 import fulmarshunt.operator.serving.ServingStateAccess
@@ -43,6 +44,7 @@
     private val links: Links,
     private val meters: MeterRegistry,
     private val wallClock: Clock,
+    private val clock: Clock = monotonicClock(),
 ) {
     private val log = LogManager.getLogger(ControlApi::class.java)
 
@@ -57,10 +59,10 @@
                 TargetId(deregistration.groupValues[1]),
                 call.body,
             )
-            call.method == "POST" && call.path == "/api/config/replace" -> replace(call.body)
+            call.method == "POST" && call.path == "/api/config/replace" -> replace(call)
             call.method == "GET" && call.path == "/api/config/get" -> read()
             call.method == "POST" && drain != null ->
-                drain(FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
+                drain(call, FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
             else -> reply(NOT_FOUND, "no such call")
         }
         meters.counter("fulmarshunt_control_calls", "status", reply.status.toString()).increment()
@@ -94,23 +96,32 @@
         return reply(UNAVAILABLE, "no contact to other control VMs")
     }
 
-    private suspend fun replace(body: ByteArray): HttpReply = decodeConfiguration(body).fold(
+    private suspend fun replace(call: HttpCall): HttpReply = decodeConfiguration(call.body).fold(
         { problem ->
-            log.warn("configuration refused bytes={} problem={}", body.size, problem)
+            log.warn("configuration refused bytes={} problem={}", call.body.size, problem)
             reply(BAD_REQUEST, problem)
         },
         { configuration ->
-            val command = ServingCommand.Replace(ConfigurationDocument(configuration.version, body))
-            submit("replace:${configuration.version}", command)
+            val command = ServingCommand.Replace(ConfigurationDocument(configuration.version, call.body))
+            submit(call, "replace:${configuration.version}", command)
         },
     )
 
-    private suspend fun drain(domain: FailureDomainId, isDrained: Boolean): HttpReply =
-        submit("drained:$domain=$isDrained", ServingCommand.SetDrained(domain, isDrained))
+    private suspend fun drain(call: HttpCall, domain: FailureDomainId, isDrained: Boolean): HttpReply =
+        submit(call, "drained:$domain=$isDrained", ServingCommand.SetDrained(domain, isDrained))
 
-    private suspend fun submit(what: String, command: ServingCommand): HttpReply {
+    private suspend fun submit(call: HttpCall, what: String, command: ServingCommand): HttpReply {
+        val revision = servingState.appliedRevision
+        val isConnected = call.isCallerConnected()
         val result = servingState.submit(command, links)
-        log.info("order ended command={} result={}", what, result.fold({ "unclear: $it" }, { "done" }))
+        log.info(
+            "order ended command={} heldMs={} callerConnected={} basedOn={} result={}",
+            what,
+            clock.nowMs() - call.readAtMs,
+            isConnected,
+            revision,
+            result.fold({ "unclear: $it" }, { "done" }),
+        )
         return result.fold({ reply(UNAVAILABLE, it) }, { reply(OK, "") })
     }
 
