Give orders to drain or restore a domain a condition, and refuse those that were read late

Callers saw requests at targets of a domain whose evacuation was acknowledged: a withdrawal was read by a control VM after it had been stopped, when its caller had left and a newer evacuation had been acknowledged, and undid it.

Cause: SetDrained took effect whenever it was applied.

An order now reads the confirmed state, then looks for the end of the caller's connection, and proposes the change with the index of the last order for the domain. The state machine ignores it if there is a later one and the domain is not as ordered; such an order ends with 503. An order that finds the domain as ordered counts as the last one too, so that an older one that is still on its way cannot follow it. Callers that leave their socket open are covered by the time: the event loop knows when it last ran, and an order that can be older than its caller's patience is not executed.

--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -45,8 +45,10 @@
     public val method: String,
     public val path: String,
     public val body: ByteArray,
-    /** When the request was read completely, on a monotonic clock. */
-    public val readAtMs: Long = 0,
+    /** When the request was read completely, on the monotonic clock. */
+    public val readAtMs: Long = monotonicClock().nowMs(),
+    /** The earliest time at which the request can have arrived; long before [readAtMs] if this process was stopped. */
+    public val unreadSinceMs: Long = readAtMs,
     /** Looks for the end of the connection and returns whether the caller still waits. */
     public val isCallerConnected: suspend () -> Boolean = { true },
 )
@@ -112,6 +114,7 @@
             sendReply(HttpReply(HttpResponseStatus.BAD_REQUEST.code()), false)
             return
         }
+        val unreadSinceMs = unreadSinceMs()
         val body = withTimeoutOrNull(BODY_LIMIT_MS) { readBodyOrNull(maxBodyBytes, held::tryHold) }
         if (body == null) {
             val status = when {
@@ -124,7 +127,7 @@
         }
         val keepsOpen = HttpUtil.isKeepAlive(head)
         val path = head.uri().substringBefore('?')
-        val call = HttpCall(head.method().name(), path, body, clock.nowMs()) { isPeerConnected() }
+        val call = HttpCall(head.method().name(), path, body, clock.nowMs(), unreadSinceMs) { isPeerConnected() }
         sendReply(respond(call), keepsOpen)
         held.release()
         if (!keepsOpen) return
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.http
 
+import fulmarshunt.monotonicClock
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -37,7 +38,11 @@
 }
 
 /** A connection to a caller or a target. */
-public class HttpConnection internal constructor(public val channel: Channel) {
+public class HttpConnection internal constructor(
+    public val channel: Channel,
+    /** Returns the earliest time at which input that is read now can have arrived, on the monotonic clock. */
+    internal val unreadSinceMs: () -> Long = monotonicClock()::nowMs,
+) {
     private val inbox = ArrayDeque<HttpObject>()
     private var reader: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
--- a/src/main/kotlin/fulmarshunt/http/Traffic.kt
+++ b/src/main/kotlin/fulmarshunt/http/Traffic.kt
@@ -9,12 +9,14 @@
 import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.isUnicastEndpoint
+import fulmarshunt.monotonicClock
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.WriteBufferWaterMark
@@ -36,6 +38,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ThreadFactory
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 import kotlin.coroutines.resume
 
@@ -60,7 +63,13 @@
         ThreadFactory { task -> Thread(task, "traffic").apply { isDaemon = true } },
         NioIoHandler.newFactory(),
     )
-    private val dispatcher: CoroutineDispatcher = group.next().asCoroutineDispatcher()
+    private val eventLoop: EventLoop = group.next()
+    private val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
+    private val unreadTime = UnreadTime(monotonicClock())
+
+    init {
+        eventLoop.scheduleWithFixedDelay(unreadTime::tick, TICK_PERIOD_MS, TICK_PERIOD_MS, TimeUnit.MILLISECONDS)
+    }
 
     /** The context of coroutines that resume on the traffic thread. */
     public val dispatch: CoroutineContext get() = dispatcher
@@ -88,7 +97,7 @@
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
             .childHandler(
                 initializer { channel ->
-                    val connection = HttpConnection(channel)
+                    val connection = HttpConnection(channel, unreadTime::sinceMs)
                     channel.pipeline().addLast(strictRequestDecoder(maxHeaderBytes()), HttpResponseEncoder())
                     channel.pipeline().addLast(ConnectionHandler(connection))
                     scope.launch { serveSafely(connection, serve) }
@@ -113,7 +122,7 @@
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(WRITE_LOW_BYTES, WRITE_HIGH_BYTES))
             .handler(
                 initializer { channel ->
-                    connection = HttpConnection(channel).also {
+                    connection = HttpConnection(channel, unreadTime::sinceMs).also {
                         channel.pipeline().addLast(INPUT_GUARD_NAME, InputGuard(it))
                         channel.pipeline().addLast(responseCodec(), ConnectionHandler(it))
                     }
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -33,7 +33,15 @@
     /** Drains a failure domain or restores it. */
     @Serializable
     @SerialName("d")
-    public data class SetDrained(public val domain: FailureDomainId, public val isDrained: Boolean) : ServingCommand
+    public data class SetDrained(
+        public val domain: FailureDomainId,
+        public val isDrained: Boolean,
+        /**
+         * The last order for [domain] when this one was given; it has no effect if there is a later one. Null in logs
+         * of older versions, whose orders always have an effect.
+         */
+        public val basedOn: LogIndex? = null,
+    ) : ServingCommand
 }
 
 /** The durable state after the log entry at [revision]. Immutable. */
@@ -43,7 +51,12 @@
     public val revision: LogIndex = LogIndex(0),
     public val document: ConfigurationDocument? = null,
     public val drained: Set<FailureDomainId> = emptySet(),
-)
+    /** The index of the last order for each domain; snapshots of older versions have none. */
+    public val lastOrders: Map<FailureDomainId, LogIndex> = emptyMap(),
+) {
+    /** Returns the index of the last order for [domain], or 0 if there is none. */
+    public fun lastOrderFor(domain: FailureDomainId): LogIndex = lastOrders[domain] ?: LogIndex(0)
+}
 
 /** Returns the state after applying [command], the log entry at [index]. */
 public fun ServingSnapshot.after(index: LogIndex, command: ServingCommand): ServingSnapshot = when (command) {
@@ -57,7 +70,16 @@
     }
     is ServingCommand.SetDrained -> {
         val next = if (command.isDrained) drained + command.domain else drained - command.domain
-        if (next == drained) this else copy(revision = index, drained = next)
+        val isChange = next != drained
+        val isOvertaken = command.basedOn != null && command.basedOn != lastOrderFor(command.domain)
+        val orders = lastOrders + (command.domain to index)
+        when {
+            isChange && isOvertaken -> this
+            isChange -> copy(revision = index, drained = next, lastOrders = orders)
+            command.basedOn == null -> this
+            // An order that finds the domain as ordered is acknowledged, so that older ones must not take effect later.
+            else -> copy(lastOrders = orders)
+        }
     }
 }
 
@@ -90,6 +112,7 @@
         )
     }
 
+    /** Applies a command and returns one byte if an order had no effect because a later one preceded it. */
     private fun apply(index: LogIndex, bytes: ByteArray): ByteArray {
         val command = linkCbor.decodeFromByteArray(ServingCommand.serializer(), bytes)
         val previous = state.value
@@ -100,10 +123,11 @@
             index,
             describe(command),
             next.document?.version,
-            next !== previous,
+            next.revision != previous.revision,
             next.drained,
         )
-        return ByteArray(0)
+        val isOvertaken = command is ServingCommand.SetDrained && (command.domain in next.drained) != command.isDrained
+        return if (isOvertaken) ByteArray(1) else ByteArray(0)
     }
 
     private fun encode(snapshot: ServingSnapshot): ByteArray =
@@ -115,5 +139,7 @@
 
 private fun describe(command: ServingCommand): String = when (command) {
     is ServingCommand.Replace -> "replace:${command.document.version}"
-    is ServingCommand.SetDrained -> "drained:${command.domain}=${command.isDrained}"
+    is ServingCommand.SetDrained ->
+        "drained:${command.domain}=${command.isDrained}" +
+            command.basedOn?.let { ":basedOn=$it" }.orEmpty()
 }
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -6,10 +6,12 @@
 package fulmarshunt.operator.serving
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
 import fulmarshunt.link.Channel
 import fulmarshunt.link.LinkHandlers
@@ -52,6 +54,11 @@
     @SerialName("n")
     data class NotLeader(val leader: Address?) : LeaderReply
 
+    /** The order has no effect, because a later one for the same domain precedes it. */
+    @Serializable
+    @SerialName("o")
+    data object Overtaken : LeaderReply
+
     /** The leader has not executed the call; a leader that is elected meanwhile may be able to. */
     @Serializable
     @SerialName("x")
@@ -65,6 +72,23 @@
 private val leaderChannel: Channel<LeaderCall, LeaderReply> =
     Channel("serving", LeaderCall.serializer(), LeaderReply.serializer())
 
+/** The caller of an order to drain or restore a domain. */
+public class OrderCaller(
+    /** The earliest time at which it can have sent the order; it gives the order up after a second. */
+    public val sentNotBeforeMs: Long,
+    /** Looks for the end of the connection and returns whether the caller still waits. */
+    public val isConnected: suspend () -> Boolean,
+)
+
+/** The end of an order to drain or restore a domain. */
+public class DrainOutcome(
+    /** The last order for the domain that a leader confirmed, or null if none did. */
+    public val basedOn: LogIndex?,
+    public val isCallerConnected: Boolean,
+    /** On the left is why the order is not acknowledged; it may still take effect unless a later one precedes it. */
+    public val result: Either<String, Unit>,
+)
+
 /** Submits commands that change the durable state, and reads it. */
 public class ServingStateAccess internal constructor(
     private val access: LogAccess,
@@ -82,15 +106,45 @@
 
     /** Commits [command]; on the left is why its outcome is unknown: it may still take effect. */
     public suspend fun submit(command: ServingCommand, links: Links): Either<String, Unit> =
-        callLeader(LeaderCall.Propose(command), links).map { }
+        callLeader(LeaderCall.Propose(command), links, clock.nowMs() + COMMAND_TIMEOUT_MS).map { }
+
+    /** Whether the caller of a call that it can have sent at [sentNotBeforeMs] can have given it up. */
+    public fun isExpired(sentNotBeforeMs: Long): Boolean = clock.nowMs() >= sentNotBeforeMs + COMMAND_TIMEOUT_MS
+
+    /**
+     * Drains or restores [domain], unless [caller] can have given the order up before the state that it is based on was
+     * read. What is ordered and acknowledged after that read precedes this order, which then has no effect.
+     */
+    public suspend fun setDrained(
+        domain: FailureDomainId,
+        isDrained: Boolean,
+        caller: OrderCaller,
+        links: Links,
+    ): DrainOutcome {
+        val deadlineAtMs = caller.sentNotBeforeMs + COMMAND_TIMEOUT_MS
+        val state = callLeader(LeaderCall.Read, links, deadlineAtMs).map { (it as LeaderReply.State).snapshot }
+        val isConnected = caller.isConnected()
+        val result = state.flatMap {
+            when {
+                !isConnected -> "the caller has left".left()
+                isExpired(caller.sentNotBeforeMs) -> "the caller can have given the order up".left()
+                else -> {
+                    val command = ServingCommand.SetDrained(domain, isDrained, it.lastOrderFor(domain))
+                    callLeader(LeaderCall.Propose(command), links, deadlineAtMs).map { }
+                }
+            }
+        }
+        return DrainOutcome(state.getOrNull()?.lastOrderFor(domain), isConnected, result)
+    }
 
     /** Returns the latest state; on the left is why it cannot be confirmed. */
     public suspend fun read(links: Links): Either<String, ServingSnapshot> =
-        callLeader(LeaderCall.Read, links).map { (it as LeaderReply.State).snapshot }
+        callLeader(LeaderCall.Read, links, clock.nowMs() + COMMAND_TIMEOUT_MS).map {
+            (it as LeaderReply.State).snapshot
+        }
 
-    private suspend fun callLeader(call: LeaderCall, links: Links): Either<String, LeaderReply> {
-        val deadlineAtMs = clock.nowMs() + COMMAND_TIMEOUT_MS
-        var reason = "no leader is known"
+    private suspend fun callLeader(call: LeaderCall, links: Links, deadlineAtMs: Long): Either<String, LeaderReply> {
+        var reason = "no leader is known, or the time was over"
         while (true) {
             val remainingMs = deadlineAtMs - clock.nowMs()
             if (remainingMs <= 0) break
@@ -104,6 +158,7 @@
             }
             when (reply) {
                 LeaderReply.Done, is LeaderReply.State -> return reply.right()
+                LeaderReply.Overtaken -> return "a later order for the domain precedes it".left()
                 is LeaderReply.NotLeader -> reason = "no leader replies, last known leader ${reply.leader ?: leader}"
                 is LeaderReply.Refused -> reason = reply.reason
                 is LeaderReply.Undecided -> reason = reply.reason
@@ -134,7 +189,7 @@
                     is ProposeFailure.Undecided -> LeaderReply.Undecided(failure.reason)
                 }
             },
-            { LeaderReply.Done },
+            { result -> if (result.isEmpty()) LeaderReply.Done else LeaderReply.Overtaken },
         )
     }
 }
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -9,6 +9,7 @@
 import arrow.core.right
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
+import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.http.HttpCall
@@ -16,6 +17,7 @@
 import fulmarshunt.link.Links
 import fulmarshunt.monotonicClock
 import fulmarshunt.operator.serving.ConfigurationDocument
+import fulmarshunt.operator.serving.OrderCaller
 import fulmarshunt.operator.serving.ServingCommand
 import fulmarshunt.operator.serving.ServingStateAccess
 import fulmarshunt.target.fleet.problemOrNull
@@ -107,19 +109,33 @@
         },
     )
 
-    private suspend fun drain(call: HttpCall, domain: FailureDomainId, isDrained: Boolean): HttpReply =
-        submit(call, "drained:$domain=$isDrained", ServingCommand.SetDrained(domain, isDrained))
+    private suspend fun drain(call: HttpCall, domain: FailureDomainId, isDrained: Boolean): HttpReply {
+        val caller = OrderCaller(call.unreadSinceMs, call.isCallerConnected)
+        val outcome = servingState.setDrained(domain, isDrained, caller, links)
+        val basedOn = outcome.basedOn
+        return end(call, "drained:$domain=$isDrained", outcome.isCallerConnected, basedOn, outcome.result)
+    }
 
     private suspend fun submit(call: HttpCall, what: String, command: ServingCommand): HttpReply {
         val revision = servingState.appliedRevision
         val isConnected = call.isCallerConnected()
-        val result = servingState.submit(command, links)
+        return end(call, what, isConnected, revision, servingState.submit(command, links))
+    }
+
+    private fun end(
+        call: HttpCall,
+        what: String,
+        isConnected: Boolean,
+        basedOn: LogIndex?,
+        result: Either<String, Unit>,
+    ): HttpReply {
         log.info(
-            "order ended command={} heldMs={} callerConnected={} basedOn={} result={}",
+            "order ended command={} heldMs={} unreadMaxMs={} callerConnected={} basedOn={} result={}",
             what,
             clock.nowMs() - call.readAtMs,
+            call.readAtMs - call.unreadSinceMs,
             isConnected,
-            revision,
+            basedOn,
             result.fold({ "unclear: $it" }, { "done" }),
         )
         return result.fold({ reply(UNAVAILABLE, it) }, { reply(OK, "") })
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -146,7 +146,9 @@
     val traffic = Traffic()
     val requests = validatedAddress(settings.listen.requests)
     val budget = byteBudgetOfHeap(leastBytes = 2L * MAX_CALL_BYTES)
-    traffic.listen(requests, { MAX_HEADER_BYTES }) { it.serveBuffered(MAX_CALL_BYTES, budget, respond = api::handle) }.bind()
+    traffic.listen(requests, {
+        MAX_HEADER_BYTES
+    }) { it.serveBuffered(MAX_CALL_BYTES, budget, respond = api::handle) }.bind()
     listenForMetrics(traffic, validatedAddress(settings.listen.metrics), meters).bind()
 }
 
