--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -9,12 +9,15 @@
 import arrow.core.right
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
+import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.http.HttpCall
 import fulmarshunt.http.HttpReply
 import fulmarshunt.link.Links
+import fulmarshunt.monotonicClock
 import fulmarshunt.operator.serving.ConfigurationDocument
+import fulmarshunt.operator.serving.OrderCaller
 import fulmarshunt.operator.serving.ServingCommand
 import fulmarshunt.operator.serving.ServingStateAccess
 import fulmarshunt.target.fleet.problemOrNull
@@ -43,6 +46,7 @@
     private val links: Links,
     private val meters: MeterRegistry,
     private val wallClock: Clock,
+    private val clock: Clock = monotonicClock(),
 ) {
     private val log = LogManager.getLogger(ControlApi::class.java)
 
@@ -57,10 +61,10 @@
                 TargetId(deregistration.groupValues[1]),
                 call.body,
             )
-            call.method == "POST" && call.path == "/api/config/replace" -> replace(call.body)
+            call.method == "POST" && call.path == "/api/config/replace" -> replace(call)
             call.method == "GET" && call.path == "/api/config/get" -> read()
             call.method == "POST" && drain != null ->
-                drain(FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
+                drain(call, FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
             else -> reply(NOT_FOUND, "no such call")
         }
         meters.counter("fulmarshunt_control_calls", "status", reply.status.toString()).increment()
@@ -94,23 +98,46 @@
         return reply(UNAVAILABLE, "no contact to other control VMs")
     }
 
-    private suspend fun replace(body: ByteArray): HttpReply = decodeConfiguration(body).fold(
+    private suspend fun replace(call: HttpCall): HttpReply = decodeConfiguration(call.body).fold(
         { problem ->
-            log.warn("configuration refused bytes={} problem={}", body.size, problem)
+            log.warn("configuration refused bytes={} problem={}", call.body.size, problem)
             reply(BAD_REQUEST, problem)
         },
         { configuration ->
-            val command = ServingCommand.Replace(ConfigurationDocument(configuration.version, body))
-            submit("replace:${configuration.version}", command)
+            val command = ServingCommand.Replace(ConfigurationDocument(configuration.version, call.body))
+            submit(call, "replace:${configuration.version}", command)
         },
     )
 
-    private suspend fun drain(domain: FailureDomainId, isDrained: Boolean): HttpReply =
-        submit("drained:$domain=$isDrained", ServingCommand.SetDrained(domain, isDrained))
+    private suspend fun drain(call: HttpCall, domain: FailureDomainId, isDrained: Boolean): HttpReply {
+        val caller = OrderCaller(call.unreadSinceMs, call.isCallerConnected)
+        val outcome = servingState.setDrained(domain, isDrained, caller, links)
+        val basedOn = outcome.basedOn
+        return end(call, "drained:$domain=$isDrained", outcome.isCallerConnected, basedOn, outcome.result)
+    }
+
+    private suspend fun submit(call: HttpCall, what: String, command: ServingCommand): HttpReply {
+        val revision = servingState.appliedRevision
+        val isConnected = call.isCallerConnected()
+        return end(call, what, isConnected, revision, servingState.submit(command, links))
+    }
 
-    private suspend fun submit(what: String, command: ServingCommand): HttpReply {
-        val result = servingState.submit(command, links)
-        log.info("order ended command={} result={}", what, result.fold({ "unclear: $it" }, { "done" }))
+    private fun end(
+        call: HttpCall,
+        what: String,
+        isConnected: Boolean,
+        basedOn: LogIndex?,
+        result: Either<String, Unit>,
+    ): HttpReply {
+        log.info(
+            "order ended command={} heldMs={} unreadMaxMs={} callerConnected={} basedOn={} result={}",
+            what,
+            clock.nowMs() - call.readAtMs,
+            call.readAtMs - call.unreadSinceMs,
+            isConnected,
+            basedOn,
+            result.fold({ "unclear: $it" }, { "done" }),
+        )
         return result.fold({ reply(UNAVAILABLE, it) }, { reply(OK, "") })
     }
 
