Let replayed orders of older versions leave no condition behind

Change: an order without a condition changes the domain only. The new test of ServingUpgradeTest describes both ways to the same state; ServingUpgradeTest passes with the change.

--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -75,8 +75,9 @@
         val orders = lastOrders + (command.domain to index)
         when {
             isChange && isOvertaken -> this
+            // Snapshots of older versions do not have the orders that were in their logs.
+            command.basedOn == null -> if (isChange) copy(revision = index, drained = next) else this
             isChange -> copy(revision = index, drained = next, lastOrders = orders)
-            command.basedOn == null -> this
             // An order that finds the domain as ordered is acknowledged, so that older ones must not take effect later.
             else -> copy(lastOrders = orders)
         }
