--- a/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
+++ b/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
@@ -14,8 +14,8 @@
 private const val PAUSE_MS = 250L
 
 /**
- * How long after a pause input is still taken to be from before it. The event loop accepts the connections that wait, up
- * to 16 in each iteration, and reads them in later iterations.
+ * How long after a pause input is still taken to be from before it. The event loop accepts the connections that wait,
+ * up to 16 in each iteration, and reads them in later iterations.
  */
 private const val CATCH_UP_MS = 500L
 
