Ask the budget before a run is stopped, and give back what is not sent

Cause: a run was stopped at a leaving target first, and its continuation could then be refused for lack of budget, so that its stream was cut off. A continuation that was allowed but not sent, because the target still had the run or refused to stop it, stayed counted, and a refusal for lack of budget used up a place of a target that has asked for a pause. Change: the permission is obtained before the run is stopped and returned if nothing is sent; bytes that follow the statement that a run has ended are awaited for a moment. Found by a review of the fix, by reading; no test of its own yet.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -114,7 +114,15 @@
 
     /** Returns whether a running generation may continue at the target of [placement] now. */
     suspend fun tryContinue(placement: Placement): Boolean = control.run {
-        fleet.tryContinue(placement.target, isFirst = !hasContinued).also { if (it) hasContinued = true }
+        fleet.tryContinue(placement.target, isFirst = !hasContinued)
+    }
+
+    /** Records that the continuation that [tryContinue] has allowed is sent. */
+    suspend fun recordContinuation(): Unit = control.run { hasContinued = true }
+
+    /** Returns a continuation that [tryContinue] has allowed and that is not sent. */
+    suspend fun returnContinuation(placement: Placement): Unit = control.run {
+        fleet.repeats.returnContinuation(placement.target.record.service)
     }
 
     /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RunStop.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RunStop.kt
@@ -5,6 +5,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import fulmarshunt.http.HttpConnection
 import fulmarshunt.target.fleet.Placement
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
@@ -17,6 +18,9 @@
 private const val STOP_LIMIT_MS = 250L
 private const val STOP_RETRY_MS = 50L
 
+/** How long the last bytes of a stream may take from a target that has answered a later call. */
+private const val LATE_INPUT_MS = 50L
+
 /** Asks the target of [run] to stop it, and to copy its memory to that of [destination]. */
 internal suspend fun stopRun(
     dependencies: StreamDependencies,
@@ -45,6 +49,11 @@
     return withTimeoutOrNull(STOP_LIMIT_MS) { calls.await() } ?: last
 }
 
+/** Waits a moment for the rest of a stream on [connection] whose run has ended at its target. */
+internal suspend fun awaitLateInput(connection: HttpConnection) {
+    if (connection.end == null && connection.isInboxEmpty) delay(LATE_INPUT_MS)
+}
+
 /** Whether the target of [placement] states that the continuation that broke off there does not run. */
 internal suspend fun hasNoRun(
     dependencies: StreamDependencies,
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -290,6 +290,7 @@
 
     /** Continues from the copy; the run is stopped first, with calls in [stopScope], unless that is null. */
     private suspend fun continueFromCopy(why: String, stopScope: CoroutineScope?): Boolean {
+        hasLateInput = false
         val copy = current.copy ?: return false
         val lastEventId = framer.lastEventId
         if (lastEventId == null || framer.hasEventWithoutId) return false
@@ -334,9 +335,10 @@
         if (!mayContinueAt(placement, how)) return false
         val source = current
         // The target makes one copy at a time.
-        if (migration == MigrationState.COPYING) migration = MigrationState.GIVEN_UP
+        if (migration == MigrationState.COPYING) migration = MigrationState.NONE
         copying?.cancel()
         val stop = stopRun(dependencies, job, source.placement, placement, scope)
+        if (stop.leftOrNull() == MoveFailure.NoSuchRun) awaitLateInput(source.response.connection)
         val isOpen = source.response.connection.end == null
         log.info(
             "run stop requested request={} why={} target={} result={}",
@@ -346,10 +348,13 @@
             stop,
         )
         val failure = stop.leftOrNull()
-        if (failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)) return false
         // The run may have ended just before it was to be stopped; the rest of its stream has then arrived.
         hasLateInput = failure == MoveFailure.NoSuchRun && isOpen && !source.response.connection.isInboxEmpty
-        if (hasLateInput) return false
+        val mayBeRunning = failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)
+        if (mayBeRunning || hasLateInput) {
+            dependencies.placements.returnContinuation(placement)
+            return false
+        }
         val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
         isFormerStopped = sourceHandle != null
         if (isFormerStopped && isOpen) forwardRemainingEvents()
@@ -431,6 +436,10 @@
 
     private suspend fun finishMigration() {
         val placement = destination ?: return
+        if (!mayContinueAt(placement, "move")) {
+            abandonMigration("the run may not continue at the destination")
+            return
+        }
         val source = current.response.target.record.address
         val result = dependencies.adapter.migrate(source, job.id, placement.target.record.address, true)
         when (result) {
@@ -439,18 +448,20 @@
                 forwardRemainingEvents()
                 val resume = ResumePoint(source, result.value.handle, framer.lastEventId)
                 destinationHandle = null
-                if (!continueAt(placement, resume, "move", "leaving")) {
+                if (!sendContinuation(placement, resume, "move", "leaving")) {
                     abandonMigration("the destination did not continue")
                 }
             }
             is Either.Left -> {
                 val handle = (result.value as? MoveFailure.Stopped)?.handle
                 abandonMigration("last copy failed: ${result.value}")
-                if (handle != null) {
+                if (handle != null && !dependencies.views.value.isDrained(current.placement)) {
                     isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
-                    continueAt(current.placement, resume, "stay", "move failed")
+                    sendContinuation(current.placement, resume, "stay", "move failed")
+                } else {
+                    dependencies.placements.returnContinuation(placement)
                 }
             }
         }
@@ -466,13 +477,13 @@
         }
     }
 
-    /** Sends the request to [placement] to continue from [resume]; the new response replaces the current one. */
+    /** Continues from [resume] at [placement]. */
     private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean =
         mayContinueAt(placement, how) && sendContinuation(placement, resume, how, why)
 
     private suspend fun mayContinueAt(placement: Placement, how: String): Boolean {
         if (mayRunElsewhere) {
-            log.warn("run not continued request={} how={} to={} reason=may run", job.id, how, placement.target.id)
+            log.warn("run not continued request={} how={} to={} reason=unclear", job.id, how, placement.target.id)
             return false
         }
         if (dependencies.views.value.isDrained(placement)) {
@@ -481,12 +492,13 @@
             return false
         }
         if (!dependencies.placements.tryContinue(placement)) {
-            log.warn("run not continued request={} how={} to={} reason=pause/budget", job.id, how, placement.target.id)
+            log.warn("run not continued request={} how={} to={} reason=limits", job.id, how, placement.target.id)
             return false
         }
         return true
     }
 
+    /** Sends the request to [placement] to continue from [resume]; the new response replaces the current one. */
     private suspend fun sendContinuation(
         placement: Placement,
         resume: ResumePoint,
@@ -494,6 +506,7 @@
         why: String,
     ): Boolean {
         val startedAtMs = dependencies.clock.nowMs()
+        dependencies.placements.recordContinuation()
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
         val former = current.response
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -145,9 +145,11 @@
      * Returns whether a running generation may continue at [target] now, and counts it towards the budget of repeats;
      * [isFirst] says that it has not continued before, nor been sent to continue in vain.
      */
-    public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean =
-        pauses.tryContinue(target.instance, clock.nowMs()) &&
-            repeats.tryContinue(target.record.service, isFirst).isTaken
+    public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean {
+        val service = target.record.service
+        if (!repeats.tryContinue(service, isFirst).isTaken) return false
+        return pauses.tryContinue(target.instance, clock.nowMs()).also { if (!it) repeats.returnContinuation(service) }
+    }
 
     /** Returns the use of each target by this VM. */
     public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot()
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -103,6 +103,11 @@
         return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.repeatsAtMs.addLast(nowMs) }
     }
 
+    /** Returns the last continuation that [tryContinue] has granted, which was not sent. */
+    fun returnContinuation(service: ServiceId) {
+        windows[service]?.repeatsAtMs?.removeLastOrNull()
+    }
+
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
         val window = windows.getOrPut(service) { Window() }
         for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -40,6 +40,9 @@
     internal fun tryContinue(service: ServiceId, isFirst: Boolean): RepeatDecision =
         budget.tryContinue(service, entryVms(), isFirst, clock.nowMs()).also { logIfRefused(service, it) }
 
+    /** Returns a continuation that [tryContinue] has granted and that is not sent. */
+    internal fun returnContinuation(service: ServiceId): Unit = budget.returnContinuation(service)
+
     private fun logIfRefused(service: ServiceId, decision: RepeatDecision) {
         if (decision.isTaken) return
         refusalLogs.getOrPut(service) { LimitedLog(log, clock = clock) }.log(
