Tell a former target to stop a run that has continued elsewhere

What callers saw: a run goes on at another target while the one that leaves still works on it (TWICE). Cause: only the end of its connection told the former target to stop, and not every target stops a run for that. Change: 100 ms after the connection is closed, the target is asked to stop the run; one that has dropped it states that it has no such run. ConcurrentRunTest, "a former target that ignores the end of its connection is told to stop", describes the case; no call was made before the change.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -218,6 +218,7 @@
             placements,
             dependencies.meters,
             dependencies.clock,
+            dependencies.background,
         )
         val relay = StreamRelay(job, streamDependencies, caller, run)
         var isComplete = false
--- a/src/main/kotlin/fulmarshunt/caller/relay/RunStop.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RunStop.kt
@@ -13,11 +13,17 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("fulmarshunt.caller.relay.RunStop")
 
 /** How long a target is asked to stop a run. The caller waits meanwhile; a target that is reached takes far less. */
 private const val STOP_LIMIT_MS = 250L
 private const val STOP_RETRY_MS = 50L
 
+/** The time in which most targets notice the end of a connection; a stop before would copy the run in vain. */
+private const val CLOSE_NOTICE_MS = 100L
+
 /** How long the last bytes of a stream may take from a target that has answered a later call. */
 private const val LATE_INPUT_MS = 50L
 
@@ -49,6 +55,20 @@
     return withTimeoutOrNull(STOP_LIMIT_MS) { calls.await() } ?: last
 }
 
+/** Stops [run], which continues at [destination], in case its target does not stop it at the end of its connection. */
+internal suspend fun stopAfterClose(
+    dependencies: StreamDependencies,
+    job: RelayJob,
+    run: Placement,
+    destination: Placement,
+) {
+    if (job.service.engine?.canMigrate != true || run === destination) return
+    delay(CLOSE_NOTICE_MS)
+    val result =
+        dependencies.adapter.migrate(run.target.record.address, job.id, destination.target.record.address, true)
+    log.info("run stop requested request={} why=continued target={} result={}", job.id, run.target.id, result)
+}
+
 /** Waits a moment for the rest of a stream on [connection] whose run has ended at its target. */
 internal suspend fun awaitLateInput(connection: HttpConnection) {
     if (connection.end == null && connection.isInboxEmpty) delay(LATE_INPUT_MS)
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -72,6 +72,8 @@
     val placements: JobPlacements,
     val meters: RelayMeters,
     val clock: Clock,
+    /** Outlives the stream. */
+    val background: CoroutineScope,
 )
 
 /** A run at a target, with the placement of the copy of its memory. */
@@ -477,9 +479,16 @@
         }
     }
 
-    /** Continues from [resume] at [placement]. */
-    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean =
-        mayContinueAt(placement, how) && sendContinuation(placement, resume, how, why)
+    /** Continues from [resume] at [placement]. The former target is asked to stop the run soon after, not before. */
+    private suspend fun continueAt(placement: Placement, resume: ResumePoint, how: String, why: String): Boolean {
+        if (!mayContinueAt(placement, how)) return false
+        val former = current.placement
+        val hasContinued = sendContinuation(placement, resume, how, why)
+        if (hasContinued || mayRunElsewhere) {
+            dependencies.background.launch { stopAfterClose(dependencies, job, former, placement) }
+        }
+        return hasContinued
+    }
 
     private suspend fun mayContinueAt(placement: Placement, how: String): Boolean {
         if (mayRunElsewhere) {
--- a/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/ConcurrentRunTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Test
@@ -131,6 +132,32 @@
         }
     }
 
+    /** Guards against a leaving target that works on although the connection of its run has ended. */
+    @Test
+    fun `a former target that ignores the end of its connection is told to stop`() {
+        withTwoTargets({
+            if (isResumed()) {
+                resumeUntil(4)
+            } else {
+                begin()
+                Thread.sleep(WAIT_MS)
+            }
+        }) { a, b, relay ->
+            val stopped = CountDownLatch(1)
+            var source = ""
+            relay.migrate = { from, _, _, isLast ->
+                if (isLast && "$from" == source) stopped.countDown()
+                MoveFailure.NoSuchRun.left()
+            }
+            val body = relay.streamWhile(a, b) {
+                source = "${relay.addressOf(it)}"
+                relay.leave(it)
+            }
+            expectThat(body).isEqualTo(events(1..4))
+            expectThat(stopped.await(WAIT_MS, TimeUnit.MILLISECONDS)).isEqualTo(true)
+        }
+    }
+
     /** Guards against a run that continues elsewhere while its target is alive and only silent. */
     @Test
     fun `a stalled run is stopped at its target before it continues`() {
