Excuse no injected fault in the soak's check of TWICE, and require that it is exercised

The check excused an overlap at a target that delayed or lost answers, and compared neighbouring runs only. Now only a target that is stopped or killed excuses it, all pairs are compared, and a connection can end for the caller while the run goes on. The short run also requires acknowledged evacuations, repeats and continued runs, drains an engine in each soak, and fails if a series of faults ends early.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -17,10 +17,17 @@
     val faultCount: Int,
     val requestCount: Int,
     val servedCount: Int,
+    /** The acknowledged evacuations. */
+    val evacuationCount: Int,
+    /** The arrivals of requests that had arrived at a target before. */
+    val repeatCount: Int,
+    /** The runs that continued at another target. */
+    val continuationCount: Int,
     val violations: List<SoakViolation>,
     val directory: File,
 ) {
     override fun toString(): String = "seed=$seed faults=$faultCount requests=$requestCount served=$servedCount " +
+        "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
         if (violations.isEmpty()) "" else " folder=$directory"
 }
@@ -53,6 +60,11 @@
         faultCount,
         events.count { it.kind == SoakKind.SEND },
         events.count { it.kind == SoakKind.ANSWER && it["status"] == "200" },
+        events.count {
+            it.kind == SoakKind.ACKNOWLEDGED && "evacuation" in it["path"] && it["path"].endsWith("/start")
+        },
+        events.filter { it.kind == SoakKind.ARRIVE }.let { all -> all.size - all.distinctBy { it["request"] }.size },
+        events.count { it.kind == SoakKind.BEGIN && it["from"].isNotEmpty() },
         violations,
         directory,
     )
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
@@ -20,6 +20,9 @@
         val result = runSoak(SEED, FAULTS_S)
         println(result)
         expectThat(result.servedCount).describedAs("served requests").isGreaterThan(100)
+        expectThat(result.evacuationCount).describedAs("acknowledged evacuations").isGreaterThan(1)
+        expectThat(result.repeatCount).describedAs("repeated arrivals").isGreaterThan(0)
+        expectThat(result.continuationCount).describedAs("continued runs").isGreaterThan(0)
         expectThat(result.violations).describedAs("violations of seed $SEED in ${result.directory}").isEmpty()
     }
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -90,7 +90,10 @@
     private fun isSafe(request: String) = sendOf[request]?.get("kind") == "safe"
 
     fun twice(): List<SoakViolation> = runs.filterKeys { !isSafe(it) }.flatMap { (request, all) ->
-        all.sortedBy { it.beginNs }.zipWithNext().mapNotNull { (former, next) -> twiceOrNull(request, former, next) }
+        val ordered = all.sortedBy { it.beginNs }
+        ordered.flatMapIndexed { position, next ->
+            ordered.take(position).mapNotNull { former -> twiceOrNull(request, former, next) }
+        }
     }
 
     private fun twiceOrNull(request: String, former: TargetRun, next: TargetRun): SoakViolation? {
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -172,15 +172,10 @@
         if (!process.waitFor(PROGRAM_END_S, TimeUnit.SECONDS)) process.destroyForcibly().waitFor()
     }
 
-    /** Requests a mishap of each request at the target with the given probability. */
-    fun setMishap(target: TargetNode, name: String, probability: Double) {
-        callOnce(target.address, "POST", "/soak/mishap/$name", "$probability", CALL_TIMEOUT_MS)
-        val kind = when {
-            name !in channelFaults -> SoakKind.MISHAP
-            probability > 0 -> SoakKind.DISTURBED
-            else -> SoakKind.RECOVERED
-        }
-        record.add(kind, "node" to target.id, "action" to "$name:$probability")
+    /** Requests a fault of each request at the target with the given probability. */
+    fun setInjectedFault(target: TargetNode, name: String, probability: Double) {
+        callOnce(target.address, "POST", "/soak/fault/$name", "$probability", CALL_TIMEOUT_MS)
+        record.add(SoakKind.INJECTED, "node" to target.id, "action" to "$name:$probability")
     }
 
     /** Lets a target announce that it leaves; it ends by itself. */
@@ -195,6 +190,3 @@
 
     override fun close(): Unit = processes.close()
 }
-
-/** The mishaps that count as a disturbance, because the sender cannot know whether the target still works. */
-private val channelFaults = setOf("RESET", "LOSE", "DELAY")
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.soak
 
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
@@ -20,6 +21,10 @@
 private const val READY_LIMIT_NS = 8_000_000_000L
 private const val READY_POLL_MS = 100L
 
+/** The second fault of targets drains an engine, so that runs continue elsewhere in each soak. */
+private const val DRAIN_STEP = 1
+private const val DRAIN_FAULT = 3
+
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
     private val site: SoakDeployment,
@@ -33,13 +38,14 @@
     private fun isOver() = System.nanoTime() > endNs
 
     fun run(): Int {
-        val series = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate).mapIndexed {
-                index,
-                body,
-            ->
-            thread(isDaemon = true) { body(Random(seed * 10 + index)) }
+        val failures = ConcurrentLinkedQueue<Throwable>()
+        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate)
+        val series = bodies.mapIndexed { index, body ->
+            thread(isDaemon = true) { runCatching { body(Random(seed * 10 + index)) }.onFailure(failures::add) }
         }
         series.forEach { it.join(maxOf(0, (endNs - System.nanoTime()) / 1_000_000) + SHUTDOWN_OF_SERIES_MS) }
+        failures.peek()?.let { throw IllegalStateException("a series of faults ended early", it) }
+        check(series.none { it.isAlive }) { "a series of faults did not end" }
         return count.get()
     }
 
@@ -134,35 +140,37 @@
     }
 
     private fun disturbTargets(random: Random) {
-        var isFirst = true
+        var step = 0
         while (!isOver()) {
-            val target = site.targets.values.sortedBy { it.id }.random(random)
-            when (if (isFirst) 0 else random.nextInt(6)) {
-                0 -> mishap(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
+            val isDrain = step == DRAIN_STEP
+            val candidates = site.targets.values.filter { !isDrain || it.service != PLAIN }
+            val target = candidates.sortedBy { it.id }.random(random)
+            when (if (step <= DRAIN_STEP) step * DRAIN_FAULT else random.nextInt(6)) {
+                0 -> fault(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
                 1 -> site.pause(target.id, random.nextLong(1_000, 6_000))
                 2 -> {
                     site.kill(target.id)
                     Thread.sleep(random.nextLong(200, 2_000))
                     site.startTarget(target.service, target.zone, target.address)
                 }
-                3 -> {
+                DRAIN_FAULT -> {
                     site.startTarget(target.service, target.zone)
                     rest(3_000)
                     site.drain(target)
                 }
-                4 -> mishap(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
-                else -> mishap(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
+                4 -> fault(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
+                else -> fault(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
             }
             count.incrementAndGet()
-            isFirst = false
+            step += 1
             rest(random.nextLong(500, 3_000))
         }
     }
 
-    private fun mishap(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
-        targets.forEach { site.setMishap(it, name, probability) }
+    private fun fault(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
+        targets.forEach { site.setInjectedFault(it, name, probability) }
         rest(durationMs)
-        targets.forEach { site.setMishap(it, name, 0.0) }
+        targets.forEach { site.setInjectedFault(it, name, 0.0) }
     }
 
     private fun operate(random: Random) {
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -39,8 +39,8 @@
     /** A process was killed; its runs have ended. */
     KILLED,
 
-    /** A target was told to mishandle a part of its requests, which is no disturbance. */
-    MISHAP,
+    /** A target was told to mishandle a part of its requests; it runs and is reached all the same. */
+    INJECTED,
 
     /** The operator sends an order. */
     ORDER,
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -33,12 +33,12 @@
 private const val DRAIN_MS = 3_000L
 
 /** The part of the runs that go on although their channel has closed, as 1 in this number. */
-private const val STUBBORN_ONE_IN = 5
+private const val IGNORES_CLOSE_ONE_IN = 5
 private const val BACKLOG = 256
 private const val ERROR_DELAY_MS = 1_200L
 
 /** What a target does to a request besides running it. */
-private enum class Mishap { NONE, REFUSE, FAIL, LOSE, DELAY, RESET }
+private enum class InjectedFault { NONE, REFUSE, FAIL, LOSE, DELAY, RESET }
 
 /** Runs a target with `name=value` arguments. */
 public fun main(arguments: Array<String>) {
@@ -74,7 +74,7 @@
     private val runs = ConcurrentHashMap<String, Run>()
     private val running = AtomicInteger()
     private val handles = AtomicLong()
-    private val mishaps = ConcurrentHashMap<Mishap, Double>()
+    private val injected = ConcurrentHashMap<InjectedFault, Double>()
 
     /** When each copy was last extended, by request id or handle. */
     private val copies = ConcurrentHashMap<String, Long>()
@@ -163,8 +163,8 @@
                     isDraining = true
                     channel.write(200, "", "")
                 }
-                path.startsWith("/soak/mishap/") -> {
-                    mishaps[Mishap.valueOf(path.substringAfterLast('/'))] = message.body.toDouble()
+                path.startsWith("/soak/fault/") -> {
+                    injected[InjectedFault.valueOf(path.substringAfterLast('/'))] = message.body.toDouble()
                     channel.write(200, "", "")
                 }
                 path == "/api/kv-move" -> move(channel, message.body)
@@ -193,8 +193,8 @@
         channel.write(if (status == OK) 200 else 503, "", """{"handle":"$handle","made":${run.made.get()}}""")
     }
 
-    private fun drawMishap(): Mishap = synchronized(random) {
-        mishaps.entries.firstOrNull { random.nextDouble() < it.value }?.key ?: Mishap.NONE
+    private fun drawInjectedFault(): InjectedFault = synchronized(random) {
+        injected.entries.firstOrNull { random.nextDouble() < it.value }?.key ?: InjectedFault.NONE
     }
 
     /** Handles one request; returns whether the channel can be used again. */
@@ -213,13 +213,13 @@
             "from" to source,
             "last" to message.headers["last-event-id"].orEmpty(),
         )
-        val mishap = drawMishap()
+        val fault = drawInjectedFault()
         val key = source.substringAfter('/')
         val reason = when {
             isMisdirected -> "misdirected"
             source.isNotEmpty() && !copies.containsKey(key) -> "no_copy"
             source.isEmpty() && running.get() >= slots -> "full"
-            mishap == Mishap.REFUSE -> "mood"
+            fault == InjectedFault.REFUSE -> "injected"
             else -> null
         }
         if (reason != null) {
@@ -235,7 +235,7 @@
         record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
         var reasonOfEnd = "closed"
         try {
-            reasonOfEnd = work(channel, input, message, path, run, mishap)
+            reasonOfEnd = work(channel, input, message, path, run, fault)
         } finally {
             runs.remove(request, run)
             running.decrementAndGet()
@@ -251,15 +251,15 @@
         message: SoakMessage,
         path: String,
         run: Run,
-        mishap: Mishap,
+        fault: InjectedFault,
     ): String {
-        val isStubborn = run.request.hashCode().mod(STUBBORN_ONE_IN) == 0
-        val isStream = path.startsWith("/stream/") && mishap != Mishap.FAIL
-        if (mishap == Mishap.DELAY) Thread.sleep(ERROR_DELAY_MS)
+        val ignoresClose = run.request.hashCode().mod(IGNORES_CLOSE_ONE_IN) == 0
+        val isStream = path.startsWith("/stream/") && fault != InjectedFault.FAIL
+        if (fault == InjectedFault.DELAY) Thread.sleep(ERROR_DELAY_MS)
         return if (isStream) {
-            stream(channel, input, message, run, mishap, isStubborn)
+            stream(channel, input, message, run, fault, ignoresClose)
         } else {
-            answer(channel, input, run, mishap, isStubborn)
+            answer(channel, input, run, fault, ignoresClose)
         }
     }
 
@@ -267,12 +267,18 @@
         "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
             "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
 
-    private fun answer(channel: Socket, input: InputStream, run: Run, mishap: Mishap, isStubborn: Boolean): String {
+    private fun answer(
+        channel: Socket,
+        input: InputStream,
+        run: Run,
+        fault: InjectedFault,
+        ignoresClose: Boolean,
+    ): String {
         val pauseMs = nextInt(MIN_PAUSE_MS, MAX_WORK_MS)
-        if (!pause(channel, input, pauseMs, isStubborn)) return "closed"
-        if (mishap == Mishap.LOSE) return "lost"
-        if (mishap == Mishap.RESET) return reset(channel)
-        channel.write(if (mishap == Mishap.FAIL) 500 else 200, headOf(run), "body of ${run.request}")
+        if (!pause(channel, input, pauseMs, ignoresClose)) return "closed"
+        if (fault == InjectedFault.LOSE) return "lost"
+        if (fault == InjectedFault.RESET) return reset(channel)
+        channel.write(if (fault == InjectedFault.FAIL) 500 else 200, headOf(run), "body of ${run.request}")
         return "done"
     }
 
@@ -281,8 +287,8 @@
         input: InputStream,
         message: SoakMessage,
         run: Run,
-        mishap: Mishap,
-        isStubborn: Boolean,
+        fault: InjectedFault,
+        ignoresClose: Boolean,
     ): String {
         val head = "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n"
@@ -290,29 +296,35 @@
         val tokens = message.headers.getValue("fulmarshunt-token-counts").substringAfter(',').toInt()
         val count = tokens / TOKENS_PER_EVENT
         val first = (message.headers["last-event-id"]?.toInt() ?: 0) + 1
-        val isCut = mishap == Mishap.LOSE || mishap == Mishap.RESET
+        val isCut = fault == InjectedFault.LOSE || fault == InjectedFault.RESET
         val cutAt = if (isCut) first + nextInt(0, count) else Int.MAX_VALUE
-        var isOpen = send(true, isStubborn) { output.write(head.encodeToByteArray()) }
+        var isOpen = send(true, ignoresClose) { output.write(head.encodeToByteArray()) }
         for (number in first..count) {
             if ("stopped" in run.isStopped) return "stopped"
-            if (number == cutAt) return if (mishap == Mishap.RESET) reset(channel) else "lost"
+            if (number == cutAt) {
+                val reason = if (fault == InjectedFault.RESET) reset(channel) else "lost"
+                if (!ignoresClose) return reason
+                // The connection ends for the caller only; the run goes on.
+                channel.close()
+                isOpen = false
+            }
             val event = "id: $number\ndata: ${run.request}\n\n"
             run.made.set(number)
-            isOpen = send(isOpen, isStubborn) {
+            isOpen = send(isOpen, ignoresClose) {
                 output.write("${event.length.toString(16)}\r\n$event\r\n".encodeToByteArray())
             }
-            if (!pause(channel, input, nextInt(MIN_PAUSE_MS, MAX_PAUSE_MS), isStubborn)) return "closed"
+            if (!pause(channel, input, nextInt(MIN_PAUSE_MS, MAX_PAUSE_MS), ignoresClose)) return "closed"
         }
-        send(isOpen, isStubborn) { output.write("0\r\n\r\n".encodeToByteArray()) }
-        return if (isOpen) "done" else "ended_unheard"
+        send(isOpen, ignoresClose) { output.write("0\r\n\r\n".encodeToByteArray()) }
+        return if (isOpen) "done" else "client_gone"
     }
 
-    /** Writes unless the channel has ended; a failure ends the run unless [isStubborn]. */
-    private fun send(isOpen: Boolean, isStubborn: Boolean, write: () -> Unit): Boolean = try {
+    /** Writes unless the channel has ended; a failure ends the run unless [ignoresClose]. */
+    private fun send(isOpen: Boolean, ignoresClose: Boolean, write: () -> Unit): Boolean = try {
         if (isOpen) write()
         isOpen
     } catch (e: IOException) {
-        if (!isStubborn) throw e
+        if (!ignoresClose) throw e
         false
     }
 
@@ -323,9 +335,9 @@
 
     private fun nextInt(from: Int, until: Int) = synchronized(random) { random.nextInt(from, maxOf(from + 1, until)) }
 
-    /** Waits for [pauseMs]; returns false as soon as the caller has closed the channel, unless [isStubborn]. */
-    private fun pause(channel: Socket, input: InputStream, pauseMs: Int, isStubborn: Boolean): Boolean {
-        if (isStubborn) {
+    /** Waits for [pauseMs]; returns false as soon as the caller has closed the channel, unless [ignoresClose]. */
+    private fun pause(channel: Socket, input: InputStream, pauseMs: Int, ignoresClose: Boolean): Boolean {
+        if (ignoresClose) {
             Thread.sleep(pauseMs.toLong())
             return true
         }
