Refuse a late deregistration that names no start time

Cause: like a late order, a deregistration that a control VM reads after it was stopped is older than it looks; without a start time it ends a target that has started again under its id meanwhile (DRAIN, served less). Change: such a call gets 503 if its sender can have given it up; the target turns to another control VM. A start time still identifies the process.

--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -59,7 +59,7 @@
             call.method == "POST" && heartbeat != null -> announce(TargetId(heartbeat.groupValues[1]), call.body)
             call.method == "POST" && deregistration != null -> deregister(
                 TargetId(deregistration.groupValues[1]),
-                call.body,
+                call,
             )
             call.method == "POST" && call.path == "/api/config/replace" -> replace(call)
             call.method == "GET" && call.path == "/api/config/get" -> read()
@@ -77,12 +77,19 @@
             { record -> acknowledge(id, "${record.phase}", watches.announce(record)) },
         )
 
-    private suspend fun deregister(id: TargetId, body: ByteArray): HttpReply {
+    private suspend fun deregister(id: TargetId, call: HttpCall): HttpReply {
         val startedAtMs = (id.problemOrNull()?.left() ?: Unit.right())
-            .flatMap { decodeDeregistration(body, wallClock.nowMs()) }
+            .flatMap { decodeDeregistration(call.body, wallClock.nowMs()) }
         return startedAtMs.fold(
             { refuseAnnouncement(id, it) },
-            { acknowledge(id, "left", watches.leave(id, it)) },
+            {
+                // Without a start time, a late one would end a target that has started again under its id.
+                if (it == null && servingState.isExpired(call.unreadSinceMs)) {
+                    leaveUnacknowledged(id, "left", "the call may have been given up")
+                } else {
+                    acknowledge(id, "left", watches.leave(id, it))
+                }
+            },
         )
     }
 
@@ -94,8 +101,12 @@
 
     private fun acknowledge(id: TargetId, what: String, isAcknowledged: Boolean): HttpReply {
         if (isAcknowledged) return reply(OK, "")
-        log.warn("announcement not acknowledged id={} what={} reason=no contact to other control VMs", id, what)
-        return reply(UNAVAILABLE, "no contact to other control VMs")
+        return leaveUnacknowledged(id, what, "no contact to other control VMs")
+    }
+
+    private fun leaveUnacknowledged(id: TargetId, what: String, reason: String): HttpReply {
+        log.warn("announcement not acknowledged id={} what={} reason={}", id, what, reason)
+        return reply(UNAVAILABLE, reason)
     }
 
     private suspend fun replace(call: HttpCall): HttpReply = decodeConfiguration(call.body).fold(
--- a/src/test/kotlin/fulmarshunt/platform/LateOrderTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/LateOrderTest.kt
@@ -192,4 +192,17 @@
             expectThat(drained()).isEqualTo(setOf(zone))
         }
     }
+
+    /** Guards against a target that is taken for gone because its former process had said so under the same id. */
+    @Test
+    fun `a late deregistration without a start time is not accepted`() {
+        fun deregister(ageMs: Long, body: String): Int = runBlocking {
+            val nowMs = monotonicClock().nowMs()
+            val call = HttpCall("POST", "/api/instances/i/deregister", body.encodeToByteArray(), nowMs, nowMs - ageMs)
+            api.handle(call).status
+        }
+        expectThat(deregister(PAUSE_MS, "")).isEqualTo(UNAVAILABLE)
+        expectThat(deregister(PAUSE_MS, """{"born":1}""")).isEqualTo(OK)
+        expectThat(deregister(0, "")).isEqualTo(OK)
+    }
 }
