--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -21,7 +21,8 @@
 private const val READY_LIMIT_NS = 8_000_000_000L
 private const val READY_POLL_MS = 100L
 
-/** The second fault of targets drains an engine, so that runs continue elsewhere in each soak. */
+/** Every other fault of targets drains an engine, so that runs continue elsewhere in each soak. */
+private const val DRAIN_PERIOD = 2
 private const val DRAIN_STEP = 1
 private const val DRAIN_FAULT = 3
 
@@ -142,11 +143,16 @@
     private fun disturbTargets(random: Random) {
         var step = 0
         while (!isOver()) {
-            val isDrain = step == DRAIN_STEP
+            val isDrain = step % DRAIN_PERIOD == DRAIN_STEP
             val candidates = site.targets.values.filter { !isDrain || it.service != PLAIN }
             val target = candidates.sortedBy { it.id }.random(random)
-            when (if (step <= DRAIN_STEP) step * DRAIN_FAULT else random.nextInt(6)) {
-                0 -> fault(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
+            val kind = when {
+                step == 0 -> 0
+                isDrain -> DRAIN_FAULT
+                else -> random.nextInt(6)
+            }
+            when (kind) {
+                0 -> inject(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
                 1 -> site.pause(target.id, random.nextLong(1_000, 6_000))
                 2 -> {
                     site.kill(target.id)
@@ -158,8 +164,8 @@
                     rest(3_000)
                     site.drain(target)
                 }
-                4 -> fault(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
-                else -> fault(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
+                4 -> inject(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
+                else -> inject(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
             }
             count.incrementAndGet()
             step += 1
@@ -167,7 +173,7 @@
         }
     }
 
-    private fun fault(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
+    private fun inject(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
         targets.forEach { site.setInjectedFault(it, name, probability) }
         rest(durationMs)
         targets.forEach { site.setInjectedFault(it, name, 0.0) }
