--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -276,7 +276,11 @@
         val nowMs = clock.nowMs()
         entryVmCount.receive(reply.entryVms, reply.isEntryCountComplete, nowMs)
         return entryVmCount.at(nowMs).also {
-            if (it != former) log.info("entry-vms counted count={} former={} reported={}", it, former, reply.entryVms)
+            if (it !=
+                former
+            ) {
+                log.info("entry-vm count changed count={} former={} reported={}", it, former, reply.entryVms)
+            }
         }
     }
 
--- a/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
+++ b/src/main/kotlin/fulmarshunt/http/BufferedCalls.kt
@@ -49,7 +49,7 @@
     public val readAtMs: Long = monotonicClock().nowMs(),
     /** The earliest time at which the request can have arrived; long before [readAtMs] if this process was stopped. */
     public val unreadSinceMs: Long = readAtMs,
-    /** Looks for the end of the connection and returns whether the caller still waits. */
+    /** Polls the connection; returns false if the caller has closed it. */
     public val isCallerConnected: suspend () -> Boolean = { true },
 )
 
--- a/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
+++ b/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
@@ -19,7 +19,7 @@
  */
 private const val CATCH_UP_MS = 500L
 
-/** Knows when input that is read now can have arrived at the earliest. */
+/** Gives a lower bound for the arrival time of input that is read now. */
 internal class UnreadTime(private val clock: Clock) {
     private var tickedAtMs = clock.nowMs()
     private var pausedSinceMs = tickedAtMs
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -71,10 +71,10 @@
     is ServingCommand.SetDrained -> {
         val next = if (command.isDrained) drained + command.domain else drained - command.domain
         val isChange = next != drained
-        val isOvertaken = command.basedOn != null && command.basedOn != lastOrderFor(command.domain)
+        val isSuperseded = command.basedOn != null && command.basedOn != lastOrderFor(command.domain)
         val orders = lastOrders + (command.domain to index)
         when {
-            isChange && isOvertaken -> this
+            isChange && isSuperseded -> this
             // Snapshots of older versions do not have the orders that were in their logs.
             command.basedOn == null -> if (isChange) copy(revision = index, drained = next) else this
             isChange -> copy(revision = index, drained = next, lastOrders = orders)
@@ -127,8 +127,8 @@
             next.revision != previous.revision,
             next.drained,
         )
-        val isOvertaken = command is ServingCommand.SetDrained && (command.domain in next.drained) != command.isDrained
-        return if (isOvertaken) ByteArray(1) else ByteArray(0)
+        val isSuperseded = command is ServingCommand.SetDrained && (command.domain in next.drained) != command.isDrained
+        return if (isSuperseded) ByteArray(1) else ByteArray(0)
     }
 
     private fun encode(snapshot: ServingSnapshot): ByteArray =
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -54,10 +54,10 @@
     @SerialName("n")
     data class NotLeader(val leader: Address?) : LeaderReply
 
-    /** The order has no effect, because a later one for the same domain precedes it. */
+    /** The order has no effect: a later one for the same domain was committed before it. */
     @Serializable
     @SerialName("o")
-    data object Overtaken : LeaderReply
+    data object Superseded : LeaderReply
 
     /** The leader has not executed the call; a leader that is elected meanwhile may be able to. */
     @Serializable
@@ -76,7 +76,7 @@
 public class OrderCaller(
     /** The earliest time at which it can have sent the order; it gives the order up after a second. */
     public val sentNotBeforeMs: Long,
-    /** Looks for the end of the connection and returns whether the caller still waits. */
+    /** Polls the connection; returns false if the caller has closed it. */
     public val isConnected: suspend () -> Boolean,
 )
 
@@ -113,7 +113,7 @@
 
     /**
      * Drains or restores [domain], unless [caller] can have given the order up before the state that it is based on was
-     * read. What is ordered and acknowledged after that read precedes this order, which then has no effect.
+     * read. An order for the domain that is committed after that read supersedes this one.
      */
     public suspend fun setDrained(
         domain: FailureDomainId,
@@ -127,7 +127,7 @@
         val result = state.flatMap {
             when {
                 !isConnected -> "the caller has left".left()
-                isExpired(caller.sentNotBeforeMs) -> "the caller can have given the order up".left()
+                isExpired(caller.sentNotBeforeMs) -> "the caller may have timed out".left()
                 else -> {
                     val command = ServingCommand.SetDrained(domain, isDrained, it.lastOrderFor(domain))
                     callLeader(LeaderCall.Propose(command), links, deadlineAtMs).map { }
@@ -158,7 +158,7 @@
             }
             when (reply) {
                 LeaderReply.Done, is LeaderReply.State -> return reply.right()
-                LeaderReply.Overtaken -> return "a later order for the domain precedes it".left()
+                LeaderReply.Superseded -> return "superseded by a later order for the domain".left()
                 is LeaderReply.NotLeader -> reason = "no leader replies, last known leader ${reply.leader ?: leader}"
                 is LeaderReply.Refused -> reason = reply.reason
                 is LeaderReply.Undecided -> reason = reply.reason
@@ -189,7 +189,7 @@
                     is ProposeFailure.Undecided -> LeaderReply.Undecided(failure.reason)
                 }
             },
-            { result -> if (result.isEmpty()) LeaderReply.Done else LeaderReply.Overtaken },
+            { result -> if (result.isEmpty()) LeaderReply.Done else LeaderReply.Superseded },
         )
     }
 }
