Add a failing test of a limit that a target names

Three entry VMs in processes of their own send requests to a target that names a limit of 2 a second in its responses, while one of them is killed and started again.

--- a/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/FleetProcessTest.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.standin.Processes
 import fulmarshunt.standin.freePort
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.api.io.TempDir
@@ -18,16 +19,33 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.io.BufferedInputStream
 import java.io.File
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 
 private const val CONTROL_VMS = 3
 private const val SOCKET_TIMEOUT_MS = 8_000
 private const val PAUSE_S = 30
 
+private const val LIMITED_ENTRY_VMS = 3
+private const val LIMIT_PER_S = 2.0
+
+/** The window in which the platform counts the requests of a limit, and the time after which it counts them. */
+private const val LIMIT_WINDOW_S = 4L
+private const val CONTACT_MS = 3_000L
+private const val LIMITED_MS = 20_000L
+private const val LOAD_PERIOD_MS = 20L
+private const val FREE_REQUESTS = 20
+
+/** A request that has no turn while its caller may wait is refused without a wait. */
+private const val MAX_REFUSAL_MS = 500L
+
 @Timeout(120)
 class FleetProcessTest {
     @TempDir
@@ -77,18 +95,18 @@
         return processes.start("control-$number", "fulmarshunt.platform.FleetControlKt", "--settings", path)
     }
 
-    private fun startEntry(): Process {
+    private fun startEntry(name: String = "entry", host: String = "127.0.0.1"): Process {
         val settings = """
-            ${common(CONTROL_VMS + 1, "entry").prependIndent("            ").trim()}
+            ${common(CONTROL_VMS + 1, name).prependIndent("            ").trim()}
             [listen]
-            callers = "127.0.0.1:$callerPort"
-            readiness = "127.0.0.1:$readinessPort"
-            metrics = "127.0.0.1:$metricsPort"
+            callers = "$host:$callerPort"
+            readiness = "$host:$readinessPort"
+            metrics = "$host:$metricsPort"
             [shutdown]
             grace_s = 6.0
         """.trimIndent()
-        val path = processes.settings("entry.toml", settings)
-        return processes.start("entry", "fulmarshunt.platform.FleetEntryKt", "--settings", path)
+        val path = processes.settings("$name.toml", settings)
+        return processes.start(name, "fulmarshunt.platform.FleetEntryKt", "--settings", path)
     }
 
     private fun call(host: String, port: Int, method: String, path: String, body: String = ""): RawMessage? =
@@ -197,9 +215,14 @@
 
         @Volatile
         var isPausing = false
+
+        /** The value of `Server-Limit`, or null without it. */
+        @Volatile
+        var limit: String? = null
     }
 
-    private fun target(name: String, mood: Mood) = ScriptedTarget(name) {
+    private fun target(name: String, mood: Mood, onRequest: () -> Unit = {}) = ScriptedTarget(name) {
+        onRequest()
         val id = "Fulmarshunt-Request-Id: ${request.header("fulmarshunt-request-id")}\r\n"
         if (mood.isPausing) {
             write(
@@ -208,8 +231,10 @@
             )
         } else {
             val leaving = if (mood.isLeaving) "Server-Leaving: 1\r\n" else ""
+            val limit = mood.limit?.let { "Server-Limit: $it\r\n" }.orEmpty()
             write(
-                "HTTP/1.1 200 OK\r\n${id}Fulmarshunt-Server-Stamp: 1\r\n${leaving}Content-Length: ${name.length}" +
+                "HTTP/1.1 200 OK\r\n${id}Fulmarshunt-Server-Stamp: 1\r\n$leaving$limit" +
+                    "Content-Length: ${name.length}" +
                     "\r\n\r\n$name",
             )
         }
@@ -251,4 +276,72 @@
             expectThat(a.requests.size).isEqualTo(afterNotice)
         }
     }
+
+    /** Sends requests to the entry VM at [host] for [durationMs], one after another, and returns the responses. */
+    private fun load(host: String, durationMs: Long): List<TimedResponse> {
+        val responses = mutableListOf<TimedResponse>()
+        val endsAtNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMs)
+        while (System.nanoTime() < endsAtNs) {
+            val sentAtNs = System.nanoTime()
+            val response = call(host, callerPort, "POST", "/one/x")
+            val tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNs)
+            if (response != null) responses += TimedResponse(response, tookMs)
+            Thread.sleep(LOAD_PERIOD_MS)
+        }
+        return responses
+    }
+
+    private class TimedResponse(val response: RawMessage, val tookMs: Long)
+
+    /** Guards against a target in need that gets from each entry VM what it takes from all of them together. */
+    @Test
+    @Tag("known-red")
+    fun `the limit that a target names holds for all entry VMs together`() {
+        (1..CONTROL_VMS).forEach { startControl(it, bootstrap = true) }
+        val hosts = (1..LIMITED_ENTRY_VMS).map { ip(CONTROL_VMS + it) }
+        val entries = hosts.mapIndexed { index, host -> startEntry("entry-$index", host) }.toMutableList()
+        val mood = Mood()
+        val arrivalsAtNs = ConcurrentLinkedQueue<Long>()
+        val counted = target("a", mood) { arrivalsAtNs += System.nanoTime() }
+        counted.use { a ->
+            replace(1, 1, "/one/")
+            awaitThat("target a announced") { announce(2, a, 1).isOk() }
+            hosts.forEach { host ->
+                awaitThat("the first answer") { call(host, callerPort, "POST", "/one/x")?.body == "a" }
+            }
+            awaitThat("the number of entry VMs is known") {
+                entries.indices.all {
+                    processes.output("entry-$it").contains("entry-vm count changed count=${hosts.size}")
+                }
+            }
+            mood.limit = "$LIMIT_PER_S"
+            val limitedAtNs = System.nanoTime()
+            val pool = Executors.newFixedThreadPool(hosts.size)
+            val loads = hosts.map { host -> pool.submit<List<TimedResponse>> { load(host, LIMITED_MS) } }
+            Thread.sleep(LIMITED_MS / 2)
+            entries[0].destroyForcibly().waitFor()
+            entries[0] = startEntry("entry-0", hosts[0])
+            val responses = loads.flatMap { it.get() }
+            pool.shutdown()
+
+            val judged = arrivalsAtNs.filter { it - limitedAtNs > TimeUnit.MILLISECONDS.toNanos(CONTACT_MS) }
+            val windowNs = TimeUnit.SECONDS.toNanos(LIMIT_WINDOW_S)
+            val most = judged.maxOf { from -> judged.count { it in from until from + windowNs } }
+            println("most=$most in $LIMIT_WINDOW_S s, served=${judged.size}, responses=${responses.size}")
+            expectThat(most.toDouble()).isLessThanOrEqualTo(1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5)
+            // The target is used, also by an entry VM that has just started.
+            expectThat(judged.size).isGreaterThan(3)
+            val refused = responses.filter { it.response.startLine.contains(" 503 ") }
+            expectThat(refused.size).isGreaterThan(0)
+            expectThat(refused.count { it.tookMs > MAX_REFUSAL_MS }).isEqualTo(0)
+            expectThat(refused.all { it.response.header("retry-after") != null }).isTrue()
+
+            mood.limit = null
+            awaitThat("the target gets requests without a limit") {
+                val before = a.requests.size
+                repeat(FREE_REQUESTS) { call(hosts[1], callerPort, "POST", "/one/x") }
+                a.requests.size - before == FREE_REQUESTS
+            }
+        }
+    }
 }
