Log repeats that are sent, and what is at a target when it asks for a pause

The logs could not add up the repeats of all entry VMs in a window, because only refused repeats were logged, nor tell whether a target asked for a pause while earlier requests or the first one after a pause were at it.

--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -136,8 +136,16 @@
 
     /** Records that [target] has refused a request and wants no others for [durationMs]. */
     public fun recordPause(target: KnownTarget, durationMs: Long) {
+        val hasTrial = pauses.hasTrial(target.instance)
         val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
-        log.info("target pauses target={} askedMs={} pauseMs={}", target.id, durationMs, pauseMs)
+        log.info(
+            "target pauses target={} askedMs={} pauseMs={} placed={} hasTrial={}",
+            target.id,
+            durationMs,
+            pauseMs,
+            ownUse.of(target.id).running,
+            hasTrial,
+        )
         waiting.refuse(::isHopeless)
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -68,11 +68,12 @@
         return decide(window, entryVms, 0, nowMs).also { if (it.isTaken) window.reserved += 1 }
     }
 
-    /** Records that a reserved repeat is sent now. */
-    fun recordSent(service: ServiceId, nowMs: Long) {
+    /** Records that a reserved repeat is sent now, and returns the number of repeats in the window with this one. */
+    fun recordSent(service: ServiceId, nowMs: Long): Int {
         val window = windowOf(service, nowMs)
         window.reserved -= 1
         window.repeatsAtMs.addLast(nowMs)
+        return window.repeatsAtMs.size
     }
 
     /** Returns a reserved repeat that is not sent. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -1,6 +1,6 @@
 /*
- * The requests and repeats of one entry VM as its relay reports them. Refused repeats are logged with the share that
- * they were refused by. Confined to the control thread.
+ * The requests and repeats of one entry VM as its relay reports them. Repeats are logged when they are sent, and refused
+ * ones with the share that they were refused by. Confined to the control thread.
  */
 package fulmarshunt.target.fleet
 
@@ -31,7 +31,10 @@
         budget.tryTake(service, entryVms(), clock.nowMs()).also { logIfRefused(service, it) }
 
     /** Records that a repeat that [tryTake] has granted is sent now. */
-    public fun recordSent(service: ServiceId): Unit = budget.recordSent(service, clock.nowMs())
+    public fun recordSent(service: ServiceId) {
+        val sent = budget.recordSent(service, clock.nowMs())
+        log.info("repeat sent service={} sent={} entryVms={}", service, sent, entryVms())
+    }
 
     /** Returns a repeat that [tryTake] has granted and that is not sent. */
     public fun release(service: ServiceId): Unit = budget.release(service)
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetPauses.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetPauses.kt
@@ -56,6 +56,9 @@
     fun remainingMs(instance: TargetInstance, nowMs: Long): Long =
         ((pauses[instance]?.untilMs ?: 0) - nowMs).coerceAtLeast(0)
 
+    /** Returns whether the first request after a pause of [instance] is being served. */
+    fun hasTrial(instance: TargetInstance): Boolean = pauses[instance]?.trial != null
+
     /** Records that [placement] was made. */
     fun recordPlacement(placement: Placement) {
         pauses[placement.target.instance]?.trial = placement
