Keep a pause that a target asks for while its first request after a pause is served

What callers see: a target that has refused a request with Retry-After gets more than two requests of one VM before that time has passed, and refuses them as well.

Cause: after a pause a target gets one request, and when that one succeeds the record of the pause is removed. A request that was placed before may be refused meanwhile, because its time limit passed in the target's queue or its connection opened late; the new pause was removed with the old one, and the VM sent all that waited. The class: the end of an operation clears state that was set after the operation began.

It was not seen on real processes.

The success of the first request now ends only a pause whose time has passed.

--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -238,7 +238,7 @@
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
-        if (pauses.recordOutput(placement)) retryWaiting()
+        if (pauses.recordOutput(placement, clock.nowMs())) retryWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
@@ -247,7 +247,7 @@
         replaceUse(placement, TargetUse.NONE)
         placement.hasEnded = true
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
-        pauses.recordEnd(placement, outcome)
+        pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetPauses.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetPauses.kt
@@ -65,17 +65,20 @@
     }
 
     /** Records that a target produces output, and returns whether that ends its trial. */
-    fun recordOutput(placement: Placement): Boolean {
-        val isTrial = pauses[placement.target.instance]?.trial === placement
-        if (isTrial) pauses.remove(placement.target.instance)
-        return isTrial
-    }
+    fun recordOutput(placement: Placement, nowMs: Long): Boolean = endTrial(placement, isServed = true, nowMs)
 
     /** Records how [placement] ended; after a failed trial, there is another one. */
-    fun recordEnd(placement: Placement, outcome: UseOutcome) {
-        val pause = pauses[placement.target.instance] ?: return
-        if (pause.trial !== placement) return
-        if (outcome == UseOutcome.SUCCEEDED) pauses.remove(placement.target.instance) else pause.trial = null
+    fun recordEnd(placement: Placement, outcome: UseOutcome, nowMs: Long) {
+        endTrial(placement, outcome == UseOutcome.SUCCEEDED, nowMs)
+    }
+
+    /** Ends the trial if it is [placement]; a pause that the target has asked for meanwhile goes on. */
+    private fun endTrial(placement: Placement, isServed: Boolean, nowMs: Long): Boolean {
+        val pause = pauses[placement.target.instance] ?: return false
+        if (pause.trial !== placement) return false
+        pause.trial = null
+        if (isServed && nowMs >= pause.untilMs) pauses.remove(placement.target.instance)
+        return true
     }
 
     /** Returns whether a running generation may continue at [instance]; only a few may do so during a pause. */
