Count a repeat until no window of its arrival can hold a later one

What callers see: repeats of a failing service exceed the budget, and overload what is left of the service.

Cause: a repeat left the count one window after it was sent. Its arrival may be up to 600 ms later, because a connection is opened first. A VM that sent its share at once, late, and the next share a whole window after it, had both in one window of arrivals. The class: a limit on arrivals is kept by times of sending, without a margin.

It was not seen on real processes.

A repeat now counts for one more second, which is longer than the time limit for opening a connection.

--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -12,6 +12,9 @@
 /** The share of the budget that is used, so that windows that start at other times stay within the budget too. */
 private const val USED_SHARE = 0.7
 
+/** The longest time from sending a repeat to its arrival, most of which is spent on opening a connection. */
+private const val ARRIVAL_DELAY_MS = 1_000L
+
 /** The limits of repeats of all entry VMs together. */
 public data class RepeatLimits(
     /** The repeats that are allowed per request. */
@@ -111,9 +114,9 @@
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
         val window = windows.getOrPut(service) { Window() }
-        for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
-            while (times.isNotEmpty() && nowMs - times.first() >= limits.windowMs) times.removeFirst()
-        }
+        window.requestsAtMs.removeUntil(nowMs - limits.windowMs)
+        // A repeat that arrives late may share a window of the budget with one that is sent a whole window after it.
+        window.repeatsAtMs.removeUntil(nowMs - limits.windowMs - ARRIVAL_DELAY_MS)
         if (nowMs >= window.roundingUntilMs) {
             window.rounding = nextRandom()
             window.roundingUntilMs = nowMs + limits.windowMs
@@ -121,3 +124,7 @@
         return window
     }
 }
+
+private fun ArrayDeque<Long>.removeUntil(untilMs: Long) {
+    while (isNotEmpty() && first() <= untilMs) removeFirst()
+}
--- a/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
@@ -15,6 +15,9 @@
 private const val WINDOW_MS = 10_000L
 private const val ALLOWANCE = 40.0
 
+/** The longest time from sending a repeat to its arrival that the budget allows for. */
+private const val ARRIVAL_DELAY_MS = 1_000L
+
 class RepeatBudgetTest {
     private val limits = RepeatLimits(0.2, ALLOWANCE, WINDOW_MS)
     private val service = engines.id
@@ -87,4 +90,13 @@
         repeat(taken) { timed.fleet.repeats.release(service) }
         expectThat(timed.takeAll()).isEqualTo(taken)
     }
+
+    /** Guards against repeats that are late on the way, and arrive together with those of the next window. */
+    @Test
+    fun `repeats that arrive late and those of the next window keep the budget`() {
+        val timed = fleetOf(1, 2 * WINDOW_MS)
+        val late = timed.takeAll()
+        timed.nowMs += WINDOW_MS + ARRIVAL_DELAY_MS - 1
+        expectThat(late + timed.takeAll()).isGreaterThan(0).isLessThanOrEqualTo(ALLOWANCE.toInt())
+    }
 }
