Count a continuation of a run when it is sent

What callers see: when many targets leave or fall silent, repeats of their service exceed the budget.

Cause: a continuation was counted when it was granted. Its run is stopped at the former target before it is sent, which takes a second or more where that target copies or does not respond. The continuation then left the count before its window of arrivals had passed.

It was not seen on real processes.

A continuation is now reserved like a repeat, counts from the time at which it is sent, and is returned when its request ends before that.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -91,6 +91,9 @@
     /** The services of repeats that were granted and have not been sent. */
     private val reservedRepeats = mutableListOf<ServiceId>()
 
+    /** The services of continuations that were granted and have not been sent. */
+    private val reservedContinuations = mutableListOf<ServiceId>()
+
     /** Whether the generation was sent to another target to continue there. */
     private var hasContinued = false
 
@@ -114,15 +117,20 @@
 
     /** Returns whether a running generation may continue at the target of [placement] now. */
     suspend fun tryContinue(placement: Placement): Boolean = control.run {
-        fleet.tryContinue(placement.target, isFirst = !hasContinued)
+        fleet.tryContinue(placement.target, isFirst = !hasContinued).also {
+            if (it) reservedContinuations += placement.target.record.service
+        }
     }
 
     /** Records that the continuation that [tryContinue] has allowed is sent. */
-    suspend fun recordContinuation(): Unit = control.run { hasContinued = true }
+    suspend fun recordContinuation(): Unit = control.run {
+        hasContinued = true
+        reservedContinuations.removeLastOrNull()?.let(fleet.repeats::recordSent)
+    }
 
     /** Returns a continuation that [tryContinue] has allowed and that is not sent. */
-    suspend fun returnContinuation(placement: Placement): Unit = control.run {
-        fleet.repeats.returnContinuation(placement.target.record.service)
+    suspend fun returnContinuation(): Unit = control.run {
+        reservedContinuations.removeLastOrNull()?.let(fleet.repeats::release)
     }
 
     /** Takes a repeat of [job] from the budget of its service, or returns false if it is used up. */
@@ -156,8 +164,9 @@
     fun endAll() {
         control.scope.launch {
             held.forEach { fleet.end(it, UseOutcome.ABANDONED) }
-            reservedRepeats.forEach(fleet.repeats::release)
+            (reservedRepeats + reservedContinuations).forEach(fleet.repeats::release)
             reservedRepeats.clear()
+            reservedContinuations.clear()
         }
     }
 }
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -354,7 +354,7 @@
         hasLateInput = failure == MoveFailure.NoSuchRun && isOpen && !source.response.connection.isInboxEmpty
         val mayBeRunning = failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)
         if (mayBeRunning || hasLateInput) {
-            dependencies.placements.returnContinuation(placement)
+            dependencies.placements.returnContinuation()
             return false
         }
         val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
@@ -463,7 +463,7 @@
                     val resume = ResumePoint(source, handle, framer.lastEventId)
                     sendContinuation(current.placement, resume, "stay", "move failed")
                 } else {
-                    dependencies.placements.returnContinuation(placement)
+                    dependencies.placements.returnContinuation()
                 }
             }
         }
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -150,13 +150,13 @@
     }
 
     /**
-     * Returns whether a running generation may continue at [target] now, and counts it towards the budget of repeats;
+     * Returns whether a running generation may continue at [target] now, and reserves a repeat of the budget for it;
      * [isFirst] says that it has not continued before, nor been sent to continue in vain.
      */
     public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean {
         val service = target.record.service
         if (!repeats.tryContinue(service, isFirst).isTaken) return false
-        return pauses.tryContinue(target.instance, clock.nowMs()).also { if (!it) repeats.returnContinuation(service) }
+        return pauses.tryContinue(target.instance, clock.nowMs()).also { if (!it) repeats.release(service) }
     }
 
     /** Returns the use of each target by this VM. */
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -97,19 +97,14 @@
         if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
 
     /**
-     * Takes one continuation of a run for [service]. The first one of a run may use the margin of the allowance that
-     * repeats leave, because its stream ends without it.
+     * Reserves one continuation of a run for [service] until [recordSent] or [release]. The first one of a run may use
+     * the margin of the allowance that repeats leave, because its stream ends without it.
      */
     fun tryContinue(service: ServiceId, entryVms: Int, isFirst: Boolean, nowMs: Long): RepeatDecision {
         val window = windowOf(service, nowMs)
         val share = USED_SHARE * limits.ratio * window.requestsAtMs.size + allowanceOf(entryVms, nowMs)
         val firstBound = if (isFirst) floor(share).toInt() else 0
-        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.repeatsAtMs.addLast(nowMs) }
-    }
-
-    /** Returns the last continuation that [tryContinue] has granted, which was not sent. */
-    fun returnContinuation(service: ServiceId) {
-        windows[service]?.repeatsAtMs?.removeLastOrNull()
+        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.reserved += 1 }
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -30,22 +30,19 @@
     public fun tryTake(service: ServiceId): RepeatDecision =
         budget.tryTake(service, entryVms(), clock.nowMs()).also { logIfRefused(service, it) }
 
-    /** Records that a repeat that [tryTake] has granted is sent now. */
+    /** Records that a repeat or continuation that was granted is sent now. */
     public fun recordSent(service: ServiceId) {
         val sent = budget.recordSent(service, clock.nowMs())
         log.info("repeat sent service={} sent={} entryVms={}", service, sent, entryVms())
     }
 
-    /** Returns a repeat that [tryTake] has granted and that is not sent. */
+    /** Returns a repeat or continuation that was granted and that is not sent. */
     public fun release(service: ServiceId): Unit = budget.release(service)
 
-    /** Takes a continuation of a run from the budget of [service], which is sent at once. */
+    /** Takes a continuation of a run from the budget of [service]; see [tryTake]. */
     internal fun tryContinue(service: ServiceId, isFirst: Boolean): RepeatDecision =
         budget.tryContinue(service, entryVms(), isFirst, clock.nowMs()).also { logIfRefused(service, it) }
 
-    /** Returns a continuation that [tryContinue] has granted and that is not sent. */
-    internal fun returnContinuation(service: ServiceId): Unit = budget.returnContinuation(service)
-
     private fun logIfRefused(service: ServiceId, decision: RepeatDecision) {
         if (decision.isTaken) return
         refusalLogs.getOrPut(service) { LimitedLog(log, clock = clock) }.log(
