Use no allowance of repeats until the other entry VMs count a new one

What callers see: while entry VMs are added and targets fail, repeats exceed the budget.

Cause: a new process used its part of the allowance one window after its start. The others count it, and use smaller parts, only after their next watches, up to 3 s after its first one, and what they used until then with larger parts was still in the same window. The class: shares of a limit are made smaller at different times on different VMs.

It was not seen on real processes.

The allowance is now used one window after the time in which others may not count the process, 4 s later than before. Four tests that let a process run for one window, to have its allowance, start it earlier; the test of that time has the new bound, on both sides of it as before. A VM that reaches no control VM for longer than that after its start is not covered.

--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -15,6 +15,9 @@
 /** The longest time from sending a repeat to its arrival, most of which is spent on opening a connection. */
 private const val ARRIVAL_DELAY_MS = 1_000L
 
+/** The time after a start of this process in which other entry VMs may not count it and use larger shares. */
+private const val UNCOUNTED_MS = 4_000L
+
 /** The limits of repeats of all entry VMs together. */
 public data class RepeatLimits(
     /** The repeats that are allowed per request. */
@@ -92,9 +95,12 @@
         return RepeatDecision(used < bound, used, bound, requests, entryVms)
     }
 
-    /** Returns the part of the allowance of this VM; none while an earlier process may have used it in the window. */
+    /**
+     * Returns the part of the allowance of this VM; none while it may have been used in the window by an earlier process,
+     * or by other entry VMs that did not count this one.
+     */
     private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
-        if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
+        if (nowMs - startedAtMs < UNCOUNTED_MS + limits.windowMs) 0.0 else limits.allowance / entryVms
 
     /**
      * Reserves one continuation of a run for [service] until [recordSent] or [release]. The first one of a run may use
--- a/src/test/kotlin/fulmarshunt/entry/RepeatBudgetRestartTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/RepeatBudgetRestartTest.kt
@@ -51,7 +51,7 @@
         private val links = linksOf("entry$number", "secret-of-the-test", LinkHandlers())
         private val random = Random(number)
         private val limits = RepeatLimits(0.2, ALLOWANCE.toDouble(), WINDOW_MS)
-        private val budget = RepeatBudget(limits, clock.nowMs() - WINDOW_MS) { random.nextDouble() }
+        private val budget = RepeatBudget(limits, clock.nowMs() - 2 * WINDOW_MS) { random.nextDouble() }
         private val fleet = Fleet(clock, here, budget, random::nextDouble) { 0.0 }
         private val vm = VmId("entry$number")
         private val watcher =
--- a/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/FleetTest.kt
@@ -284,8 +284,8 @@
     /** Guards against a generation that is lost because its copy is at a target that wants no new requests. */
     @Test
     fun `two running generations may continue at a target during its pause`() {
-        // Its allowance of repeats can be used one window after the start.
-        timed.nowMs += 10_000
+        // Its allowance of repeats cannot be used for a while after the start.
+        timed.nowMs += 20_000
         val target = pausedTarget(5_000)
         expectThat((1..4).map { fleet.tryContinue(target) }).isEqualTo(listOf(true, true, false, false))
         timed.nowMs += 5_000
--- a/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/RepeatBudgetTest.kt
@@ -18,6 +18,9 @@
 /** The longest time from sending a repeat to its arrival that the budget allows for. */
 private const val ARRIVAL_DELAY_MS = 1_000L
 
+/** How long after a start the other entry VMs may not count the new one. */
+private const val UNCOUNTED_MS = 4_000L
+
 class RepeatBudgetTest {
     private val limits = RepeatLimits(0.2, ALLOWANCE, WINDOW_MS)
     private val service = engines.id
@@ -47,9 +50,9 @@
 
     /** Guards against a process that never uses its allowance. */
     @Test
-    fun `the allowance is used one window after the start`() {
-        expectThat(fleetOf(1, WINDOW_MS - 1).takeAll()).isEqualTo(0)
-        expectThat(fleetOf(1, WINDOW_MS).takeAll()).isGreaterThan(0)
+    fun `the allowance is used one window after the other entry VMs count the process`() {
+        expectThat(fleetOf(1, UNCOUNTED_MS + WINDOW_MS - 1).takeAll()).isEqualTo(0)
+        expectThat(fleetOf(1, UNCOUNTED_MS + WINDOW_MS).takeAll()).isGreaterThan(0)
     }
 
     /** Guards against streams that all continue elsewhere when their targets leave, on top of other repeats. */
@@ -99,4 +102,15 @@
         timed.nowMs += WINDOW_MS + ARRIVAL_DELAY_MS - 1
         expectThat(late + timed.takeAll()).isGreaterThan(0).isLessThanOrEqualTo(ALLOWANCE.toInt())
     }
+
+    /** Guards against entry VMs that are added, and use their part while the others have just used larger ones. */
+    @Test
+    fun `added entry VMs and those that did not count them yet keep the budget`() {
+        val former = 2
+        val added = 8
+        val taken = List(former) { fleetOf(former, 2 * WINDOW_MS).takeAll() }.sum()
+        fun takenByAdded(runningMs: Long) = List(added) { fleetOf(former + added, runningMs).takeAll() }.sum()
+        expectThat(taken + takenByAdded(UNCOUNTED_MS + WINDOW_MS - 1)).isLessThanOrEqualTo(ALLOWANCE.toInt())
+        expectThat(takenByAdded(UNCOUNTED_MS + WINDOW_MS)).isGreaterThan(0)
+    }
 }
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -66,7 +66,7 @@
             val random = Random(entryVms)
             val limits = RepeatLimits(0.2, 0.3 * entryVms, 10_000)
             val service = ServiceId("s")
-            val budgets = List(entryVms) { RepeatBudget(limits, -limits.windowMs, random::nextDouble) }
+            val budgets = List(entryVms) { RepeatBudget(limits, -2 * limits.windowMs, random::nextDouble) }
             val repeatsAtMs = mutableListOf<Long>()
             for (nowMs in 0L until 40_000L step 500) {
                 for (budget in budgets) {
@@ -95,7 +95,7 @@
         val repeatsAtMs = mutableListOf<Long>()
         var requests = 0
         repeat(entryVms) {
-            val budget = RepeatBudget(limits, -limits.windowMs) { 0.99 }
+            val budget = RepeatBudget(limits, -2 * limits.windowMs) { 0.99 }
             for (nowMs in 0L until 30_000L step 100) {
                 budget.recordRequest(service, nowMs)
                 if (nowMs < 10_000) requests += 1
@@ -113,7 +113,7 @@
     @Test
     fun `a decision on a repeat names the share that it was based on`() {
         val service = ServiceId("s")
-        val budget = RepeatBudget(RepeatLimits(0.2, 10.0, 10_000), -10_000) { 0.0 }
+        val budget = RepeatBudget(RepeatLimits(0.2, 10.0, 10_000), -20_000) { 0.0 }
         repeat(10) { budget.recordRequest(service, 0) }
         expectThat(budget.tryTake(service, 5, 0)).isEqualTo(RepeatDecision(true, 0, 2, 10, 5))
         budget.tryTake(service, 5, 0)
