Round the share of repeats of an entry VM in the same way for ten windows

What callers see: on deployments with many entry VMs and a small allowance, repeats exceed the budget in the first window of a failure.

Cause: a share is rounded up or down at random for a window. A window of the budget lies across two of them, and a VM that has rounded down waits and may round up in the second; VMs that have rounded up send at once. With a share of 0.35 per VM this is 1.65 times the share, and the used part of the budget leaves room for 1.43 times.

A share is now rounded in the same way for ten windows, and the first change is at a random time on each VM.

--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -15,6 +15,9 @@
 /** The longest time from sending a repeat to its arrival, most of which is spent on opening a connection. */
 private const val ARRIVAL_DELAY_MS = 1_000L
 
+/** The windows for which a share is rounded in the same way, so that few windows have two roundings. */
+private const val ROUNDING_WINDOWS = 10
+
 /** The time after a start of this process in which other entry VMs may not count it and use larger shares. */
 private const val UNCOUNTED_MS = 4_000L
 
@@ -48,9 +51,11 @@
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
 ) {
-    private class Window {
-        var rounding = 0.0
-        var roundingUntilMs = Long.MIN_VALUE
+    private class Window(
+        /** When the rounding changes; at random at first, so that it does not change on all entry VMs at once. */
+        var roundingUntilMs: Long,
+        var rounding: Double,
+    ) {
         val requestsAtMs = ArrayDeque<Long>()
         val repeatsAtMs = ArrayDeque<Long>()
 
@@ -59,6 +64,7 @@
     }
 
     private val windows = mutableMapOf<ServiceId, Window>()
+    private val roundingMs = ROUNDING_WINDOWS * limits.windowMs
 
     /** Records a request for [service]. */
     fun recordRequest(service: ServiceId, nowMs: Long) {
@@ -114,13 +120,13 @@
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
-        val window = windows.getOrPut(service) { Window() }
+        val window = windows.getOrPut(service) { Window(nowMs + (nextRandom() * roundingMs).toLong(), nextRandom()) }
         window.requestsAtMs.removeUntil(nowMs - limits.windowMs)
         // A repeat that arrives late may share a window of the budget with one that is sent a whole window after it.
         window.repeatsAtMs.removeUntil(nowMs - limits.windowMs - ARRIVAL_DELAY_MS)
         if (nowMs >= window.roundingUntilMs) {
             window.rounding = nextRandom()
-            window.roundingUntilMs = nowMs + limits.windowMs
+            window.roundingUntilMs = nowMs + roundingMs
         }
         return window
     }
--- a/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/SharesTest.kt
@@ -86,6 +86,33 @@
         }
     }
 
+    /** Guards against shares that are rounded up twice in one window, once before and once after a failure begins. */
+    @Test
+    fun `many entry VMs keep the budget of repeats when a failure begins after a calm time`() {
+        val entryVms = 330
+        val random = Random(entryVms)
+        val limits = RepeatLimits(0.2, 0.1 * entryVms, 10_000)
+        val service = ServiceId("s")
+        val budgets = List(entryVms) { RepeatBudget(limits, -2 * limits.windowMs, random::nextDouble) }
+        val phasesMs = List(entryVms) { random.nextLong(50) * 100 }
+        val repeatsAtMs = mutableListOf<Long>()
+        for (nowMs in 0L until 150_000L step 100) {
+            budgets.forEachIndexed { number, budget ->
+                if (nowMs % 5_000 == phasesMs[number]) budget.recordRequest(service, nowMs)
+                if (nowMs >= 60_000 && budget.tryTake(service, entryVms, nowMs).isTaken) {
+                    budget.recordSent(service, nowMs)
+                    repeatsAtMs += nowMs
+                }
+            }
+        }
+        val bound = 0.2 * 2 * entryVms + limits.allowance
+        val most = (60_000L until 140_000L step 500).maxOf { from ->
+            repeatsAtMs.count { it in from until from + 10_000 }
+        }
+        expectThat(most.toDouble()).isLessThanOrEqualTo(bound)
+        expectThat(repeatsAtMs.size / 9.0).isGreaterThan(bound / 3)
+    }
+
     /** Guards against repeats of all entry VMs that together exceed the budget in any window. */
     @Test
     fun `all entry VMs together stay within the budget of repeats`() {
