--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -102,8 +102,8 @@
     }
 
     /**
-     * Returns the part of the allowance of this VM; none while it may have been used in the window by an earlier process,
-     * or by other entry VMs that did not count this one.
+     * Returns the part of the allowance of this VM; none while it may have been used in the window by an earlier
+     * process, or by other entry VMs that did not count this one.
      */
     private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
         if (nowMs - startedAtMs < UNCOUNTED_MS + limits.windowMs) 0.0 else limits.allowance / entryVms
--- a/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Repeats.kt
@@ -1,5 +1,5 @@
 /*
- * The requests and repeats of one entry VM as its relay reports them. Repeats are logged when they are sent, and refused
+ * The requests and repeats of one entry VM as its relay reports them. Repeats are logged when they are sent, refused
  * ones with the share that they were refused by. Confined to the control thread.
  */
 package fulmarshunt.target.fleet
