--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerConnections.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.caller.relay
 
 import fulmarshunt.Clock
+import fulmarshunt.TargetId
 import fulmarshunt.http.HttpConnection
 import fulmarshunt.target.fleet.FleetView
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -34,6 +35,18 @@
 /** Cancels the work for a caller that has closed its connection. */
 internal class CallerDisconnected : CancellationException("the caller has disconnected")
 
+/** How far the response to a request has got. */
+internal class ResponseProgress {
+    /** The target that has the request, or had it last. */
+    var target: TargetId? = null
+
+    /** Whether the head of a response was forwarded to the caller. */
+    var hasBegun: Boolean = false
+
+    /** The number of events of a stream that have arrived. */
+    var events: Long = 0
+}
+
 /** A request whose head has been read; its body may still be arriving. */
 internal class CallerRequest(
     val head: HttpRequest,
@@ -49,6 +62,8 @@
      */
     val keepsOpen: Boolean by lazy(LazyThreadSafetyMode.NONE) { HttpUtil.isKeepAlive(head) && !isStopping() }
 
+    val progress: ResponseProgress = ResponseProgress()
+
     val isHead: Boolean get() = head.method() == HttpMethod.HEAD
     val path: String get() = head.uri().substringBefore('?')
 }
@@ -108,7 +123,17 @@
         isClosed = true
         val nowMs = clock.nowMs()
         serving.forEach {
-            log.warn("request cut off id={} path={} ageMs={}", it.metadata.id, it.path, nowMs - it.arrivedAtMs)
+            val progress = it.progress
+            log.warn(
+                "request cut off id={} path={} ageMs={} bodyComplete={} responded={} events={} target={}",
+                it.metadata.id,
+                it.path,
+                nowMs - it.arrivedAtMs,
+                it.body.isComplete,
+                progress.hasBegun,
+                progress.events,
+                progress.target,
+            )
         }
         open.toList().forEach { it.close() }
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -49,9 +49,6 @@
     /** Whether the request has been sent to a target that has not refused it. */
     var mayBeAtTarget: Boolean = false
 
-    /** Whether the head of a response was forwarded to the caller. */
-    var hasStartedResponse: Boolean = false
-
     /** How long the request has waited for placements. */
     var waitedMs: Long = 0
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
@@ -92,7 +92,17 @@
         // A stream that has begun cannot be given up with a response; an estimate that is exceeded would cut it off.
         val isCertaintyRequired = job.isStream && nowMs >= stop.estimatesUntilMs
         val usualMs = if (isCertaintyRequired) null else durations.upperBoundMsOrNull(job.route)
-        if (endsWithin(endsAtMs - nowMs, job.deadlineAtMs - nowMs, usualMs)) return null
+        val timeoutMs = job.deadlineAtMs - nowMs
+        if (endsWithin(endsAtMs - nowMs, timeoutMs, usualMs)) {
+            log.info(
+                "request accepted request={} endsInMs={} timeoutMs={} usualMs={}",
+                job.id,
+                endsAtMs - nowMs,
+                timeoutMs,
+                usualMs,
+            )
+            return null
+        }
         val retryAfterMs = retryDelayMs(job, null, nowMs, dependencies.nextRandom())
         return notRun("this VM stops before the request would end", retryAfterMs)
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -99,7 +99,7 @@
         val serving = async { serve(job, placements) }
         val outcome = select {
             serving.onAwait { it }
-            dependencies.plannedStop.givenUp.onJoin { if (job.hasStartedResponse) null else stopped(job) }
+            dependencies.plannedStop.givenUp.onJoin { if (job.request.progress.hasBegun) null else stopped(job) }
         }
         if (outcome != null) serving.cancel()
         outcome ?: serving.await()
@@ -122,6 +122,7 @@
             }
             dependencies.meters.placed(job.service.id.value, dependencies.clock.nowMs() - requestedAtMs)
             job.trace.append(" ${placement.target.id}")
+            job.request.progress.target = placement.target.id
             job.triedTargets += placement.target.id
             val failure = attempt(job, placements, placement).fold({ it }, { return it })
             dependencies.meters.attemptFailed(failure::class.simpleName.orEmpty(), job.service.id.value)
@@ -208,7 +209,7 @@
         val caller = job.request.connection
         head.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
         HttpUtil.setTransferEncodingChunked(head, true)
-        job.hasStartedResponse = true
+        job.request.progress.hasBegun = true
         head.announceEndOf(job.request)
         caller.send(head)
         val streamDependencies = StreamDependencies(
@@ -247,7 +248,7 @@
         head: HttpResponse,
     ): Either<AttemptFailure, RelayOutcome> {
         val result = forward(run.response, job.request.connection, head) {
-            job.hasStartedResponse = true
+            job.request.progress.hasBegun = true
             head.announceEndOf(job.request)
             dependencies.meters.firstByte(job.service.id.value, dependencies.clock.nowMs() - job.request.arrivedAtMs)
         }
@@ -308,7 +309,7 @@
         },
     )
 
-    private fun timedOut(job: RelayJob): RelayOutcome = if (job.hasStartedResponse) {
+    private fun timedOut(job: RelayJob): RelayOutcome = if (job.request.progress.hasBegun) {
         RelayOutcome.Broken
     } else {
         RelayOutcome.Local(LocalResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "the caller timeout has passed"))
@@ -350,10 +351,10 @@
         dependencies.meters.ended(label, job.service.id.value, elapsedMs)
         log.info(
             "request ended id={} outcome={} status={} reason={} route={} service={} account={} targets=[{}] " +
-                "runs={} waitedMs={} firstMs={} gapMs={} tookMs={} retryAfterMs={} revision={}",
+                "runs={} waitedMs={} firstMs={} events={} gapMs={} tookMs={} retryAfterMs={} revision={}",
             job.id, label, response?.status?.code(), response?.reason, job.route.name, job.service.id, job.account,
-            job.trace.trim(), job.attempts.runs, job.waitedMs, job.firstEventAfterMs, job.longestGapMs, elapsedMs,
-            response?.retryAfterMs, dependencies.views.value.revision,
+            job.trace.trim(), job.attempts.runs, job.waitedMs, job.firstEventAfterMs, job.request.progress.events,
+            job.longestGapMs, elapsedMs, response?.retryAfterMs, dependencies.views.value.revision,
         )
     }
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -160,8 +160,21 @@
     }
 
     /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
-    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? =
-        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) null else false
+    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? {
+        val lost = current
+        val connection = lost.response.connection
+        val isClosedHere = connection.isClosed
+        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) return null
+        log.warn(
+            "stream ended early request={} target={} lastId={} end={} closedHere={}",
+            job.id,
+            lost.placement.target.id,
+            framer.lastEventId,
+            connection.end,
+            isClosedHere,
+        )
+        return false
+    }
 
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
@@ -263,6 +276,7 @@
         } else {
             job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
         }
+        job.request.progress.events = events
         lastEventAtMs = nowMs
         silentMs = 0
         if (!isSoundRecorded && events >= SOUND_EVENTS) {
@@ -564,6 +578,7 @@
         framer.discardRest()
         current = Run(response, placement, copy)
         job.trace.append(" $how:${placement.target.id}")
+        job.request.progress.target = placement.target.id
         isLeaving = false
         copyRefusals = 0
         silentMs = 0
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -46,7 +46,6 @@
     private val inbox = ArrayDeque<HttpObject>()
     private var reader: CancellableContinuation<Unit>? = null
     private var writer: CancellableContinuation<Unit>? = null
-    private var isClosed = false
     private var hasWriteFailed = false
 
     /** The bytes that have arrived since the last message. */
@@ -59,6 +58,10 @@
     public var end: ConnectionEnd? = null
         private set
 
+    /** Whether this side has closed the connection. */
+    public var isClosed: Boolean = false
+        private set
+
     /** Called once when the connection ends. */
     public var onEnd: (() -> Unit)? = null
 
