--- a/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.caller.relay
 
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectCatching
@@ -230,6 +231,54 @@
         }
     }
 
+    /** Guards against a stream that is cut off without a response because its target has sent no more than a head. */
+    @Test
+    @Tag("known-red")
+    fun `a stream without an event is answered before the process ends`() {
+        val hasBegun = CountDownLatch(1)
+        val target = ScriptedTarget("a") {
+            startStream()
+            hasBegun.countDown()
+            Thread.sleep(HELD_MS)
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.connect().use { socket ->
+                    socket.getOutputStream().write(requestText("/stream/x", "", "tokens: 10").encodeToByteArray())
+                    hasBegun.await()
+                    relay.stop()
+                    Thread.sleep(PAUSE_MS)
+                    relay.giveUpRequests()
+                    val response = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+                    expectThat(response?.startLine).isNotNull().contains(" 502 ")
+                    expectThat(response?.header("connection")).isEqualTo("close")
+                }
+            }
+        }
+    }
+
+    /** Guards against a request without a response because its body arrived while the process gave requests up. */
+    @Test
+    fun `a request whose body arrives slowly is answered before the process ends`() {
+        ScriptedTarget("a") { respond("200 OK", "too late") }.use { target ->
+            RelayFixture(target).use { relay ->
+                relay.connect().use { socket ->
+                    val output = socket.getOutputStream()
+                    val head = "POST /stream/x HTTP/1.1\r\nHost: h\r\nid: r1\r\ntransfer-encoding: chunked\r\n\r\n"
+                    output.write("${head}4\r\nbody\r\n".encodeToByteArray())
+                    while (relay.active == 0) Thread.sleep(1)
+                    relay.stop(remainingMs = 300)
+                    Thread.sleep(PAUSE_MS + 300)
+                    relay.giveUpRequests()
+                    output.write("0\r\n\r\n".encodeToByteArray())
+                    val response = BufferedInputStream(socket.getInputStream()).readMessageOrNull()
+                    expectThat(response?.startLine).isNotNull().contains(" 503 ")
+                    expectThat(target.requests).isEmpty()
+                }
+            }
+        }
+    }
+
     /** Guards against a stream that is accepted late on an estimate, and is then cut off. */
     @Test
     fun `a stream is accepted late only if its timeout passes before the process ends`() {
@@ -277,6 +326,7 @@
         /** The requests that one plain target of the fixture may get at the same time. */
         const val FULL_TARGET_REQUESTS = 16
         const val HELD_MS = 5_000L
+        const val PAUSE_MS = 200L
         const val LONG_BODY_BYTES = 16 * 1_024 * 1_024
         const val PIECE_BYTES = 65_536
         const val HTTP_VERSION = "HTTP/1.1"
