Keep a silent run's connection until its continuation is accepted

Callers saw a stream end without its last events although its target was sound: it had only been silent for more than four gap objectives (at least 600 ms), as after a preemption, or while long prompts are read.

The relay asked the target to stop the run. Without a confirmation ("no such run", no response, not reached) it closed the target's connection and then sent the continuation to the target of the copy. When that one refused it, nothing was left: `run stop requested result=NoSuchRun`, `run continued success=false result=Refused`, `outcome=broken`.

After a refusal the stream goes on.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -373,8 +373,11 @@
         }
         val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
         isFormerStopped = sourceHandle != null
-        if (isFormerStopped && isOpen) forwardRemainingEvents()
-        source.response.abandon()
+        // A run that was not stopped can still go on here if its continuation is refused.
+        if (isFormerStopped) {
+            if (isOpen) forwardRemainingEvents()
+            source.response.abandon()
+        }
         val address = source.response.target.record.address
         val hasContinued =
             if (stop.isRight()) {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RefusedContinuationTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RefusedContinuationTest.kt
@@ -70,7 +70,6 @@
 
     /** Guards against a stream that is ended because its target was silent for a while, as during a preemption. */
     @Test
-    @Tag("known-red")
     fun `a silent run goes on at its target if its continuation is refused`() {
         withTwoTargets({ if (resumeOrNull != null) refuse() else runWithPause(SILENCE_MS) }) { a, b, relay ->
             expectThat(relay.stream(CHUNK_BYTES)).isEqualTo(events(1..4))
