--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -10,7 +10,6 @@
 import arrow.core.Either
 import fulmarshunt.Address
 import fulmarshunt.Clock
-import fulmarshunt.http.HttpConnection
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.Placement
@@ -83,7 +82,7 @@
 internal class StreamRelay(
     private val job: RelayJob,
     private val dependencies: StreamDependencies,
-    private val caller: HttpConnection,
+    private val caller: CallerStream,
     run: Run,
 ) {
     private val log = LogManager.getLogger(StreamRelay::class.java)
@@ -97,6 +96,9 @@
     /** The number of events that were forwarded. */
     val events: Long get() = framer.events
 
+    /** Whether the run can continue at another target, which needs the whole body. */
+    private val canBeContinued = job.request.body.isRepeatable
+
     private var isLeaving = false
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
@@ -160,8 +162,21 @@
     }
 
     /** Continues the run of a lost stream; returns null if that succeeds, and false if the stream ends incomplete. */
-    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? =
-        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) null else false
+    private suspend fun continueOrEnd(scope: CoroutineScope): Boolean? {
+        val lost = current
+        val connection = lost.response.connection
+        val isClosedHere = connection.isClosed
+        if (continueFromCopy("lost", scope) || continueFromDestination(scope)) return null
+        log.warn(
+            "stream ended early request={} target={} lastId={} end={} closedHere={}",
+            job.id,
+            lost.placement.target.id,
+            framer.lastEventId,
+            connection.end,
+            isClosedHere,
+        )
+        return false
+    }
 
     private suspend fun next(): Next {
         val isInterrupted = { isTransferDue() }
@@ -173,7 +188,8 @@
             }
         }
         if (isTransferDue()) return Next.TransferDue
-        val canContinue = !mayRunElsewhere && current.copy != null && copyRefusals == 0 && framer.lastEventId != null
+        val canContinue = canBeContinued && !mayRunElsewhere && current.copy != null && copyRefusals == 0 &&
+            framer.lastEventId != null
         if (!canContinue) {
             val startedAtMs = dependencies.clock.nowMs()
             val piece = current.response.nextPieceOrNull(isInterrupted)
@@ -201,7 +217,7 @@
 
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
-        isLeaving && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
+        isLeaving && canBeContinued && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
             transferStep() != TransferStep.NONE
 
     private fun transferStep(): TransferStep = nextTransferStep(
@@ -263,6 +279,7 @@
         } else {
             job.longestGapMs = maxOf(job.longestGapMs, nowMs - lastEventAtMs)
         }
+        job.request.progress.events = events
         lastEventAtMs = nowMs
         silentMs = 0
         if (!isSoundRecorded && events >= SOUND_EVENTS) {
@@ -295,7 +312,7 @@
         hasLateInput = false
         val copy = current.copy ?: return false
         val lastEventId = framer.lastEventId
-        if (lastEventId == null || framer.hasEventWithoutId) return false
+        if (!canBeContinued || lastEventId == null || framer.hasEventWithoutId) return false
         val resume = ResumePoint(copy.target.record.address, dependencies.adapter.copyHandle(job.id), lastEventId)
         val hasContinued =
             if (stopScope != null) {
@@ -354,13 +371,16 @@
         hasLateInput = failure == MoveFailure.NoSuchRun && isOpen && !source.response.connection.isInboxEmpty
         val mayBeRunning = failure == MoveFailure.InProgress || (failure is MoveFailure.Rejected && isOpen)
         if (mayBeRunning || hasLateInput) {
-            dependencies.placements.returnContinuation(placement)
+            dependencies.placements.returnContinuation()
             return false
         }
         val sourceHandle = stop.fold({ (it as? MoveFailure.Stopped)?.handle }, { it.handle })
         isFormerStopped = sourceHandle != null
-        if (isFormerStopped && isOpen) forwardRemainingEvents()
-        source.response.abandon()
+        // A run that was not stopped can still go on here if its continuation is refused.
+        if (isFormerStopped) {
+            if (isOpen) forwardRemainingEvents()
+            source.response.abandon()
+        }
         val address = source.response.target.record.address
         val hasContinued =
             if (stop.isRight()) {
@@ -452,6 +472,10 @@
                 destinationHandle = null
                 if (!sendContinuation(placement, resume, "move", "leaving")) {
                     abandonMigration("the destination did not continue")
+                    // Another migration would end in the same way, and each one takes from the budget of repeats.
+                    if (continueAt(current.placement, resume, "stay", "move refused")) {
+                        migration = MigrationState.GIVEN_UP
+                    }
                 }
             }
             is Either.Left -> {
@@ -463,7 +487,7 @@
                     val resume = ResumePoint(source, handle, framer.lastEventId)
                     sendContinuation(current.placement, resume, "stay", "move failed")
                 } else {
-                    dependencies.placements.returnContinuation(placement)
+                    dependencies.placements.returnContinuation()
                 }
             }
         }
@@ -519,22 +543,17 @@
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
         val former = current.response
-        // A body that is still arriving cannot be sent again.
         val result =
-            if (job.request.body.isRepeatable) {
-                withTimeoutOrNull(CONTINUE_LIMIT_MS) {
-                    coroutineScope {
-                        var handover: Job? = null
-                        dependencies.calls.open(job, placement.target, dispatch, this) {
-                            handover = launch {
-                                delay(HANDOVER_MS)
-                                former.abandon()
-                            }
-                        }.also { handover?.cancel() }
-                    }
+            withTimeoutOrNull(CONTINUE_LIMIT_MS) {
+                coroutineScope {
+                    var handover: Job? = null
+                    dependencies.calls.open(job, placement.target, dispatch, this) {
+                        handover = launch {
+                            delay(HANDOVER_MS)
+                            former.abandon()
+                        }
+                    }.also { handover?.cancel() }
                 }
-            } else {
-                null
             }
         val response = result?.getOrNull()
         val isSuccess = response != null && response.head.status().code() == HTTP_OK
@@ -550,7 +569,7 @@
         if (response == null || !isSuccess) {
             response?.abandon()
             copy?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
-            if (!isProvenNotRun(job, result) &&
+            if (!isProvenNotRun(result) &&
                 !(result != null && hasNoRun(dependencies, job, placement, current.placement))
             ) {
                 mayRunElsewhere = true
@@ -564,6 +583,7 @@
         framer.discardRest()
         current = Run(response, placement, copy)
         job.trace.append(" $how:${placement.target.id}")
+        job.request.progress.target = placement.target.id
         isLeaving = false
         copyRefusals = 0
         silentMs = 0
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -136,19 +136,27 @@
 
     /** Records that [target] has refused a request and wants no others for [durationMs]. */
     public fun recordPause(target: KnownTarget, durationMs: Long) {
+        val hasTrial = pauses.hasTrial(target.instance)
         val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
-        log.info("target pauses target={} askedMs={} pauseMs={}", target.id, durationMs, pauseMs)
+        log.info(
+            "target pauses target={} askedMs={} pauseMs={} placed={} hasTrial={}",
+            target.id,
+            durationMs,
+            pauseMs,
+            ownUse.of(target.id).running,
+            hasTrial,
+        )
         waiting.refuse(::isHopeless)
     }
 
     /**
-     * Returns whether a running generation may continue at [target] now, and counts it towards the budget of repeats;
+     * Returns whether a running generation may continue at [target] now, and reserves a repeat of the budget for it;
      * [isFirst] says that it has not continued before, nor been sent to continue in vain.
      */
     public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean {
         val service = target.record.service
         if (!repeats.tryContinue(service, isFirst).isTaken) return false
-        return pauses.tryContinue(target.instance, clock.nowMs()).also { if (!it) repeats.returnContinuation(service) }
+        return pauses.tryContinue(target.instance, clock.nowMs()).also { if (!it) repeats.release(service) }
     }
 
     /** Returns the use of each target by this VM. */
@@ -230,7 +238,7 @@
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
-        if (pauses.recordOutput(placement)) retryWaiting()
+        if (pauses.recordOutput(placement, clock.nowMs())) retryWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
@@ -239,7 +247,7 @@
         replaceUse(placement, TargetUse.NONE)
         placement.hasEnded = true
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
-        pauses.recordEnd(placement, outcome)
+        pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/RepeatBudget.kt
@@ -12,6 +12,15 @@
 /** The share of the budget that is used, so that windows that start at other times stay within the budget too. */
 private const val USED_SHARE = 0.7
 
+/** The longest time from sending a repeat to its arrival, most of which is spent on opening a connection. */
+private const val ARRIVAL_DELAY_MS = 1_000L
+
+/** The windows for which a share is rounded in the same way, so that few windows have two roundings. */
+private const val ROUNDING_WINDOWS = 10
+
+/** The time after a start of this process in which other entry VMs may not count it and use larger shares. */
+private const val UNCOUNTED_MS = 4_000L
+
 /** The limits of repeats of all entry VMs together. */
 public data class RepeatLimits(
     /** The repeats that are allowed per request. */
@@ -42,9 +51,11 @@
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
 ) {
-    private class Window {
-        var rounding = 0.0
-        var roundingUntilMs = Long.MIN_VALUE
+    private class Window(
+        /** When the rounding changes; at random at first, so that it does not change on all entry VMs at once. */
+        var roundingUntilMs: Long,
+        var rounding: Double,
+    ) {
         val requestsAtMs = ArrayDeque<Long>()
         val repeatsAtMs = ArrayDeque<Long>()
 
@@ -53,6 +64,7 @@
     }
 
     private val windows = mutableMapOf<ServiceId, Window>()
+    private val roundingMs = ROUNDING_WINDOWS * limits.windowMs
 
     /** Records a request for [service]. */
     fun recordRequest(service: ServiceId, nowMs: Long) {
@@ -68,11 +80,12 @@
         return decide(window, entryVms, 0, nowMs).also { if (it.isTaken) window.reserved += 1 }
     }
 
-    /** Records that a reserved repeat is sent now. */
-    fun recordSent(service: ServiceId, nowMs: Long) {
+    /** Records that a reserved repeat is sent now, and returns the number of repeats in the window with this one. */
+    fun recordSent(service: ServiceId, nowMs: Long): Int {
         val window = windowOf(service, nowMs)
         window.reserved -= 1
         window.repeatsAtMs.addLast(nowMs)
+        return window.repeatsAtMs.size
     }
 
     /** Returns a reserved repeat that is not sent. */
@@ -88,35 +101,37 @@
         return RepeatDecision(used < bound, used, bound, requests, entryVms)
     }
 
-    /** Returns the part of the allowance of this VM; none while an earlier process may have used it in the window. */
+    /**
+     * Returns the part of the allowance of this VM; none while it may have been used in the window by an earlier
+     * process, or by other entry VMs that did not count this one.
+     */
     private fun allowanceOf(entryVms: Int, nowMs: Long): Double =
-        if (nowMs - startedAtMs < limits.windowMs) 0.0 else limits.allowance / entryVms
+        if (nowMs - startedAtMs < UNCOUNTED_MS + limits.windowMs) 0.0 else limits.allowance / entryVms
 
     /**
-     * Takes one continuation of a run for [service]. The first one of a run may use the margin of the allowance that
-     * repeats leave, because its stream ends without it.
+     * Reserves one continuation of a run for [service] until [recordSent] or [release]. The first one of a run may use
+     * the margin of the allowance that repeats leave, because its stream ends without it.
      */
     fun tryContinue(service: ServiceId, entryVms: Int, isFirst: Boolean, nowMs: Long): RepeatDecision {
         val window = windowOf(service, nowMs)
         val share = USED_SHARE * limits.ratio * window.requestsAtMs.size + allowanceOf(entryVms, nowMs)
         val firstBound = if (isFirst) floor(share).toInt() else 0
-        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.repeatsAtMs.addLast(nowMs) }
-    }
-
-    /** Returns the last continuation that [tryContinue] has granted, which was not sent. */
-    fun returnContinuation(service: ServiceId) {
-        windows[service]?.repeatsAtMs?.removeLastOrNull()
+        return decide(window, entryVms, firstBound, nowMs).also { if (it.isTaken) window.reserved += 1 }
     }
 
     private fun windowOf(service: ServiceId, nowMs: Long): Window {
-        val window = windows.getOrPut(service) { Window() }
-        for (times in listOf(window.requestsAtMs, window.repeatsAtMs)) {
-            while (times.isNotEmpty() && nowMs - times.first() >= limits.windowMs) times.removeFirst()
-        }
+        val window = windows.getOrPut(service) { Window(nowMs + (nextRandom() * roundingMs).toLong(), nextRandom()) }
+        window.requestsAtMs.removeUntil(nowMs - limits.windowMs)
+        // A repeat that arrives late may share a window of the budget with one that is sent a whole window after it.
+        window.repeatsAtMs.removeUntil(nowMs - limits.windowMs - ARRIVAL_DELAY_MS)
         if (nowMs >= window.roundingUntilMs) {
             window.rounding = nextRandom()
-            window.roundingUntilMs = nowMs + limits.windowMs
+            window.roundingUntilMs = nowMs + roundingMs
         }
         return window
     }
 }
+
+private fun ArrayDeque<Long>.removeUntil(untilMs: Long) {
+    while (isNotEmpty() && first() <= untilMs) removeFirst()
+}
