Report the use of targets through another watch if the first one has lost its control VM

With few control VMs, another slot can take the control VM that the first slot had lost, and only the first one reported use, so that other entry VMs learned nothing of this one's. Now the first slot that has a control VM reports. The new test delays the first reply beyond the time limit of a watch; it was not run on the code before the change.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -159,7 +159,7 @@
             return
         }
         slot.address = address
-        val isReporting = slot.number == 0
+        val isReporting = slot === reportingSlot()
         val holdMs = when {
             !isReporting -> SECOND_HOLD_MS
             fleet.isInUse.value -> WATCH_HOLD_MS
@@ -194,7 +194,7 @@
             // The control VM has restarted between two calls.
             if (slot.reportedTo != it.source) slot.reportedTo = ""
         }
-        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use) })
+        reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use.takeIf { isReporting }) })
         if (reply.isLeft()) delay(RETRY_PAUSE_MS)
         delay((startedAtMs + MIN_WATCH_PERIOD_MS - clock.nowMs()).coerceAtLeast(0))
     }
@@ -247,7 +247,11 @@
         publish(viewState.value)
     }
 
-    private suspend fun accept(slot: Slot, reply: WatchReply, reported: Map<TargetId, TargetUse>) {
+    /** Returns the slot whose control VM gets the use of targets; another one if that of the first slot is lost. */
+    private fun reportingSlot(): Slot = slots.firstOrNull { it.source.isNotEmpty() } ?: slots.first()
+
+    /** Accepts [reply]; [reported] is the use that it replies to, or null if the watch reported none. */
+    private suspend fun accept(slot: Slot, reply: WatchReply, reported: Map<TargetId, TargetUse>?) {
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
@@ -265,7 +269,7 @@
         val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
         if (reply.state != null) view = view.withSnapshot(reply.state, table)
-        if (slot.number == 0) view = view.copy(othersUse = receiveUse(slot, reply, reported))
+        if (reported != null) view = view.copy(othersUse = receiveUse(slot, reply, reported))
         val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
         val next = view.copy(entryVms = countEntryVms(reply, view.entryVms), refused = refused)
--- a/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/FleetWatcherTest.kt
@@ -45,6 +45,9 @@
 /** How long the control VM of the test holds a watch; shorter than the time limit of a watch. */
 private const val HOLD_MS = 1_000L
 
+/** Longer than the time limit of a watch. */
+private const val LOST_MS = 4_000L
+
 class FleetWatcherTest {
     private val control = startControlThread()
     private val calls = AtomicInteger()
@@ -146,6 +149,20 @@
         expectThat(watcher.watchedControlVms).isEqualTo(1)
     }
 
+    /** Guards against use that nobody learns of, because the watch that reports it has lost its control VM. */
+    @Test
+    fun `another watch reports the use if the control VM of the first one is lost`(): Unit = runBlocking {
+        val target = record("a", service = plain)
+        replyTo = { number ->
+            if (number == 1) delay(LOST_MS)
+            reply(listOf(target))
+        }
+        val watcher = watcher { "not needed".left() }
+        withTimeout(TIMEOUT_MS) { watcher.views.first { it.targets.isNotEmpty() } }
+        control.run { runBlocking { fleet.place(request("r", plain), 0) } }
+        withTimeout(TIMEOUT_MS) { watches.first { it?.use?.isNotEmpty() == true } }
+    }
+
     /** Guards against use that other entry VMs learn of only when the watch of an idle VM ends. */
     @Test
     fun `a request ends the watch of an idle VM`(): Unit = runBlocking {
