Check in the soak that pauses that targets ask for are kept

Its targets now refuse a part of their requests with Retry-After for 8 s, some after a wait in the queue, and the check looks for more than two requests of an entry VM from 0.5 s after such a refusal to the end of the pause.

--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -23,12 +23,16 @@
     val budgetWindowMs: Long = 10_000,
     val repeatRatio: Double = 0.2,
     val repeatAllowance: Int = 56,
+    /** How long after it was asked for a pause begins, and how many requests of an entry VM may arrive in it. */
+    val pauseDelayMs: Long = 500,
+    val arrivalsInPause: Int = 2,
 )
 
 /** Returns the violations in [events], which are in the order of time. */
 internal fun checkSoak(events: List<SoakEvent>, bounds: SoakBounds = SoakBounds()): List<SoakViolation> {
     val checked = CheckedRecords(events, bounds)
-    return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed()
+    return checked.twice() + checked.budget() + checked.pauses() + checked.evacuations() + checked.refused() +
+        checked.mixed()
 }
 
 /** A span of time; an end that was not recorded is the greatest value. */
@@ -153,6 +157,33 @@
         return if (found >= 0) found + 1 else -found - 1
     }
 
+    /** Returns for each entry VM and target the pause with the most arrivals. */
+    fun pauses(): List<SoakViolation> {
+        fun pairOf(event: SoakEvent) = sendOf[event["request"]]?.get("entry").orEmpty() to event["target"]
+        val arrivals = events.filter { it.kind == SoakKind.ARRIVE }.groupBy(::pairOf)
+        return events.filter { it.kind == SoakKind.REFUSE && it["pause_ms"].toLongOrNull() != null }
+            .groupBy(::pairOf)
+            .mapNotNull { (pair, refusals) ->
+                refusals.mapNotNull { pauseOrNull(pair.first, pair.second, it, arrivals[pair].orEmpty()) }
+                    .maxByOrNull { it.first }?.second
+            }
+    }
+
+    private fun pauseOrNull(
+        entry: String,
+        target: String,
+        refusal: SoakEvent,
+        arrivals: List<SoakEvent>,
+    ): Pair<Int, SoakViolation>? {
+        val fromNs = refusal.atNs + bounds.pauseDelayMs * NS_PER_MS
+        val untilNs = refusal.atNs + refusal["pause_ms"].toLong() * NS_PER_MS
+        val early = arrivals.filter { it.atNs > fromNs && it.atNs < untilNs }
+        if (early.size <= bounds.arrivalsInPause || wasDisturbed(entry, refusal.atNs, untilNs)) return null
+        val evidence = "entry=$entry target=$target refused=${refusal.atNs.inS()} pause_ms=${refusal["pause_ms"]} " +
+            "arrivals=${early.size} at=${early.map { it.atNs.inS() }}".replace(" ", "")
+        return early.size to SoakViolation(SoakRule.BUDGET, early.last()["request"], evidence)
+    }
+
     fun evacuations(): List<SoakViolation> {
         val arrivals = events.filter { it.kind == SoakKind.ARRIVE && it["misdirected"] != "true" }
         return evacuationSpans().flatMap { (zone, span) ->
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -75,6 +75,21 @@
         expectThat(rules("$allowed\n1500 ARRIVE request=q1 service=t target=c")).isEmpty()
     }
 
+    /** Guards against requests to a target that has asked for a pause which are not found, and against wrong bounds. */
+    @Test
+    fun `more than two requests in a pause break BUDGET`() {
+        val sends = (1..4).joinToString("\n") { "1000 SEND request=q$it kind=safe service=s entry=entry-1" }
+        val refusal = "1100 REFUSE request=q1 target=a pause_ms=2000"
+        val two = "$sends\n$refusal\n1601 ARRIVE request=q2 target=a\n3099 ARRIVE request=q3 target=a"
+        expectThat(rules("$two\n1599 ARRIVE request=q4 target=a")).isEmpty()
+        expectThat(rules("$two\n3101 ARRIVE request=q4 target=a")).isEmpty()
+        expectThat(rules("$two\n2000 ARRIVE request=q4 target=b")).isEmpty()
+        val three = "$two\n2000 ARRIVE request=q4 target=a"
+        expectThat(rules(three)).isEqualTo(listOf(SoakRule.BUDGET))
+        expectThat(rules(three.replace("entry=entry-1", "entry=entry-2").replaceFirst("entry-2", "entry-1"))).isEmpty()
+        expectThat(rules("$three\n1500 KILLED node=entry-1\n1900 RECOVERED node=entry-1")).isEmpty()
+    }
+
     /** Guards against findings for repeats that the requests of the window before allow. */
     @Test
     fun `requests of the window before count`() {
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -25,6 +25,9 @@
 private const val DRAIN_PERIOD = 2
 private const val DRAIN_STEP = 1
 private const val DRAIN_FAULT = 3
+private const val PAUSE_STEP = 2
+private const val PAUSE_FAULT = 6
+private const val KINDS_OF_TARGET_FAULTS = 7
 
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
@@ -148,8 +151,9 @@
             val target = candidates.sortedBy { it.id }.random(random)
             val kind = when {
                 step == 0 -> 0
+                step == PAUSE_STEP -> PAUSE_FAULT
                 isDrain -> DRAIN_FAULT
-                else -> random.nextInt(6)
+                else -> random.nextInt(KINDS_OF_TARGET_FAULTS)
             }
             when (kind) {
                 0 -> inject(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
@@ -164,6 +168,7 @@
                     rest(3_000)
                     site.drain(target)
                 }
+                PAUSE_FAULT -> inject(site.targets.values.toList(), "PAUSE", 0.4, 8_000)
                 4 -> inject(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
                 else -> inject(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
             }
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -37,8 +37,13 @@
 private const val BACKLOG = 256
 private const val ERROR_DELAY_MS = 1_200L
 
+/** How long a target that asks for a pause wants no requests, and up to which time a request waits for its refusal. */
+private const val MIN_ASKED_PAUSE_MS = 700
+private const val MAX_ASKED_PAUSE_MS = 3_000
+private const val MAX_QUEUE_MS = 1_800
+
 /** What a target does to a request besides running it. */
-private enum class InjectedFault { NONE, REFUSE, FAIL, LOSE, DELAY, RESET }
+private enum class InjectedFault { NONE, REFUSE, PAUSE, FAIL, LOSE, DELAY, RESET }
 
 /** Runs a target with `name=value` arguments. */
 public fun main(arguments: Array<String>) {
@@ -219,13 +224,21 @@
             isMisdirected -> "misdirected"
             source.isNotEmpty() && !copies.containsKey(key) -> "no_copy"
             source.isEmpty() && running.get() >= slots -> "full"
-            fault == InjectedFault.REFUSE -> "injected"
+            fault == InjectedFault.REFUSE || fault == InjectedFault.PAUSE -> "injected"
             else -> null
         }
         if (reason != null) {
-            record.add(SoakKind.REFUSE, "request" to request, "target" to id, "reason" to reason)
-            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n"
+            val pauseMs = if (reason == "injected") askedPauseMsOrNull(fault) else null
+            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n" +
+                pauseMs?.let { "Retry-After: ${it / MS_PER_S}\r\n" }.orEmpty()
             channel.write(if (isMisdirected) 421 else 503, headers, "")
+            record.add(
+                SoakKind.REFUSE,
+                "request" to request,
+                "target" to id,
+                "reason" to reason,
+                "pause_ms" to pauseMs.toString(),
+            )
             return true
         }
         if (key.startsWith("h-")) copies -= key
@@ -244,6 +257,13 @@
         return reasonOfEnd == "done"
     }
 
+    /** Returns for how long a refusal asks for a pause; every other one comes after a wait in the queue. */
+    private fun askedPauseMsOrNull(fault: InjectedFault): Int? {
+        if (fault != InjectedFault.PAUSE) return null
+        if (nextInt(0, 2) == 0) Thread.sleep(nextInt(0, MAX_QUEUE_MS).toLong())
+        return nextInt(MIN_ASKED_PAUSE_MS, MAX_ASKED_PAUSE_MS)
+    }
+
     /** Runs a request and returns how the run ended. */
     private fun work(
         channel: Socket,
@@ -362,3 +382,4 @@
 }
 
 private const val OK = 200
+private const val MS_PER_S = 1_000.0
