Let the time limit of a handover pass while an unclear continuation is asked about

The former target's connection closes 100 ms after a continuation is sent, so that two targets work on a run for less than 400 ms. That time limit was dropped when the continuation was lost, although it may run: its target was then asked for up to 250 ms while the former one went on. The limit is now dropped only when it is known that the new target has no run, or the run has moved.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -543,16 +543,16 @@
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
         val former = current.response
+        var handover: Job? = null
         val result =
             withTimeoutOrNull(CONTINUE_LIMIT_MS) {
                 coroutineScope {
-                    var handover: Job? = null
                     dependencies.calls.open(job, placement.target, dispatch, this) {
-                        handover = launch {
+                        handover = dependencies.background.launch {
                             delay(HANDOVER_MS)
                             former.abandon()
                         }
-                    }.also { handover?.cancel() }
+                    }
                 }
             }
         val response = result?.getOrNull()
@@ -575,8 +575,11 @@
                 mayRunElsewhere = true
                 current.response.abandon()
             }
+            // Until it is known that the new target has no run, the time limit of the handover goes on.
+            handover?.cancel()
             return false
         }
+        handover?.cancel()
         current.response.abandon()
         if (placement !== current.placement) dependencies.placements.end(current.placement, UseOutcome.ABANDONED)
         current.copy?.takeIf { it !== placement }?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
