--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -217,11 +217,13 @@
             dependencies.clock,
             dependencies.background,
         )
-        val relay = StreamRelay(job, streamDependencies, CallerStream(job.request, head), run)
+        val stream = CallerStream(job.request, head)
+        val relay = StreamRelay(job, streamDependencies, stream, run)
         var isComplete = false
         try {
             isComplete = relay.forward()
         } finally {
+            stream.discard()
             if (!isComplete) relay.current.response.abandon()
         }
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -250,7 +250,7 @@
         val completeEvents = framer.appendOrNull(content.content())
         if (framer.events > eventsBefore) recordEvents(isFirst = eventsBefore == 0L)
         if (completeEvents != null) {
-            caller.send(DefaultHttpContent(completeEvents))
+            caller.send(DefaultHttpContent(completeEvents), hasEvent = events > 0)
         }
         if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
             log.warn(
@@ -265,7 +265,7 @@
             return continueOrEnd(scope)
         }
         if (!isLast) return null
-        caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
+        caller.send(LastHttpContent.EMPTY_LAST_CONTENT, hasEvent = events > 0)
         current.response.finish()
         return true
     }
@@ -498,7 +498,7 @@
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
             while (!framer.isEventTooLong) {
                 val piece = current.response.nextPieceOrNull() ?: break
-                framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it)) }
+                framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it), hasEvent = events > 0) }
             }
         }
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
@@ -233,9 +233,22 @@
     /** Guards against a stream that is cut off without a response because its target has sent no more than a head. */
     @Test
     fun `a stream without an event is answered before the process ends`() {
+        answersStreamThatBegins { startStream() }
+    }
+
+    /** Guards against a stream that is cut off without a response because its target has sent comments only. */
+    @Test
+    fun `a stream with comments and without an event is answered before the process ends`() {
+        answersStreamThatBegins {
+            startStream()
+            write("b\r\n: waiting\n\n\r\n")
+        }
+    }
+
+    private fun answersStreamThatBegins(begin: ScriptedTarget.RequestScope.() -> Unit) {
         val hasBegun = CountDownLatch(1)
         val target = ScriptedTarget("a") {
-            startStream()
+            begin()
             hasBegun.countDown()
             Thread.sleep(HELD_MS)
         }
