Send no request to a target long after it has said that it leaves

Requests that reach a target later than 2 s after its notice was acknowledged break DRAIN. A run now returns only within a second of the notice; later, its stream ends. A test moves a run whose target takes 1.5 s to stop it; not seen in a run of processes.

--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -60,6 +60,12 @@
 /** The maximum number of copies. If none is quick, the target may end first; the run continues from what was copied. */
 private const val MAX_COPIES = 20
 
+/**
+ * How long after its notice a leaving target may get the request again to continue there. Targets serve on for 2 s
+ * or more after their notice was acknowledged, which other VMs may have heard earlier.
+ */
+private const val STAY_LIMIT_MS = 1_000L
+
 /** How long the source may take to end the stream after the run was stopped. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
 
@@ -100,6 +106,7 @@
     private val canBeContinued = job.request.body.isRepeatable
 
     private var isLeaving = false
+    private var leavingSinceMs = 0L
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
     private var migration: MigrationState = MigrationState.NONE
@@ -393,7 +400,7 @@
             } else {
                 sendContinuation(placement, resume.copy(lastEventId = framer.lastEventId), how, why)
             }
-        if (hasContinued || sourceHandle == null) return hasContinued
+        if (hasContinued || sourceHandle == null || !mayStay()) return hasContinued
         return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
     }
 
@@ -473,7 +480,7 @@
                 if (!sendContinuation(placement, resume, "move", "leaving")) {
                     abandonMigration("the destination did not continue")
                     // Another migration would end in the same way, and each one takes from the budget of repeats.
-                    if (continueAt(current.placement, resume, "stay", "move refused")) {
+                    if (mayStay() && continueAt(current.placement, resume, "stay", "move refused")) {
                         migration = MigrationState.GIVEN_UP
                     }
                 }
@@ -481,7 +488,7 @@
             is Either.Left -> {
                 val handle = (result.value as? MoveFailure.Stopped)?.handle
                 abandonMigration("last copy failed: ${result.value}")
-                if (handle != null && !dependencies.views.value.isDrained(current.placement)) {
+                if (handle != null && mayStay() && !dependencies.views.value.isDrained(current.placement)) {
                     isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
@@ -493,6 +500,10 @@
         }
     }
 
+    /** Whether the run, once stopped, may continue at its current target. */
+    private fun mayStay(): Boolean =
+        !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
+
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
@@ -603,6 +614,7 @@
             view.targets[target.id]?.let { it.record.phase != TargetPhase.READY } ?: true
         }
         isLeaving = true
+        leavingSinceMs = dependencies.clock.nowMs()
         log.info("target leaves request={} target={} lastId={}", job.id, target.id, framer.lastEventId)
         current.response.connection.wake()
     }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RefusedContinuationTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RefusedContinuationTest.kt
@@ -6,6 +6,7 @@
 
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -15,6 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val WAIT_MS = 5_000L
 
@@ -26,6 +28,9 @@
 
 private const val CHUNK_BYTES = 10_000
 
+/** Longer after its notice than a target gets requests. */
+private const val LATE_STOP_MS = 1_500L
+
 @Timeout(60)
 class RefusedContinuationTest {
     private fun events(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
@@ -118,6 +123,25 @@
     /** Guards against a run that was stopped to be moved and is then lost because its destination refuses it. */
     @Test
     fun `a stopped run continues at its own target if its destination refuses it`() {
+        val (body, _) = streamOfRefusedMove(stopMs = 0)
+        expectThat(body).isEqualTo(events(1..4))
+    }
+
+    /** Guards against requests that reach a target long after it has said that it leaves. */
+    @Test
+    fun `a run that was stopped late does not return to its leaving target`() {
+        val (body, returned) = streamOfRefusedMove(stopMs = LATE_STOP_MS)
+        expectThat(body).isEqualTo(events(1..2) + TRUNCATED)
+        expectThat(returned).isEqualTo(0)
+    }
+
+    /**
+     * Returns the stream of a run whose leaving target takes [stopMs] to stop it, and how often it returned there after
+     * its destination had refused it.
+     */
+    private fun streamOfRefusedMove(stopMs: Long): Pair<String, Int> {
+        var result = "" to 0
+        val returned = AtomicInteger()
         val stopped = CountDownLatch(1)
         withTwoTargets({
             val resume = resumeOrNull
@@ -129,6 +153,7 @@
                     socket.close()
                 }
                 "/h@" in resume && resume.startsWith("127.0.0.1:${socket.localPort}/") -> {
+                    returned.incrementAndGet()
                     startStream()
                     (resume.substringAfter('@').toInt() + 1..4).forEach { event(it) }
                     endStream()
@@ -138,11 +163,15 @@
         }) { a, b, relay ->
             relay.migrate = { _, _, _, isLast ->
                 val isRunning = stopped.count > 0
-                if (isLast) stopped.countDown()
+                if (isLast) {
+                    delay(stopMs)
+                    stopped.countDown()
+                }
                 if (isRunning) Moved("h", null).right() else MoveFailure.NoSuchRun.left()
             }
             val body = relay.stream(CHUNK_BYTES) { relay.leave(listOf(a, b).first { it.requests.isNotEmpty() }) }
-            expectThat(body).isEqualTo(events(1..4))
+            result = body to returned.get()
         }
+        return result
     }
 }
