--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -482,6 +482,8 @@
                     // Another migration would end in the same way, and each one takes from the budget of repeats.
                     if (mayStay() && continueAt(current.placement, resume, "stay", "move refused")) {
                         migration = MigrationState.GIVEN_UP
+                    } else {
+                        current.response.abandon()
                     }
                 }
             }
