Judge LOST in the fault soak and send bodies in chunks

Change: clients record the first and last byte that they sent, on a new or a kept connection, the status and the chunks that they received and who ended the connection. Bodies come in chunks, in separate writes, with pauses, up to more than 64 KiB. Entry VMs get SIGTERM in overlapping series beside waiting or preempted streams, a leaving engine or a configuration, and SIGKILL after 8 s. LOST and the clause on kept connections are judged, and UNASKED for bodies.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -23,11 +23,16 @@
     val repeatCount: Int,
     /** The runs that continued at another target. */
     val continuationCount: Int,
+    /** The entry VMs that were told to terminate. */
+    val terminationCount: Int,
+    /** The requests with a body in chunks. */
+    val chunkedCount: Int,
     val violations: List<SoakViolation>,
     val directory: File,
 ) {
     override fun toString(): String = "seed=$seed faults=$faultCount requests=$requestCount served=$servedCount " +
         "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
+        "sigterms=$terminationCount chunked=$chunkedCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
         if (violations.isEmpty()) "" else " folder=$directory"
 }
@@ -65,6 +70,8 @@
         },
         events.filter { it.kind == SoakKind.ARRIVE }.let { all -> all.size - all.distinctBy { it["request"] }.size },
         events.count { it.kind == SoakKind.BEGIN && it["from"].isNotEmpty() },
+        events.count { it.kind == SoakKind.DISTURBED && it["action"] == "SIGTERM" },
+        events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name },
         violations,
         directory,
     )
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -4,10 +4,10 @@
  */
 package fulmarshunt.soak
 
-private const val NS_PER_MS = 1_000_000L
+internal const val NS_PER_MS = 1_000_000L
 
 /** The rules that the soak checks. */
-internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED }
+internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED, UNASKED, LOST }
 
 /** A broken rule with its evidence. */
 internal data class SoakViolation(val rule: SoakRule, val request: String, val evidence: String) {
@@ -23,42 +23,47 @@
     val budgetWindowMs: Long = 10_000,
     val repeatRatio: Double = 0.2,
     val repeatAllowance: Int = 56,
+    val graceMs: Long = GRACE_MS,
+    val lossSlackMs: Long = 200,
+    val lossesOnKeptConnections: Int = 3,
 )
 
 /** Returns the violations in [events], which are in the order of time. */
 internal fun checkSoak(events: List<SoakEvent>, bounds: SoakBounds = SoakBounds()): List<SoakViolation> {
     val checked = CheckedRecords(events, bounds)
-    return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed()
+    return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed() +
+        checked.unasked() + checked.lost() + checked.lostOnKeptConnections()
 }
 
 /** A span of time; an end that was not recorded is the greatest value. */
-private data class Span(val fromNs: Long, val toNs: Long) {
+internal data class Span(val fromNs: Long, val toNs: Long) {
     fun overlaps(fromNs: Long, toNs: Long) = this.fromNs <= toNs && fromNs <= this.toNs
 }
 
-private class TargetRun(val target: String, val beginNs: Long, val endNs: Long, val source: String)
+internal class TargetRun(val target: String, val beginNs: Long, val endNs: Long, val source: String)
 
-private class CheckedRecords(private val events: List<SoakEvent>, private val bounds: SoakBounds) {
+/** The records of one run, prepared for the checks. */
+internal class CheckedRecords(val events: List<SoakEvent>, val bounds: SoakBounds) {
     private val originNs = events.firstOrNull()?.atNs ?: 0
     private val sends = events.filter { it.kind == SoakKind.SEND }
-    private val sendOf = sends.associateBy { it["request"] }
+    val sendOf = sends.associateBy { it["request"] }
     private val killedAtNs = events.filter { it.kind == SoakKind.KILLED }.groupBy({ it["node"] }, { it.atNs })
-    private val disturbances = disturbances()
+    private val disturbances = disturbances { true }
+    private val unplannedDisturbances = disturbances { it["action"] != "SIGTERM" }
     private val coreDisturbances =
         disturbances.filterKeys { it.startsWith("control-") }.values.flatten()
-    private val runs = runs()
+    val runs = runs()
 
     /** The spans in which each process was disturbed, without the time that it then needs to be in touch again. */
-    private fun disturbances(): Map<String, List<Span>> {
+    private fun disturbances(isCounted: (SoakEvent) -> Boolean): Map<String, List<Span>> {
         val spans = HashMap<String, MutableList<Span>>()
         val open = HashMap<String, Long>()
         for (event in events) {
             val node = event["node"]
             when (event.kind) {
-                SoakKind.DISTURBED, SoakKind.KILLED -> open.putIfAbsent(node, event.atNs)
+                SoakKind.DISTURBED, SoakKind.KILLED -> if (isCounted(event)) open.putIfAbsent(node, event.atNs)
                 SoakKind.RECOVERED -> {
-                    val fromNs = open.remove(node) ?: event.atNs
-                    spans.getOrPut(node) { mutableListOf() } += Span(fromNs, event.atNs)
+                    open.remove(node)?.let { spans.getOrPut(node) { mutableListOf() } += Span(it, event.atNs) }
                 }
                 else -> {}
             }
@@ -81,12 +86,16 @@
         }
     }
 
-    private fun Long.inS() = if (this == Long.MAX_VALUE) "never" else "%.3f".format((this - originNs) / 1e9)
+    fun Long.inS() = if (this == Long.MAX_VALUE) "never" else "%.3f".format((this - originNs) / 1e9)
 
     /** Whether [node] was disturbed at any time from contactMs before [fromNs] until [toNs]. */
-    private fun wasDisturbed(node: String, fromNs: Long, toNs: Long): Boolean =
+    fun wasDisturbed(node: String, fromNs: Long, toNs: Long): Boolean =
         disturbances[node].orEmpty().any { it.overlaps(fromNs - bounds.contactMs * NS_PER_MS, toNs) }
 
+    /** As [wasDisturbed], without the time after SIGTERM. */
+    fun wasDisturbedUnplanned(node: String, fromNs: Long, toNs: Long): Boolean =
+        unplannedDisturbances[node].orEmpty().any { it.overlaps(fromNs - bounds.contactMs * NS_PER_MS, toNs) }
+
     private fun isSafe(request: String) = sendOf[request]?.get("kind") == "safe"
 
     fun twice(): List<SoakViolation> = runs.filterKeys { !isSafe(it) }.flatMap { (request, all) ->
@@ -210,6 +219,14 @@
                 "status=${it["status"]} answered=${it.atNs.inS()} ${it["problem"]}",
             )
         }
+
+    fun unasked(): List<SoakViolation> = events.filter { it.kind == SoakKind.ARRIVE }.mapNotNull { arrival ->
+        val send = sendOf[arrival["request"]]
+        val differs = send == null || arrival["hash"] != send["hash"] || arrival["bytes"] != send["bytes"]
+        if (!differs) return@mapNotNull null
+        val evidence = "target=${arrival["target"]} bytes=${arrival["bytes"]} of=${send?.get("bytes")}"
+        SoakViolation(SoakRule.UNASKED, arrival["request"], evidence)
+    }
 }
 
 private val promises = setOf("408", "421", "429", "503")
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -20,7 +20,9 @@
 private const val NETWORK_SIZE = 256
 private const val TARGET_SLOTS = 8
 private const val CALL_TIMEOUT_MS = 1_000
-private const val PROGRAM_END_S = 10L
+
+/** The time between SIGTERM and SIGKILL. */
+internal const val GRACE_MS = 8_000L
 
 /** The failure domains of the deployment. */
 internal val soakZones: List<String> = listOf("zone-a", "zone-b", "zone-c")
@@ -109,7 +111,7 @@
             repeat_allowance = 56
             repeat_window_s = 10
             [shutdown]
-            grace_s = 6.0
+            grace_s = ${GRACE_MS / 1_000.0}
         """.trimIndent()
         startProgram("entry-$number", "fulmarshunt.platform.FleetEntryKt", ip, number, settings)
     }
@@ -164,12 +166,14 @@
         targets -= node
     }
 
-    /** Sends SIGTERM and waits for the end of the process. */
+    /** Sends SIGTERM, and SIGKILL at the end of the grace period, and waits for the end of the process. */
     fun terminate(node: String) {
         record.add(SoakKind.DISTURBED, "node" to node, "action" to "SIGTERM")
         signal(node, "TERM")
         val process = byNode.getValue(node)
-        if (!process.waitFor(PROGRAM_END_S, TimeUnit.SECONDS)) process.destroyForcibly().waitFor()
+        val hasEnded = process.waitFor(GRACE_MS, TimeUnit.MILLISECONDS)
+        if (!hasEnded) process.destroyForcibly().waitFor()
+        record.add(SoakKind.ENDED, "node" to node, "action" to if (hasEnded) "exit" else "SIGKILL")
     }
 
     /** Requests a fault of each request at the target with the given probability. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -1,12 +1,15 @@
 /*
- * The seeded faults of a soak. Three series run side by side: one for control VMs, of which at most one is disturbed at
- * a time, one for entry VMs and one for targets. Each begins with the faults of issue 32 and goes on at random.
+ * The seeded faults of a soak. Several series run side by side: one for control VMs, of which at most one is disturbed
+ * at a time, one that disturbs entry VMs, one that stops them with SIGTERM, one for targets and one for configurations.
+ * The first ones begin with the faults of issue 32 and go on at random.
  */
 package fulmarshunt.soak
 
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
+import kotlin.concurrent.withLock
 import kotlin.random.Random
 
 /** The duration for which an evacuation is observed after the core is calm again. */
@@ -21,6 +24,9 @@
 private const val READY_LIMIT_NS = 8_000_000_000L
 private const val READY_POLL_MS = 100L
 
+/** A series of SIGTERM begins after this time, so that also a short run has one while the VMs are otherwise calm. */
+private const val FIRST_STOP_MS = 16_000L
+
 /** Every other fault of targets drains an engine, so that runs continue elsewhere in each soak. */
 private const val DRAIN_PERIOD = 2
 private const val DRAIN_STEP = 1
@@ -36,11 +42,14 @@
     private val endNs = System.nanoTime() + durationMs * 1_000_000
     private val count = AtomicInteger()
 
+    /** Held while an entry VM is disturbed, so that only one series acts on it. */
+    private val entryLocks = List(site.entryCount) { ReentrantLock() }
+
     private fun isOver() = System.nanoTime() > endNs
 
     fun run(): Int {
         val failures = ConcurrentLinkedQueue<Throwable>()
-        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate)
+        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate, ::stopEntries)
         val series = bodies.mapIndexed { index, body ->
             thread(isDaemon = true) { runCatching { body(Random(seed * 10 + index)) }.onFailure(failures::add) }
         }
@@ -107,17 +116,11 @@
             val number = random.nextInt(site.entryCount)
             when (if (isFirst) 0 else random.nextInt(5)) {
                 0 -> killEntriesRepeatedly(random)
-                1, 2 -> site.pause("entry-$number", random.nextLong(1_000, 6_000))
-                3 -> {
+                1, 2 -> entryLocks[number].withLock { site.pause("entry-$number", random.nextLong(1_000, 6_000)) }
+                else -> entryLocks[number].withLock {
                     site.kill("entry-$number")
                     site.startEntry(number)
                 }
-                else -> (0 until site.entryCount).forEach {
-                    if (!isOver()) {
-                        site.terminate("entry-$it")
-                        site.startEntry(it)
-                    }
-                }
             }
             count.incrementAndGet()
             isFirst = false
@@ -131,12 +134,53 @@
      */
     private fun killEntriesRepeatedly(random: Random) {
         val killed = (0 until site.entryCount).shuffled(random).drop(if (random.nextInt(3) == 0) 1 else 0)
-        repeat(KILLS_OF_ENTRIES) {
-            killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
-            killed.forEach(site::startEntry)
-            val limitNs = System.nanoTime() + READY_LIMIT_NS
-            while (System.nanoTime() < limitNs && !killed.all(site::isReady)) Thread.sleep(READY_POLL_MS)
-            rest(SERVED_BETWEEN_KILLS_MS)
+        val locks = killed.sorted().map(entryLocks::get)
+        locks.forEach { it.lock() }
+        try {
+            repeat(KILLS_OF_ENTRIES) {
+                killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
+                killed.forEach(site::startEntry)
+                val limitNs = System.nanoTime() + READY_LIMIT_NS
+                while (System.nanoTime() < limitNs && !killed.all(site::isReady)) Thread.sleep(READY_POLL_MS)
+                rest(SERVED_BETWEEN_KILLS_MS)
+            }
+        } finally {
+            locks.forEach { it.unlock() }
+        }
+    }
+
+    /** Stops entry VMs one after another, at times before the former has ended, beside a fault of the engines. */
+    private fun stopEntries(random: Random) {
+        rest(FIRST_STOP_MS)
+        while (!isOver()) {
+            val companion = random.nextInt(4)
+            val engines = site.targets.values.filter { it.service == ENGINE }.sortedBy { it.id }
+            val fault = if (companion == 0) "WAIT" else "PREEMPT"
+            if (companion <= 1) engines.forEach { site.setInjectedFault(it, fault, 0.4) }
+            if (companion == 2) replaceEngine(engines.random(random))
+            val stops = (0 until site.entryCount).shuffled(random).map { number ->
+                val stop = thread(isDaemon = true) { if (!isOver()) stopEntry(number) }
+                rest(random.nextLong(200, 4_000))
+                stop
+            }
+            if (companion == 3) operator.configure(limitMs = 3_000)
+            stops.forEach { it.join() }
+            if (companion <= 1) engines.forEach { site.setInjectedFault(it, fault, 0.0) }
+            count.incrementAndGet()
+            rest(random.nextLong(2_000, 5_000))
+        }
+    }
+
+    private fun stopEntry(number: Int) = entryLocks[number].withLock {
+        site.terminate("entry-$number")
+        site.startEntry(number)
+    }
+
+    private fun replaceEngine(engine: TargetNode) {
+        site.startTarget(engine.service, engine.zone)
+        thread(isDaemon = true) {
+            rest(3_000)
+            site.drain(engine)
         }
     }
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakHttp.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakHttp.kt
@@ -22,12 +22,19 @@
     val isLast: Boolean get() = headers["connection"].equals("close", ignoreCase = true)
 }
 
-/** Reads one message, or returns null if the connection has ended before its first byte. */
-internal fun InputStream.readSoakMessageOrNull(): SoakMessage? {
+/**
+ * Reads one message, or returns null if the connection has ended before its first byte. [onHead] gets the message
+ * without its body as soon as its head is complete, and [onChunk] is called for each chunk of the body.
+ */
+internal fun InputStream.readSoakMessageOrNull(
+    onHead: (SoakMessage) -> Unit = {},
+    onChunk: () -> Unit = {},
+): SoakMessage? {
     val startLine = readLineOrNull() ?: return null
     val headers = readHeaders()
+    onHead(SoakMessage(startLine, headers, ""))
     val body = if (headers["transfer-encoding"].equals("chunked", ignoreCase = true)) {
-        readChunks()
+        readChunks(onChunk)
     } else {
         readExactly(headers["content-length"]?.toInt() ?: 0)
     }
@@ -43,7 +50,7 @@
     }
 }
 
-private fun InputStream.readChunks(): String {
+private fun InputStream.readChunks(onChunk: () -> Unit): String {
     val body = StringBuilder()
     while (true) {
         val size = (readLineOrNull() ?: throw EOFException("the connection ended in a body")).substringBefore(';')
@@ -54,6 +61,7 @@
         }
         body.append(readExactly(count))
         readLineOrNull()
+        onChunk()
     }
 }
 
@@ -98,11 +106,21 @@
     }
     private val input = BufferedInputStream(socket.getInputStream())
 
+    /** Whether a response, or a part of one, waits to be read. */
+    val hasResponse: Boolean get() = input.available() > 0
+
     /** Sends a message and returns the response, or null if the connection ends before one. */
     fun call(head: String, body: String, timeoutMs: Int): SoakMessage? {
+        send("$head\r\nContent-Length: ${body.length}\r\n\r\n$body")
+        return receive(timeoutMs)
+    }
+
+    fun send(text: String): Unit = socket.getOutputStream().write(text.encodeToByteArray())
+
+    /** Returns a response, or null if the connection ends before one; no pause in it may last over [timeoutMs]. */
+    fun receive(timeoutMs: Int, onHead: (SoakMessage) -> Unit = {}, onChunk: () -> Unit = {}): SoakMessage? {
         socket.soTimeout = timeoutMs
-        socket.getOutputStream().write("$head\r\nContent-Length: ${body.length}\r\n\r\n$body".encodeToByteArray())
-        return input.readSoakMessageOrNull()
+        return input.readSoakMessageOrNull(onHead, onChunk)
     }
 
     override fun close(): Unit = socket.close()
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -9,13 +9,16 @@
 
 /** The kinds of recorded events. */
 internal enum class SoakKind {
-    /** A client sends a request to an entry VM. */
+    /** A client sends the first byte of a request to an entry VM. */
     SEND,
 
+    /** A client has sent the last byte of a request. */
+    SENT,
+
     /** A client has a complete response. */
     ANSWER,
 
-    /** A client has no complete response. */
+    /** A client has no complete response; `by` says whether it gave up itself or its connection ended. */
     FAIL,
 
     /** A request arrives at a target. */
@@ -39,6 +42,9 @@
     /** A process was killed; its runs have ended. */
     KILLED,
 
+    /** A process has ended after SIGTERM, by itself or by the SIGKILL at the end of its grace period. */
+    ENDED,
+
     /** A target was told to mishandle a part of its requests; it runs and is reached all the same. */
     INJECTED,
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -29,7 +29,7 @@
 private const val MIN_PAUSE_MS = 20
 private const val MAX_PAUSE_MS = 60
 private const val MAX_WORK_MS = 120
-private const val TOKENS_PER_EVENT = 4
+internal const val TOKENS_PER_EVENT = 4
 private const val DRAIN_MS = 3_000L
 
 /** The part of the runs that go on although their channel has closed, as 1 in this number. */
@@ -37,8 +37,12 @@
 private const val BACKLOG = 256
 private const val ERROR_DELAY_MS = 1_200L
 
-/** What a target does to a request besides running it. */
-private enum class InjectedFault { NONE, REFUSE, FAIL, LOSE, DELAY, RESET }
+private const val MIN_SUSPENSION_MS = 500
+private const val MAX_SUSPENSION_MS = 3_500
+private const val SUSPENSION_STEP_MS = 40
+
+/** What a target does to a request besides running it; only streams wait before their first event or are preempted. */
+private enum class InjectedFault { NONE, REFUSE, FAIL, LOSE, DELAY, RESET, WAIT, PREEMPT }
 
 /** Runs a target with `name=value` arguments. */
 public fun main(arguments: Array<String>) {
@@ -58,6 +62,9 @@
 private class Run(val request: String, val backup: SoakAddress?) {
     val made = AtomicInteger()
     val isStopped = ConcurrentHashMap.newKeySet<String>()
+
+    /** Whether the head of the response has been sent. */
+    var hasHead = false
 }
 
 private class SoakTarget(
@@ -212,6 +219,8 @@
             "misdirected" to isMisdirected,
             "from" to source,
             "last" to message.headers["last-event-id"].orEmpty(),
+            "bytes" to message.body.length,
+            "hash" to message.body.hashCode(),
         )
         val fault = drawInjectedFault()
         val key = source.substringAfter('/')
@@ -232,10 +241,13 @@
         val run = Run(request, message.headers["fulmarshunt-kv-backup"]?.let(::soakAddress))
         runs[request] = run
         running.incrementAndGet()
-        record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
         var reasonOfEnd = "closed"
         try {
-            reasonOfEnd = work(channel, input, message, path, run, fault)
+            val reasonOfLeave = if (fault == InjectedFault.WAIT) await(channel, input, path, run) else null
+            if (reasonOfLeave == null) {
+                record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
+            }
+            reasonOfEnd = reasonOfLeave ?: work(channel, input, message, path, run, fault)
         } finally {
             runs.remove(request, run)
             running.decrementAndGet()
@@ -244,6 +256,25 @@
         return reasonOfEnd == "done"
     }
 
+    /** Lets a stream wait before it runs; returns why it left, or null. The head of half of them is sent at once. */
+    private fun await(channel: Socket, input: InputStream, path: String, run: Run): String? {
+        if (!path.startsWith("/$STREAM/")) return null
+        if (nextInt(0, 2) == 0) {
+            run.hasHead = true
+            channel.getOutputStream().write(streamHeadOf(run).encodeToByteArray())
+        }
+        return suspendOrNull(channel, input, run, false)
+    }
+
+    /** Lets a run stand still; returns how it ended meanwhile, or null. */
+    private fun suspendOrNull(channel: Socket, input: InputStream, run: Run, ignoresClose: Boolean): String? {
+        repeat(nextInt(MIN_SUSPENSION_MS, MAX_SUSPENSION_MS) / SUSPENSION_STEP_MS) {
+            if ("stopped" in run.isStopped) return "stopped"
+            if (!pause(channel, input, SUSPENSION_STEP_MS, ignoresClose)) return "closed"
+        }
+        return null
+    }
+
     /** Runs a request and returns how the run ended. */
     private fun work(
         channel: Socket,
@@ -254,7 +285,7 @@
         fault: InjectedFault,
     ): String {
         val ignoresClose = run.request.hashCode().mod(IGNORES_CLOSE_ONE_IN) == 0
-        val isStream = path.startsWith("/stream/") && fault != InjectedFault.FAIL
+        val isStream = path.startsWith("/$STREAM/") && fault != InjectedFault.FAIL
         if (fault == InjectedFault.DELAY) Thread.sleep(ERROR_DELAY_MS)
         return if (isStream) {
             stream(channel, input, message, run, fault, ignoresClose)
@@ -267,6 +298,9 @@
         "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
             "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
 
+    private fun streamHeadOf(run: Run) =
+        "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
     private fun answer(
         channel: Socket,
         input: InputStream,
@@ -290,15 +324,14 @@
         fault: InjectedFault,
         ignoresClose: Boolean,
     ): String {
-        val head = "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\n" +
-            "Transfer-Encoding: chunked\r\n\r\n"
         val output = channel.getOutputStream()
         val tokens = message.headers.getValue("fulmarshunt-token-counts").substringAfter(',').toInt()
         val count = tokens / TOKENS_PER_EVENT
         val first = (message.headers["last-event-id"]?.toInt() ?: 0) + 1
         val isCut = fault == InjectedFault.LOSE || fault == InjectedFault.RESET
         val cutAt = if (isCut) first + nextInt(0, count) else Int.MAX_VALUE
-        var isOpen = send(true, ignoresClose) { output.write(head.encodeToByteArray()) }
+        val preemptedAt = if (fault == InjectedFault.PREEMPT) first + nextInt(0, count) else Int.MAX_VALUE
+        var isOpen = run.hasHead || send(true, ignoresClose) { output.write(streamHeadOf(run).encodeToByteArray()) }
         for (number in first..count) {
             if ("stopped" in run.isStopped) return "stopped"
             if (number == cutAt) {
@@ -308,6 +341,7 @@
                 channel.close()
                 isOpen = false
             }
+            if (number == preemptedAt) suspendOrNull(channel, input, run, ignoresClose)?.let { return it }
             val event = "id: $number\ndata: ${run.request}\n\n"
             run.made.set(number)
             isOpen = send(isOpen, ignoresClose) {
--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -5,20 +5,18 @@
 package fulmarshunt.soak
 
 import java.io.IOException
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
 private const val CONNECT_TIMEOUT_MS = 1_000
-private const val PLAIN_DEADLINE_MS = 2_500
-private const val STREAM_DEADLINE_MS = 8_000
 private const val STREAM_GAP_MS = 2_400
 private const val EARLY_LEAVE_MS = 300
-private const val STREAM_EVENTS = 30
 private const val MAX_ATTEMPTS = 3
-private const val PLAIN_CLIENTS = 16
-private const val STREAM_CLIENTS = 8
+private const val MIN_PLAIN_CLIENTS = 16
+private const val MIN_STREAM_CLIENTS = 8
 private const val ORDER_TIMEOUT_MS = 1_000
 private const val MAX_BACKOFF_MS = 400L
 
@@ -26,12 +24,14 @@
 internal class SoakClients(private val site: SoakDeployment, private val seed: Long) : AutoCloseable {
     private val requests = AtomicInteger()
     private val ready = ConcurrentHashMap.newKeySet<Int>()
+    private val plainCount = maxOf(MIN_PLAIN_CLIENTS, site.entryCount)
+    private val streamCount = maxOf(MIN_STREAM_CLIENTS, site.entryCount / 2)
 
     @Volatile
     private var isOver = false
 
     private val threads =
-        (0 until PLAIN_CLIENTS + STREAM_CLIENTS).map { thread(isDaemon = true) { Client(it).run() } } +
+        (0 until plainCount + streamCount).map { thread(isDaemon = true) { Client(it).run() } } +
             (0 until site.entryCount).map { thread(isDaemon = true) { probe(it) } }
 
     /** Asks for readiness once a second; a second miss takes the entry VM out. */
@@ -54,93 +54,124 @@
         private val random = Random(seed * 1_000 + number)
         private val connections = HashMap<Int, SoakConnection>()
 
+        /** Every other client comes back to its entry VM until its connections are refused there. */
+        private val isClinging = number % 2 == 0
+
         fun run() {
             while (!isOver) {
                 val kind = when {
-                    number >= PLAIN_CLIENTS -> "stream"
+                    number >= plainCount -> STREAM
                     random.nextInt(3) == 0 -> "unsafe"
                     else -> "safe"
                 }
-                var entry = chooseEntry()
+                var entry = chooseEntry(isRetry = false)
                 for (attempt in 1..MAX_ATTEMPTS) {
                     if (attempt > 1) connections.remove(entry)?.close()
                     val status = attempt(entry, kind)
                     val mayRetry = status in promises || kind == "safe" && (status == 0 || status >= 500)
                     if (!mayRetry || isOver) break
                     Thread.sleep(random.nextLong(50, 300))
-                    entry = chooseEntry()
+                    entry = chooseEntry(isRetry = true)
                 }
                 Thread.sleep(random.nextLong(10, 60))
             }
             connections.values.forEach { it.close() }
         }
 
-        private fun chooseEntry(): Int {
+        private fun chooseEntry(isRetry: Boolean): Int {
             val choices = ready.toList().ifEmpty { (0 until site.entryCount).toList() }
-            // A client stays with its entry VM while that one is ready.
-            return (number % site.entryCount).takeIf { it in choices && random.nextInt(4) > 0 }
-                ?: choices.random(random)
+            val home = number % site.entryCount
+            if (isClinging && !isRetry) return home
+            // An open connection stays with its entry VM, whether that one is ready or not.
+            val mayUseHome = home in choices || home in connections
+            return if (mayUseHome && random.nextInt(4) > 0) home else choices.random(random)
         }
 
         /** Sends a request and returns the status of its response, or 0 if there is none. */
         private fun attempt(entry: Int, kind: String): Int {
-            val isStream = kind == "stream"
+            val isNew = entry !in connections
             val connection = try {
                 connections.getOrPut(entry) { SoakConnection(site.callerAddress(entry), CONNECT_TIMEOUT_MS) }
             } catch (e: IOException) {
                 return 0
             }
-            val request = "%d-%06x".format(seed, requests.incrementAndGet())
-            val deadlineMs = if (isStream) STREAM_DEADLINE_MS else PLAIN_DEADLINE_MS
-            val head = "POST /$kind/x HTTP/1.1\r\nHost: site.example\r\nFulmarshunt-Request-Id: $request\r\n" +
-                "Fulmarshunt-Deadline-Ms: $deadlineMs" + if (!isStream) {
-                    ""
-                } else {
-                    "\r\nFulmarshunt-Model: m\r\nFulmarshunt-Token-Counts: 400,${STREAM_EVENTS * 4}\r\n" +
-                        "Fulmarshunt-Prefix-Hash: ${request.hashCode().toUInt().toString(16)}:400"
-                }
+            val request = soakRequest("%d-%06x".format(seed, requests.incrementAndGet()), kind, random)
+            val startedNs = System.nanoTime()
             site.record.add(
                 SoakKind.SEND,
-                "request" to request,
+                "request" to request.id,
                 "kind" to kind,
                 "entry" to "entry-$entry",
-                "service" to if (isStream) ENGINE else PLAIN,
+                "service" to request.service,
+                "connection" to if (isNew) "new" else "kept",
+                "framing" to request.framing,
+                "bytes" to request.body.length,
+                "hash" to request.body.hashCode(),
+                "limit_ms" to request.deadlineMs,
             )
+            val isWhole = send(connection, request)
+            if (isWhole) site.record.add(SoakKind.SENT, "request" to request.id)
+            val leftMs = request.deadlineMs - ((System.nanoTime() - startedNs) / 1_000_000).toInt()
             val patienceMs = when {
                 random.nextInt(40) == 0 -> EARLY_LEAVE_MS
-                isStream -> STREAM_GAP_MS
-                else -> PLAIN_DEADLINE_MS
+                request.isStream -> STREAM_GAP_MS
+                else -> maxOf(1, leftMs)
             }
+            val response = receiveOrNull(connection, request, patienceMs)
+            if (response == null || response.isLast || !isWhole) connections.remove(entry)?.close()
+            return response?.status ?: 0
+        }
+
+        /** Sends [request] unless a response comes before its end; returns whether all of it was sent. */
+        private fun send(connection: SoakConnection, request: SoakRequest): Boolean {
+            val stopsForResponse = random.nextBoolean()
+            return try {
+                request.parts.all { part ->
+                    Thread.sleep(part.pauseMs)
+                    val goesOn = !(stopsForResponse && connection.hasResponse)
+                    if (goesOn) connection.send(part.text)
+                    goesOn
+                }
+            } catch (e: IOException) {
+                false
+            }
+        }
+
+        private fun receiveOrNull(connection: SoakConnection, request: SoakRequest, patienceMs: Int): SoakMessage? {
+            var status = 0
+            var chunkCount = 0
             val response = try {
-                connection.call(head, "", patienceMs) ?: throw IOException("closed")
+                connection.receive(patienceMs, { status = it.status }, { chunkCount += 1 })
+                    ?: throw IOException("closed")
             } catch (e: IOException) {
-                connections.remove(entry)?.close()
-                site.record.add(SoakKind.FAIL, "request" to request, "problem" to "${e.message}")
-                return 0
+                site.record.add(
+                    SoakKind.FAIL,
+                    "request" to request.id,
+                    "by" to if (e is SocketTimeoutException) "client" else "peer",
+                    "status" to status,
+                    "chunks" to chunkCount,
+                    "problem" to "${e.message}",
+                )
+                return null
             }
-            val problem = problemOrNull(response, request, isStream)
+            val problem = problemOrNull(response, request)
             site.record.add(
                 SoakKind.ANSWER,
-                "request" to request,
+                "request" to request.id,
                 "status" to response.status,
                 "sound" to (problem == null),
                 "problem" to problem.orEmpty(),
             )
-            if (response.isLast) connections.remove(entry)?.close()
-            return response.status
+            return response
         }
 
-        private fun problemOrNull(response: SoakMessage, request: String, isStream: Boolean): String? {
+        private fun problemOrNull(response: SoakMessage, request: SoakRequest): String? {
             val stamp = response.headers["fulmarshunt-server-stamp"]
-            val expected = if (!isStream) {
-                "body of $request"
-            } else {
-                (1..STREAM_EVENTS).joinToString("") { "id: $it\ndata: $request\n\n" }
-            }
+            val expected = request.expectedBody()
             return when {
                 response.status / 100 != 2 -> null
                 stamp == null -> "no_stamp"
-                stamp.substringAfter('.') != request -> "stamp_of_${stamp.substringAfter('.')}"
+                stamp.substringAfter('.') != request.id -> "stamp_of_${stamp.substringAfter('.')}"
                 response.body != expected -> "body_differs_bytes=${response.body.length}_of_${expected.length}"
                 else -> null
             }
@@ -215,7 +246,12 @@
     val routes = listOf(
         route("safe", PLAIN, plainTimeoutMs, """"max_attempts":3"""),
         route("unsafe", PLAIN, plainTimeoutMs, """"max_attempts":2"""),
-        route("stream", ENGINE, 8_000, """"max_attempts":2,"sticky":true,"resumable":false,"gap_slo_ms":180"""),
+        route(
+            STREAM,
+            ENGINE,
+            STREAM_DEADLINE_MS,
+            """"max_attempts":2,"sticky":true,"resumable":false,"gap_slo_ms":180""",
+        ),
     )
     val engine = ""","engine":{"slots":8,"kv_capacity":34330,"kv_token_bytes":131072,"link_mbps":19000.0,""" +
         """"moves":true,"backups":true,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,""" +
