Judge LIMIT and more clauses of BUDGET in the fault soak

An engine leaves for every third SIGTERM of a series. The result counts responses that were cut although entry VM and target were sound, and keeps the folder of such a run. SoakCheckTest has a test of each new check.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -15,30 +15,51 @@
 internal class SoakResult(
     val seed: Long,
     val faultCount: Int,
-    val requestCount: Int,
-    val servedCount: Int,
+    events: List<SoakEvent>,
+    val violations: List<SoakViolation>,
+    val directory: File,
+) {
+    private val requestCount = events.count { it.kind == SoakKind.SEND }
+
+    val servedCount: Int = events.count { it.kind == SoakKind.ANSWER && it["status"] == "200" }
+
     /** The acknowledged evacuations. */
-    val evacuationCount: Int,
+    val evacuationCount: Int = events.count {
+        it.kind == SoakKind.ACKNOWLEDGED && "evacuation" in it["path"] && it["path"].endsWith("/start")
+    }
+
     /** The arrivals of requests that had arrived at a target before. */
-    val repeatCount: Int,
+    val repeatCount: Int =
+        events.filter { it.kind == SoakKind.ARRIVE }.let { all -> all.size - all.distinctBy { it["request"] }.size }
+
     /** The runs that continued at another target. */
-    val continuationCount: Int,
+    val continuationCount: Int = events.count { it.kind == SoakKind.BEGIN && it["from"].isNotEmpty() }
+
     /** The entry VMs that were told to terminate. */
-    val terminationCount: Int,
+    val terminationCount: Int = events.count { it.kind == SoakKind.DISTURBED && it["action"] == "SIGTERM" }
+
     /** The requests with a body in chunks. */
-    val chunkedCount: Int,
-    val violations: List<SoakViolation>,
-    val directory: File,
-) {
+    private val chunkedCount =
+        events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name }
+
+    /** The responses that ended early without a fault of target or entry VM. */
+    val cutCount: Int = CheckedRecords(events, SoakBounds()).cutResponses()
+
     override fun toString(): String = "seed=$seed faults=$faultCount requests=$requestCount served=$servedCount " +
         "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
-        "sigterms=$terminationCount chunked=$chunkedCount " +
+        "sigterms=$terminationCount chunked=$chunkedCount cut=$cutCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
-        if (violations.isEmpty()) "" else " folder=$directory"
+        if (violations.isEmpty() && cutCount == 0) "" else " folder=$directory"
 }
 
-/** Runs one seed with faults for [seconds]. The folder of a run without violations is removed. */
-internal fun runSoak(seed: Long, seconds: Long, entries: Int = 4, engines: Int = 4): SoakResult {
+/** Runs one seed with faults for [seconds]. The folder of a run without violations or cut responses is removed. */
+internal fun runSoak(
+    seed: Long,
+    seconds: Long,
+    entries: Int = 4,
+    engines: Int = 4,
+    namesLimits: Boolean = false,
+): SoakResult {
     val directory = Files.createTempDirectory("fulmarshunt-soak-$seed-").toFile()
     var faultCount = 0
     SoakRecord(File(directory, "driver.record")).use { record ->
@@ -53,36 +74,22 @@
             }
             SoakClients(site, seed).use {
                 Thread.sleep(AFTERMATH_MS)
-                faultCount = SoakFaults(site, operator, seed, seconds * 1_000).run()
+                faultCount = SoakFaults(site, operator, seed, seconds * 1_000, namesLimits).run()
                 Thread.sleep(AFTERMATH_MS)
             }
         }
     }
     val events = readSoakRecords(directory)
     val violations = checkSoak(events)
-    val result = SoakResult(
-        seed,
-        faultCount,
-        events.count { it.kind == SoakKind.SEND },
-        events.count { it.kind == SoakKind.ANSWER && it["status"] == "200" },
-        events.count {
-            it.kind == SoakKind.ACKNOWLEDGED && "evacuation" in it["path"] && it["path"].endsWith("/start")
-        },
-        events.filter { it.kind == SoakKind.ARRIVE }.let { all -> all.size - all.distinctBy { it["request"] }.size },
-        events.count { it.kind == SoakKind.BEGIN && it["from"].isNotEmpty() },
-        events.count { it.kind == SoakKind.DISTURBED && it["action"] == "SIGTERM" },
-        events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name },
-        violations,
-        directory,
-    )
+    val result = SoakResult(seed, faultCount, events, violations, directory)
     File(directory, "violations.txt").writeText(violations.joinToString("\n", postfix = "\n"))
-    if (violations.isEmpty()) directory.deleteRecursively()
+    if (violations.isEmpty() && result.cutCount == 0) directory.deleteRecursively()
     return result
 }
 
 /** Runs the seeds from `seed=` on, `seeds=` of them, and prints one line for each and one for each violation. */
 public fun main(arguments: Array<String>): Unit =
-    runTool("soak", arguments, setOf("seed", "seeds", "seconds", "entries", "engines")) { values ->
+    runTool("soak", arguments, setOf("seed", "seeds", "seconds", "entries", "engines", "limits")) { values ->
         val first = values["seed"]?.toLong() ?: 1L
         var isSound = true
         for (seed in first until first + (values["seeds"]?.toLong() ?: 1L)) {
@@ -91,6 +98,7 @@
                 values["seconds"]?.toLong() ?: 60L,
                 values["entries"]?.toInt() ?: 4,
                 values["engines"]?.toInt() ?: 4,
+                values["limits"] == "true",
             )
             println(result)
             result.violations.forEach { println("  seed=$seed $it") }
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
@@ -23,6 +23,7 @@
         expectThat(result.evacuationCount).describedAs("acknowledged evacuations").isGreaterThan(1)
         expectThat(result.repeatCount).describedAs("repeated arrivals").isGreaterThan(0)
         expectThat(result.continuationCount).describedAs("continued runs").isGreaterThan(0)
+        expectThat(result.terminationCount).describedAs("entry VMs told to terminate").isGreaterThan(1)
         expectThat(result.violations).describedAs("violations of seed $SEED in ${result.directory}").isEmpty()
     }
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -7,7 +7,7 @@
 internal const val NS_PER_MS = 1_000_000L
 
 /** The rules that the soak checks. */
-internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED, UNASKED, LOST }
+internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED, UNASKED, LOST, LIMIT }
 
 /** A broken rule with its evidence. */
 internal data class SoakViolation(val rule: SoakRule, val request: String, val evidence: String) {
@@ -32,7 +32,8 @@
 internal fun checkSoak(events: List<SoakEvent>, bounds: SoakBounds = SoakBounds()): List<SoakViolation> {
     val checked = CheckedRecords(events, bounds)
     return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed() +
-        checked.unasked() + checked.lost() + checked.lostOnKeptConnections()
+        checked.unasked() + checked.lost() + checked.lostOnKeptConnections() + checked.brokenPauses() +
+        checked.attemptsOverLimit() + checked.longDeadlines() + checked.limits()
 }
 
 /** A span of time; an end that was not recorded is the greatest value. */
@@ -92,6 +93,13 @@
     fun wasDisturbed(node: String, fromNs: Long, toNs: Long): Boolean =
         disturbances[node].orEmpty().any { it.overlaps(fromNs - bounds.contactMs * NS_PER_MS, toNs) }
 
+    /** Whether [node] was disturbed at any time from [fromNs] to [toNs]. */
+    fun wasDisturbedWithin(node: String, fromNs: Long, toNs: Long): Boolean =
+        disturbances[node].orEmpty().any { it.overlaps(fromNs, toNs) }
+
+    /** Returns the entry VM to which the request of [event] was sent, or an empty text. */
+    fun entryOf(event: SoakEvent): String = sendOf[event["request"]]?.get("entry").orEmpty()
+
     /** As [wasDisturbed], without the time after SIGTERM. */
     fun wasDisturbedUnplanned(node: String, fromNs: Long, toNs: Long): Boolean =
         unplannedDisturbances[node].orEmpty().any { it.overlaps(fromNs - bounds.contactMs * NS_PER_MS, toNs) }
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -131,6 +131,169 @@
         expectThat(rules("$SENT\n1300 ANSWER request=q status=502 sound=false")).isEmpty()
     }
 
+    /** A request whose connection its entry VM ends at [endMs], after SIGTERM at 1,000 ms. */
+    private fun cut(endMs: Int, more: String = "", sentMs: Int = 1_500, by: String = "peer") =
+        "1000 DISTURBED node=entry-1 action=SIGTERM\n" +
+            "$sentMs SEND request=q kind=safe service=s entry=entry-1 connection=new limit_ms=20000\n" +
+            "$sentMs SENT request=q\n$endMs FAIL request=q by=$by status=0" + if (more.isEmpty()) "" else "\n$more"
+
+    private fun run(endMs: Int, reason: String) = "1510 ARRIVE request=q service=s target=a zone=z\n" +
+        "1511 BEGIN request=q target=a from=\n$endMs END request=q target=a reason=$reason"
+
+    /** Guards against requests that are cut by a planned stop and are not found. */
+    @Test
+    fun `a request cut off around SIGTERM breaks LOST`() {
+        expectThat(rules(cut(1_701))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(1_700))).isEmpty()
+        expectThat(rules(cut(1_600, run(1_600, "closed")))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(9_999))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(10_001))).isEmpty()
+        expectThat(rules(cut(5_000).replace("entry-1 action", "entry-2 action"))).isEmpty()
+    }
+
+    /** Guards against findings for requests that the process had not read whole. */
+    @Test
+    fun `a request that was not sent whole or met no process is allowed`() {
+        expectThat(rules(cut(5_000).replace("1500 SENT request=q", "1500 SENT request=p"))).isEmpty()
+        val late = cut(4_000, sentMs = 3_000)
+        expectThat(rules("$late\n2900 ENDED node=entry-1 action=exit")).isEmpty()
+        expectThat(rules("$late\n2900 ENDED node=entry-1 action=exit\n2950 RECOVERED node=entry-1"))
+            .isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules("$late\n3100 ENDED node=entry-1 action=exit")).isEqualTo(listOf(SoakRule.LOST))
+    }
+
+    /** Guards against findings for requests that the client, its time limit or the target has ended. */
+    @Test
+    fun `clients, time limits and targets that end a request excuse LOST`() {
+        expectThat(rules(cut(5_000, by = "client"))).isEmpty()
+        expectThat(rules(cut(5_000).replace("limit_ms=20000", "limit_ms=3500"))).isEmpty()
+        for (reason in listOf("lost", "reset", "exit")) expectThat(rules(cut(5_000, run(4_900, reason)))).isEmpty()
+        for (reason in listOf("closed", "stopped", "done")) {
+            expectThat(rules(cut(5_000, run(4_900, reason)))).isEqualTo(listOf(SoakRule.LOST))
+        }
+        val working = run(6_000, "closed")
+        expectThat(rules(cut(5_000, "$working\n4900 DISTURBED node=a action=SIGKILL"))).isEmpty()
+        expectThat(rules(cut(5_000, "$working\n4900 DISTURBED node=a action=SIGSTOP")))
+            .isEqualTo(listOf(SoakRule.LOST))
+    }
+
+    /** Guards against a wrong bound of the excuse for long requests, and against one for streams that only wait. */
+    @Test
+    fun `work in the last sixth of the grace period excuses LOST only for requests sent by 3 s`() {
+        val late = run(8_900, "closed")
+        expectThat(rules(cut(8_900, late))).isEmpty()
+        expectThat(rules(cut(8_900, late.replace("1511 BEGIN", "8901 BEGIN")))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(7_000, late))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(8_900, run(7_600, "closed")))).isEqualTo(listOf(SoakRule.LOST))
+        val moved = late.replace("1510", "4010").replace("1511", "4011")
+        expectThat(rules(cut(8_900, moved, sentMs = 4_000))).isEmpty()
+        expectThat(rules(cut(8_900, moved, sentMs = 4_001))).isEqualTo(listOf(SoakRule.LOST))
+    }
+
+    /** Guards against an excuse by the planned stop itself, and against a wrong span of the others. */
+    @Test
+    fun `an unplanned disturbance of the entry VM excuses LOST for 3 s`() {
+        fun disturbed(endMs: Int, node: String = "entry-1") =
+            "\n500 DISTURBED node=$node action=SIGSTOP\n$endMs RECOVERED node=$node"
+        val lost = cut(8_000, sentMs = 4_500)
+        expectThat(rules(lost + disturbed(1_501))).isEmpty()
+        expectThat(rules(lost + disturbed(1_499))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(lost + disturbed(1_501, "entry-2"))).isEqualTo(listOf(SoakRule.LOST))
+    }
+
+    private fun keptLosses(count: Int, more: String = "") = (1..count).joinToString("\n") {
+        "${1_000 + it} SEND request=q$it kind=safe service=s entry=entry-1 connection=kept limit_ms=2500\n" +
+            "${1_001 + it} SENT request=q$it\n${1_010 + it} ARRIVE request=q$it service=s target=a\n" +
+            "${1_020 + it} FAIL request=q$it by=peer status=0"
+    } + more
+
+    /** Guards against requests that are lost on kept connections without a planned stop. */
+    @Test
+    fun `more than three requests lost on kept connections break LOST`() {
+        expectThat(rules(keptLosses(4))).isEqualTo(List(4) { SoakRule.LOST })
+        expectThat(rules(keptLosses(3))).isEmpty()
+        expectThat(rules(keptLosses(4).replace("connection=kept", "connection=new"))).isEmpty()
+        expectThat(rules(keptLosses(4).replace("status=0", "status=200"))).isEmpty()
+        expectThat(rules(keptLosses(4, "\n500 INJECTED node=a action=RESET:0.3"))).isEmpty()
+        expectThat(rules(keptLosses(4, "\n500 DISTURBED node=entry-1 action=SIGKILL"))).isEmpty()
+    }
+
+    private fun paused(arrivalsMs: List<Int>, more: String = "") =
+        (0..arrivalsMs.size).joinToString("\n") { "900 SEND request=q$it kind=safe service=s entry=entry-1" } +
+            "\n1000 REFUSE request=q0 target=a reason=paused retry_after_ms=2000" +
+            arrivalsMs.withIndex().joinToString("") { (index, atMs) ->
+                "\n$atMs ARRIVE request=q${index + 1} service=s target=a"
+            } + more
+
+    /** Guards against requests to a target that has asked for a pause, and against a wrong span. */
+    @Test
+    fun `more than two requests during a pause break BUDGET`() {
+        expectThat(rules(paused(listOf(1_501, 1_600, 2_999)))).isEqualTo(listOf(SoakRule.BUDGET))
+        expectThat(rules(paused(listOf(1_499, 1_600, 2_999)))).isEmpty()
+        expectThat(rules(paused(listOf(1_501, 1_600, 3_001)))).isEmpty()
+        expectThat(rules(paused(listOf(1_501, 1_600, 2_999)).replace("2999 ARRIVE", "2999 ARRIVE stalled_ms=1500")))
+            .isEmpty()
+        expectThat(rules(paused(listOf(1_501, 1_600, 2_999), "\n1200 DISTURBED node=entry-1 action=SIGSTOP"))).isEmpty()
+    }
+
+    /** Guards against requests that run at more targets than their route allows. */
+    @Test
+    fun `more than three requests at more targets than allowed break BUDGET`() {
+        fun requests(count: Int) = (1..count).joinToString("\n") { number ->
+            "1000 SEND request=q$number kind=safe service=s entry=entry-1 max_attempts=2\n" +
+                listOf("a", "b", "c").joinToString("\n") { "1010 BEGIN request=q$number target=$it from=" }
+        }
+        expectThat(rules(requests(4))).isEqualTo(List(4) { SoakRule.BUDGET })
+        expectThat(rules(requests(3))).isEmpty()
+        expectThat(rules(requests(4).replace("target=c from=", "target=c from=a/h"))).isEmpty()
+        expectThat(rules(requests(4) + "\n1010 DISTURBED node=a action=SIGKILL")).isEmpty()
+    }
+
+    /** Guards against targets that are given more time than the client has. */
+    @Test
+    fun `targets that get more time than is left break BUDGET`() {
+        fun arrivals(count: Int, more: String) = (1..count).joinToString("\n") {
+            "1000 SEND request=q$it kind=safe service=s entry=entry-1 limit_ms=2500\n" +
+                "1010 ARRIVE request=q$it service=s target=a $more"
+        }
+        expectThat(rules(arrivals(21, "deadline_ms=3001"))).isEqualTo(List(21) { SoakRule.BUDGET })
+        expectThat(rules(arrivals(21, "deadline_ms=none"))).isEqualTo(List(21) { SoakRule.BUDGET })
+        expectThat(rules(arrivals(20, "deadline_ms=3001"))).isEmpty()
+        expectThat(rules(arrivals(21, "deadline_ms=3000"))).isEmpty()
+        fun repeated(deadlineMs: Int) = arrivals(21, "deadline_ms=2490") + "\n" + (1..21).joinToString("\n") {
+            "2000 ARRIVE request=q$it service=s target=b deadline_ms=$deadlineMs"
+        }
+        expectThat(rules(repeated(2_001))).isEqualTo(List(21) { SoakRule.BUDGET })
+        expectThat(rules(repeated(2_000))).isEmpty()
+    }
+
+    private fun limited(count: Int, fromMs: Int, entry: String = "entry-1", more: String = "") =
+        "1000 INJECTED node=a action=LIMIT:2.0\n1000 SEND request=q kind=safe service=s entry=entry-1\n" +
+            "1010 LIMITED request=q target=a limit=2.0\n1020 ANSWER request=q status=200 sound=true\n" +
+            (1..count).joinToString("\n") {
+                "900 SEND request=q$it kind=safe service=s entry=$entry\n" +
+                    "${fromMs + it} ARRIVE request=q$it service=s target=a"
+            } + more
+
+    /** Guards against requests over the limit of a target that are not found, and against a wrong sum. */
+    @Test
+    fun `more requests than a target's limit allows break LIMIT`() {
+        // A limit of 2/s allows 1.5 x 2 x 4 + 5 = 17 requests in 4 s.
+        expectThat(rules(limited(18, 5_000))).isEqualTo(listOf(SoakRule.LIMIT))
+        expectThat(rules(limited(17, 5_000))).isEmpty()
+        expectThat(rules(limited(18, 3_000))).isEmpty()
+        expectThat(rules(limited(18, 5_000, more = "\n5010 INJECTED node=a action=LIMIT:0.0"))).isEmpty()
+    }
+
+    /** Guards against findings for entry VMs that were not told of a limit or have been disturbed since. */
+    @Test
+    fun `entry VMs that were not told or were disturbed are not counted for LIMIT`() {
+        expectThat(rules(limited(18, 5_000, entry = "entry-2"))).isEmpty()
+        expectThat(rules(limited(18, 5_000).replace("1020 ANSWER", "4800 ANSWER"))).isEmpty()
+        val restart = "\n2000 DISTURBED node=entry-1 action=SIGTERM\n2100 RECOVERED node=entry-1"
+        expectThat(rules(limited(18, 5_200, more = restart))).isEmpty()
+    }
+
     /** Guards against a line cut by a killed writer that makes the record unreadable. */
     @Test
     fun `events are read as they were written`() {
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -32,12 +32,16 @@
 private const val DRAIN_STEP = 1
 private const val DRAIN_FAULT = 3
 
+/** During a series of SIGTERM, an engine leaves for each of this many, so that runs move while their VM stops. */
+private const val STOPS_PER_RELEASE = 3
+
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
     private val site: SoakDeployment,
     private val operator: SoakOperator,
     private val seed: Long,
     durationMs: Long,
+    private val namesLimits: Boolean,
 ) {
     private val endNs = System.nanoTime() + durationMs * 1_000_000
     private val count = AtomicInteger()
@@ -49,7 +53,8 @@
 
     fun run(): Int {
         val failures = ConcurrentLinkedQueue<Throwable>()
-        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate, ::stopEntries)
+        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate, ::stopEntries) +
+            if (namesLimits) listOf(::limitTargets) else emptyList()
         val series = bodies.mapIndexed { index, body ->
             thread(isDaemon = true) { runCatching { body(Random(seed * 10 + index)) }.onFailure(failures::add) }
         }
@@ -157,8 +162,8 @@
             val engines = site.targets.values.filter { it.service == ENGINE }.sortedBy { it.id }
             val fault = if (companion == 0) "WAIT" else "PREEMPT"
             if (companion <= 1) engines.forEach { site.setInjectedFault(it, fault, 0.4) }
-            if (companion == 2) replaceEngine(engines.random(random))
-            val stops = (0 until site.entryCount).shuffled(random).map { number ->
+            val stops = (0 until site.entryCount).shuffled(random).mapIndexed { index, number ->
+                if (index % STOPS_PER_RELEASE == 0) replaceEngine(engines.random(random))
                 val stop = thread(isDaemon = true) { if (!isOver()) stopEntry(number) }
                 rest(random.nextLong(200, 4_000))
                 stop
@@ -193,7 +198,7 @@
             val kind = when {
                 step == 0 -> 0
                 isDrain -> DRAIN_FAULT
-                else -> random.nextInt(6)
+                else -> random.nextInt(8)
             }
             when (kind) {
                 0 -> inject(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
@@ -209,6 +214,7 @@
                     site.drain(target)
                 }
                 4 -> inject(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
+                6, 7 -> pauseRequests(target, random)
                 else -> inject(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
             }
             count.incrementAndGet()
@@ -217,6 +223,27 @@
         }
     }
 
+    /** Lets [target] ask for pauses, half of the time while it is slow to accept connections. */
+    private fun pauseRequests(target: TargetNode, random: Random) {
+        val isSlow = random.nextBoolean()
+        if (isSlow) site.setInjectedFault(target, "ACCEPT", 0.3)
+        inject(listOf(target), "PAUSE", 0.2, 6_000)
+        if (isSlow) site.setInjectedFault(target, "ACCEPT", 0.0)
+    }
+
+    /** Lets targets name limits of their requests, one or two at a time. */
+    private fun limitTargets(random: Random) {
+        while (!isOver()) {
+            rest(random.nextLong(2_000, 4_000))
+            val targets = site.targets.values.filter { it.service == PLAIN }.sortedBy { it.id }.shuffled(random)
+                .take(random.nextInt(1, 3))
+            targets.forEach { site.setInjectedFault(it, "LIMIT", random.nextInt(4, 16) / 2.0) }
+            rest(random.nextLong(9_000, 14_000))
+            targets.forEach { site.setInjectedFault(it, "LIMIT", 0.0) }
+            count.incrementAndGet()
+        }
+    }
+
     private fun inject(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
         targets.forEach { site.setInjectedFault(it, name, probability) }
         rest(durationMs)
--- a/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
@@ -82,6 +82,12 @@
         runs[lost.send["request"]].orEmpty().any { it.beginNs <= lost.fail.atNs && it.endNs >= lastSixthNs }
 }
 
+/** The responses that ended early at undisturbed entry VMs although their targets were sound, SIGTERM or not. */
+internal fun CheckedRecords.cutResponses(): Int = lostRequests().count {
+    it.fail["status"] != "0" && it.arrivals.isNotEmpty() && hadSoundTarget(it) &&
+        !wasDisturbedUnplanned(it.entry, it.send.atNs, it.fail.atNs)
+}
+
 /** The requests lost on kept connections, if they are more than the rule allows. */
 internal fun CheckedRecords.lostOnKeptConnections(): List<SoakViolation> {
     val found = lostRequests().filter { lost ->
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -45,6 +45,9 @@
     /** A process has ended after SIGTERM, by itself or by the SIGKILL at the end of its grace period. */
     ENDED,
 
+    /** A target names a limit of its requests in a response. */
+    LIMITED,
+
     /** A target was told to mishandle a part of its requests; it runs and is reached all the same. */
     INJECTED,
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakRequest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRequest.kt
@@ -6,12 +6,16 @@
 
 import kotlin.random.Random
 
+internal const val STREAM = "stream"
+internal const val SAFE = "safe"
+internal const val SAFE_ATTEMPTS = 3
+internal const val UNSAFE_ATTEMPTS = 2
 internal const val PLAIN_DEADLINE_MS = 2_500
 internal const val STREAM_DEADLINE_MS = 12_000
 private const val SHORT_STREAM_EVENTS = 30
 private const val LONG_STREAM_EVENTS = 150
 private const val LONG_STREAM_ONE_IN = 4
-private const val LARGE_BODY_ONE_IN = 6
+private const val LARGE_BODY_ONE_IN = 4
 private const val MAX_SHORT_PAUSE_MS = 40L
 private const val MIN_LONG_PAUSE_MS = 200L
 private const val MAX_LONG_PAUSE_MS = 1_500L
@@ -35,6 +39,8 @@
 
     val deadlineMs: Int get() = if (isStream) STREAM_DEADLINE_MS else PLAIN_DEADLINE_MS
 
+    val maxAttempts: Int get() = if (kind == SAFE) SAFE_ATTEMPTS else UNSAFE_ATTEMPTS
+
     val service: String get() = if (isStream) ENGINE else PLAIN
 
     /** Returns the body of the complete response. */
@@ -42,8 +48,6 @@
         if (isStream) (1..eventCount).joinToString("") { "id: $it\ndata: $id\n\n" } else "body of $id"
 }
 
-internal const val STREAM = "stream"
-
 /** Creates a request of [kind] with a body and pauses drawn from [random]. */
 internal fun soakRequest(id: String, kind: String, random: Random): SoakRequest {
     val isStream = kind == STREAM
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -34,7 +34,14 @@
 
 /** The part of the runs that go on although their channel has closed, as 1 in this number. */
 private const val IGNORES_CLOSE_ONE_IN = 5
-private const val BACKLOG = 256
+
+/** So short that connections which are not accepted soon take long to open. */
+private const val BACKLOG = 8
+private const val MIN_STALL_MS = 600
+private const val MAX_STALL_MS = 1_500
+private const val STALL_END_MS = 100L
+private const val MIN_RETRY_AFTER_MS = 1_000
+private const val MAX_RETRY_AFTER_MS = 4_000
 private const val ERROR_DELAY_MS = 1_200L
 
 private const val MIN_SUSPENSION_MS = 500
@@ -42,7 +49,10 @@
 private const val SUSPENSION_STEP_MS = 40
 
 /** What a target does to a request besides running it; only streams wait before their first event or are preempted. */
-private enum class InjectedFault { NONE, REFUSE, FAIL, LOSE, DELAY, RESET, WAIT, PREEMPT }
+private enum class InjectedFault { NONE, REFUSE, PAUSE, FAIL, LOSE, DELAY, RESET, WAIT, PREEMPT, ACCEPT, LIMIT }
+
+/** Faults of a target that do not act on single requests. */
+private val faultsOfTarget = setOf(InjectedFault.ACCEPT, InjectedFault.LIMIT)
 
 /** Runs a target with `name=value` arguments. */
 public fun main(arguments: Array<String>) {
@@ -95,11 +105,19 @@
         socket.bind(InetSocketAddress(address.ip, address.port), BACKLOG)
         thread(isDaemon = true) { announce() }
         thread(isDaemon = true) { sendCopies() }
+        var stallMs = 0L
+        var stallEndNs = 0L
         while (true) {
+            if (nextInt(0, PERCENT) < PERCENT * (injected[InjectedFault.ACCEPT] ?: 0.0)) {
+                stallMs = nextInt(MIN_STALL_MS, MAX_STALL_MS).toLong()
+                Thread.sleep(stallMs)
+                stallEndNs = System.nanoTime()
+            }
             val channel = socket.accept()
+            val stalledMs = if (System.nanoTime() < stallEndNs + STALL_END_MS * NS_PER_MS) stallMs else 0
             thread(isDaemon = true) {
                 try {
-                    channel.use(::serve)
+                    channel.use { serve(it, stalledMs) }
                 } catch (e: IOException) {
                     // The caller has closed the channel; a run that this ends has been recorded.
                 }
@@ -154,7 +172,9 @@
         }
     }
 
-    private fun serve(channel: Socket) {
+    /** Serves [channel], whose first request may have waited for [stalledMs] until it was accepted. */
+    private fun serve(channel: Socket, stalledMs: Long) {
+        var acceptStallMs = stalledMs
         channel.tcpNoDelay = true
         val input = BufferedInputStream(channel.getInputStream())
         while (true) {
@@ -178,8 +198,12 @@
                 path == "/health" -> {
                     channel.write(if (isDraining) 503 else 200, "Fulmarshunt-Instance-Id: $id\r\n", "")
                 }
-                else -> if (!take(channel, input, message, path)) return
+                else -> {
+                    recordArrival(message, acceptStallMs)
+                    if (!take(channel, input, message, path)) return
+                }
             }
+            acceptStallMs = 0
         }
     }
 
@@ -201,27 +225,33 @@
     }
 
     private fun drawInjectedFault(): InjectedFault = synchronized(random) {
-        injected.entries.firstOrNull { random.nextDouble() < it.value }?.key ?: InjectedFault.NONE
+        injected.entries.firstOrNull { it.key !in faultsOfTarget && random.nextDouble() < it.value }?.key
+            ?: InjectedFault.NONE
     }
 
+    private fun isMisdirected(message: SoakMessage) =
+        message.headers["fulmarshunt-expect-instance"].let { it != null && it != id }
+
+    private fun recordArrival(message: SoakMessage, stalledMs: Long) = record.add(
+        SoakKind.ARRIVE,
+        "request" to message.headers["fulmarshunt-request-id"].orEmpty(),
+        "target" to id,
+        "zone" to zone,
+        "service" to service,
+        "misdirected" to isMisdirected(message),
+        "from" to message.headers["kv-from"].orEmpty(),
+        "last" to message.headers["last-event-id"].orEmpty(),
+        "bytes" to message.body.length,
+        "hash" to message.body.hashCode(),
+        "deadline_ms" to (message.headers["fulmarshunt-deadline-ms"] ?: "none"),
+        "stalled_ms" to stalledMs,
+    )
+
     /** Handles one request; returns whether the channel can be used again. */
     private fun take(channel: Socket, input: InputStream, message: SoakMessage, path: String): Boolean {
         val request = message.headers["fulmarshunt-request-id"].orEmpty()
-        val expected = message.headers["fulmarshunt-expect-instance"]
-        val isMisdirected = expected != null && expected != id
+        val isMisdirected = isMisdirected(message)
         val source = message.headers["kv-from"].orEmpty()
-        record.add(
-            SoakKind.ARRIVE,
-            "request" to request,
-            "target" to id,
-            "zone" to zone,
-            "service" to service,
-            "misdirected" to isMisdirected,
-            "from" to source,
-            "last" to message.headers["last-event-id"].orEmpty(),
-            "bytes" to message.body.length,
-            "hash" to message.body.hashCode(),
-        )
         val fault = drawInjectedFault()
         val key = source.substringAfter('/')
         val reason = when {
@@ -229,11 +259,20 @@
             source.isNotEmpty() && !copies.containsKey(key) -> "no_copy"
             source.isEmpty() && running.get() >= slots -> "full"
             fault == InjectedFault.REFUSE -> "injected"
+            fault == InjectedFault.PAUSE -> "paused"
             else -> null
         }
         if (reason != null) {
-            record.add(SoakKind.REFUSE, "request" to request, "target" to id, "reason" to reason)
-            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n"
+            val pauseMs = if (reason == "paused") nextInt(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) else null
+            record.add(
+                SoakKind.REFUSE,
+                "request" to request,
+                "target" to id,
+                "reason" to reason,
+                "retry_after_ms" to (pauseMs ?: ""),
+            )
+            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n" +
+                pauseMs?.let { "Retry-After: ${it / 1_000.0}\r\n" }.orEmpty()
             channel.write(if (isMisdirected) 421 else 503, headers, "")
             return true
         }
@@ -294,9 +333,13 @@
         }
     }
 
-    private fun headOf(run: Run) =
-        "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
-            "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
+    private fun headOf(run: Run): String {
+        val limit = injected[InjectedFault.LIMIT]?.takeIf { it > 0 }
+        if (limit != null) record.add(SoakKind.LIMITED, "request" to run.request, "target" to id, "limit" to limit)
+        return "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
+            "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n" +
+            limit?.let { "Server-Limit: $it\r\n" }.orEmpty()
+    }
 
     private fun streamHeadOf(run: Run) =
         "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -396,3 +439,4 @@
 }
 
 private const val OK = 200
+private const val PERCENT = 100
--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -62,13 +62,13 @@
                 val kind = when {
                     number >= plainCount -> STREAM
                     random.nextInt(3) == 0 -> "unsafe"
-                    else -> "safe"
+                    else -> SAFE
                 }
                 var entry = chooseEntry(isRetry = false)
                 for (attempt in 1..MAX_ATTEMPTS) {
                     if (attempt > 1) connections.remove(entry)?.close()
                     val status = attempt(entry, kind)
-                    val mayRetry = status in promises || kind == "safe" && (status == 0 || status >= 500)
+                    val mayRetry = status in promises || kind == SAFE && (status == 0 || status >= 500)
                     if (!mayRetry || isOver) break
                     Thread.sleep(random.nextLong(50, 300))
                     entry = chooseEntry(isRetry = true)
@@ -108,6 +108,7 @@
                 "bytes" to request.body.length,
                 "hash" to request.body.hashCode(),
                 "limit_ms" to request.deadlineMs,
+                "max_attempts" to request.maxAttempts,
             )
             val isWhole = send(connection, request)
             if (isWhole) site.record.add(SoakKind.SENT, "request" to request.id)
@@ -244,13 +245,13 @@
         """{"name":"$name","health_path":"/health","max_conns":110,"protocol":"h1","tls":false,""" +
             """"cold_start_s":0.0,"cold_per_s":0.0$more}"""
     val routes = listOf(
-        route("safe", PLAIN, plainTimeoutMs, """"max_attempts":3"""),
-        route("unsafe", PLAIN, plainTimeoutMs, """"max_attempts":2"""),
+        route(SAFE, PLAIN, plainTimeoutMs, """"max_attempts":$SAFE_ATTEMPTS"""),
+        route("unsafe", PLAIN, plainTimeoutMs, """"max_attempts":$UNSAFE_ATTEMPTS"""),
         route(
             STREAM,
             ENGINE,
             STREAM_DEADLINE_MS,
-            """"max_attempts":2,"sticky":true,"resumable":false,"gap_slo_ms":180""",
+            """"max_attempts":$UNSAFE_ATTEMPTS,"sticky":true,"resumable":false,"gap_slo_ms":180""",
         ),
     )
     val engine = ""","engine":{"slots":8,"kv_capacity":34330,"kv_token_bytes":131072,"link_mbps":19000.0,""" +
