Drop a condition of the LOST check that is always false

Cause: the compiler already knows that the termination is not null there, and warned of it. Change: the second condition is gone. Measured: 22 tests of SoakCheckTest passed, compiled without a warning.

--- a/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
@@ -61,7 +61,7 @@
         }
         val isExcused = termination == null || !wasRead(lost) || wasStillAtWork(lost, termination.atNs) ||
             wasDisturbedUnplanned(lost.entry, lost.send.atNs, lost.fail.atNs)
-        if (isExcused || termination == null) return@mapNotNull null
+        if (isExcused) return@mapNotNull null
         SoakViolation(SoakRule.LOST, lost.send["request"], evidence(lost, termination.atNs))
     }
 }
