--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -1,12 +1,15 @@
 /*
- * The seeded faults of a soak. Three series run side by side: one for control VMs, of which at most one is disturbed at
- * a time, one for entry VMs and one for targets. Each begins with the faults of issue 32 and goes on at random.
+ * The seeded faults of a soak. Several series run side by side: one for control VMs, of which at most one is disturbed
+ * at a time, one that disturbs entry VMs, one that stops them with SIGTERM, one for targets and one for configurations.
+ * The first ones begin with the faults of issue 32 and go on at random.
  */
 package fulmarshunt.soak
 
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
+import kotlin.concurrent.withLock
 import kotlin.random.Random
 
 /** The duration for which an evacuation is observed after the core is calm again. */
@@ -21,13 +24,16 @@
 private const val READY_LIMIT_NS = 8_000_000_000L
 private const val READY_POLL_MS = 100L
 
+/** A series of SIGTERM begins after this time, so that also a short run has one while the VMs are otherwise calm. */
+private const val FIRST_STOP_MS = 16_000L
+
 /** Every other fault of targets drains an engine, so that runs continue elsewhere in each soak. */
 private const val DRAIN_PERIOD = 2
 private const val DRAIN_STEP = 1
 private const val DRAIN_FAULT = 3
-private const val PAUSE_STEP = 2
-private const val PAUSE_FAULT = 6
-private const val KINDS_OF_TARGET_FAULTS = 7
+
+/** During a series of SIGTERM, an engine leaves for each of this many, so that runs move while their VM stops. */
+private const val STOPS_PER_RELEASE = 3
 
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
@@ -35,15 +41,20 @@
     private val operator: SoakOperator,
     private val seed: Long,
     durationMs: Long,
+    private val namesLimits: Boolean,
 ) {
     private val endNs = System.nanoTime() + durationMs * 1_000_000
     private val count = AtomicInteger()
 
+    /** Held while an entry VM is disturbed, so that only one series acts on it. */
+    private val entryLocks = List(site.entryCount) { ReentrantLock() }
+
     private fun isOver() = System.nanoTime() > endNs
 
     fun run(): Int {
         val failures = ConcurrentLinkedQueue<Throwable>()
-        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate)
+        val bodies = listOf(::disturbControls, ::disturbEntries, ::disturbTargets, ::operate, ::stopEntries) +
+            if (namesLimits) listOf(::limitTargets) else emptyList()
         val series = bodies.mapIndexed { index, body ->
             thread(isDaemon = true) { runCatching { body(Random(seed * 10 + index)) }.onFailure(failures::add) }
         }
@@ -110,17 +121,11 @@
             val number = random.nextInt(site.entryCount)
             when (if (isFirst) 0 else random.nextInt(5)) {
                 0 -> killEntriesRepeatedly(random)
-                1, 2 -> site.pause("entry-$number", random.nextLong(1_000, 6_000))
-                3 -> {
+                1, 2 -> entryLocks[number].withLock { site.pause("entry-$number", random.nextLong(1_000, 6_000)) }
+                else -> entryLocks[number].withLock {
                     site.kill("entry-$number")
                     site.startEntry(number)
                 }
-                else -> (0 until site.entryCount).forEach {
-                    if (!isOver()) {
-                        site.terminate("entry-$it")
-                        site.startEntry(it)
-                    }
-                }
             }
             count.incrementAndGet()
             isFirst = false
@@ -134,12 +139,53 @@
      */
     private fun killEntriesRepeatedly(random: Random) {
         val killed = (0 until site.entryCount).shuffled(random).drop(if (random.nextInt(3) == 0) 1 else 0)
-        repeat(KILLS_OF_ENTRIES) {
-            killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
-            killed.forEach(site::startEntry)
-            val limitNs = System.nanoTime() + READY_LIMIT_NS
-            while (System.nanoTime() < limitNs && !killed.all(site::isReady)) Thread.sleep(READY_POLL_MS)
-            rest(SERVED_BETWEEN_KILLS_MS)
+        val locks = killed.sorted().map(entryLocks::get)
+        locks.forEach { it.lock() }
+        try {
+            repeat(KILLS_OF_ENTRIES) {
+                killed.map { thread { site.kill("entry-$it") } }.forEach { it.join() }
+                killed.forEach(site::startEntry)
+                val limitNs = System.nanoTime() + READY_LIMIT_NS
+                while (System.nanoTime() < limitNs && !killed.all(site::isReady)) Thread.sleep(READY_POLL_MS)
+                rest(SERVED_BETWEEN_KILLS_MS)
+            }
+        } finally {
+            locks.forEach { it.unlock() }
+        }
+    }
+
+    /** Stops entry VMs one after another, at times before the former has ended, beside a fault of the engines. */
+    private fun stopEntries(random: Random) {
+        rest(FIRST_STOP_MS)
+        while (!isOver()) {
+            val companion = random.nextInt(4)
+            val engines = site.targets.values.filter { it.service == ENGINE }.sortedBy { it.id }
+            val fault = if (companion == 0) "WAIT" else "PREEMPT"
+            if (companion <= 1) engines.forEach { site.setInjectedFault(it, fault, 0.4) }
+            val stops = (0 until site.entryCount).shuffled(random).mapIndexed { index, number ->
+                if (index % STOPS_PER_RELEASE == 0) replaceEngine(engines.random(random))
+                val stop = thread(isDaemon = true) { if (!isOver()) stopEntry(number) }
+                rest(random.nextLong(200, 4_000))
+                stop
+            }
+            if (companion == 3) operator.configure(limitMs = 3_000)
+            stops.forEach { it.join() }
+            if (companion <= 1) engines.forEach { site.setInjectedFault(it, fault, 0.0) }
+            count.incrementAndGet()
+            rest(random.nextLong(2_000, 5_000))
+        }
+    }
+
+    private fun stopEntry(number: Int) = entryLocks[number].withLock {
+        site.terminate("entry-$number")
+        site.startEntry(number)
+    }
+
+    private fun replaceEngine(engine: TargetNode) {
+        site.startTarget(engine.service, engine.zone)
+        thread(isDaemon = true) {
+            rest(3_000)
+            site.drain(engine)
         }
     }
 
@@ -151,9 +197,8 @@
             val target = candidates.sortedBy { it.id }.random(random)
             val kind = when {
                 step == 0 -> 0
-                step == PAUSE_STEP -> PAUSE_FAULT
                 isDrain -> DRAIN_FAULT
-                else -> random.nextInt(KINDS_OF_TARGET_FAULTS)
+                else -> random.nextInt(8)
             }
             when (kind) {
                 0 -> inject(site.targets.values.filter { it.service == PLAIN }, "REFUSE", 0.9, 14_000)
@@ -168,8 +213,8 @@
                     rest(3_000)
                     site.drain(target)
                 }
-                PAUSE_FAULT -> inject(site.targets.values.toList(), "PAUSE", 0.4, 8_000)
                 4 -> inject(listOf(target), listOf("LOSE", "DELAY", "RESET").random(random), 0.3, 3_000)
+                6, 7 -> pauseRequests(target, random)
                 else -> inject(site.targets.values.toList(), listOf("REFUSE", "FAIL").random(random), 0.5, 5_000)
             }
             count.incrementAndGet()
@@ -178,6 +223,27 @@
         }
     }
 
+    /** Lets [target] ask for pauses, half of the time while it is slow to accept connections. */
+    private fun pauseRequests(target: TargetNode, random: Random) {
+        val isSlow = random.nextBoolean()
+        if (isSlow) site.setInjectedFault(target, "ACCEPT", 0.3)
+        inject(listOf(target), "PAUSE", 0.2, 6_000)
+        if (isSlow) site.setInjectedFault(target, "ACCEPT", 0.0)
+    }
+
+    /** Lets targets name limits of their requests, one or two at a time. */
+    private fun limitTargets(random: Random) {
+        while (!isOver()) {
+            rest(random.nextLong(2_000, 4_000))
+            val targets = site.targets.values.filter { it.service == PLAIN }.sortedBy { it.id }.shuffled(random)
+                .take(random.nextInt(1, 3))
+            targets.forEach { site.setInjectedFault(it, "LIMIT", random.nextInt(4, 16) / 2.0) }
+            rest(random.nextLong(9_000, 14_000))
+            targets.forEach { site.setInjectedFault(it, "LIMIT", 0.0) }
+            count.incrementAndGet()
+        }
+    }
+
     private fun inject(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
         targets.forEach { site.setInjectedFault(it, name, probability) }
         rest(durationMs)
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -29,21 +29,30 @@
 private const val MIN_PAUSE_MS = 20
 private const val MAX_PAUSE_MS = 60
 private const val MAX_WORK_MS = 120
-private const val TOKENS_PER_EVENT = 4
+internal const val TOKENS_PER_EVENT = 4
 private const val DRAIN_MS = 3_000L
 
 /** The part of the runs that go on although their channel has closed, as 1 in this number. */
 private const val IGNORES_CLOSE_ONE_IN = 5
-private const val BACKLOG = 256
+
+/** So short that connections which are not accepted soon take long to open. */
+private const val BACKLOG = 8
+private const val MIN_STALL_MS = 600
+private const val MAX_STALL_MS = 1_500
+private const val STALL_END_MS = 100L
+private const val MIN_RETRY_AFTER_MS = 1_000
+private const val MAX_RETRY_AFTER_MS = 4_000
 private const val ERROR_DELAY_MS = 1_200L
 
-/** How long a target that asks for a pause wants no requests, and up to which time a request waits for its refusal. */
-private const val MIN_ASKED_PAUSE_MS = 700
-private const val MAX_ASKED_PAUSE_MS = 3_000
-private const val MAX_QUEUE_MS = 1_800
+private const val MIN_SUSPENSION_MS = 500
+private const val MAX_SUSPENSION_MS = 3_500
+private const val SUSPENSION_STEP_MS = 40
+
+/** What a target does to a request besides running it; only streams wait before their first event or are preempted. */
+private enum class InjectedFault { NONE, REFUSE, PAUSE, FAIL, LOSE, DELAY, RESET, WAIT, PREEMPT, ACCEPT, LIMIT }
 
-/** What a target does to a request besides running it. */
-private enum class InjectedFault { NONE, REFUSE, PAUSE, FAIL, LOSE, DELAY, RESET }
+/** Faults of a target that do not act on single requests. */
+private val faultsOfTarget = setOf(InjectedFault.ACCEPT, InjectedFault.LIMIT)
 
 /** Runs a target with `name=value` arguments. */
 public fun main(arguments: Array<String>) {
@@ -63,6 +72,9 @@
 private class Run(val request: String, val backup: SoakAddress?) {
     val made = AtomicInteger()
     val isStopped = ConcurrentHashMap.newKeySet<String>()
+
+    /** Whether the head of the response has been sent. */
+    var hasHead = false
 }
 
 private class SoakTarget(
@@ -93,11 +105,19 @@
         socket.bind(InetSocketAddress(address.ip, address.port), BACKLOG)
         thread(isDaemon = true) { announce() }
         thread(isDaemon = true) { sendCopies() }
+        var stallMs = 0L
+        var stallEndNs = 0L
         while (true) {
+            if (nextInt(0, PERCENT) < PERCENT * (injected[InjectedFault.ACCEPT] ?: 0.0)) {
+                stallMs = nextInt(MIN_STALL_MS, MAX_STALL_MS).toLong()
+                Thread.sleep(stallMs)
+                stallEndNs = System.nanoTime()
+            }
             val channel = socket.accept()
+            val stalledMs = if (System.nanoTime() < stallEndNs + STALL_END_MS * NS_PER_MS) stallMs else 0
             thread(isDaemon = true) {
                 try {
-                    channel.use(::serve)
+                    channel.use { serve(it, stalledMs) }
                 } catch (e: IOException) {
                     // The caller has closed the channel; a run that this ends has been recorded.
                 }
@@ -152,7 +172,9 @@
         }
     }
 
-    private fun serve(channel: Socket) {
+    /** Serves [channel], whose first request may have waited for [stalledMs] until it was accepted. */
+    private fun serve(channel: Socket, stalledMs: Long) {
+        var acceptStallMs = stalledMs
         channel.tcpNoDelay = true
         val input = BufferedInputStream(channel.getInputStream())
         while (true) {
@@ -176,8 +198,12 @@
                 path == "/health" -> {
                     channel.write(if (isDraining) 503 else 200, "Fulmarshunt-Instance-Id: $id\r\n", "")
                 }
-                else -> if (!take(channel, input, message, path)) return
+                else -> {
+                    recordArrival(message, acceptStallMs)
+                    if (!take(channel, input, message, path)) return
+                }
             }
+            acceptStallMs = 0
         }
     }
 
@@ -199,56 +225,68 @@
     }
 
     private fun drawInjectedFault(): InjectedFault = synchronized(random) {
-        injected.entries.firstOrNull { random.nextDouble() < it.value }?.key ?: InjectedFault.NONE
+        injected.entries.firstOrNull { it.key !in faultsOfTarget && random.nextDouble() < it.value }?.key
+            ?: InjectedFault.NONE
     }
 
+    private fun isMisdirected(message: SoakMessage) =
+        message.headers["fulmarshunt-expect-instance"].let { it != null && it != id }
+
+    private fun recordArrival(message: SoakMessage, stalledMs: Long) = record.add(
+        SoakKind.ARRIVE,
+        "request" to message.headers["fulmarshunt-request-id"].orEmpty(),
+        "target" to id,
+        "zone" to zone,
+        "service" to service,
+        "misdirected" to isMisdirected(message),
+        "from" to message.headers["kv-from"].orEmpty(),
+        "last" to message.headers["last-event-id"].orEmpty(),
+        "bytes" to message.body.length,
+        "hash" to message.body.hashCode(),
+        "deadline_ms" to (message.headers["fulmarshunt-deadline-ms"] ?: "none"),
+        "stalled_ms" to stalledMs,
+    )
+
     /** Handles one request; returns whether the channel can be used again. */
     private fun take(channel: Socket, input: InputStream, message: SoakMessage, path: String): Boolean {
         val request = message.headers["fulmarshunt-request-id"].orEmpty()
-        val expected = message.headers["fulmarshunt-expect-instance"]
-        val isMisdirected = expected != null && expected != id
+        val isMisdirected = isMisdirected(message)
         val source = message.headers["kv-from"].orEmpty()
-        record.add(
-            SoakKind.ARRIVE,
-            "request" to request,
-            "target" to id,
-            "zone" to zone,
-            "service" to service,
-            "misdirected" to isMisdirected,
-            "from" to source,
-            "last" to message.headers["last-event-id"].orEmpty(),
-        )
         val fault = drawInjectedFault()
         val key = source.substringAfter('/')
         val reason = when {
             isMisdirected -> "misdirected"
             source.isNotEmpty() && !copies.containsKey(key) -> "no_copy"
             source.isEmpty() && running.get() >= slots -> "full"
-            fault == InjectedFault.REFUSE || fault == InjectedFault.PAUSE -> "injected"
+            fault == InjectedFault.REFUSE -> "injected"
+            fault == InjectedFault.PAUSE -> "paused"
             else -> null
         }
         if (reason != null) {
-            val pauseMs = if (reason == "injected") askedPauseMsOrNull(fault) else null
-            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n" +
-                pauseMs?.let { "Retry-After: ${it / MS_PER_S}\r\n" }.orEmpty()
-            channel.write(if (isMisdirected) 421 else 503, headers, "")
+            val pauseMs = if (reason == "paused") nextInt(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) else null
             record.add(
                 SoakKind.REFUSE,
                 "request" to request,
                 "target" to id,
                 "reason" to reason,
-                "pause_ms" to pauseMs.toString(),
+                "retry_after_ms" to (pauseMs ?: ""),
             )
+            val headers = "Fulmarshunt-Request-Id: $request\r\nFulmarshunt-Not-Run: 1\r\n" +
+                pauseMs?.let { "Retry-After: ${it / 1_000.0}\r\n" }.orEmpty()
+            channel.write(if (isMisdirected) 421 else 503, headers, "")
             return true
         }
         if (key.startsWith("h-")) copies -= key
         val run = Run(request, message.headers["fulmarshunt-kv-backup"]?.let(::soakAddress))
         runs[request] = run
         running.incrementAndGet()
-        record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
         var reasonOfEnd = "closed"
         try {
-            reasonOfEnd = work(channel, input, message, path, run, fault)
+            val reasonOfLeave = if (fault == InjectedFault.WAIT) await(channel, input, path, run) else null
+            if (reasonOfLeave == null) {
+                record.add(SoakKind.BEGIN, "request" to request, "target" to id, "from" to source)
+            }
+            reasonOfEnd = reasonOfLeave ?: work(channel, input, message, path, run, fault)
         } finally {
             runs.remove(request, run)
             running.decrementAndGet()
@@ -257,11 +295,23 @@
         return reasonOfEnd == "done"
     }
 
-    /** Returns for how long a refusal asks for a pause; every other one comes after a wait in the queue. */
-    private fun askedPauseMsOrNull(fault: InjectedFault): Int? {
-        if (fault != InjectedFault.PAUSE) return null
-        if (nextInt(0, 2) == 0) Thread.sleep(nextInt(0, MAX_QUEUE_MS).toLong())
-        return nextInt(MIN_ASKED_PAUSE_MS, MAX_ASKED_PAUSE_MS)
+    /** Lets a stream wait before it runs; returns why it left, or null. The head of half of them is sent at once. */
+    private fun await(channel: Socket, input: InputStream, path: String, run: Run): String? {
+        if (!path.startsWith("/$STREAM/")) return null
+        if (nextInt(0, 2) == 0) {
+            run.hasHead = true
+            channel.getOutputStream().write(streamHeadOf(run).encodeToByteArray())
+        }
+        return suspendOrNull(channel, input, run, false)
+    }
+
+    /** Lets a run stand still; returns how it ended meanwhile, or null. */
+    private fun suspendOrNull(channel: Socket, input: InputStream, run: Run, ignoresClose: Boolean): String? {
+        repeat(nextInt(MIN_SUSPENSION_MS, MAX_SUSPENSION_MS) / SUSPENSION_STEP_MS) {
+            if ("stopped" in run.isStopped) return "stopped"
+            if (!pause(channel, input, SUSPENSION_STEP_MS, ignoresClose)) return "closed"
+        }
+        return null
     }
 
     /** Runs a request and returns how the run ended. */
@@ -274,7 +324,7 @@
         fault: InjectedFault,
     ): String {
         val ignoresClose = run.request.hashCode().mod(IGNORES_CLOSE_ONE_IN) == 0
-        val isStream = path.startsWith("/stream/") && fault != InjectedFault.FAIL
+        val isStream = path.startsWith("/$STREAM/") && fault != InjectedFault.FAIL
         if (fault == InjectedFault.DELAY) Thread.sleep(ERROR_DELAY_MS)
         return if (isStream) {
             stream(channel, input, message, run, fault, ignoresClose)
@@ -283,9 +333,16 @@
         }
     }
 
-    private fun headOf(run: Run) =
-        "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
-            "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n"
+    private fun headOf(run: Run): String {
+        val limit = injected[InjectedFault.LIMIT]?.takeIf { it > 0 }
+        if (limit != null) record.add(SoakKind.LIMITED, "request" to run.request, "target" to id, "limit" to limit)
+        return "Fulmarshunt-Request-Id: ${run.request}\r\nFulmarshunt-Server-Stamp: $id.${run.request}\r\n" +
+            "Fulmarshunt-Server-Load: ${running.get()},0,$slots\r\n" +
+            limit?.let { "Server-Limit: $it\r\n" }.orEmpty()
+    }
+
+    private fun streamHeadOf(run: Run) =
+        "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
     private fun answer(
         channel: Socket,
@@ -310,15 +367,14 @@
         fault: InjectedFault,
         ignoresClose: Boolean,
     ): String {
-        val head = "HTTP/1.1 200 OK\r\n${headOf(run)}Content-Type: text/event-stream\r\n" +
-            "Transfer-Encoding: chunked\r\n\r\n"
         val output = channel.getOutputStream()
         val tokens = message.headers.getValue("fulmarshunt-token-counts").substringAfter(',').toInt()
         val count = tokens / TOKENS_PER_EVENT
         val first = (message.headers["last-event-id"]?.toInt() ?: 0) + 1
         val isCut = fault == InjectedFault.LOSE || fault == InjectedFault.RESET
         val cutAt = if (isCut) first + nextInt(0, count) else Int.MAX_VALUE
-        var isOpen = send(true, ignoresClose) { output.write(head.encodeToByteArray()) }
+        val preemptedAt = if (fault == InjectedFault.PREEMPT) first + nextInt(0, count) else Int.MAX_VALUE
+        var isOpen = run.hasHead || send(true, ignoresClose) { output.write(streamHeadOf(run).encodeToByteArray()) }
         for (number in first..count) {
             if ("stopped" in run.isStopped) return "stopped"
             if (number == cutAt) {
@@ -328,6 +384,7 @@
                 channel.close()
                 isOpen = false
             }
+            if (number == preemptedAt) suspendOrNull(channel, input, run, ignoresClose)?.let { return it }
             val event = "id: $number\ndata: ${run.request}\n\n"
             run.made.set(number)
             isOpen = send(isOpen, ignoresClose) {
@@ -382,4 +439,4 @@
 }
 
 private const val OK = 200
-private const val MS_PER_S = 1_000.0
+private const val PERCENT = 100
