--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -60,6 +60,12 @@
 /** The maximum number of copies. If none is quick, the target may end first; the run continues from what was copied. */
 private const val MAX_COPIES = 20
 
+/**
+ * How long after its notice a leaving target may get the request again to continue there. Targets serve on for 2 s
+ * or more after their notice was acknowledged, which other VMs may have heard earlier.
+ */
+private const val STAY_LIMIT_MS = 1_000L
+
 /** How long the source may take to end the stream after the run was stopped. */
 private const val STOPPED_STREAM_LIMIT_MS = 500L
 
@@ -100,6 +106,7 @@
     private val canBeContinued = job.request.body.isRepeatable
 
     private var isLeaving = false
+    private var leavingSinceMs = 0L
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
     private var migration: MigrationState = MigrationState.NONE
@@ -250,7 +257,7 @@
         val completeEvents = framer.appendOrNull(content.content())
         if (framer.events > eventsBefore) recordEvents(isFirst = eventsBefore == 0L)
         if (completeEvents != null) {
-            caller.send(DefaultHttpContent(completeEvents))
+            caller.send(DefaultHttpContent(completeEvents), hasEvent = events > 0)
         }
         if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
             log.warn(
@@ -265,7 +272,7 @@
             return continueOrEnd(scope)
         }
         if (!isLast) return null
-        caller.send(LastHttpContent.EMPTY_LAST_CONTENT)
+        caller.send(LastHttpContent.EMPTY_LAST_CONTENT, hasEvent = events > 0)
         current.response.finish()
         return true
     }
@@ -393,7 +400,7 @@
             } else {
                 sendContinuation(placement, resume.copy(lastEventId = framer.lastEventId), how, why)
             }
-        if (hasContinued || sourceHandle == null) return hasContinued
+        if (hasContinued || sourceHandle == null || !mayStay()) return hasContinued
         return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
     }
 
@@ -473,15 +480,17 @@
                 if (!sendContinuation(placement, resume, "move", "leaving")) {
                     abandonMigration("the destination did not continue")
                     // Another migration would end in the same way, and each one takes from the budget of repeats.
-                    if (continueAt(current.placement, resume, "stay", "move refused")) {
+                    if (mayStay() && continueAt(current.placement, resume, "stay", "move refused")) {
                         migration = MigrationState.GIVEN_UP
+                    } else {
+                        current.response.abandon()
                     }
                 }
             }
             is Either.Left -> {
                 val handle = (result.value as? MoveFailure.Stopped)?.handle
                 abandonMigration("last copy failed: ${result.value}")
-                if (handle != null && !dependencies.views.value.isDrained(current.placement)) {
+                if (handle != null && mayStay() && !dependencies.views.value.isDrained(current.placement)) {
                     isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
@@ -493,12 +502,16 @@
         }
     }
 
+    /** Whether the run, once stopped, may continue at its current target. */
+    private fun mayStay(): Boolean =
+        !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
+
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
             while (!framer.isEventTooLong) {
                 val piece = current.response.nextPieceOrNull() ?: break
-                framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it)) }
+                framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it), hasEvent = events > 0) }
             }
         }
     }
@@ -543,16 +556,16 @@
         val copy = if (placement !== current.placement) dependencies.placements.placeCopy(placement) else null
         val dispatch = dispatchOf(job, placement.target, copy?.target, resume, dependencies.clock.nowMs())
         val former = current.response
+        var handover: Job? = null
         val result =
             withTimeoutOrNull(CONTINUE_LIMIT_MS) {
                 coroutineScope {
-                    var handover: Job? = null
                     dependencies.calls.open(job, placement.target, dispatch, this) {
-                        handover = launch {
+                        handover = dependencies.background.launch {
                             delay(HANDOVER_MS)
                             former.abandon()
                         }
-                    }.also { handover?.cancel() }
+                    }
                 }
             }
         val response = result?.getOrNull()
@@ -575,8 +588,11 @@
                 mayRunElsewhere = true
                 current.response.abandon()
             }
+            // Until it is known that the new target has no run, the time limit of the handover goes on.
+            handover?.cancel()
             return false
         }
+        handover?.cancel()
         current.response.abandon()
         if (placement !== current.placement) dependencies.placements.end(current.placement, UseOutcome.ABANDONED)
         current.copy?.takeIf { it !== placement }?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
@@ -600,6 +616,7 @@
             view.targets[target.id]?.let { it.record.phase != TargetPhase.READY } ?: true
         }
         isLeaving = true
+        leavingSinceMs = dependencies.clock.nowMs()
         log.info("target leaves request={} target={} lastId={}", job.id, target.id, framer.lastEventId)
         current.response.connection.wake()
     }
