End a soak run in which a client thread has failed

The run went on with fewer clients and reported success.

Change: the set is copied with one call, and a failure of a client ends the run with an error.

--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -7,6 +7,7 @@
 import java.io.IOException
 import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
@@ -23,6 +24,7 @@
 /** The clients of a run; [close] ends them. */
 internal class SoakClients(private val site: SoakDeployment, private val seed: Long) : AutoCloseable {
     private val requests = AtomicInteger()
+    private val failures = ConcurrentLinkedQueue<Throwable>()
     private val ready = ConcurrentHashMap.newKeySet<Int>()
     private val plainCount = maxOf(MIN_PLAIN_CLIENTS, site.entryCount)
     private val streamCount = maxOf(MIN_STREAM_CLIENTS, site.entryCount / 2)
@@ -31,7 +33,7 @@
     private var isOver = false
 
     private val threads =
-        (0 until plainCount + streamCount).map { thread(isDaemon = true) { Client(it).run() } } +
+        (0 until plainCount + streamCount).map { startClient(it) } +
             (0 until site.entryCount).map { thread(isDaemon = true) { probe(it) } }
 
     /** Asks for readiness once a second; a second miss takes the entry VM out. */
@@ -48,8 +50,12 @@
     override fun close() {
         isOver = true
         threads.forEach { it.join(STREAM_DEADLINE_MS.toLong()) }
+        failures.peek()?.let { throw IllegalStateException("a client ended early", it) }
     }
 
+    private fun startClient(number: Int) =
+        thread(isDaemon = true) { runCatching { Client(number).run() }.onFailure(failures::add) }
+
     private inner class Client(private val number: Int) {
         private val random = Random(seed * 1_000 + number)
         private val connections = HashMap<Int, SoakConnection>()
@@ -79,7 +85,8 @@
         }
 
         private fun chooseEntry(isRetry: Boolean): Int {
-            val choices = ready.toList().ifEmpty { (0 until site.entryCount).toList() }
+            // Copied at once: toList reads the size first, and the set may shrink in between.
+            val choices = ArrayList(ready).ifEmpty { (0 until site.entryCount).toList() }
             val home = number % site.entryCount
             if (isClinging && !isRetry) return home
             // An open connection stays with its entry VM, whether that one is ready or not.
