Accept no connections once requests without a response are given up

The listening socket stayed open to the end, while the shutdown went on serving and new callers kept it from finding a moment without work. The new test connects after such a response, while another stream goes on; it was not run on the code before the change.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CallerShutdown.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CallerShutdown.kt
@@ -45,6 +45,7 @@
         plannedStop.begin(nowMs + answerMs, nowMs + BALANCER_REMOVAL_MS)
         val deadline = launch {
             delay(answerMs)
+            closeListener(listener)
             plannedStop.giveUpRequests()
         }
         withTimeoutOrNull(answerMs + LAST_RESPONSES_MS) {
@@ -56,6 +57,12 @@
         // Runs without a suspension after the last check, so that no request is read in between.
         listener.close()
         callers.close()
+        closeListener(listener)
+    }
+
+    /** Closes [listener], so that callers connect to other VMs; their last requests here could not be answered. */
+    private suspend fun closeListener(listener: Channel) {
+        listener.close()
         // The selector releases the listening socket when it next selects, which it does before a delay ends.
         delay(1)
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -503,8 +503,7 @@
     }
 
     /** Whether the run, once stopped, may continue at its current target. */
-    private fun mayStay(): Boolean =
-        !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
+    private fun mayStay(): Boolean = !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
 
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
@@ -268,6 +268,33 @@
         }
     }
 
+    /** Guards against callers that connect in the last moments of a process, which ends before it answers them. */
+    @Test
+    fun `no connection is accepted once requests are given up`() {
+        val target = ScriptedTarget("a") {
+            startStream()
+            if (request.header("id") == "running") event(1)
+            Thread.sleep(HELD_MS)
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.connect().use { running ->
+                    relay.connect().use { waiting ->
+                        for ((socket, id) in listOf(running to "running", waiting to "waiting")) {
+                            val text = requestText("/stream/x", "", "tokens: 10").replace("id: r1", "id: $id")
+                            socket.getOutputStream().write(text.encodeToByteArray())
+                        }
+                        val stop = thread { relay.shutDown(GRACE_MS) }
+                        val response = BufferedInputStream(waiting.getInputStream()).readMessageOrNull()
+                        expectThat(response?.startLine).isNotNull().contains(" 502 ")
+                        expectCatching { relay.connect().close() }.isFailure()
+                        stop.join()
+                    }
+                }
+            }
+        }
+    }
+
     /** Guards against a request without a response because its body arrived while the process gave requests up. */
     @Test
     fun `a request whose body arrives slowly is answered before the process ends`() {
@@ -337,6 +364,9 @@
         /** The requests that one plain target of the fixture may get at the same time. */
         const val FULL_TARGET_REQUESTS = 16
         const val HELD_MS = 5_000L
+
+        /** Longer than the time until the load balancer has removed the VM, and shorter than [HELD_MS]. */
+        const val GRACE_MS = 4_000L
         const val PAUSE_MS = 200L
         const val LONG_BODY_BYTES = 16 * 1_024 * 1_024
         const val PIECE_BYTES = 65_536
