--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -107,6 +107,10 @@
 
     private var isLeaving = false
     private var leavingSinceMs = 0L
+
+    /** Whether the run, once stopped, may continue at its current target. */
+    private val mayStay: Boolean
+        get() = !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
     private var migration: MigrationState = MigrationState.NONE
@@ -400,7 +404,7 @@
             } else {
                 sendContinuation(placement, resume.copy(lastEventId = framer.lastEventId), how, why)
             }
-        if (hasContinued || sourceHandle == null || !mayStay()) return hasContinued
+        if (hasContinued || sourceHandle == null || !mayStay) return hasContinued
         return continueAt(source.placement, ResumePoint(address, sourceHandle, framer.lastEventId), "stay", why)
     }
 
@@ -480,7 +484,7 @@
                 if (!sendContinuation(placement, resume, "move", "leaving")) {
                     abandonMigration("the destination did not continue")
                     // Another migration would end in the same way, and each one takes from the budget of repeats.
-                    if (mayStay() && continueAt(current.placement, resume, "stay", "move refused")) {
+                    if (mayStay && continueAt(current.placement, resume, "stay", "move refused")) {
                         migration = MigrationState.GIVEN_UP
                     } else {
                         current.response.abandon()
@@ -490,7 +494,7 @@
             is Either.Left -> {
                 val handle = (result.value as? MoveFailure.Stopped)?.handle
                 abandonMigration("last copy failed: ${result.value}")
-                if (handle != null && mayStay() && !dependencies.views.value.isDrained(current.placement)) {
+                if (handle != null && mayStay && !dependencies.views.value.isDrained(current.placement)) {
                     isFormerStopped = true
                     forwardRemainingEvents()
                     val resume = ResumePoint(source, handle, framer.lastEventId)
@@ -502,9 +506,6 @@
         }
     }
 
-    /** Whether the run, once stopped, may continue at its current target. */
-    private fun mayStay(): Boolean = !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
-
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
--- a/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
@@ -278,19 +278,18 @@
         }
         target.use {
             RelayFixture(target).use { relay ->
-                relay.connect().use { running ->
-                    relay.connect().use { waiting ->
-                        for ((socket, id) in listOf(running to "running", waiting to "waiting")) {
-                            val text = requestText("/stream/x", "", "tokens: 10").replace("id: r1", "id: $id")
-                            socket.getOutputStream().write(text.encodeToByteArray())
-                        }
-                        val stop = thread { relay.shutDown(GRACE_MS) }
-                        val response = BufferedInputStream(waiting.getInputStream()).readMessageOrNull()
-                        expectThat(response?.startLine).isNotNull().contains(" 502 ")
-                        expectCatching { relay.connect().close() }.isFailure()
-                        stop.join()
+                val (running, waiting) = listOf("running", "waiting").map { id ->
+                    relay.connect().also { socket ->
+                        val text = requestText("/stream/x", "", "tokens: 10").replace("id: r1", "id: $id")
+                        socket.getOutputStream().write(text.encodeToByteArray())
                     }
                 }
+                val stop = thread { relay.shutDown(GRACE_MS) }
+                val response = BufferedInputStream(waiting.getInputStream()).readMessageOrNull()
+                expectThat(response?.startLine).isNotNull().contains(" 502 ")
+                expectCatching { relay.connect().close() }.isFailure()
+                stop.join()
+                listOf(running, waiting).forEach { it.close() }
             }
         }
     }
