Lift the limit of a target only by a success without one

Each refusal lifted it for all entry VMs, and the next success set it again, nine times in 4 s.

A refusal or a failure can come from another place of a target than its successes and proves no end of its need. The new test of TargetNoticesTest has a refusal and a failure without a limit.

The one of connections began the stop before its requests had reached their target.

--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetNotices.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetNotices.kt
@@ -28,9 +28,11 @@
         if (pauseMs != null && pauseMs > 0) {
             dependencies.control.scope.launch { dependencies.fleet.recordPause(target, pauseMs) }
         }
-        receiveLimit(target, metadata.limitPerS, sentAtMs)
+        val isServed = head.status().codeClass() == HttpStatusClass.SUCCESS
+        if (metadata.limitPerS != null || isServed) receiveLimit(target, metadata.limitPerS, sentAtMs)
     }
 
+    /** Receives the limit that a response named; one without a limit lifts it, unless it is a refusal or a failure. */
     private fun receiveLimit(target: KnownTarget, limitPerS: Double?, sentAtMs: Long) {
         if (limitPerS == null && target.instance !in dependencies.views.value.limited) return
         // A response without a limit may have begun before a later one named it.
--- a/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CallerShutdownTest.kt
@@ -271,8 +271,10 @@
     /** Guards against callers that connect in the last moments of a process, which ends before it answers them. */
     @Test
     fun `no connection is accepted once requests are given up`() {
+        val haveBegun = CountDownLatch(2)
         val target = ScriptedTarget("a") {
             startStream()
+            haveBegun.countDown()
             if (request.header("id") == "running") event(1)
             Thread.sleep(HELD_MS)
         }
@@ -284,6 +286,7 @@
                         socket.getOutputStream().write(text.encodeToByteArray())
                     }
                 }
+                haveBegun.await()
                 val stop = thread { relay.shutDown(GRACE_MS) }
                 val response = BufferedInputStream(waiting.getInputStream()).readMessageOrNull()
                 expectThat(response?.startLine).isNotNull().contains(" 502 ")
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -239,6 +239,9 @@
     /** The number of requests that are being served. */
     val active: Int get() = onTraffic { callers.active }
 
+    /** The targets that name a limit. */
+    fun limited() = fleet.view.limited
+
     /** The placements that the fleet has granted. */
     fun use() = runBlocking { control.run { fleet.use() } }
 
--- a/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
@@ -20,6 +20,9 @@
 private const val EVENT_PERIOD_MS = 50L
 private const val MS_PER_S = 1_000.0
 
+/** Longer than the time between two turns at a target that takes one request a second. */
+private const val TURN_MS = 1_400L
+
 class TargetNoticesTest {
     private fun eventually(condition: () -> Boolean) {
         val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS)
@@ -98,6 +101,34 @@
         }
     }
 
+    /** Guards against a target in need that gets all requests again because it refuses one, or fails it. */
+    @Test
+    fun `only a success without a limit lifts the limit of a target`() {
+        val target = ScriptedTarget("a") {
+            when (number) {
+                1 -> respond("200 OK", "a", "limit: 1.0")
+                2 -> respond("503 Service Unavailable", "", "not-run: 1")
+                3 -> respond("500 Internal Server Error", "")
+                else -> respond("200 OK", "a")
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.call("/once/x")
+                eventually { relay.limited().isNotEmpty() }
+                repeat(2) {
+                    Thread.sleep(TURN_MS)
+                    relay.call("/once/x")
+                    relay.awaitIdle()
+                    expectThat(relay.limited()).hasSize(1)
+                }
+                Thread.sleep(TURN_MS)
+                relay.call("/once/x")
+                eventually { relay.limited().isEmpty() }
+            }
+        }
+    }
+
     /** Guards against a restarted target that gets no work because its former instance was leaving. */
     @Test
     fun `a target that has been started again gets requests`() {
