Refuse settings that nest too deeply before they are parsed

Cause: the TOML parser recurses for each array, inline table and part of a dotted key, so that a deeply nested settings file ended the process with a StackOverflowError.

Change: a scan without recursion bounds the nesting to 16 before the parser runs, and names the key and the line. Other decoders of bytes from outside were checked: JSON trees are bounded by JsonNesting.kt, the other JSON types skip unknown values without recursion, and CBOR is fuzzed.

Result: the six new cases (SettingsTest, DecoderFuzzTest) ended with a StackOverflowError before, on arm64, and pass now. x86-64 was not run: this machine is arm64.

--- a/src/main/kotlin/fulmarshunt/process/Settings.kt
+++ b/src/main/kotlin/fulmarshunt/process/Settings.kt
@@ -46,6 +46,12 @@
     text: String,
     serializer: KSerializer<T>,
     check: SettingsCheck<T> = { it.right() },
+): Either<SettingsProblem, T> = checkNesting(text).flatMap { parseBounded(text, serializer, check) }
+
+private fun <T> parseBounded(
+    text: String,
+    serializer: KSerializer<T>,
+    check: SettingsCheck<T>,
 ): Either<SettingsProblem, T> = try {
     val table = toml.parseToTomlTable(text)
     val problem = findStructureProblem(table, serializer.descriptor)
--- a/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
@@ -45,6 +45,7 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectCatching
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isA
 import strikt.assertions.isFailure
 import strikt.assertions.isLessThan
@@ -199,6 +200,14 @@
         }
     }
 
+    /** Guards against the return of a failure that was found: the stack that a nested value takes differs by machine. */
+    @Test
+    fun `nested settings that once overflowed the stack are refused`() {
+        val nested = settings.replace("\"a secret of some length\"", "[".repeat(1_000_000))
+        expectThat(parseSettings(nested, FleetEntrySettings.serializer()).leftOrNull()?.message.orEmpty())
+            .contains("secret: line 7 nests more than 16 deep")
+    }
+
     /** Guards against one malformed message that ends a process, holds its thread or fills its memory. */
     @TestFactory
     fun `malformed bytes are a failure that the caller handles`(): List<DynamicTest> = decoders.map { decoder ->
--- a/src/test/kotlin/fulmarshunt/process/SettingsTest.kt
+++ b/src/test/kotlin/fulmarshunt/process/SettingsTest.kt
@@ -12,6 +12,8 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import strikt.assertions.startsWith
 import java.nio.file.Path
 import kotlin.io.path.writeText
@@ -88,4 +90,31 @@
     fun `a secret does not appear in the text form of settings`() {
         expectThat(LinkSettings("a:1", Secret("open sesame")).toString()).not().contains("sesame")
     }
+
+    /** Guards against a file that ends the process because the parser recurses deeper than any stack. */
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "timeout_ms = 1; names = @ | [        | names: line 2 nests more than 16 deep",
+            "timeout_ms = 1; link = @  | { a =    | link: line 2 nests more than 16 deep",
+            "timeout_ms = 1; [a@]      | .a       | [a.a.a",
+            "a@ = 1                    | ' . a'   | a . a . a",
+            "a = '[[['; b = @          | [ ' # [',| b: line 2 nests more than 16 deep",
+        ],
+    )
+    fun `deep nesting is a problem in one line`(template: String, level: String, expected: String) {
+        val text = template.replace("; ", "\n").replace("@", level.repeat(200_000))
+        expectThat(problemOf(text)).isNotNull().startsWith(expected).not().contains("\n")
+    }
+
+    /** Guards against brackets in strings and comments, and against many tables beside each other, being refused. */
+    @Test
+    fun `brackets that do not nest are accepted`() {
+        val text = "# ${"[".repeat(40)}\ntimeout_ms = 1 # ${"{".repeat(40)}\nnames = [${"'[[[[[:80', ".repeat(40)}]\n"
+        expectThat(problemOf(text)).isNull()
+        expectThat(
+            checkNesting("a = \"\"\"\n${"[".repeat(40)}\\\"\"\"\"\n${"[b.c]\n".repeat(40)}").getOrNull(),
+        ).isEqualTo(Unit)
+    }
 }
