Move a run to another destination when the first has no room

Result: the new case of RepeatedMoveTest fails with one destination, as before, and passes with four. RepeatedMoveTest, ConcurrentRunTest, StoppedStreamTest, RefusedContinuationTest, RelayTest, RunEndTest and BrokenStreamTest passed once at a load of some 20.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -107,8 +107,8 @@
     suspend fun placeCopy(placement: Placement): Placement? =
         control.run { fleet.placeCopy(placement)?.also { held += it } }
 
-    suspend fun placeForMigration(placement: Placement, tokens: Int): Placement? =
-        control.run { fleet.placeForMigration(placement, tokens)?.also { held += it } }
+    suspend fun placeForMigration(placement: Placement, tokens: Int, refusedBy: Set<TargetId>): Placement? =
+        control.run { fleet.placeForMigration(placement, tokens, refusedBy)?.also { held += it } }
 
     suspend fun shortage(job: RelayJob): PlacementResult.Full = control.run { fleet.shortage(job.service.id) }
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -7,8 +7,6 @@
  */
 package fulmarshunt.caller.relay
 
-import arrow.core.Either
-import fulmarshunt.Address
 import fulmarshunt.Clock
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
@@ -48,15 +46,6 @@
  */
 private const val HANDOVER_MS = 100L
 
-/**
- * A run is stopped for its last copy once a copy takes less than this, so that its caller notices no pause. Copies from
- * one target are queued, and a leaving target has many to make.
- */
-private const val QUICK_COPY_MS = 100L
-
-/** The maximum number of copies. If none is quick, the target may end first; the run continues from what was copied. */
-private const val MAX_COPIES = 20
-
 /**
  * How long after its notice a leaving target may get the request again to continue there. Targets serve on for 2 s
  * or more after their notice was acknowledged, which other VMs may have heard earlier.
@@ -110,14 +99,7 @@
         get() = !isLeaving || dependencies.clock.nowMs() - leavingSinceMs <= STAY_LIMIT_MS
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
-    private var migration: MigrationState = MigrationState.NONE
-    private var destination: Placement? = null
-
-    /** Copies the run to [destination] while it runs. */
-    private var copying: Job? = null
-
-    /** The handle of the copy at [destination], if there is one; a run whose target is lost continues from it. */
-    private var destinationHandle: String? = null
+    private val migration = RunMigration(job, dependencies) { current }
     private var lastEventAtMs = 0L
 
     /** How long the run was waited for since its last event or its continuation; other bytes are no progress. */
@@ -224,7 +206,7 @@
 
     /** Asks the target again whether it has stopped the run. */
     private suspend fun askAboutStop(scope: CoroutineScope) {
-        val placement = destination ?: current.copy ?: return
+        val placement = migration.destination ?: current.copy ?: return
         val answer = stop.request(placement, UNCLEAR_STOP_LIMIT_MS, scope)
         log.info(
             "run stop requested request={} why=unclear target={} result={} state={}",
@@ -285,7 +267,7 @@
             copyRefusals = copyRefusals,
             sinceRefusalMs = dependencies.clock.nowMs() - copyRefusedAtMs,
             canMigrate = job.service.engine?.canMigrate == true,
-            migration = migration,
+            migration = migration.state,
         ),
     )
 
@@ -340,7 +322,7 @@
     private suspend fun transfer(scope: CoroutineScope): Boolean? {
         when (transferStep()) {
             TransferStep.CONTINUE_FROM_COPY -> if (!continueFromCopy("leaving", null)) wakeForRetry(scope)
-            TransferStep.START_MOVE -> startMigration(scope)
+            TransferStep.START_MOVE -> migration.start(scope)
             TransferStep.FINISH_MOVE -> finishMigration(scope)
             TransferStep.NONE -> Unit
         }
@@ -372,10 +354,9 @@
 
     /** Continues from what a migration had copied when the target was lost. */
     private suspend fun continueFromDestination(stopScope: CoroutineScope?): Boolean {
-        val placement = destination ?: return false
-        val handle = destinationHandle ?: return false
+        val placement = migration.destination ?: return false
         if (framer.hasEventWithoutId) return false
-        destinationHandle = null
+        val handle = migration.takeHandleOrNull() ?: return false
         val source = current.response.target.record.address
         return stopAndContinueAt(placement, ResumePoint(source, handle, framer.lastEventId), "move", "lost", stopScope)
     }
@@ -400,9 +381,7 @@
         }
         if (!grant.tryTake(placement, how, mayRunElsewhere)) return false
         val source = current
-        // The target makes one copy at a time.
-        if (migration == MigrationState.COPYING) migration = MigrationState.NONE
-        copying?.cancel()
+        migration.interrupt()
         val answer = stop.request(placement, SILENT_STOP_LIMIT_MS, stopScope)
         val failure = answer.leftOrNull()
         if (failure == MoveFailure.NoSuchRun) awaitLateInput(source.response.connection)
@@ -442,69 +421,10 @@
         return hasContinued
     }
 
-    private suspend fun startMigration(scope: CoroutineScope) {
-        val tokens = (job.request.metadata.generation?.promptTokens ?: 0) + job.expectedOutputTokens
-        val placement = dependencies.placements.placeForMigration(current.placement, tokens)
-        if (placement == null) {
-            migration = MigrationState.GIVEN_UP
-            log.warn("move refused request={} target={} reason=no other target", job.id, current.placement.target.id)
-            return
-        }
-        destination = placement
-        migration = MigrationState.COPYING
-        val source = current
-        copying = scope.launch {
-            val result = copyWhileRunning(source, placement.target.record.address)
-            if (current !== source) return@launch
-            val from = source.placement.target.id
-            log.info("run copied request={} from={} to={} result={}", job.id, from, placement.target.id, result)
-            result.fold({ abandonMigration("copy failed: $it") }, { migration = MigrationState.COPIED })
-            source.response.connection.wake()
-        }
-    }
-
-    /** Copies the run repeatedly while it runs, until little remains to be copied; the first copy takes longest. */
-    private suspend fun copyWhileRunning(source: Run, destination: Address): Either<MoveFailure, Moved> {
-        var copied = copyOnce(source, destination)
-        var copies = 1
-        while (copied.isRight() && copies < MAX_COPIES) {
-            val startedAtMs = dependencies.clock.nowMs()
-            copied = copyOnce(source, destination)
-            copies += 1
-            if (dependencies.clock.nowMs() - startedAtMs < QUICK_COPY_MS) break
-        }
-        return copied
-    }
-
-    /** Copies the current state of the run. The copy is not used if the run has continued elsewhere meanwhile. */
-    private suspend fun copyOnce(source: Run, destination: Address): Either<MoveFailure, Moved> =
-        dependencies.adapter.migrate(source.response.target.record.address, job.id, destination, false)
-            .onRight { if (current === source) destinationHandle = it.handle }
-
-    private fun abandonMigration(reason: String) {
-        migration = MigrationState.GIVEN_UP
-        log.warn(
-            "move failed request={} from={} copied={} reason={}",
-            job.id,
-            current.placement.target.id,
-            destinationHandle != null,
-            reason,
-        )
-        // A copy is kept, because the run can continue from it if its target is lost.
-        if (destinationHandle == null) releaseDestination()
-        dependencies.meters.continued("move", false)
-    }
-
-    private fun releaseDestination() {
-        destination?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
-        destination = null
-        destinationHandle = null
-    }
-
     private suspend fun finishMigration(scope: CoroutineScope) {
-        val placement = destination
+        val placement = migration.destination
         if (placement == null || !grant.tryTake(placement, "move", mayRunElsewhere)) {
-            abandonMigration("the run may not continue at the destination")
+            migration.abandon("the run may not continue at the destination")
             return
         }
         val source = current.placement
@@ -513,7 +433,7 @@
         continueStopped("leaving")
         grant.giveBack()
         // Another migration would end in the same way, and each one takes from the budget of repeats.
-        if (current.placement === source) abandonMigration("last copy: $answer, state: ${sourceStop.state}")
+        if (current.placement === source) migration.abandon("last copy: $answer, state: ${sourceStop.state}")
     }
 
     /** Forwards the events that were generated before the run was stopped. */
@@ -611,10 +531,7 @@
             isLeaving = false
             copyRefusals = 0
         }
-        // A migration that has failed is not started again at the same target.
-        if (!isSameTarget || migration != MigrationState.GIVEN_UP) migration = MigrationState.NONE
-        if (destination === placement) destination = null
-        releaseDestination()
+        migration.reset(placement, isSameTarget)
         return true
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -233,9 +233,17 @@
         }
     }
 
-    /** Places the rest of a generation that runs at the target of [placement], or returns null. */
-    public fun placeForMigration(placement: Placement, tokens: Int): Placement? {
-        val request = placement.request.copy(excluded = setOf(placement.target.id))
+    /**
+     * Places the rest of a generation that runs at the target of [placement], or returns null.
+     *
+     * @param refusedBy the targets that had no room for it.
+     */
+    public fun placeForMigration(
+        placement: Placement,
+        tokens: Int,
+        refusedBy: Set<TargetId> = emptySet(),
+    ): Placement? {
+        val request = placement.request.copy(excluded = refusedBy + placement.target.id)
         val requirements = TargetRequirements(request.service.engine, 0, tokens, placement.target.record.domain)
         val candidates = usableCandidates(request)
         val chosen =
