Share too little room fairly among accounts, and refuse what will not be placed in time

Cause: requests without room were ordered by lateness, rank and deadline at each entry VM. The account that sent most got most, a more urgent rank could take everything, smaller requests passed a large one without bound, and a request waited until its limit although it was clear that no place would come free for it.

--- a/src/main/kotlin/fulmarshunt/caller/relay/OverloadPolicy.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/OverloadPolicy.kt
@@ -3,10 +3,12 @@
  *
  * These decisions handle overload. A brief shortage, such as the time between the departure of a target and the arrival
  * of its replacement, passes while requests wait. In a long shortage a caller is refused while it still has time to
- * retry. Retries are spread over that time, so that callers refused in one burst do not retry in one burst.
+ * retry. Retries are spread over that time, so that callers refused in one burst do not retry in one burst. Where the
+ * wait of a request could be forecast, its caller retries when room is expected for it.
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.leastRecentlyUsedMap
 import fulmarshunt.operator.serving.Route
 import fulmarshunt.target.fleet.PlacementResult
 
@@ -44,9 +46,12 @@
 private const val FIRST_PRIORITY = 3
 private const val LAST_PRIORITY = 9
 
+/** The number of routes that are remembered; routes are replaced by new configurations. */
+private const val MAX_ROUTES = 4_096
+
 /** The longest timeout that callers of each route have sent. Confined to the traffic thread. */
 internal class CallerTimeoutHistory {
-    private val longestMs = mutableMapOf<String, Long>()
+    private val longestMs = leastRecentlyUsedMap<String, Long>(MAX_ROUTES)
 
     /**
      * Returns the time that a caller with [callerTimeoutMs] has spent on earlier attempts, or 0 if it seems to have
@@ -79,16 +84,24 @@
         // The targets accept nothing before; the callers that were refused for the same reason return one by one.
         return pausedForMs + (objectiveMs * RETRY_SPREAD_FRACTION * random).toLong().coerceAtLeast(MIN_RETRY_DELAY_MS)
     }
-    val soonMs = objectiveMs * RETRY_OBJECTIVE_FRACTION
-    if (nowMs + soonMs > timelyUntilMs(job)) {
-        val fraction = MIN_LATE_RETRY_FRACTION + (MAX_LATE_RETRY_FRACTION - MIN_LATE_RETRY_FRACTION) * random
-        return ((job.deadlineAtMs - nowMs) * fraction).toLong().coerceAtLeast(MIN_RETRY_DELAY_MS)
-    }
-    val queueFraction = ((full?.waiting ?: 0) * QUEUED_REQUEST_FRACTION).coerceAtMost(MAX_QUEUE_FRACTION)
+    val roomAfterMs = full?.roomAfterMs
+    val soonMs = maxOf(objectiveMs * RETRY_OBJECTIVE_FRACTION, (roomAfterMs ?: 0).toDouble())
+    if (nowMs + soonMs > timelyUntilMs(job)) return lateRetryDelayMs(job.deadlineAtMs - nowMs, roomAfterMs ?: 0, random)
+    // A forecast takes the requests that wait into account.
+    val queued = if (roomAfterMs == null) full?.waiting ?: 0 else 0
+    val queueFraction = (queued * QUEUED_REQUEST_FRACTION).coerceAtMost(MAX_QUEUE_FRACTION)
     return (soonMs + objectiveMs * (queueFraction + RETRY_SPREAD_FRACTION * random))
         .toLong()
         .coerceAtLeast(MIN_RETRY_DELAY_MS)
 }
 
+/** Returns the delay of a caller with [remainingMs] that retries late anyway; room is expected after [roomAfterMs]. */
+private fun lateRetryDelayMs(remainingMs: Long, roomAfterMs: Long, random: Double): Long {
+    val lastMs = remainingMs * MAX_LATE_RETRY_FRACTION
+    // Callers do not wait for longer than a third of their time: if room is expected later, they return late in it.
+    val firstMs = (remainingMs * MIN_LATE_RETRY_FRACTION).coerceAtLeast(minOf(roomAfterMs.toDouble(), lastMs / 2))
+    return (firstMs + (lastMs - firstMs) * random).toLong().coerceAtLeast(MIN_RETRY_DELAY_MS)
+}
+
 /** Returns the priority at an engine of a request with [rank], where rank 0 is the most urgent. */
 internal fun priorityOf(rank: Int): Int = (FIRST_PRIORITY + rank).coerceIn(0, LAST_PRIORITY)
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
@@ -33,6 +33,18 @@
         timer("fulmarshunt_placement", service).record(elapsedMs, TimeUnit.MILLISECONDS)
     }
 
+    /** Records the time that a request with [rank] waited for the target that it got. */
+    internal fun waited(service: String, rank: Int, elapsedMs: Long) {
+        registry.timer("fulmarshunt_wait", "service", service, "rank", rank.toString())
+            .record(elapsedMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Counts a request with [rank] for which there was no target. */
+    internal fun placementRefused(service: String, rank: Int, reason: String) {
+        val tags = arrayOf("service", service, "rank", rank.toString(), "reason", reason)
+        registry.counter("fulmarshunt_placement_refusals", *tags).increment()
+    }
+
     /** Counts an attempt that failed. */
     internal fun attemptFailed(kind: String, service: String) {
         registry.counter("fulmarshunt_failed_attempts", "kind", kind, "service", service).increment()
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -113,15 +113,21 @@
             job.waitedMs += dependencies.clock.nowMs() - requestedAtMs
             val placement = when (result) {
                 is PlacementResult.Placed -> result.placement
-                is PlacementResult.Full -> return notServed(job, "no target has room", result)
-                PlacementResult.NoTarget -> return notServed(job, "no target is known", null)
+                is PlacementResult.Full -> {
+                    recordRefusal(job, result.reason.name.lowercase())
+                    return notServed(job, "no target has room", result)
+                }
+                PlacementResult.NoTarget -> {
+                    recordRefusal(job, "no_target")
+                    return notServed(job, "no target is known", null)
+                }
             }
             // What crashes targets may have become known, or the end of the process planned, while the request waited.
             admission.refusalOrNull(job)?.let { refusal ->
                 placements.end(placement, UseOutcome.ABANDONED)
                 return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
             }
-            dependencies.meters.placed(job.service.id.value, dependencies.clock.nowMs() - requestedAtMs)
+            recordWait(job, dependencies.clock.nowMs() - requestedAtMs)
             job.trace.append(" ${placement.target.id}")
             job.request.progress.target = placement.target.id
             job.triedTargets += placement.target.id
@@ -284,6 +290,14 @@
         job.isStream && job.request.body.isRepeatable && job.service.engine?.canBackUp == true &&
             job.expectedOutputTokens >= COPY_MIN_OUTPUT_TOKENS
 
+    private fun recordWait(job: RelayJob, waitedMs: Long) {
+        dependencies.meters.placed(job.service.id.value, waitedMs)
+        dependencies.meters.waited(job.service.id.value, job.rank, waitedMs)
+    }
+
+    private fun recordRefusal(job: RelayJob, reason: String) =
+        dependencies.meters.placementRefused(job.service.id.value, job.rank, reason)
+
     private fun recordFailure(job: RelayJob, failure: AttemptFailure) {
         val attempts = job.attempts
         when (failure) {
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -4,6 +4,7 @@
  */
 package fulmarshunt.target.fleet
 
+import fulmarshunt.ClientAccountId
 import fulmarshunt.Clock
 import fulmarshunt.FailureDomainId
 import fulmarshunt.RequestId
@@ -34,6 +35,8 @@
     public val objectiveDeadlineMs: Long = Long.MAX_VALUE,
     /** Targets that were tried before. */
     public val excluded: Set<TargetId> = emptySet(),
+    /** Null for a request without a client account. */
+    public val account: ClientAccountId? = null,
 )
 
 /** A target that was chosen for a request; [Fleet.end] must be called for it. */
@@ -41,10 +44,23 @@
     public val request: PlacementRequest,
     public val target: KnownTarget,
     internal var use: TargetUse,
+    internal val placedAtMs: Long = 0,
 ) {
     internal var hasEnded = false
 }
 
+/** Why a request was refused although targets exist. */
+public enum class RefusalReason {
+    /** No target accepts requests soon enough. */
+    PAUSED,
+
+    /** It would probably not be placed while it may wait. */
+    FORECAST,
+
+    /** It may not wait longer, or no target that it may use is left. */
+    WAITED,
+}
+
 /** The result of a [PlacementRequest]. */
 public sealed interface PlacementResult {
     public data class Placed(public val placement: Placement) : PlacementResult
@@ -55,7 +71,19 @@
         public val targets: Int,
         /** The time after which the first target accepts requests again, if all want none or few of them. */
         public val pausedForMs: Long = 0,
-    ) : PlacementResult
+        /** The wait of the request that got this result, if others of this VM are ahead of it and enough is known. */
+        public val forecast: WaitForecast? = null,
+        /** The time after which the caller should return, if there is a forecast. */
+        public val roomAfterMs: Long? = null,
+    ) : PlacementResult {
+        /** Why the request was not placed. */
+        public val reason: RefusalReason
+            get() = when {
+                pausedForMs > 0 -> RefusalReason.PAUSED
+                forecast != null && forecast.patienceMs > 0 && forecast.isTooLong -> RefusalReason.FORECAST
+                else -> RefusalReason.WAITED
+            }
+    }
 
     /** No known target of the service accepts requests. */
     public data object NoTarget : PlacementResult
@@ -75,7 +103,12 @@
     private val coldStarts = ColdStartLimiter(nextRandom)
     private val ownUse = OwnUse()
     private val failures = mutableMapOf<TargetId, FailureHistory>()
-    private val waiting = WaitingRequests { it.isLate(clock.nowMs()) }
+    private val waiting = WaitingRequests(clock::nowMs)
+    private val holdingTimes = HoldingTimes()
+    private val shortages =
+        Shortages(clock, waiting, { view.acceptingTargets(it) }, ::unavailableForMs) {
+            holdingTimes.rateOrNull(it, view.acceptingTargets(it.id), ownUse::of, ::useOf, view.entryVms)
+        }
     private val leaving = LeavingTargets()
     private val pauses = TargetPauses(nextRandom)
 
@@ -153,14 +186,14 @@
             ownUse.of(target.id).running,
             hasTrial,
         )
-        waiting.refuse(::isHopeless)
+        waiting.refuse(shortages::isHopeless)
     }
 
     /** Records what targets have said of their limits; [isDirect] says that they said it to this VM. */
     public fun recordLimits(statements: List<LimitStatement>, isDirect: Boolean) {
         if (!limits.record(statements, isDirect)) return
         publish()
-        waiting.refuse(::isHopeless)
+        waiting.refuse(shortages::isHopeless)
     }
 
     /** Returns the time after which [target] takes one more request than the [ahead] ones that wait. */
@@ -189,23 +222,35 @@
 
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
-        placeNow(request)?.let { return PlacementResult.Placed(it) }
-        val known = view.acceptingTargets(request.service.id)
+        val nowMs = clock.nowMs()
+        val entry = WaitingRequest(request, nowMs, nowMs + limitMs)
+        waiting.admitNewOrNull(entry, ::placeNow)?.let { return PlacementResult.Placed(it) }
+        val result = awaitPlace(entry, limitMs)
+        if (result !is PlacementResult.Placed) waiting.recordUnserved(entry)
+        return result
+    }
+
+    private suspend fun awaitPlace(entry: WaitingRequest, limitMs: Long): PlacementResult {
+        val service = entry.service
+        val known = view.acceptingTargets(service)
         // After a restart of all control VMs, targets become known only with their next announcements.
         val isDiscovering = clock.nowMs() - startedAtMs < DISCOVERY_MS &&
-            view.targets.values.none { it.record.service == request.service.id }
+            view.targets.values.none { it.record.service == service }
         if (known.isEmpty() && !isDiscovering) return PlacementResult.NoTarget
-        val entry = WaitingRequest(request, clock.nowMs() + limitMs)
-        if (limitMs <= 0 || isHopeless(entry)) return shortage(request.service.id)
+        val ahead = waiting.ahead(entry)
+        if (limitMs <= 0 || shortages.isHopeless(entry, ahead)) return shortages.refuse(entry)
+        // The requests that are admitted after this one now wait for longer.
+        val delaysOthers = ahead.requests < waiting.count(service)
         waiting.add(entry)
+        if (delaysOthers) waiting.refuse(shortages::isHopeless)
         noticeUse()
         var isTaken = false
         try {
-            withTimeoutOrNull(limitMs) { entry.await({ shortage(request.service.id).pausedForMs }, ::retryWaiting) }
+            withTimeoutOrNull(limitMs) { entry.await({ shortage(service).pausedForMs }, ::retryWaiting) }
             // The request may have been admitted just as its time limit expired.
             val placement = if (entry.result.isCompleted) entry.result.await() else null
             isTaken = true
-            return placement?.let { PlacementResult.Placed(it) } ?: shortage(request.service.id)
+            return placement?.let { PlacementResult.Placed(it) } ?: shortages.refuse(entry)
         } finally {
             waiting.remove(entry)
             noticeUse()
@@ -214,24 +259,7 @@
     }
 
     /** Returns what is known of the shortage of targets of [service]. */
-    public fun shortage(service: ServiceId): PlacementResult.Full {
-        val known = view.acceptingTargets(service)
-        return PlacementResult.Full(
-            waiting.count(service),
-            known.size,
-            known.minOfOrNull { unavailableForMs(it, 0) } ?: 0,
-        )
-    }
-
-    /** Returns whether targets are known, and none of them can take the request of [entry] while it waits. */
-    private fun isHopeless(entry: WaitingRequest): Boolean {
-        val known = view.acceptingTargets(entry.request.service.id)
-        val patienceMs = entry.untilMs - clock.nowMs()
-        val ahead = waiting.countAhead(entry) / known.size.coerceAtLeast(1)
-        return known.isNotEmpty() && known.all {
-            it.id in entry.request.excluded || unavailableForMs(it, ahead) > patienceMs
-        }
-    }
+    public fun shortage(service: ServiceId): PlacementResult.Full = shortages.of(service)
 
     /** Places the rest of a generation that runs at the target of [placement], or returns null. */
     public fun placeForMigration(placement: Placement, tokens: Int): Placement? {
@@ -269,6 +297,7 @@
     /** Ends a placement and admits waiting requests. */
     public fun end(placement: Placement, outcome: UseOutcome) {
         if (placement.hasEnded) return
+        holdingTimes.recordEnd(placement, outcome, clock.nowMs())
         replaceUse(placement, TargetUse.NONE)
         if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
@@ -298,7 +327,7 @@
     private fun assign(request: PlacementRequest, target: KnownTarget, use: TargetUse): Placement {
         val nowMs = clock.nowMs()
         if (target.coldUntilMs > nowMs) coldStarts.record(target.id, nowMs)
-        val placement = Placement(request, target, TargetUse.NONE)
+        val placement = Placement(request, target, TargetUse.NONE, nowMs)
         if (use.running > 0) brittle.recordPlacement(target)
         replaceUse(placement, use)
         log.debug("placed request={} target={} use={}", request.requestId, target.id, use)
@@ -346,5 +375,3 @@
 
     private fun useOf(target: TargetId): TargetUse = ownUse.of(target) + (view.othersUse[target] ?: TargetUse.NONE)
 }
-
-private fun PlacementRequest.isLate(nowMs: Long): Boolean = nowMs > objectiveDeadlineMs
--- a/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
@@ -91,6 +91,18 @@
         expectThat(retryDelayMs(job(), full, START_MS, 0.99)).isIn(50L..OBJECTIVE_MS)
     }
 
+    /** Guards against callers that return before there is room, or all at the moment at which it is expected. */
+    @Test
+    fun `callers return when room is expected, spread, within a third of their timeout`() {
+        fun delays(roomAfterMs: Long) =
+            listOf(0.0, 0.99).map { retryDelayMs(job(), full.copy(roomAfterMs = roomAfterMs), START_MS, it) }
+        expectThat(delays(700).first()).isEqualTo(700)
+        expectThat(delays(700).last()).isIn(1_000L..1_400L)
+        expectThat(delays(4_000).first()).isEqualTo(4_000)
+        expectThat(delays(60_000).first()).isIn(5_000L..6_000L)
+        expectThat(delays(60_000).last()).isIn(11_000L..CALLER_TIMEOUT_MS / 3)
+    }
+
     /** Guards against a short timeout that is mistaken for a retry, and retries mistaken for first attempts. */
     @Test
     fun `a retry is recognised by a shorter timeout than others on the route`() {
