--- a/src/main/kotlin/fulmarshunt/Ids.kt
+++ b/src/main/kotlin/fulmarshunt/Ids.kt
@@ -41,6 +41,13 @@
     override fun toString(): String = value
 }
 
+/** Names the version of the software of a target, as its announcements say it. */
+@Serializable
+@JvmInline
+public value class SoftwareVersion(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Numbers the starts of a target; a restarted target announces a greater incarnation. */
 @Serializable
 @JvmInline
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -74,6 +74,7 @@
         rank,
         timelyUntilMs(this),
         triedTargets.toSet(),
+        route.name,
     )
 }
 
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -189,7 +189,7 @@
         val status = run.response.head.status().code()
         if (status in SERVER_FAILURES && mayRepeat(job, placements)) {
             run.response.abandon()
-            placements.end(run.placement, UseOutcome.FAILED)
+            placements.end(run.placement, UseOutcome.FAILED_BY_STATUS)
             return AttemptFailure.Failed(status).left()
         }
         val head = callerHead(run.response.head, dependencies.adapter, job.request.isHead)
@@ -262,7 +262,7 @@
                 admission.recordDuration(job)
                 if (!run.response.endsWithConnection) placements.recordSound(job.causes.parts)
             }
-            placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
+            placements.end(run.placement, if (isFailure) UseOutcome.FAILED_BY_STATUS else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
         }
         run.response.abandon()
@@ -379,7 +379,8 @@
     is AttemptFailure.NotSent -> UseOutcome.UNREACHABLE
     is AttemptFailure.NoPath -> UseOutcome.ABANDONED
     is AttemptFailure.Refused -> UseOutcome.REFUSED
-    is AttemptFailure.Lost, is AttemptFailure.Failed -> UseOutcome.FAILED
+    is AttemptFailure.Lost -> UseOutcome.FAILED
+    is AttemptFailure.Failed -> UseOutcome.FAILED_BY_STATUS
 }
 
 /** Returns what is added to [job] when it is sent to [target]. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -104,6 +104,9 @@
         var forwardersNumber = 0L
         var forwarderSentAtMs = Long.MIN_VALUE / 2
 
+        /** The number of the last evidence that the control VM has received. */
+        var evidenceNumber = 0L
+
         /** The process of the control VM that has received all crash reports that are kept, if it has. */
         var reportedTo = ""
 
@@ -121,6 +124,7 @@
             forwardersNumber = 0
             forwarderSentAtMs = Long.MIN_VALUE / 2
             reportedTo = ""
+            evidenceNumber = 0
         }
     }
 
@@ -201,6 +205,7 @@
             fleet.limits.heard(),
             ownForwarder.takeIf { isForwarderDue },
             slot.forwardersNumber,
+            if (isReporting) fleet.versions.reportOrNull(vm, slot.evidenceNumber) else null,
         )
         val reply = call(address, request, isEndedByUse = holdMs == IDLE_HOLD_MS)
         if (reply == null) {
@@ -211,6 +216,8 @@
             if (sendsAllReports) slot.reportedTo = it.source
             // The control VM has restarted between two calls.
             if (slot.reportedTo != it.source) slot.reportedTo = ""
+            request.evidence?.let { evidence -> slot.evidenceNumber = evidence.number }
+            if (it.isCurrent) fleet.versions.recordContact()
         }
         reply.fold({ disconnect(slot, it.reason) }, { accept(slot, it, use.takeIf { isReporting }) })
         if (reply.isLeft()) delay(RETRY_PAUSE_MS)
@@ -273,6 +280,8 @@
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
+            // The control VM has restarted, so that it lacks what its former process received.
+            if (slot.source.isNotEmpty()) slot.evidenceNumber = 0
             refusals.keep(slot.refused)
         }
         slot.source = reply.source
@@ -362,12 +371,18 @@
     private fun FleetView.withSnapshot(state: ServingSnapshot, table: RoutingTable?): FleetView {
         if (state.revision <= revision) return this
         log.info(
-            "state applied revision={} version={} drained={}",
+            "state applied revision={} version={} drained={} rollouts={}",
             state.revision,
             state.document?.version,
             state.drained,
+            state.rollouts.size,
+        )
+        return copy(
+            revision = state.revision,
+            drained = state.drained,
+            table = table ?: this.table,
+            rollouts = state.rollouts,
         )
-        return copy(revision = state.revision, drained = state.drained, table = table ?: this.table)
     }
 
     /** Receives the total use, and returns the part of the other entry VMs. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -19,6 +19,7 @@
 import fulmarshunt.target.fleet.LimitStatement
 import fulmarshunt.target.fleet.ListedTarget
 import fulmarshunt.target.fleet.TargetUse
+import fulmarshunt.target.rollout.EvidenceReport
 import kotlinx.serialization.Serializable
 
 /** The state that an entry VM has received from a control VM, and the reports of the entry VM. */
@@ -51,6 +52,8 @@
     val forwarder: Forwarder? = null,
     /** The number of the last [WatchReply.forwarders] that was received from [source]. */
     val forwardersNumber: Long = 0,
+    /** What the entry VM has observed in running roll-outs; null if nothing, or if the control VM has it. */
+    val evidence: EvidenceReport? = null,
 )
 
 /** The changes since a [Watch]. */
@@ -111,6 +114,8 @@
     val forwarders: List<Forwarder> = emptyList(),
     /** The number of the forwarders in the process [source] of the sender; 0 if this exchange says nothing of them. */
     val forwardersNumber: Long = 0,
+    /** What entry VMs that watch the sender have observed in running roll-outs. */
+    val evidence: List<EvidenceReport> = emptyList(),
 )
 
 /** The reply to a [StateExchange]. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -12,6 +12,7 @@
 import fulmarshunt.VmId
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
+import fulmarshunt.operator.rollout.EvidenceTable
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
 import fulmarshunt.target.TargetInstance
@@ -97,6 +98,8 @@
     /** Whether this VM is in contact with a leader. */
     val isCurrent: () -> Boolean,
     val directory: TargetDirectory,
+    /** What entry VMs have observed in running roll-outs. */
+    val evidence: EvidenceTable = EvidenceTable(),
 )
 
 /** Replies to watches and accepts announcements of targets. */
@@ -240,6 +243,7 @@
         recordSound(watch.soundAgesMs)
         recordLeaving(watch.leaving)
         recordLimits(watch.limits, isDirect = true)
+        watch.evidence?.takeIf { it.vm == watch.vm }?.let { dependencies.evidence.receive(it, isDirect = true) }
         val isKnown = watch.source == source
         val change = if (isKnown) watch.targetChange else 0
         val knownSuspectChange = lastSuspectChange.value
@@ -303,6 +307,7 @@
         recordSound(exchange.soundAgesMs)
         dependencies.directory.receiveLeaving(exchange.leaving, nowMs)
         recordLimits(exchange.limits, isDirect = false)
+        exchange.evidence.forEach { dependencies.evidence.receive(it, isDirect = false) }
         exchange.entryVms?.forEach { entryVmsSeenAtMs[it] = nowMs }
         return StateExchangeReply(
             dependencies.vm,
@@ -398,6 +403,7 @@
         contacts.retain(others.toSet())
         peers.keys.retainAll(others.toSet())
         val refresh = if (nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS) refreshAt(nowMs) else null
+        exchangeEvidence(others)
         val use = sumOfUse(reportsOfEntryVms.values.map { it.use })
         for (address in others) {
             val peer = peers.getOrPut(address) { Peer() }
@@ -406,6 +412,14 @@
         }
     }
 
+    /** Sends what entry VMs have observed in roll-outs since the last round; a refresh repeats all of it. */
+    private fun exchangeEvidence(others: List<Address>) {
+        val changed = dependencies.evidence.takeChanged()
+        if (changed.isEmpty()) return
+        val exchange = StateExchange(dependencies.vm, emptyList(), emptyList(), null, null, evidence = changed)
+        others.forEach { send(it, exchange) }
+    }
+
     /** Returns what all other control VMs get of the state of this one, besides the use of targets. */
     private fun refreshAt(nowMs: Long): StateExchange {
         lastRefreshAtMs = nowMs
@@ -427,6 +441,7 @@
             suspectAgesMs = crashAgesMs.values.toList(),
             leaving = dependencies.directory.leavingInstances(),
             limits = limits.statements(nowMs, onlyDirect = true),
+            evidence = dependencies.evidence.direct(),
         )
     }
 
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -1,14 +1,22 @@
 /*
- * The durable state of a deployment: the latest serving configuration and the drained failure domains. It is held by
- * the state machine of the replicated log, so that every change has a log index, by which entry VMs order the states
- * that they receive.
+ * The durable state of a deployment: the latest serving configuration, the drained failure domains and the roll-outs.
+ * It is held by the state machine of the replicated log, so that every change has a log index, by which entry VMs order
+ * the states that they receive.
  */
 package fulmarshunt.operator.serving
 
 import fulmarshunt.ConfigurationVersion
 import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
+import fulmarshunt.ServiceId
 import fulmarshunt.link.linkCbor
+import fulmarshunt.operator.rollout.Rollout
+import fulmarshunt.operator.rollout.RolloutOrder
+import fulmarshunt.operator.rollout.RolloutPhase
+import fulmarshunt.operator.rollout.StartDecision
+import fulmarshunt.operator.rollout.advancedOrNull
+import fulmarshunt.operator.rollout.after
+import fulmarshunt.operator.rollout.decisionOn
 import fulmarshunt.voter.ReplicatedStateMachine
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -42,6 +50,26 @@
          */
         public val basedOn: LogIndex? = null,
     ) : ServingCommand
+
+    /** Starts a roll-out, unless another one of the service runs or began after [basedOn]. */
+    @Serializable
+    @SerialName("r")
+    public data class StartRollout(
+        public val order: RolloutOrder,
+        /** The last order for the service when this one was given, or 0 if there was none. */
+        public val basedOn: LogIndex,
+        /** When the order arrived, by the clock of the control VM that received it. */
+        public val startedAtEpochMs: Long,
+    ) : ServingCommand
+
+    /** Changes the phase of the roll-out that the order at [orderIndex] started. */
+    @Serializable
+    @SerialName("p")
+    public data class AdvanceRollout(
+        public val service: ServiceId,
+        public val orderIndex: LogIndex,
+        public val phase: RolloutPhase,
+    ) : ServingCommand
 }
 
 /** The durable state after the log entry at [revision]. Immutable. */
@@ -53,6 +81,8 @@
     public val drained: Set<FailureDomainId> = emptySet(),
     /** The index of the last order for each domain; snapshots of older versions have none. */
     public val lastOrders: Map<FailureDomainId, LogIndex> = emptyMap(),
+    /** The last roll-out of each service that had one. */
+    public val rollouts: Map<ServiceId, Rollout> = emptyMap(),
 ) {
     /** Returns the index of the last order for [domain], or 0 if there is none. */
     public fun lastOrderFor(domain: FailureDomainId): LogIndex = lastOrders[domain] ?: LogIndex(0)
@@ -82,6 +112,30 @@
             else -> copy(lastOrders = orders)
         }
     }
+    is ServingCommand.StartRollout -> {
+        val current = rollouts[command.order.service]
+        if (current.decisionOn(command.order, command.basedOn) == StartDecision.START) {
+            withRollout(index, current.after(index, command.order, command.startedAtEpochMs))
+        } else {
+            this
+        }
+    }
+    is ServingCommand.AdvanceRollout -> {
+        val current = rollouts[command.service]?.takeIf { it.orderIndex == command.orderIndex }
+        current?.advancedOrNull(command.phase)?.let { withRollout(index, it) } ?: this
+    }
+}
+
+private fun ServingSnapshot.withRollout(index: LogIndex, rollout: Rollout): ServingSnapshot =
+    copy(revision = index, rollouts = rollouts + (rollout.order.service to rollout))
+
+/** How a command ended, as the first byte of its result; an empty result says that it was done. */
+internal object CommandResult {
+    /** A later order preceded it, so that it had no effect. */
+    const val SUPERSEDED: Byte = 0
+
+    /** Another roll-out of the service runs. */
+    const val IN_PROGRESS: Byte = 1
 }
 
 /** The state machine of a control VM; its functions run on the control thread. */
@@ -105,15 +159,16 @@
         val restored = decode(bytes)
         state.value = restored
         log.info(
-            "state restored index={} revision={} version={} drained={}",
+            "state restored index={} revision={} version={} drained={} rollouts={}",
             index,
             restored.revision,
             restored.document?.version,
             restored.drained,
+            restored.rollouts.values,
         )
     }
 
-    /** Applies a command and returns one byte if an order had no effect because a later one preceded it. */
+    /** Applies a command and returns nothing if it was done, or the [CommandResult] that says why not. */
     private fun apply(index: LogIndex, bytes: ByteArray): ByteArray {
         val command = linkCbor.decodeFromByteArray(ServingCommand.serializer(), bytes)
         val previous = state.value
@@ -127,10 +182,23 @@
             next.revision != previous.revision,
             next.drained,
         )
-        val isSuperseded = command is ServingCommand.SetDrained && (command.domain in next.drained) != command.isDrained
-        return if (isSuperseded) ByteArray(1) else ByteArray(0)
+        return when (command) {
+            is ServingCommand.Replace, is ServingCommand.AdvanceRollout -> done
+            is ServingCommand.SetDrained ->
+                if ((command.domain in next.drained) == command.isDrained) done else failed(CommandResult.SUPERSEDED)
+            is ServingCommand.StartRollout ->
+                when (previous.rollouts[command.order.service].decisionOn(command.order, command.basedOn)) {
+                    StartDecision.START, StartDecision.REPEATED -> done
+                    StartDecision.IN_PROGRESS -> failed(CommandResult.IN_PROGRESS)
+                    StartDecision.SUPERSEDED -> failed(CommandResult.SUPERSEDED)
+                }
+        }
     }
 
+    private val done get() = ByteArray(0)
+
+    private fun failed(result: Byte) = byteArrayOf(result)
+
     private fun encode(snapshot: ServingSnapshot): ByteArray =
         linkCbor.encodeToByteArray(ServingSnapshot.serializer(), snapshot)
 
@@ -143,4 +211,6 @@
     is ServingCommand.SetDrained ->
         "drained:${command.domain}=${command.isDrained}" +
             command.basedOn?.let { ":basedOn=$it" }.orEmpty()
+    is ServingCommand.StartRollout -> command.order.run { "rollout:$service=$target:durationMs=$durationMs" }
+    is ServingCommand.AdvanceRollout -> "rollout:${command.service}:order=${command.orderIndex}:${command.phase}"
 }
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -7,6 +7,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import fulmarshunt.Address
@@ -17,6 +18,9 @@
 import fulmarshunt.link.LinkHandlers
 import fulmarshunt.link.Links
 import fulmarshunt.link.linkCbor
+import fulmarshunt.operator.rollout.RolloutOrder
+import fulmarshunt.operator.rollout.StartDecision
+import fulmarshunt.operator.rollout.decisionOn
 import fulmarshunt.voter.LogAccess
 import fulmarshunt.voter.ProposeFailure
 import kotlinx.coroutines.delay
@@ -59,6 +63,11 @@
     @SerialName("o")
     data object Superseded : LeaderReply
 
+    /** The order is refused while another roll-out of its service runs. */
+    @Serializable
+    @SerialName("p")
+    data object InProgress : LeaderReply
+
     /** The leader has not executed the call; a leader that is elected meanwhile may be able to. */
     @Serializable
     @SerialName("x")
@@ -89,6 +98,18 @@
     public val result: Either<String, Unit>,
 )
 
+/** The end of an order to start a roll-out. */
+public sealed interface StartResult {
+    /** It is committed, now or earlier. */
+    public data object Done : StartResult
+
+    /** Another roll-out of the service runs, so that the order has and will have no effect. */
+    public data object InProgress : StartResult
+
+    /** Whether it takes effect is unknown; [reason] says why. */
+    public data class Unclear(public val reason: String) : StartResult
+}
+
 /** Submits commands that change the durable state, and reads it. */
 public class ServingStateAccess internal constructor(
     private val access: LogAccess,
@@ -137,6 +158,45 @@
         return DrainOutcome(state.getOrNull()?.lastOrderFor(domain), isConnected, result)
     }
 
+    /**
+     * Starts a roll-out by [order], unless [caller] can have given it up. An order that was committed before is
+     * acknowledged again, whatever has become of its roll-out.
+     */
+    public suspend fun startRollout(
+        order: RolloutOrder,
+        startedAtEpochMs: Long,
+        caller: OrderCaller,
+        links: Links,
+    ): StartResult {
+        val deadlineAtMs = caller.sentNotBeforeMs + COMMAND_TIMEOUT_MS
+        val state = callLeader(LeaderCall.Read, links, deadlineAtMs)
+            .getOrElse { return StartResult.Unclear(it) }.let { (it as LeaderReply.State).snapshot }
+        val current = state.rollouts[order.service]
+        val basedOn = current?.orderIndex ?: LogIndex(0)
+        when (current.decisionOn(order, basedOn)) {
+            StartDecision.REPEATED -> return StartResult.Done
+            StartDecision.IN_PROGRESS -> return StartResult.InProgress
+            else -> Unit
+        }
+        if (!caller.isConnected()) return StartResult.Unclear("the caller has left")
+        if (isExpired(caller.sentNotBeforeMs)) return StartResult.Unclear("the caller may have timed out")
+        val command = ServingCommand.StartRollout(order, basedOn, startedAtEpochMs)
+        return callLeader(LeaderCall.Propose(command), links, deadlineAtMs).fold(
+            { StartResult.Unclear(it) },
+            { if (it == LeaderReply.InProgress) StartResult.InProgress else StartResult.Done },
+        )
+    }
+
+    /** Whether this VM leads the replicated log, as far as it knows. */
+    public val isLeader: Boolean get() = access.leadership.value.isLeader
+
+    /** Commits [command] if this VM leads; on the left is why its outcome is unknown. */
+    public suspend fun submitAsLeader(command: ServingCommand): Either<String, Unit> =
+        when (val reply = propose(command)) {
+            LeaderReply.Done -> Unit.right()
+            else -> "$reply".left()
+        }
+
     /** Returns the latest state; on the left is why it cannot be confirmed. */
     public suspend fun read(links: Links): Either<String, ServingSnapshot> =
         callLeader(LeaderCall.Read, links, clock.nowMs() + COMMAND_TIMEOUT_MS).map {
@@ -157,8 +217,8 @@
                 }, { it })
             }
             when (reply) {
-                LeaderReply.Done, is LeaderReply.State -> return reply.right()
-                LeaderReply.Superseded -> return "superseded by a later order for the domain".left()
+                LeaderReply.Done, LeaderReply.InProgress, is LeaderReply.State -> return reply.right()
+                LeaderReply.Superseded -> return "superseded by a later order".left()
                 is LeaderReply.NotLeader -> reason = "no leader replies, last known leader ${reply.leader ?: leader}"
                 is LeaderReply.Refused -> reason = reply.reason
                 is LeaderReply.Undecided -> reason = reply.reason
@@ -189,7 +249,13 @@
                     is ProposeFailure.Undecided -> LeaderReply.Undecided(failure.reason)
                 }
             },
-            { result -> if (result.isEmpty()) LeaderReply.Done else LeaderReply.Superseded },
+            { result ->
+                when (result.firstOrNull()) {
+                    null -> LeaderReply.Done
+                    CommandResult.IN_PROGRESS -> LeaderReply.InProgress
+                    else -> LeaderReply.Superseded
+                }
+            },
         )
     }
 }
--- a/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/AnnouncementJson.kt
@@ -11,6 +11,7 @@
 import arrow.core.right
 import fulmarshunt.FailureDomainId
 import fulmarshunt.ServiceId
+import fulmarshunt.SoftwareVersion
 import fulmarshunt.TargetId
 import fulmarshunt.parseAddress
 import fulmarshunt.target.fleet.TargetPhase
@@ -58,6 +59,7 @@
     val zone: String,
     @Serializable(with = StrictInt::class) val slots: Int,
     val state: String,
+    val version: String? = null,
     /** The remaining time for which the target is cold after its start. */
     @Serializable(with = StrictDouble::class)
     @SerialName("cold_remaining_ms")
@@ -84,7 +86,7 @@
     }
     val record = TargetRecord(
         id, wire.startedAtMs, wire.sequence, ServiceId(wire.service), address, FailureDomainId(wire.zone),
-        wire.slots, phase, wire.coldForMs.toLong(),
+        wire.slots, phase, wire.coldForMs.toLong(), wire.version?.let(::SoftwareVersion),
     )
     val problem = record.problemOrNull() ?: record.timeProblemOrNull(nowMs)
     return problem?.left() ?: record.right()
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -47,6 +47,8 @@
     private val meters: MeterRegistry,
     private val wallClock: Clock,
     private val clock: Clock = monotonicClock(),
+    /** Null if the deployment has no roll-outs. */
+    private val rollouts: RolloutApi? = null,
 ) {
     private val log = LogManager.getLogger(ControlApi::class.java)
 
@@ -65,7 +67,7 @@
             call.method == "GET" && call.path == "/api/config/get" -> read()
             call.method == "POST" && drain != null ->
                 drain(call, FailureDomainId(drain.groupValues[1]), drain.groupValues[2] == "start")
-            else -> reply(NOT_FOUND, "no such call")
+            else -> rollouts?.handleOrNull(call) ?: reply(NOT_FOUND, "no such call")
         }
         meters.counter("fulmarshunt_control_calls", "status", reply.status.toString()).increment()
         return reply
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -17,6 +17,9 @@
 import fulmarshunt.link.Links
 import fulmarshunt.link.linksOf
 import fulmarshunt.monotonicClock
+import fulmarshunt.operator.rollout.EvidenceTable
+import fulmarshunt.operator.rollout.RolloutOwner
+import fulmarshunt.operator.rollout.RolloutOwnerDependencies
 import fulmarshunt.operator.serving.ServingStateAccess
 import fulmarshunt.operator.serving.ServingStateMachine
 import fulmarshunt.process.ExitCode
@@ -103,6 +106,7 @@
         controlDirectoryOf(self, control, clock) { reloaded.current.let { seedAddresses(it.control, it.link) } }
     val access = log.access()
     val servingState = ServingStateAccess(access, machine, clock, own)
+    val evidence = EvidenceTable()
     val watches = WatchService(
         WatchServiceDependencies(
             vm = settings.vm.id,
@@ -111,6 +115,7 @@
             own = own,
             isCurrent = { log.isConnectedToCluster },
             directory = TargetDirectory(settings.targets.periodMs),
+            evidence = evidence,
         ),
         control,
         clock,
@@ -119,7 +124,9 @@
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
     links.listen(own).onLeft { raise(ProgramOutcome(ExitCode.USAGE, "link.port: $it")) }
     val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    listen(settings, ControlApi(servingState, watches, links, meters, wallClock()), meters)
+    val rollouts = if (settings.rollouts.enabled) RolloutApi(servingState, links, wallClock()) else null
+    val api = ControlApi(servingState, watches, links, meters, wallClock(), rollouts = rollouts)
+    listen(settings, api, meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, it)) }
     bindDiskMetric(meters, log.diskProblem)
     meters.gauge("fulmarshunt_reached_control_vms", watches) { it.reachedControlVms.toDouble() }
@@ -127,6 +134,16 @@
     directory.start(links) { log.leadership.value.leader != null }
     watches.start(links)
     reconcileMembership(log, directory, control)
+    RolloutOwner(
+        RolloutOwnerDependencies(
+            { machine.snapshots.value },
+            { servingState.isLeader },
+            servingState::submitAsLeader,
+            evidence,
+            clock,
+            wallClock(),
+        ),
+    ).start(control)
     shutDownOnTermination(SHUTDOWN_TIMEOUT_MS) {
         logger.info("process stops reason=SIGTERM")
         log.close()
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -45,6 +45,7 @@
 import fulmarshunt.target.fleet.RepeatLimits
 import fulmarshunt.target.fleet.TargetConnections
 import fulmarshunt.target.fleet.TargetPaths
+import fulmarshunt.target.rollout.TrialBounds
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.awaitCancellation
@@ -212,11 +213,15 @@
 
 private fun fleetOf(settings: FleetEntrySettings, clock: Clock): Fleet {
     val budget = RepeatBudget(repeatLimits(settings.bounds), clock.nowMs(), Random.Default::nextDouble)
-    return Fleet(clock, settings.vm.failureDomain, budget, Random.Default::nextDouble) { service ->
+    val trialBounds = trialBoundsOrNull(settings.bounds)
+    return Fleet(clock, settings.vm.failureDomain, budget, Random.Default::nextDouble, trialBounds) { service ->
         if (service.coldRequestsPerS <= 0) 0.0 else coldLimitPerS(service.coldRequestsPerS, settings.bounds)
     }
 }
 
+private fun trialBoundsOrNull(bounds: FleetBoundsSettings): TrialBounds? =
+    bounds.trialShare?.let { TrialBounds(it, bounds.trialAllowance, bounds.trialStopMs) }
+
 private fun repeatLimits(bounds: FleetBoundsSettings) =
     RepeatLimits(bounds.repeatRatio, bounds.repeatAllowance, (bounds.repeatWindowS * MS_PER_S).toLong())
 
--- a/src/main/kotlin/fulmarshunt/process/FleetSettings.kt
+++ b/src/main/kotlin/fulmarshunt/process/FleetSettings.kt
@@ -63,6 +63,15 @@
     /** The requests per second that a cold target may get in addition. */
     @SerialName("cold_allowance")
     public val coldAllowance: Double = 0.0,
+    /** The maximum share of the requests of a service for a version on trial; null if versions have no effect. */
+    @SerialName("trial_share")
+    public val trialShare: Double? = null,
+    /** The number of requests that a version on trial may get in addition. */
+    @SerialName("trial_allowance")
+    public val trialAllowance: Double = 0.0,
+    /** The time after many failures within which a version on trial must get no more requests. */
+    @SerialName("trial_stop_ms")
+    public val trialStopMs: Long = 5_000,
 )
 
 /** The graceful shutdown of a fleet entry process. */
@@ -102,6 +111,13 @@
     public val periodMs: Long,
 )
 
+/** Roll-outs of versions of services. */
+@Serializable
+public data class RolloutSettings(
+    /** Whether operators may order roll-outs; entry VMs need `bounds.trial_share`. */
+    public val enabled: Boolean = false,
+)
+
 /** The settings of the `fleet-control` program. */
 @Serializable
 public data class FleetControlSettings(
@@ -112,6 +128,7 @@
     public val listen: FleetControlListenSettings,
     public val formation: FormationSettings,
     public val targets: AnnouncementSettings,
+    public val rollouts: RolloutSettings = RolloutSettings(),
 )
 
 /** Returns the address at which [vm] accepts links. */
@@ -136,6 +153,9 @@
         { notNegative("bounds.repeat_allowance", it.bounds.repeatAllowance) },
         { positive("bounds.cold_factor", it.bounds.coldFactor) },
         { notNegative("bounds.cold_allowance", it.bounds.coldAllowance) },
+        { inRange("bounds.trial_stop_ms", it.bounds.trialStopMs, 1..MAX_PERIOD_MS) },
+        { notNegative("bounds.trial_share", it.bounds.trialShare ?: 0.0) },
+        { notNegative("bounds.trial_allowance", it.bounds.trialAllowance) },
         { inRange("shutdown.grace_s", it.shutdown.graceS.toLong(), 1..MAX_GRACE_S.toLong()) },
     )
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/FailureHistory.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FailureHistory.kt
@@ -26,6 +26,9 @@
     /** The target failed the request, or its response is unusable. */
     FAILED,
 
+    /** The target responded that it has failed the request. */
+    FAILED_BY_STATUS,
+
     /** No connection could be opened. */
     UNREACHABLE,
 
@@ -51,7 +54,7 @@
         val failure = when (outcome) {
             UseOutcome.SUCCEEDED -> 0.0
             UseOutcome.REFUSED -> REFUSED_WEIGHT
-            UseOutcome.FAILED, UseOutcome.UNREACHABLE -> 1.0
+            UseOutcome.FAILED, UseOutcome.FAILED_BY_STATUS, UseOutcome.UNREACHABLE -> 1.0
             UseOutcome.ABANDONED -> return
         }
         share = share(nowMs) * (1 - NEWEST_WEIGHT) + failure * NEWEST_WEIGHT
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -11,6 +11,9 @@
 import fulmarshunt.TargetId
 import fulmarshunt.operator.serving.ServiceProfile
 import fulmarshunt.target.TargetInstance
+import fulmarshunt.target.rollout.TrialBounds
+import fulmarshunt.target.rollout.TrialObservation
+import fulmarshunt.target.rollout.VersionTraffic
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -34,6 +37,8 @@
     public val objectiveDeadlineMs: Long = Long.MAX_VALUE,
     /** Targets that were tried before. */
     public val excluded: Set<TargetId> = emptySet(),
+    /** The name of the route, by which versions are compared. */
+    public val route: String = "",
 )
 
 /** A target that was chosen for a request; [Fleet.end] must be called for it. */
@@ -43,6 +48,9 @@
     internal var use: TargetUse,
 ) {
     internal var hasEnded = false
+
+    /** What this placement shows of its version; null if no roll-out of its service ran. */
+    internal var observation: TrialObservation? = null
 }
 
 /** The result of a [PlacementRequest]. */
@@ -68,6 +76,8 @@
     budget: RepeatBudget,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
+    /** Null if the deployment has no roll-outs. */
+    trialBounds: TrialBounds? = null,
     private val coldLimitPerS: (ServiceProfile) -> Double,
 ) {
     private val log = LogManager.getLogger(Fleet::class.java)
@@ -93,6 +103,9 @@
     /** What this VM knows of crashes. */
     public val crashes: CrashKnowledge = CrashKnowledge(clock)
 
+    /** The versions of services that requests go to. */
+    public val versions: VersionTraffic = VersionTraffic(trialBounds, clock, nextRandom)
+
     private val inUseState = MutableStateFlow(false)
 
     /** Whether a request of this VM is placed or waits for a target. */
@@ -107,6 +120,7 @@
     /** Replaces what control VMs list. */
     public fun update(listed: FleetView) {
         this.listed = listed
+        versions.update(listed)
         val nowMs = clock.nowMs()
         leaving.expire(nowMs)
         pauses.expire(nowMs)
@@ -120,7 +134,7 @@
         brittle.update(listed.targets.values)
         viewState.value = listed.copy(
             targets = listed.targets.mapValues { (_, target) ->
-                val record = leaving.applyTo(target.record)
+                val record = versions.applyTo(leaving.applyTo(target.record))
                 if (record === target.record) target else target.copy(record = record)
             },
             limited = limits.limited,
@@ -237,7 +251,7 @@
     public fun placeForMigration(placement: Placement, tokens: Int): Placement? {
         val request = placement.request.copy(excluded = setOf(placement.target.id))
         val requirements = TargetRequirements(request.service.engine, 0, tokens, placement.target.record.domain)
-        val candidates = usableCandidates(request)
+        val candidates = usableCandidates(request, versions.isOnTrial(placement.target))
         val chosen =
             chooseOrNull(candidates, requirements, nextRandom)
                 ?: candidates.minByOrNull { it.use.tokens }
@@ -251,7 +265,13 @@
         val request = placement.request.copy(excluded = setOf(placement.target.id))
         val all = view.acceptingTargets(request.service.id).map { useOf(it.id) }
         val chosen =
-            chooseForCopyOrNull(usableCandidates(request), all, placement.use.tokens, engine, nextRandom) ?: return null
+            chooseForCopyOrNull(
+                usableCandidates(request, versions.isOnTrial(placement.target)),
+                all,
+                placement.use.tokens,
+                engine,
+                nextRandom,
+            ) ?: return null
         return assign(request, chosen.target, TargetUse(0, placement.use.tokens, 0))
     }
 
@@ -262,6 +282,7 @@
 
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
+        placement.observation?.let(versions::recordAnswer)
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
         if (pauses.recordOutput(placement, clock.nowMs())) retryWaiting()
     }
@@ -272,12 +293,27 @@
         replaceUse(placement, TargetUse.NONE)
         if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
+        placement.observation?.let { recordEnd(it, outcome) }
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
         pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
     }
 
+    private fun recordEnd(observation: TrialObservation, outcome: UseOutcome) = when (outcome) {
+        UseOutcome.SUCCEEDED -> versions.recordAnswer(observation)
+        UseOutcome.FAILED_BY_STATUS -> versions.recordError(observation)
+        UseOutcome.FAILED -> versions.recordLost(observation)
+        UseOutcome.ABANDONED -> versions.recordUnanswered(observation)
+        UseOutcome.REFUSED, UseOutcome.UNREACHABLE -> Unit
+    }
+
     private fun placeNow(request: PlacementRequest): Placement? {
+        // Without room at the version on trial, the present one takes the request; never the other way round.
+        val trial = if (versions.isTrialDue(request.service.id)) placeNow(request, isTrial = true) else null
+        return trial ?: placeNow(request, isTrial = false)
+    }
+
+    private fun placeNow(request: PlacementRequest, isTrial: Boolean): Placement? {
         val tokens = request.promptTokens + request.outputTokens
         val requirements =
             TargetRequirements(
@@ -287,11 +323,12 @@
                 domain,
                 request.isLate(clock.nowMs()),
             )
-        val chosen = chooseOrNull(usableCandidates(request), requirements, nextRandom) ?: return null
+        val chosen = chooseOrNull(usableCandidates(request, isTrial), requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
             pauses.recordPlacement(it)
             limits.recordRequest(it.target)
+            it.observation = versions.recordPlacement(request.route, it.target)
         }
     }
 
@@ -319,12 +356,18 @@
         if (!waiting.isEmpty) waiting.admit(::placeNow)
     }
 
-    /** Returns the targets that may get [request] now; silent or avoided ones only if there are no others. */
-    private fun usableCandidates(request: PlacementRequest): List<Candidate> {
+    /**
+     * Returns the targets that may get [request] now, of the version on trial if [isTrial]; silent or avoided ones only
+     * if there are no others.
+     */
+    private fun usableCandidates(request: PlacementRequest, isTrial: Boolean): List<Candidate> {
         val nowMs = clock.nowMs()
         val limit = coldLimitPerS(request.service)
         val eligible = view.acceptingTargets(request.service.id).filter { target ->
-            target.id !in request.excluded && pauses.admits(target.instance, nowMs) &&
+            target.id !in request.excluded && versions.admits(
+                target,
+                isTrial,
+            ) && pauses.admits(target.instance, nowMs) &&
                 limits.waitMs(target, view.entryVms) == 0L &&
                 brittle.admits(target) &&
                 (
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
+import fulmarshunt.operator.rollout.Rollout
 import fulmarshunt.operator.serving.RoutingTable
 import fulmarshunt.target.TargetInstance
 
@@ -44,6 +45,8 @@
     public val refused: Set<Fingerprint> = emptySet(),
     /** The targets that take a limited number of requests from all entry VMs together. */
     public val limited: Set<TargetInstance> = emptySet(),
+    /** The last roll-out of each service that had one. */
+    public val rollouts: Map<ServiceId, Rollout> = emptyMap(),
 ) {
     /** Returns the targets that accept requests for [service], with or without free capacity. */
     internal fun acceptingTargets(service: ServiceId): List<KnownTarget> = targets.values.filter {
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
@@ -8,6 +8,7 @@
 import fulmarshunt.FailureDomainId
 import fulmarshunt.Incarnation
 import fulmarshunt.ServiceId
+import fulmarshunt.SoftwareVersion
 import fulmarshunt.TargetId
 import fulmarshunt.target.TargetInstance
 import kotlinx.serialization.SerialName
@@ -41,6 +42,8 @@
     public val phase: TargetPhase,
     /** How long the target stays cold, counted from its announcement. */
     public val coldForMs: Long,
+    /** Null if the target names none, or if a control VM of an older version has passed the record on. */
+    public val version: SoftwareVersion? = null,
 ) {
     /** The run of the target that announced this record. */
     public val instance: TargetInstance get() = TargetInstance(id, Incarnation(startedAtMs))
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetRecordCheck.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetRecordCheck.kt
@@ -35,6 +35,7 @@
 /** Returns the first problem that makes this record unusable, or null if it is valid. */
 public fun TargetRecord.problemOrNull(): String? = id.problemOrNull() ?: when {
     !isName(service.value) -> "the service is empty, too long or not printable"
+    version != null && !isName(version.value) -> "the version is empty, too long or not printable"
     !isName(domain.value) -> "the failure domain is empty, too long or not printable"
     !address.isUnicastEndpoint() -> "the address $address is not the IPv4 number of a VM and a port"
     slots !in 0..MAX_SLOTS -> "the number of slots $slots is not in 0..$MAX_SLOTS"
