--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -75,6 +75,7 @@
         timelyUntilMs(this),
         triedTargets.toSet(),
         account,
+        route.name,
     )
 }
 
