Learn the load and the speed of targets, and place requests by it

Cause: what targets state of their load was not read, and their answers were not timed, so that a slow target got as many requests as the others. Entry VMs that see the same old loads sent plain requests to the same target.

Change: the stated load is decoded once from each answer and stream head. Load beyond the known use, refusals, and the time of answers against the median of the service enter the cost of a target, fading with their age. Given-up requests count as slow ones. With more than 16 entry VMs, plain requests are spread by weight.

--- a/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/ProtocolAdapter.kt
@@ -10,6 +10,7 @@
 import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.TargetId
+import fulmarshunt.target.fleet.StatedLoad
 import io.netty.handler.codec.http.HttpHeaders
 
 /** What a request says about the requested generation. */
@@ -70,6 +71,8 @@
     public val limitPerS: Double? = null,
     /** The refusals in a second after which the target fails, or null if it is not brittle. */
     public val refusalsPerS: Double? = null,
+    /** What the target says of its load, or why that cannot be right; null if it says nothing. */
+    public val load: Either<String, StatedLoad>? = null,
 )
 
 /** The memory of a run has been copied completely to another target. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -144,8 +144,22 @@
         control.scope.launch { fleet.promote(copy) }
     }
 
-    fun started(placement: Placement) {
-        control.scope.launch { fleet.started(placement) }
+    /** Records that the target of [placement] made the first event of a stream, [elapsedMs] after the request. */
+    fun started(placement: Placement, elapsedMs: Long) {
+        control.scope.launch {
+            fleet.started(placement)
+            fleet.evidence.recordFirstEvent(placement, elapsedMs)
+        }
+    }
+
+    /** Records that the target of [placement] served a plain request in [elapsedMs]. */
+    fun answered(placement: Placement, elapsedMs: Long) {
+        control.scope.launch { fleet.evidence.recordAnswer(placement, elapsedMs) }
+    }
+
+    /** Records that the target of [placement] made [events] in [elapsedMs]. */
+    fun recordEvents(placement: Placement, events: Long, elapsedMs: Long) {
+        control.scope.launch { fleet.evidence.recordEvents(placement, events, elapsedMs) }
     }
 
     fun end(placement: Placement, outcome: UseOutcome) {
@@ -160,7 +174,10 @@
     /** Releases the placements that are still held, and the repeats that were not sent. */
     fun endAll() {
         control.scope.launch {
-            held.forEach { fleet.end(it, UseOutcome.ABANDONED) }
+            held.forEach {
+                if (!it.hasEnded) fleet.evidence.recordGivenUp(it)
+                fleet.end(it, UseOutcome.ABANDONED)
+            }
             (reservedRepeats + reservedContinuations).forEach(fleet.repeats::release)
             reservedRepeats.clear()
             reservedContinuations.clear()
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayMeters.kt
@@ -38,6 +38,11 @@
         registry.counter("fulmarshunt_failed_attempts", "kind", kind, "service", service).increment()
     }
 
+    /** Counts a statement of a target on its load. */
+    internal fun loadStated(isUsable: Boolean) {
+        registry.counter("fulmarshunt_stated_loads", "result", if (isUsable) "used" else "unusable").increment()
+    }
+
     /** Counts an attempt to continue a run at another target. */
     internal fun continued(how: String, isSuccess: Boolean) {
         registry.counter("fulmarshunt_continued_runs", "how", how, "success", isSuccess.toString()).increment()
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -260,6 +260,10 @@
             val isFailure = run.response.head.status().code() in SERVER_FAILURES
             if (run.response.head.status().codeClass() == HttpStatusClass.SUCCESS) {
                 admission.recordDuration(job)
+                // A body that the caller was still sending would count as time of the target.
+                if (job.request.body.isRepeatable && job.service.engine == null) {
+                    placements.answered(run.placement, run.response.headAfterMs)
+                }
                 if (!run.response.endsWithConnection) placements.recordSound(job.causes.parts)
             }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED else UseOutcome.SUCCEEDED)
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -122,6 +122,7 @@
 
     /** How long the run was waited for since its last event or its continuation; other bytes are no progress. */
     private var silentMs = 0L
+    private val pace = EventPace(dependencies.placements::recordEvents)
     private var isSoundRecorded = false
 
     /** Whether bytes arrived while the run was to be stopped, so that nothing was done. */
@@ -299,7 +300,10 @@
         val isLast = content is LastHttpContent
         val eventsBefore = framer.events
         val completeEvents = framer.appendOrNull(content.content())
-        if (framer.events > eventsBefore) recordEvents(isFirst = eventsBefore == 0L)
+        if (framer.events > eventsBefore) {
+            pace.record(current.placement, framer.events - eventsBefore, silentMs, dependencies.clock.nowMs())
+            recordEvents(isFirst = eventsBefore == 0L)
+        }
         if (completeEvents != null) {
             caller.send(DefaultHttpContent(completeEvents), hasEvent = events > 0)
         }
@@ -321,7 +325,7 @@
     private fun recordEvents(isFirst: Boolean) {
         val nowMs = dependencies.clock.nowMs()
         if (isFirst) {
-            dependencies.placements.started(current.placement)
+            dependencies.placements.started(current.placement, nowMs - current.response.sentAtMs)
             job.firstEventAfterMs = nowMs - job.request.arrivedAtMs
             dependencies.meters.firstByte(job.service.id.value, nowMs - job.request.arrivedAtMs)
         } else {
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -61,6 +61,9 @@
     val head: HttpResponse,
     private val connections: TargetConnections,
     private val bodySender: Job?,
+    val sentAtMs: Long,
+    /** The time from sending the request to the head of the response. */
+    val headAfterMs: Long,
 ) {
     /** Whether the body ends with the connection. */
     val endsWithConnection: Boolean
@@ -120,10 +123,11 @@
                 } else {
                     receiveHead(job, connection)
                 } ?: "timed out".left()
+            val headAfterMs = clock.nowMs() - sentAtMs
             head.onRight { onResponse(target, it, sentAtMs) }
             return head.mapLeft { AttemptFailure.Lost("no response: $it") }.flatMap(::validate).map {
                 isOpened = true
-                TargetResponse(target, connection, it, connections, sender)
+                TargetResponse(target, connection, it, connections, sender, sentAtMs, headAfterMs)
             }
         } finally {
             if (!isOpened) {
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetNotices.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetNotices.kt
@@ -1,22 +1,29 @@
 /*
  * What targets say of themselves in the heads of their responses: that they are leaving, that they want no requests for
- * a while, or few of them, or that they are brittle. It takes effect at this VM at once, without control VMs.
+ * a while, or few of them, that they are brittle, or how much load they have. It takes effect at this VM at once,
+ * without control VMs.
  *
  * A statement counts for the target to which the request was sent only if the response can be its own: it names the
  * request, does not say that another target has the address, and is no success whose origin is not proved.
  */
 package fulmarshunt.caller.relay
 
+import fulmarshunt.process.LimitedLog
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.LimitStatement
 import fulmarshunt.target.fleet.NOTHING_SAID_AGE_MS
+import fulmarshunt.target.fleet.StatedLoad
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import kotlinx.coroutines.launch
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
 
 /** Receives the statements of targets. Confined to the traffic thread. */
 internal class TargetNotices(private val dependencies: RelayDependencies) {
+    private val limitedLog = LimitedLog(LogManager.getLogger(TargetNotices::class.java))
+
     /** Receives [head], the head of a response to a request that was sent to [target] at [sentAtMs]. */
     fun receive(target: KnownTarget, head: HttpResponse, sentAtMs: Long) {
         val metadata = dependencies.adapter.readResponse(head.headers())
@@ -29,6 +36,7 @@
         if (pauseMs != null && pauseMs > 0) {
             dependencies.control.scope.launch { dependencies.fleet.recordPause(target, pauseMs) }
         }
+        metadata.load?.fold({ rejectLoad(target, it) }, { receiveLoad(target, it) })
         receiveLimits(target, metadata, sentAtMs.takeIf { head.status().codeClass() == HttpStatusClass.SUCCESS })
     }
 
@@ -60,6 +68,17 @@
         }
     }
 
+    private fun receiveLoad(target: KnownTarget, load: StatedLoad) {
+        dependencies.meters.loadStated(isUsable = true)
+        val receivedAtMs = dependencies.clock.nowMs()
+        dependencies.control.scope.launch { dependencies.fleet.evidence.recordLoad(target, load, receivedAtMs) }
+    }
+
+    private fun rejectLoad(target: KnownTarget, reason: String) {
+        dependencies.meters.loadStated(isUsable = false)
+        limitedLog.log(Level.WARN, "load of target not usable target=${target.id} reason=$reason")
+    }
+
     private fun isOwn(head: HttpResponse, metadata: ResponseMetadata): Boolean {
         val isUnprovedSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS && !metadata.isStamped
         return metadata.request != null && !isUnprovedSuccess &&
--- a/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
+++ b/src/main/kotlin/fulmarshunt/platform/HeaderName.kt
@@ -45,6 +45,9 @@
     /** `1` in each response of a target that is leaving. */
     const val LEAVING = "Server-Leaving"
 
+    /** The running requests, the waiting ones, the slots and, of some targets, how long work takes, in percent. */
+    const val LOAD = "Fulmarshunt-Server-Load"
+
     /** The requests in a second that a target in need takes from all entry VMs together, a decimal number. */
     const val LIMIT = "Server-Limit"
 
--- a/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
+++ b/src/main/kotlin/fulmarshunt/platform/PlatformProtocolAdapter.kt
@@ -3,6 +3,8 @@
  */
 package fulmarshunt.platform
 
+import arrow.core.Either
+import arrow.core.left
 import fulmarshunt.PromptPartId
 import fulmarshunt.RequestId
 import fulmarshunt.caller.relay.Dispatch
@@ -10,6 +12,8 @@
 import fulmarshunt.caller.relay.ProtocolAdapter
 import fulmarshunt.caller.relay.RequestMetadata
 import fulmarshunt.caller.relay.ResponseMetadata
+import fulmarshunt.target.fleet.StatedLoad
+import fulmarshunt.target.fleet.statedLoad
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -24,6 +28,13 @@
 /** Parts of a prompt beyond this number are ignored; it bounds the work for one request. */
 private const val MAX_PROMPT_PARTS = 64
 
+/** The figures that every statement of a load has; some targets add how long work takes. */
+private const val MIN_LOAD_FIGURES = 3
+private const val MAX_LOAD_FIGURES = 4
+
+/** What follows in a statement of a load is not read; four figures of seven digits fit. */
+private const val MAX_LOAD_CHARACTERS = 64
+
 /** Returns the protocol adapter of the platform; [engines] migrates runs. */
 internal fun platformProtocolAdapter(engines: EngineMigrationClient): ProtocolAdapter = ProtocolAdapter(
     readRequest = ::readRequest,
@@ -87,8 +98,18 @@
     isLeaving = headers.get(HeaderName.LEAVING)?.trim() == "1",
     limitPerS = headers.get(HeaderName.LIMIT)?.let(::parseLimitPerSOrNull),
     refusalsPerS = headers.get(HeaderName.BRITTLE)?.let(::parseLimitPerSOrNull),
+    load = headers.get(HeaderName.LOAD)?.let(::parseLoad),
 )
 
+/** Returns the load in [value], its figures separated by commas, or why it cannot be used; further ones are ignored. */
+internal fun parseLoad(value: String): Either<String, StatedLoad> {
+    val texts = value.take(MAX_LOAD_CHARACTERS).split(',').take(MAX_LOAD_FIGURES)
+    val figures = texts.mapNotNull { it.trim().toLongOrNull() }
+    if (figures.size < texts.size || figures.size < MIN_LOAD_FIGURES) return "not three or four figures".left()
+    val (running, waiting, slots) = figures
+    return statedLoad(running, waiting, slots, figures.getOrNull(MIN_LOAD_FIGURES))
+}
+
 /** Returns the limit in [value], or null if it is no decimal number. */
 internal fun parseLimitPerSOrNull(value: String): Double? = value.trim().takeIf { limitPattern.matches(it) }?.toDouble()
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -43,6 +43,11 @@
     internal var use: TargetUse,
 ) {
     internal var hasEnded = false
+
+    /** The work of the target until it answers; 0 if its answer does not show how fast it is. */
+    internal var workAhead = 0.0
+    internal var placedAtMs = 0L
+    internal var hasAnswered = false
 }
 
 /** The result of a [PlacementRequest]. */
@@ -93,6 +98,9 @@
     /** What this VM knows of crashes. */
     public val crashes: CrashKnowledge = CrashKnowledge(clock)
 
+    /** What targets say of their load, and how fast they are. */
+    public val evidence: TargetEvidence = TargetEvidence(clock, ownUse) { view }
+
     private val inUseState = MutableStateFlow(false)
 
     /** Whether a request of this VM is placed or waits for a target. */
@@ -113,6 +121,7 @@
         limits.expire()
         failures.keys.retainAll(listed.targets.keys)
         coldStarts.retain(listed.targets.keys)
+        evidence.retain(listed.targets.values)
         publish()
     }
 
@@ -272,6 +281,7 @@
         replaceUse(placement, TargetUse.NONE)
         if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
+        evidence.recordEnd(placement, outcome)
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
         pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
@@ -286,10 +296,13 @@
                 tokens,
                 domain,
                 request.isLate(clock.nowMs()),
+                view.entryVms,
             )
         val chosen = chooseOrNull(usableCandidates(request), requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
+            it.workAhead = workAhead(requirements, chosen.target.record.slots, chosen.use)
+            it.placedAtMs = clock.nowMs()
             pauses.recordPlacement(it)
             limits.recordRequest(it.target)
         }
@@ -338,9 +351,16 @@
                     )
         }
         val preferred = eligible.filter { !it.isSilent && (failures[it.id]?.avoidUntilMs ?: 0) <= nowMs }
+        val slowness = evidence.slowness(request.service.id)
         return preferred.ifEmpty { eligible }.map { target ->
-            val share = failures[target.id]?.share(nowMs) ?: 0.0
-            Candidate(target, useOf(target.id), share, brittle.isBrittle(target))
+            Candidate(
+                target,
+                useOf(target.id),
+                failures[target.id]?.share(nowMs) ?: 0.0,
+                brittle.isBrittle(target),
+                slowness[target.instance] ?: 1.0,
+                evidence.unknownLoad(target, capacityOf(target.record, request.service.engine)),
+            )
         }
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
@@ -9,6 +9,8 @@
 
 import fulmarshunt.FailureDomainId
 import fulmarshunt.operator.serving.EngineProfile
+import kotlin.math.exp
+import kotlin.math.pow
 
 /**
  * The share of an engine's memory that generations may fill at their expected final length. Most are still shorter,
@@ -23,12 +25,23 @@
 private const val EQUAL_COST_TOKENS = 500.0
 private const val EQUAL_COST_REQUESTS = 0.1
 
+/**
+ * With more entry VMs, the use of plain targets by others is outdated when it arrives: work takes a fifth of that time.
+ * The cheapest target of one moment would get all requests of the next; they are spread by weight instead.
+ */
+private const val MAX_PRECISE_ENTRY_VMS = 16
+private const val SPREAD_COST_REQUESTS = 0.7
+private const val SLOWNESS_EXPONENT = 3
+
 /** The cost of a full memory, in prompt tokens to be processed first. */
 private const val MEMORY_COST_TOKENS = 3_000.0
 
 /** The cost of a running generation: each slows every step by about the time of processing two prompt tokens. */
 private const val RUN_COST_TOKENS = 40.0
 
+/** The cost of a request that waits at an engine: its memory or its slots are short, which passes slowly. */
+private const val WAITING_COST_TOKENS = 1_000.0
+
 /** The cost of another failure domain: a round trip, and traffic between domains. */
 private const val DOMAIN_COST_TOKENS = 60.0
 private const val DOMAIN_COST_REQUESTS = 0.15
@@ -52,6 +65,10 @@
     val failureShare: Double,
     /** Whether the target fails when it refuses more than a few requests. */
     val isBrittle: Boolean = false,
+    /** How many times longer work takes at the target than usual at its service. */
+    val slowness: Double = 1.0,
+    /** The load that is not in [use]. */
+    val unknown: UnknownLoad = UnknownLoad.NONE,
 )
 
 /** The requirements of a request. */
@@ -63,6 +80,8 @@
     val domain: FailureDomainId,
     /** True if the request can no longer be served within its objective. */
     val isLate: Boolean = false,
+    /** The number of entry VMs that place requests by the same outdated use. */
+    val entryVms: Int = 1,
 )
 
 /** Returns a random one of the cheapest targets that can take the request now, or null if none can. */
@@ -71,12 +90,30 @@
     requirements: TargetRequirements,
     nextRandom: () -> Double,
 ): Candidate? {
-    val costs = candidates.filter { it.canTake(requirements) }.associateWith { it.cost(requirements) }
+    val able = candidates.filter { it.canTake(requirements) }
+    // Unknown load is a guess: it may not keep a request waiting, whose wait no event would end.
+    val roomy = able.filter { it.hasPlace(requirements) }.ifEmpty { able }
+    val costs = roomy.associateWith { it.cost(requirements) }
     val least = costs.values.minOrNull() ?: return null
+    if (requirements.engine == null && requirements.entryVms > MAX_PRECISE_ENTRY_VMS) {
+        return costs.weightedRandomElement(least, nextRandom)
+    }
     val equalCost = if (requirements.engine == null) EQUAL_COST_REQUESTS else EQUAL_COST_TOKENS
     return costs.filterValues { it <= least + equalCost }.keys.toList().randomElement(nextRandom)
 }
 
+/**
+ * Returns a random candidate; each [SPREAD_COST_REQUESTS] of cost above [least] make it less likely by a factor of e.
+ * Slowness lasts longer than load, so that it is no reason to spread.
+ */
+private fun Map<Candidate, Double>.weightedRandomElement(least: Double, nextRandom: () -> Double): Candidate {
+    val weights = mapValues { (candidate, cost) ->
+        exp((least - cost) / SPREAD_COST_REQUESTS) / candidate.slowness.pow(SLOWNESS_EXPONENT)
+    }
+    var rest = nextRandom() * weights.values.sum()
+    return weights.entries.firstOrNull { (_, weight) -> (rest - weight).also { rest = it } < 0 }?.key ?: keys.last()
+}
+
 private fun List<Candidate>.randomElement(nextRandom: () -> Double): Candidate =
     this[(nextRandom() * size).toInt().coerceAtMost(size - 1)]
 
@@ -89,6 +126,17 @@
         (use.running == 0 || use.tokens + requirements.tokens <= requirements.engine.memoryTokens * maxMemoryShare)
 }
 
+/** Returns whether the request would probably not wait long for a place, by what is only presumed of the target. */
+private fun Candidate.hasPlace(requirements: TargetRequirements): Boolean {
+    val presumed = use.running + unknown.requests
+    if (requirements.engine != null) return presumed < requirements.engine.slots
+    return presumed < target.record.slots * (1 + PLAIN_QUEUE_SHARE / slowness.coerceAtLeast(1.0))
+}
+
+/** Returns how many requests the target takes before it refuses others. */
+internal fun capacityOf(target: TargetRecord, engine: EngineProfile?): Double =
+    engine?.slots?.toDouble() ?: (target.slots * (1 + PLAIN_QUEUE_SHARE))
+
 /**
  * Returns a target for a copy of a generation of [tokens], or null if memory is needed for requests.
  *
@@ -112,13 +160,15 @@
 private fun Candidate.cost(requirements: TargetRequirements): Double {
     val isElsewhere = target.record.domain != requirements.domain
     if (requirements.engine == null) {
-        return use.running / target.record.slots.coerceAtLeast(1).toDouble() +
+        val requests = (use.running + unknown.requests) / target.record.slots.coerceAtLeast(1).toDouble()
+        return slowness * (1 + requests) +
             (if (isElsewhere) DOMAIN_COST_REQUESTS else 0.0) +
             failureShare * FAILING_COST_REQUESTS
     }
-    return use.unreadTokens +
-        MEMORY_COST_TOKENS * (use.tokens + requirements.tokens) / requirements.engine.memoryTokens.coerceAtLeast(1) +
-        RUN_COST_TOKENS * use.running +
+    val memoryShare = (use.tokens + requirements.tokens) / requirements.engine.memoryTokens.coerceAtLeast(1)
+    val tokensAhead = use.unreadTokens + MEMORY_COST_TOKENS * memoryShare +
+        RUN_COST_TOKENS * (use.running + unknown.requests) + WAITING_COST_TOKENS * unknown.waiting
+    return slowness * (requirements.promptTokens + tokensAhead) +
         (if (isElsewhere) DOMAIN_COST_TOKENS else 0.0) +
         failureShare * FAILING_COST_TOKENS
 }
