--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -55,6 +55,10 @@
 
     /** What this placement shows of its version; null if no roll-out of its service ran. */
     internal var observation: TrialObservation? = null
+
+    /** The work of the target until it answers; 0 if its answer does not show how fast it is. */
+    internal var workAhead = 0.0
+    internal var hasAnswered = false
 }
 
 /** Why a request was refused although targets exist. */
@@ -139,6 +143,9 @@
     /** The versions of services that requests go to. */
     public val versions: VersionTraffic = VersionTraffic(trialBounds, clock, nextRandom)
 
+    /** What targets say of their load, and how fast they are. */
+    public val evidence: TargetEvidence = TargetEvidence(clock, ownUse) { view }
+
     private val inUseState = MutableStateFlow(false)
 
     /** Whether a request of this VM is placed or waits for a target. */
@@ -160,6 +167,7 @@
         limits.expire()
         failures.keys.retainAll(listed.targets.keys)
         coldStarts.retain(listed.targets.keys)
+        evidence.retain(listed.targets.values)
         publish()
     }
 
@@ -331,6 +339,7 @@
         if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
         placement.observation?.let { recordEnd(it, outcome) }
+        evidence.recordEnd(placement, outcome)
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
         pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
@@ -359,10 +368,12 @@
                 tokens,
                 domain,
                 request.isLate(clock.nowMs()),
+                view.entryVms,
             )
         val chosen = chooseOrNull(usableCandidates(request, isTrial), requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
+            it.workAhead = workAhead(requirements, chosen.target.record.slots, chosen.use)
             pauses.recordPlacement(it)
             limits.recordRequest(it.target)
             it.observation = versions.recordPlacement(request.route, it.target)
@@ -418,9 +429,16 @@
                     )
         }
         val preferred = eligible.filter { !it.isSilent && (failures[it.id]?.avoidUntilMs ?: 0) <= nowMs }
+        val slowness = evidence.slowness(request.service.id)
         return preferred.ifEmpty { eligible }.map { target ->
-            val share = failures[target.id]?.share(nowMs) ?: 0.0
-            Candidate(target, useOf(target.id), share, brittle.isBrittle(target))
+            Candidate(
+                target,
+                useOf(target.id),
+                failures[target.id]?.share(nowMs) ?: 0.0,
+                brittle.isBrittle(target),
+                slowness[target.instance] ?: 1.0,
+                evidence.unknownLoad(target, capacityOf(target.record, request.service.engine)),
+            )
         }
     }
 
