--- a/src/test/kotlin/fulmarshunt/standin/Processes.kt
+++ b/src/test/kotlin/fulmarshunt/standin/Processes.kt
@@ -23,16 +23,23 @@
         Runtime.getRuntime().addShutdownHook(termination)
     }
 
-    /** Starts [mainClass] in a separate JVM with [jvmFlags]; its output goes to a file named for [name]. */
+    /**
+     * Starts [mainClass] in a separate JVM with [jvmFlags]; its output goes to a file named for [name].
+     *
+     * @param maxDescriptors the limit of open descriptors of the process, or null for that of this one.
+     */
     fun start(
         name: String,
         mainClass: String,
         vararg arguments: String,
         jvmFlags: List<String> = listOf("-Xmx96m"),
+        maxDescriptors: Int? = null,
     ): Process {
         val java = File(System.getProperty("java.home"), "bin/java").path
+        val limited =
+            if (maxDescriptors == null) emptyList() else listOf("prlimit", "--nofile=$maxDescriptors")
         val command =
-            listOf(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1") +
+            limited + listOf(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1") +
                 jvmFlags +
                 listOf("-cp", System.getProperty("java.class.path"), mainClass) +
                 arguments
