Limit the pace of targets that have just started or recovered by their answers

A target that had just started or come back from a pause was the cheapest choice of every entry VM, and was either flooded (all requests at once after the trial of a pause; any new instance that is not cold) or left idle (a new instance inherited the failures of its former one). Entry VMs report the signs with their use, so that all decide by all answers. TargetAdmission.kt is the one place that asks all limits of a target. The start limit of cold targets is used as far as four standard deviations allow instead of a fixed part.

--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -262,7 +262,7 @@
         if (watchedControlVms == 0) {
             isolationLog.log(Level.WARN, "no control-vm reached address=$address reason=$reason")
         }
-        publish(viewState.value)
+        publish(viewState.value.copy(isInContact = watchedControlVms > 0))
     }
 
     /** Returns the slot whose control VM gets the use of targets; another one if that of the first slot is lost. */
@@ -291,7 +291,11 @@
         if (reported != null) view = view.copy(othersUse = receiveUse(slot, reply, reported))
         val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
-        val next = view.copy(entryVms = countEntryVms(reply, view.entryVms), refused = refused)
+        val next = view.copy(
+            entryVms = countEntryVms(reply, view.entryVms),
+            refused = refused,
+            isInContact = true,
+        )
         val isPublishDue = clock.nowMs() - publishedAtMs >= PUBLISH_PERIOD_MS
         if (reply.targets.isEmpty() && next == viewState.value && !isPublishDue) fleet.retryWaiting() else publish(next)
         if (!reply.isCurrent && hasAlternative()) disconnect(slot, "it is out of contact with a leader")
@@ -385,11 +389,7 @@
     /** Returns the use of the other entry VMs: the total without the use that this VM had reported for it. */
     private fun othersUse(total: Map<TargetId, TargetUse>): Map<TargetId, TargetUse> = total.mapValues { (id, use) ->
         val own = reportedUse[id] ?: return@mapValues use
-        TargetUse(
-            (use.running - own.running).coerceAtLeast(0),
-            (use.tokens - own.tokens).coerceAtLeast(0),
-            (use.unreadTokens - own.unreadTokens).coerceAtLeast(0),
-        )
+        use - own
     }
 
     private fun publish(view: FleetView) {
--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -129,6 +129,7 @@
     settings.listen.forwarding?.let { forwarding.listen(validatedAddress(it)) }
         ?.onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.forwarding: $it")) }
     meters.gauge("fulmarshunt_watched_control_vms", watcher) { it.watchedControlVms.toDouble() }
+    meters.gauge("fulmarshunt_paced_targets", fleet) { it.pacedTargets.toDouble() }
     meters.gauge("fulmarshunt_targets_lost", paths) { if (it.isCut) 1.0 else 0.0 }
     control.run { watcher.start() }
     startConnectionExpiry(traffic, connections, forwarding)
--- a/src/main/kotlin/fulmarshunt/target/LatencyBaseline.kt
+++ b/src/main/kotlin/fulmarshunt/target/LatencyBaseline.kt
@@ -3,9 +3,6 @@
  */
 package fulmarshunt.target
 
-/** A sample above this many times the baseline is slow. */
-private const val SLOW_FACTOR = 4.0
-
 /** This many consecutive slow samples mean that the target turned cold; single ones come from bursts. */
 private const val COLD_SAMPLES = 4
 
@@ -15,15 +12,15 @@
 /** The weight of a new sample in the baseline. */
 private const val LEARNING_RATE = 0.05
 
-/** Latencies below this are treated as equal, because clock granularity dominates them. */
-private const val MIN_BASELINE_MS = 1.0
-
 /** A running mean of a latency on which slow samples have little influence. */
 internal class LatencyBaseline {
     /** The running mean, 0 before the first sample. */
     var meanMs = 0.0
         private set
-    private var samples = 0
+
+    /** The number of samples that the mean is made of. */
+    var samples = 0
+        private set
     private var consecutiveSlow = 0
 
     /** True while the latest sample was slow. */
@@ -31,7 +28,7 @@
 
     /** Adds a sample and returns true if the target has just turned cold. */
     fun record(sampleMs: Double): Boolean {
-        val bound = SLOW_FACTOR * maxOf(meanMs, MIN_BASELINE_MS)
+        val bound = slowMs(meanMs)
         val slow = samples >= MIN_SAMPLES && sampleMs > bound
         // Early samples set the mean quickly; later, clamped samples let the baseline adapt to a lasting change.
         val rate = maxOf(LEARNING_RATE, 1.0 / (samples + 1))
--- a/src/main/kotlin/fulmarshunt/target/LatencyHistory.kt
+++ b/src/main/kotlin/fulmarshunt/target/LatencyHistory.kt
@@ -14,18 +14,9 @@
 /** The number of latest buckets whose mean is compared with other targets. */
 private const val RECENT_BUCKETS = 3
 
-/** A latency up to this many times that of warm targets is near it; cold engines are several times slower. */
-private const val NEAR_FACTOR = 1.5
-
 /** A latency that falls below this share of its earlier value is still improving. */
 private const val IMPROVING_SHARE = 0.9
 
-/** After this long without improvement, a target that is slower than the others counts as a slower machine. */
-private const val SLOWER_MACHINE_MS = 60_000L
-
-/** Latencies below this are treated as equal, because clock granularity dominates them. */
-private const val MIN_COMPARED_MS = 1.0
-
 /** What a latency sample describes; samples of different kinds are not compared. */
 internal enum class LatencyKind {
     /** The time between two tokens. */
@@ -33,6 +24,9 @@
 
     /** The time from the grant to the end per token; for requests too short for progress reports. */
     WHOLE,
+
+    /** The time until the first event for a prompt of a thousand tokens. */
+    FIRST_EVENT,
 }
 
 /** Identifies the latency of one kind for one service. */
@@ -89,7 +83,5 @@
         return buckets.takeLast(half).meanMs() >= IMPROVING_SHARE * buckets.take(half).meanMs()
     }
 
-    private fun nearMs(baselineMs: Double) = NEAR_FACTOR * maxOf(baselineMs, MIN_COMPARED_MS)
-
     private fun List<Bucket>.meanMs() = sumOf { it.meanMs } / size
 }
--- a/src/main/kotlin/fulmarshunt/target/fleet/BrittleTargets.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/BrittleTargets.kt
@@ -22,7 +22,7 @@
     /** Returns a random number in 0 until 1. */
     nextRandom: () -> Double,
 ) {
-    private val places = HeldPlaces(nextRandom)
+    private val places = HeldPlaces(nextRandom = nextRandom)
     private val services = mutableMapOf<TargetInstance, ServiceId>()
     private var serviceLimits = emptyMap<ServiceId, Double>()
     private var formerLimits = emptyMap<TargetId, Double>()
--- a/src/main/kotlin/fulmarshunt/target/fleet/ColdStartLimiter.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/ColdStartLimiter.kt
@@ -6,15 +6,22 @@
 package fulmarshunt.target.fleet
 
 import fulmarshunt.TargetId
+import kotlin.math.pow
+import kotlin.math.sqrt
 
 /** The window of the limit, longer than a second because requests can arrive closer together than they were sent. */
 private const val WINDOW_MS = 1_250L
 
 /**
- * The part of the limit that is used by entry VMs whose share is less than one request. Their requests are independent,
- * so that some windows get more of them than the mean.
+ * The requests of entry VMs whose share is less than one are independent, so that some seconds get more of them than
+ * the mean; the limit is so many standard deviations above it, which is less than one second in 10,000.
  */
-private const val RANDOM_SHARE = 0.6
+private const val DEVIATIONS = 4.0
+private const val MS_PER_S = 1_000.0
+
+/** Returns the mean number of independent requests in a second that keep [limitPerS]. */
+private fun meanPerS(limitPerS: Double): Double =
+    ((sqrt(DEVIATIONS * DEVIATIONS + 4 * limitPerS) - DEVIATIONS) / 2).pow(2)
 
 /** The requests that this entry VM sent to cold targets recently. */
 internal class ColdStartLimiter(
@@ -33,7 +40,7 @@
         val share = limitPerS / entryVms
         // The turns of an earlier cold time are not kept, because all entry VMs could use theirs at once.
         if (share < 1) {
-            return turns.waitMs(target, (WINDOW_MS / (share * RANDOM_SHARE)).toLong(), nowMs, coldUntilMs) == 0L
+            return turns.waitMs(target, (MS_PER_S * entryVms / meanPerS(limitPerS)).toLong(), nowMs, coldUntilMs) == 0L
         }
         val starts = startsAtMs[target] ?: return true
         while (starts.isNotEmpty() && nowMs - starts.first() >= WINDOW_MS) starts.removeFirst()
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -41,8 +41,12 @@
     public val request: PlacementRequest,
     public val target: KnownTarget,
     internal var use: TargetUse,
+    internal val placedAtMs: Long = 0,
 ) {
     internal var hasEnded = false
+
+    /** Whether the target has produced output. */
+    internal var hasStarted = false
 }
 
 /** The result of a [PlacementRequest]. */
@@ -68,16 +72,13 @@
     budget: RepeatBudget,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
-    private val coldLimitPerS: (ServiceProfile) -> Double,
+    coldLimitPerS: (ServiceProfile) -> Double,
 ) {
     private val log = LogManager.getLogger(Fleet::class.java)
     private val startedAtMs = clock.nowMs()
-    private val coldStarts = ColdStartLimiter(nextRandom)
     private val ownUse = OwnUse()
-    private val failures = mutableMapOf<TargetId, FailureHistory>()
     private val waiting = WaitingRequests { it.isLate(clock.nowMs()) }
     private val leaving = LeavingTargets()
-    private val pauses = TargetPauses(nextRandom)
 
     /** What control VMs list, without what targets have told this VM. */
     private var listed = FleetView()
@@ -86,9 +87,13 @@
     /** The budget of repeats. */
     public val repeats: Repeats = Repeats(budget, clock) { view.entryVms }
 
+    private val admission = TargetAdmission(ownUse, { view }, clock, nextRandom, coldLimitPerS)
+
     /** What targets have said of their limits. */
-    public val limits: TargetLimits = TargetLimits(clock, nextRandom)
-    private val brittle = BrittleTargets(limits, ownUse, { view }, clock, nextRandom)
+    public val limits: TargetLimits get() = admission.limits
+
+    /** The number of targets whose pace is limited, because they have just started or recovered. */
+    public val pacedTargets: Int get() = admission.pace.limitedTargets
 
     /** What this VM knows of crashes. */
     public val crashes: CrashKnowledge = CrashKnowledge(clock)
@@ -107,17 +112,13 @@
     /** Replaces what control VMs list. */
     public fun update(listed: FleetView) {
         this.listed = listed
-        val nowMs = clock.nowMs()
-        leaving.expire(nowMs)
-        pauses.expire(nowMs)
-        limits.expire()
-        failures.keys.retainAll(listed.targets.keys)
-        coldStarts.retain(listed.targets.keys)
+        leaving.expire(clock.nowMs())
+        admission.expire(listed.targets)
         publish()
     }
 
     private fun publish() {
-        brittle.update(listed.targets.values)
+        admission.update(listed.targets.values)
         viewState.value = listed.copy(
             targets = listed.targets.mapValues { (_, target) ->
                 val record = leaving.applyTo(target.record)
@@ -125,6 +126,7 @@
             },
             limited = limits.limited,
         )
+        admission.pace.update(view.targets.values)
         retryWaiting()
     }
 
@@ -143,8 +145,7 @@
 
     /** Records that [target] has refused a request and wants no others for [durationMs]. */
     public fun recordPause(target: KnownTarget, durationMs: Long) {
-        val hasTrial = pauses.hasTrial(target.instance)
-        val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
+        val (pauseMs, hasTrial) = admission.recordPause(target, durationMs)
         log.info(
             "target pauses target={} askedMs={} pauseMs={} placed={} hasTrial={}",
             target.id,
@@ -163,29 +164,21 @@
         waiting.refuse(::isHopeless)
     }
 
-    /** Returns the time after which [target] takes one more request than the [ahead] ones that wait. */
-    private fun unavailableForMs(target: KnownTarget, ahead: Int): Long = maxOf(
-        pauses.remainingMs(target.instance, clock.nowMs()),
-        brittle.refusedForMs(target),
-        limits.waitMs(target, view.entryVms, ahead),
-    )
-
     /**
      * Returns whether a running generation may continue at [target] now, and reserves a repeat of the budget for it;
      * [isFirst] says that it has not continued before, nor been sent to continue in vain.
      */
     public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean {
         val service = target.record.service
-        val nowMs = clock.nowMs()
-        if (!brittle.admitsRun(target)) return false
-        if (limits.waitMs(target, view.entryVms) > 0 || !repeats.tryContinue(service, isFirst).isTaken) return false
-        val mayContinue = pauses.tryContinue(target.instance, nowMs)
-        if (mayContinue) limits.recordRequest(target) else repeats.release(service)
-        return mayContinue
+        return admission.tryContinue(
+            target,
+            takeRepeat = { repeats.tryContinue(service, isFirst).isTaken },
+            releaseRepeat = { repeats.release(service) },
+        )
     }
 
-    /** Returns the use of each target by this VM, with the places that it holds at brittle ones. */
-    public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot() + brittle.heldUse()
+    /** Returns the use of each target by this VM, with the places that it holds. */
+    public fun use(): Map<TargetId, TargetUse> = admission.use()
 
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
@@ -219,7 +212,7 @@
         return PlacementResult.Full(
             waiting.count(service),
             known.size,
-            known.minOfOrNull { unavailableForMs(it, 0) } ?: 0,
+            known.minOfOrNull { admission.unavailableForMs(it, 0) } ?: 0,
         )
     }
 
@@ -229,7 +222,7 @@
         val patienceMs = entry.untilMs - clock.nowMs()
         val ahead = waiting.countAhead(entry) / known.size.coerceAtLeast(1)
         return known.isNotEmpty() && known.all {
-            it.id in entry.request.excluded || unavailableForMs(it, ahead) > patienceMs
+            it.id in entry.request.excluded || admission.unavailableForMs(it, ahead) > patienceMs
         }
     }
 
@@ -237,7 +230,7 @@
     public fun placeForMigration(placement: Placement, tokens: Int): Placement? {
         val request = placement.request.copy(excluded = setOf(placement.target.id))
         val requirements = TargetRequirements(request.service.engine, 0, tokens, placement.target.record.domain)
-        val candidates = usableCandidates(request)
+        val candidates = admission.candidates(request)
         val chosen =
             chooseOrNull(candidates, requirements, nextRandom)
                 ?: candidates.minByOrNull { it.use.tokens }
@@ -251,7 +244,8 @@
         val request = placement.request.copy(excluded = setOf(placement.target.id))
         val all = view.acceptingTargets(request.service.id).map { useOf(it.id) }
         val chosen =
-            chooseForCopyOrNull(usableCandidates(request), all, placement.use.tokens, engine, nextRandom) ?: return null
+            chooseForCopyOrNull(admission.candidates(request), all, placement.use.tokens, engine, nextRandom)
+                ?: return null
         return assign(request, chosen.target, TargetUse(0, placement.use.tokens, 0))
     }
 
@@ -263,17 +257,17 @@
     /** Records that the target has processed the prompt and produces output. */
     public fun started(placement: Placement) {
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
-        if (pauses.recordOutput(placement, clock.nowMs())) retryWaiting()
+        if (placement.hasStarted || placement.hasEnded) return
+        placement.hasStarted = true
+        if (admission.recordOutput(placement)) retryWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
     public fun end(placement: Placement, outcome: UseOutcome) {
         if (placement.hasEnded) return
         replaceUse(placement, TargetUse.NONE)
-        if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
-        failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
-        pauses.recordEnd(placement, outcome, clock.nowMs())
+        admission.recordEnd(placement, outcome)
         retryWaiting()
     }
 
@@ -287,19 +281,14 @@
                 domain,
                 request.isLate(clock.nowMs()),
             )
-        val chosen = chooseOrNull(usableCandidates(request), requirements, nextRandom) ?: return null
+        val chosen = chooseOrNull(admission.candidates(request), requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
-        return assign(request, chosen.target, use).also {
-            pauses.recordPlacement(it)
-            limits.recordRequest(it.target)
-        }
+        return assign(request, chosen.target, use).also(admission::recordRequest)
     }
 
     private fun assign(request: PlacementRequest, target: KnownTarget, use: TargetUse): Placement {
-        val nowMs = clock.nowMs()
-        if (target.coldUntilMs > nowMs) coldStarts.record(target.id, nowMs)
-        val placement = Placement(request, target, TargetUse.NONE)
-        if (use.running > 0) brittle.recordPlacement(target)
+        admission.recordAssignment(target, isRun = use.running > 0)
+        val placement = Placement(request, target, TargetUse.NONE, clock.nowMs())
         replaceUse(placement, use)
         log.debug("placed request={} target={} use={}", request.requestId, target.id, use)
         return placement
@@ -319,31 +308,6 @@
         if (!waiting.isEmpty) waiting.admit(::placeNow)
     }
 
-    /** Returns the targets that may get [request] now; silent or avoided ones only if there are no others. */
-    private fun usableCandidates(request: PlacementRequest): List<Candidate> {
-        val nowMs = clock.nowMs()
-        val limit = coldLimitPerS(request.service)
-        val eligible = view.acceptingTargets(request.service.id).filter { target ->
-            target.id !in request.excluded && pauses.admits(target.instance, nowMs) &&
-                limits.waitMs(target, view.entryVms) == 0L &&
-                brittle.admits(target) &&
-                (
-                    limit <= 0 || target.coldUntilMs <= nowMs || coldStarts.hasRoom(
-                        target.id,
-                        limit,
-                        view.entryVms,
-                        nowMs,
-                        target.coldUntilMs,
-                    )
-                    )
-        }
-        val preferred = eligible.filter { !it.isSilent && (failures[it.id]?.avoidUntilMs ?: 0) <= nowMs }
-        return preferred.ifEmpty { eligible }.map { target ->
-            val share = failures[target.id]?.share(nowMs) ?: 0.0
-            Candidate(target, useOf(target.id), share, brittle.isBrittle(target))
-        }
-    }
-
     private fun useOf(target: TargetId): TargetUse = ownUse.of(target) + (view.othersUse[target] ?: TargetUse.NONE)
 }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -44,6 +44,8 @@
     public val refused: Set<Fingerprint> = emptySet(),
     /** The targets that take a limited number of requests from all entry VMs together. */
     public val limited: Set<TargetInstance> = emptySet(),
+    /** Whether a control VM replies, so that [othersUse] is recent. */
+    public val isInContact: Boolean = true,
 ) {
     /** Returns the targets that accept requests for [service], with or without free capacity. */
     internal fun acceptingTargets(service: ServiceId): List<KnownTarget> = targets.values.filter {
--- a/src/main/kotlin/fulmarshunt/target/fleet/HeldPlaces.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/HeldPlaces.kt
@@ -43,24 +43,25 @@
     val entryVms: Int,
     /** The refusals in a second that it bears from all entry VMs together. */
     val refusalsPerS: Double,
-) {
     /** The places that are used. */
-    val places: Int get() = (slots - maxOf(1, slots / PLACES_FOR_ONE_SPARE)).coerceAtLeast(1)
-}
+    val places: Int = (slots - maxOf(1, slots / PLACES_FOR_ONE_SPARE)).coerceAtLeast(1),
+)
 
 /** The places of one entry VM. */
 internal class HeldPlaces(
+    private val seenAfterMs: Long = SEEN_AFTER_MS,
+    private val holdMs: Long = HOLD_MS,
     /** Returns a random number in 0 until 1. */
     private val nextRandom: () -> Double,
 ) {
-    private class Share(var held: Int, nowMs: Long) {
+    private class Share(var held: Int, nowMs: Long, seenAfterMs: Long) {
         /** The most requests that ran since [peakSinceMs]. */
         var peak = held
         var peakSinceMs = nowMs
 
         /** The free places that may be taken, decided at [sharedAtMs]. */
         var free = 0
-        var sharedAtMs = nowMs - SEEN_AFTER_MS
+        var sharedAtMs = nowMs - seenAfterMs
         var refusedUntilMs = nowMs
     }
 
@@ -94,7 +95,7 @@
         share.held = minOf(share.held, target.running)
         share.free = 0
         // The free places are shared anew when that time ends.
-        share.sharedAtMs = share.refusedUntilMs - SEEN_AFTER_MS
+        share.sharedAtMs = share.refusedUntilMs - seenAfterMs
     }
 
     /** Returns how long [instance] gets nothing because it has refused a request. */
@@ -114,14 +115,14 @@
 
     /** Returns the share at [target], after places that were not needed are given up and free ones shared anew. */
     private fun current(target: BrittleTarget, nowMs: Long): Share {
-        val share = shares.getOrPut(target.instance) { Share(target.running, nowMs) }
+        val share = shares.getOrPut(target.instance) { Share(target.running, nowMs, seenAfterMs) }
         share.peak = maxOf(share.peak, target.running)
-        if (nowMs - share.peakSinceMs >= HOLD_MS) {
+        if (nowMs - share.peakSinceMs >= holdMs) {
             share.held = minOf(share.held, share.peak)
             share.peak = target.running
             share.peakSinceMs = nowMs
         }
-        if (nowMs - share.sharedAtMs >= SEEN_AFTER_MS) {
+        if (nowMs - share.sharedAtMs >= seenAfterMs) {
             shareFreePlaces(target, share)
             share.sharedAtMs = nowMs
         }
--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetRecord.kt
@@ -64,9 +64,23 @@
     public val tokens: Long,
     /** The prompt tokens of requests that have not produced their first event yet. */
     public val unreadTokens: Long,
+    /** What answers say of the pace of the target; older versions do not send it. */
+    public val paceSigns: PaceSigns = PaceSigns.NONE,
 ) {
-    internal operator fun plus(other: TargetUse): TargetUse =
-        TargetUse(running + other.running, tokens + other.tokens, unreadTokens + other.unreadTokens)
+    internal operator fun plus(other: TargetUse): TargetUse = TargetUse(
+        running + other.running,
+        tokens + other.tokens,
+        unreadTokens + other.unreadTokens,
+        paceSigns + other.paceSigns,
+    )
+
+    /** Returns this use without the part [other] of it, which may be older. */
+    internal operator fun minus(other: TargetUse): TargetUse = TargetUse(
+        (running - other.running).coerceAtLeast(0),
+        (tokens - other.tokens).coerceAtLeast(0),
+        (unreadTokens - other.unreadTokens).coerceAtLeast(0),
+        paceSigns - other.paceSigns,
+    )
 
     internal companion object {
         val NONE: TargetUse = TargetUse(0, 0, 0)
