--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -59,6 +59,9 @@
     /** The work of the target until it answers; 0 if its answer does not show how fast it is. */
     internal var workAhead = 0.0
     internal var hasAnswered = false
+
+    /** Whether the target has produced output. */
+    internal var hasStarted = false
 }
 
 /** Why a request was refused although targets exist. */
@@ -110,21 +113,20 @@
     private val nextRandom: () -> Double,
     /** Null if the deployment has no roll-outs. */
     trialBounds: TrialBounds? = null,
-    private val coldLimitPerS: (ServiceProfile) -> Double,
+    coldLimitPerS: (ServiceProfile) -> Double,
 ) {
     private val log = LogManager.getLogger(Fleet::class.java)
     private val startedAtMs = clock.nowMs()
-    private val coldStarts = ColdStartLimiter(nextRandom)
     private val ownUse = OwnUse()
-    private val failures = mutableMapOf<TargetId, FailureHistory>()
     private val waiting = WaitingRequests(clock::nowMs)
     private val holdingTimes = HoldingTimes()
     private val shortages =
-        Shortages(clock, waiting, { view.acceptingTargets(it) }, ::unavailableForMs) {
+        Shortages(clock, waiting, {
+            view.acceptingTargets(it)
+        }, { target, ahead -> admission.unavailableForMs(target, ahead) }) {
             holdingTimes.rateOrNull(it, view.acceptingTargets(it.id), ownUse::of, ::useOf, view.entryVms)
         }
     private val leaving = LeavingTargets()
-    private val pauses = TargetPauses(nextRandom)
 
     /** What control VMs list, without what targets have told this VM. */
     private var listed = FleetView()
@@ -133,9 +135,15 @@
     /** The budget of repeats. */
     public val repeats: Repeats = Repeats(budget, clock) { view.entryVms }
 
+    /** What targets say of their load, and how fast they are. */
+    public val evidence: TargetEvidence = TargetEvidence(clock, ownUse) { view }
+    private val admission = TargetAdmission(ownUse, { view }, clock, nextRandom, evidence, coldLimitPerS)
+
     /** What targets have said of their limits. */
-    public val limits: TargetLimits = TargetLimits(clock, nextRandom)
-    private val brittle = BrittleTargets(limits, ownUse, { view }, clock, nextRandom)
+    public val limits: TargetLimits get() = admission.limits
+
+    /** The number of targets whose pace is limited, because they have just started or recovered. */
+    public val pacedTargets: Int get() = admission.pace.limitedTargets
 
     /** What this VM knows of crashes. */
     public val crashes: CrashKnowledge = CrashKnowledge(clock)
@@ -143,9 +151,6 @@
     /** The versions of services that requests go to. */
     public val versions: VersionTraffic = VersionTraffic(trialBounds, clock, nextRandom)
 
-    /** What targets say of their load, and how fast they are. */
-    public val evidence: TargetEvidence = TargetEvidence(clock, ownUse) { view }
-
     private val inUseState = MutableStateFlow(false)
 
     /** Whether a request of this VM is placed or waits for a target. */
@@ -161,18 +166,14 @@
     public fun update(listed: FleetView) {
         this.listed = listed
         versions.update(listed)
-        val nowMs = clock.nowMs()
-        leaving.expire(nowMs)
-        pauses.expire(nowMs)
-        limits.expire()
-        failures.keys.retainAll(listed.targets.keys)
-        coldStarts.retain(listed.targets.keys)
+        leaving.expire(clock.nowMs())
+        admission.expire(listed.targets)
         evidence.retain(listed.targets.values)
         publish()
     }
 
     private fun publish() {
-        brittle.update(listed.targets.values)
+        admission.update(listed.targets.values)
         viewState.value = listed.copy(
             targets = listed.targets.mapValues { (_, target) ->
                 val record = versions.applyTo(leaving.applyTo(target.record))
@@ -180,6 +181,7 @@
             },
             limited = limits.limited,
         )
+        admission.pace.update(view.targets.values)
         retryWaiting()
     }
 
@@ -198,8 +200,7 @@
 
     /** Records that [target] has refused a request and wants no others for [durationMs]. */
     public fun recordPause(target: KnownTarget, durationMs: Long) {
-        val hasTrial = pauses.hasTrial(target.instance)
-        val pauseMs = pauses.record(target.instance, durationMs, clock.nowMs())
+        val (pauseMs, hasTrial) = admission.recordPause(target, durationMs)
         log.info(
             "target pauses target={} askedMs={} pauseMs={} placed={} hasTrial={}",
             target.id,
@@ -218,29 +219,21 @@
         waiting.refuse(shortages::isHopeless)
     }
 
-    /** Returns the time after which [target] takes one more request than the [ahead] ones that wait. */
-    private fun unavailableForMs(target: KnownTarget, ahead: Int): Long = maxOf(
-        pauses.remainingMs(target.instance, clock.nowMs()),
-        brittle.refusedForMs(target),
-        limits.waitMs(target, view.entryVms, ahead),
-    )
-
     /**
      * Returns whether a running generation may continue at [target] now, and reserves a repeat of the budget for it;
      * [isFirst] says that it has not continued before, nor been sent to continue in vain.
      */
     public fun tryContinue(target: KnownTarget, isFirst: Boolean = true): Boolean {
         val service = target.record.service
-        val nowMs = clock.nowMs()
-        if (!brittle.admitsRun(target)) return false
-        if (limits.waitMs(target, view.entryVms) > 0 || !repeats.tryContinue(service, isFirst).isTaken) return false
-        val mayContinue = pauses.tryContinue(target.instance, nowMs)
-        if (mayContinue) limits.recordRequest(target) else repeats.release(service)
-        return mayContinue
+        return admission.tryContinue(
+            target,
+            takeRepeat = { repeats.tryContinue(service, isFirst).isTaken },
+            releaseRepeat = { repeats.release(service) },
+        )
     }
 
-    /** Returns the use of each target by this VM, with the places that it holds at brittle ones. */
-    public fun use(): Map<TargetId, TargetUse> = ownUse.snapshot() + brittle.heldUse()
+    /** Returns the use of each target by this VM, with the places that it holds. */
+    public fun use(): Map<TargetId, TargetUse> = admission.use()
 
     /** Places [request] now or within [limitMs]. */
     public suspend fun place(request: PlacementRequest, limitMs: Long): PlacementResult {
@@ -295,7 +288,7 @@
     ): Placement? {
         val request = placement.request.copy(excluded = refusedBy + placement.target.id)
         val requirements = TargetRequirements(request.service.engine, 0, tokens, placement.target.record.domain)
-        val candidates = usableCandidates(request, versions.isOnTrial(placement.target))
+        val candidates = admission.candidates(request, versionOf(placement))
         val chosen =
             chooseOrNull(candidates, requirements, nextRandom)
                 ?: candidates.minByOrNull { it.use.tokens }
@@ -310,7 +303,7 @@
         val all = view.acceptingTargets(request.service.id).map { useOf(it.id) }
         val chosen =
             chooseForCopyOrNull(
-                usableCandidates(request, versions.isOnTrial(placement.target)),
+                admission.candidates(request, versionOf(placement)),
                 all,
                 placement.use.tokens,
                 engine,
@@ -328,7 +321,9 @@
     public fun started(placement: Placement) {
         placement.observation?.let(versions::recordAnswer)
         if (!placement.hasEnded) replaceUse(placement, placement.use.copy(unreadTokens = 0))
-        if (pauses.recordOutput(placement, clock.nowMs())) retryWaiting()
+        if (placement.hasStarted || placement.hasEnded) return
+        placement.hasStarted = true
+        if (admission.recordOutput(placement)) retryWaiting()
     }
 
     /** Ends a placement and admits waiting requests. */
@@ -336,12 +331,10 @@
         if (placement.hasEnded) return
         holdingTimes.recordEnd(placement, outcome, clock.nowMs())
         replaceUse(placement, TargetUse.NONE)
-        if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
         placement.observation?.let { recordEnd(it, outcome) }
         evidence.recordEnd(placement, outcome)
-        failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
-        pauses.recordEnd(placement, outcome, clock.nowMs())
+        admission.recordEnd(placement, outcome)
         retryWaiting()
     }
 
@@ -370,21 +363,19 @@
                 request.isLate(clock.nowMs()),
                 view.entryVms,
             )
-        val chosen = chooseOrNull(usableCandidates(request, isTrial), requirements, nextRandom) ?: return null
+        val candidates = admission.candidates(request) { versions.admits(it, isTrial) }
+        val chosen = chooseOrNull(candidates, requirements, nextRandom) ?: return null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
             it.workAhead = workAhead(requirements, chosen.target.record.slots, chosen.use)
-            pauses.recordPlacement(it)
-            limits.recordRequest(it.target)
+            admission.recordRequest(it)
             it.observation = versions.recordPlacement(request.route, it.target)
         }
     }
 
     private fun assign(request: PlacementRequest, target: KnownTarget, use: TargetUse): Placement {
-        val nowMs = clock.nowMs()
-        if (target.coldUntilMs > nowMs) coldStarts.record(target.id, nowMs)
-        val placement = Placement(request, target, TargetUse.NONE, nowMs)
-        if (use.running > 0) brittle.recordPlacement(target)
+        admission.recordAssignment(target, isRun = use.running > 0)
+        val placement = Placement(request, target, TargetUse.NONE, clock.nowMs())
         replaceUse(placement, use)
         log.debug("placed request={} target={} use={}", request.requestId, target.id, use)
         return placement
@@ -404,42 +395,10 @@
         if (!waiting.isEmpty) waiting.admit(::placeNow)
     }
 
-    /**
-     * Returns the targets that may get [request] now, of the version on trial if [isTrial]; silent or avoided ones only
-     * if there are no others.
-     */
-    private fun usableCandidates(request: PlacementRequest, isTrial: Boolean): List<Candidate> {
-        val nowMs = clock.nowMs()
-        val limit = coldLimitPerS(request.service)
-        val eligible = view.acceptingTargets(request.service.id).filter { target ->
-            target.id !in request.excluded && versions.admits(
-                target,
-                isTrial,
-            ) && pauses.admits(target.instance, nowMs) &&
-                limits.waitMs(target, view.entryVms) == 0L &&
-                brittle.admits(target) &&
-                (
-                    limit <= 0 || target.coldUntilMs <= nowMs || coldStarts.hasRoom(
-                        target.id,
-                        limit,
-                        view.entryVms,
-                        nowMs,
-                        target.coldUntilMs,
-                    )
-                    )
-        }
-        val preferred = eligible.filter { !it.isSilent && (failures[it.id]?.avoidUntilMs ?: 0) <= nowMs }
-        val slowness = evidence.slowness(request.service.id)
-        return preferred.ifEmpty { eligible }.map { target ->
-            Candidate(
-                target,
-                useOf(target.id),
-                failures[target.id]?.share(nowMs) ?: 0.0,
-                brittle.isBrittle(target),
-                slowness[target.instance] ?: 1.0,
-                evidence.unknownLoad(target, capacityOf(target.record, request.service.engine)),
-            )
-        }
+    /** Returns which targets the rest of a generation at the target of [placement] may go to: those of its version. */
+    private fun versionOf(placement: Placement): (KnownTarget) -> Boolean {
+        val isTrial = versions.isOnTrial(placement.target)
+        return { versions.admits(it, isTrial) }
     }
 
     private fun useOf(target: TargetId): TargetUse = ownUse.of(target) + (view.othersUse[target] ?: TargetUse.NONE)
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -47,6 +47,8 @@
     public val limited: Set<TargetInstance> = emptySet(),
     /** The last roll-out of each service that had one. */
     public val rollouts: Map<ServiceId, Rollout> = emptyMap(),
+    /** Whether a control VM replies, so that [othersUse] is recent. */
+    public val isInContact: Boolean = true,
 ) {
     /** Returns the targets that accept requests for [service], with or without free capacity. */
     internal fun acceptingTargets(service: ServiceId): List<KnownTarget> = targets.values.filter {
