Look for passed requests only among those of the same service when requests are admitted

Cause: each waiting request searched all that could not be placed before it, in quadratic time with a costly check.

Change: they are kept by service, and the cheap check comes first.

CallerShutdownTest failed once in a run beside load (no connection is accepted once requests are given up); not traced.

--- a/src/main/kotlin/fulmarshunt/target/fleet/WaitingRequests.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/WaitingRequests.kt
@@ -116,16 +116,16 @@
 
     /** Admits the requests for which [place] returns a placement. */
     fun admit(place: (PlacementRequest) -> Placement?) {
-        val unplaced = mutableListOf<WaitingRequest>()
+        val unplaced = mutableMapOf<ServiceId, MutableList<WaitingRequest>>()
         var remaining = entries.filter { it.isWaiting }
         while (remaining.isNotEmpty()) {
             remaining = inOrder(remaining)
             // The order changes with each placement, because the account of the request has more than before.
             val index = remaining.indexOfFirst { entry ->
-                val ahead = unplaced.filter { it.service == entry.service }
+                val ahead = unplaced.getOrPut(entry.service) { mutableListOf() }
                 val placement = if (ahead.any { it.holdsBack(entry) }) null else place(entry.request)
                 if (placement == null) {
-                    unplaced += entry
+                    ahead += entry
                 } else {
                     entry.result.complete(placement)
                     recordPlaced(entry, ahead)
@@ -165,10 +165,10 @@
 
     /** Returns whether [entry] leaves capacity to this larger request, which it would pass. */
     private fun WaitingRequest.holdsBack(entry: WaitingRequest): Boolean {
+        if (passedCapacity < MAX_PASSED_FACTOR * capacity || entry.capacity >= capacity) return false
         val atMs = nowMs()
         // Late requests get less of a target, and others may have been refused by all that have room.
         if (request.isLate(atMs) || request.excluded.isNotEmpty()) return false
-        if (entry.capacity >= capacity || passedCapacity < MAX_PASSED_FACTOR * capacity) return false
         val sinceMs = holdsSinceMs ?: atMs.also { holdsSinceMs = it }
         return atMs - sinceMs < (untilMs - this.sinceMs) * MAX_HOLD_FRACTION
     }
