--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -403,7 +403,11 @@
         contacts.retain(others.toSet())
         peers.keys.retainAll(others.toSet())
         val refresh = if (nowMs - lastRefreshAtMs >= REFRESH_PERIOD_MS) refreshAt(nowMs) else null
-        exchangeEvidence(others)
+        val changed = dependencies.evidence.takeChanged()
+        if (changed.isNotEmpty()) {
+            val exchange = StateExchange(dependencies.vm, emptyList(), emptyList(), null, null, evidence = changed)
+            others.forEach { send(it, exchange) }
+        }
         val use = sumOfUse(reportsOfEntryVms.values.map { it.use })
         for (address in others) {
             val peer = peers.getOrPut(address) { Peer() }
@@ -412,14 +416,6 @@
         }
     }
 
-    /** Sends what entry VMs have observed in roll-outs since the last round; a refresh repeats all of it. */
-    private fun exchangeEvidence(others: List<Address>) {
-        val changed = dependencies.evidence.takeChanged()
-        if (changed.isEmpty()) return
-        val exchange = StateExchange(dependencies.vm, emptyList(), emptyList(), null, null, evidence = changed)
-        others.forEach { send(it, exchange) }
-    }
-
     /** Returns what all other control VMs get of the state of this one, besides the use of targets. */
     private fun refreshAt(nowMs: Long): StateExchange {
         lastRefreshAtMs = nowMs
--- a/src/main/kotlin/fulmarshunt/operator/rollout/EvidenceTable.kt
+++ b/src/main/kotlin/fulmarshunt/operator/rollout/EvidenceTable.kt
@@ -1,7 +1,7 @@
 /*
  * What all entry VMs have observed in running roll-outs, as one control VM knows it. Each control VM keeps it, so that
- * a new leader can judge at once. It is soft state: without it, a roll-out gathers evidence anew, and one without enough
- * evidence is rolled back. Confined to the control thread.
+ * a new leader can judge at once. It is soft state: without it, a roll-out gathers evidence anew, and one without
+ * enough evidence is rolled back. Confined to the control thread.
  */
 package fulmarshunt.operator.rollout
 
--- a/src/main/kotlin/fulmarshunt/operator/rollout/RolloutVerdict.kt
+++ b/src/main/kotlin/fulmarshunt/operator/rollout/RolloutVerdict.kt
@@ -1,9 +1,10 @@
 /*
- * Judges the version on trial by comparing it with the present one on the same routes at the same time: how many answers
- * say that the target failed, and how many come late. Bursts, overload and faults of the platform hit both and cancel
- * out. Each route counts alone, because a version can be bad on one route only, and so do the last parts of the time,
- * because it can turn bad later. Lost answers count apart from errors, as links and crashes lose them too. What one target or one entry VM observed alone proves nothing: a target may be faulty
- * or cold, and a VM may be slow. The decision is pure, and answers roll-outs at low and at high load.
+ * Judges the version on trial by comparing it with the present one on the same routes at the same time: how many
+ * answers say that the target failed, are lost, or come late. Bursts, overload and faults of the platform hit both and
+ * cancel out. Each route counts alone, because a version can be bad on one route only, and all together, because each
+ * may have little traffic. The last parts of the time count alone as well, because a version can turn bad later. What
+ * one target or one entry VM observed alone proves nothing: a target may be faulty or cold, and a VM may be slow. The
+ * decision is pure, and answers roll-outs at low and at high load.
  */
 package fulmarshunt.operator.rollout
 
@@ -13,20 +14,28 @@
 import kotlin.math.exp
 import kotlin.math.ln
 
-/** The chance of a difference by luck below which a running roll-out is rolled back; it is judged some 100 times. */
-private const val MAX_CHANCE = 1e-5
-
-/** The same for the last judgement before all requests move, which is made once for each route, kind and time. */
-private const val MAX_FINAL_CHANCE = 2e-4
-
-/** The chance that a difference must still stay below without the target, or the entry VM, that shows most of it. */
-private const val MAX_CHANCE_WITHOUT_ONE = 0.02
+/** How sure a verdict must be. */
+internal class VerdictBounds(
+    /** The chance of a difference by luck below which a running roll-out is rolled back; it is judged some 50 times. */
+    val maxChance: Double = 1e-5,
+    /** The same for the last judgement before all requests move, which is made once. */
+    val maxFinalChance: Double = 3e-4,
+    /** The chance that must hold without the target, or the entry VM, that shows most of the difference. */
+    val maxChanceWithoutOne: Double = 0.03,
+    /** The same if that one stands out, so that it may be faulty itself. */
+    val maxChanceWithoutOutlier: Double = 5e-4,
+    /** The chance of a difference between it and the others below which it stands out. */
+    val outlierChance: Double = 0.08,
+)
 
 /** Fewer bad answers than this are never enough. */
 private const val MIN_BAD_ANSWERS = 3
 
+/** The bad answers that must remain without the target, or the entry VM, that shows most of them. */
+private const val MIN_OTHER_BAD_ANSWERS = 2
+
 /** The part of the duration after which the verdict is due; the rest is for moving streams and for lost leaders. */
-private const val DECISION_PART = 0.7
+private const val DECISION_PART = 0.75
 
 /** The time that is left after the verdict at least, if the duration is long enough for evidence as well. */
 private const val AFTER_DECISION_MS = 2_500L
@@ -61,11 +70,17 @@
 }
 
 /** Returns the verdict [elapsedMs] after the order, which gives the roll-out [durationMs]. */
-internal fun judge(evidence: RolloutEvidence, elapsedMs: Long, durationMs: Long): Verdict {
+internal fun judge(
+    evidence: RolloutEvidence,
+    elapsedMs: Long,
+    durationMs: Long,
+    bounds: VerdictBounds = VerdictBounds(),
+): Verdict {
     val isDue = elapsedMs >= decisionMs(durationMs)
-    val maxChance = if (isDue) MAX_FINAL_CHANCE else MAX_CHANCE
-    val windows = listOf(evidence.all) + evidence.recent
-    windows.firstNotNullOfOrNull { faultOrNull(it, maxChance) }?.let { return Verdict.Bad(it) }
+    val maxChance = if (isDue) bounds.maxFinalChance else bounds.maxChance
+    val comparisons = (listOf(evidence.all) + evidence.recent).flatMap(::comparisonsOf)
+    comparisons.firstNotNullOfOrNull { it.excessOrNull(maxChance, bounds) }
+        ?.let { return Verdict.Bad(it) }
     val answers = evidence.all.filter { it.key.trialTarget != null }.sumOf { it.counts.good }
     return when {
         !isDue -> Verdict.Continue("$answers answers")
@@ -77,53 +92,66 @@
 private fun decisionMs(durationMs: Long): Long =
     (durationMs * DECISION_PART).toLong().coerceAtMost(durationMs - AFTER_DECISION_MS).coerceAtLeast(durationMs / 2)
 
-/** Returns what is worse about the version on trial on some route, or null. */
-private fun faultOrNull(observations: List<Observation>, maxChance: Double): String? =
-    observations.groupBy { it.key.route }.entries.firstNotNullOfOrNull { (route, onRoute) ->
-        val (trial, present) = onRoute.partition { it.key.trialTarget != null }
-        val presentCounts = present.fold(EvidenceCounts()) { sum, next -> sum + next.counts }
-        comparisonsOf(presentCounts).firstNotNullOfOrNull { comparison ->
-            comparison.excessOrNull(trial, maxChance)?.let { "${comparison.what} on $route: $it" }
-        }
-    }
-
+/** Bad answers of all. */
 private class Tally(val bad: Int, val total: Int) {
     operator fun plus(other: Tally) = Tally(bad + other.bad, total + other.total)
 }
 
+private fun List<Tally>.sum(): Tally = fold(Tally(0, 0), Tally::plus)
+
+/** What one entry VM observed of one target on trial. */
+private class TrialTally(val source: Observation, val tally: Tally)
+
 /** One way in which the answers of two versions are compared. */
-private class Comparison(val what: String, val present: Tally, val tallyOf: (EvidenceCounts) -> Tally) {
-    /** Returns the figures if the [trial] version is worse by more than luck, also without any one target or VM. */
-    fun excessOrNull(trial: List<Observation>, maxChance: Double): String? {
-        val all = tally(trial)
+private class Comparison(val kind: String, val route: String, val present: Tally, val trial: List<TrialTally>) {
+    /** Returns the figures if the version on trial is worse by more than luck, also without any one target or VM. */
+    fun excessOrNull(maxChance: Double, bounds: VerdictBounds): String? {
+        val all = trial.map { it.tally }.sum()
+        if (all.bad < MIN_BAD_ANSWERS) return null
         val chance = chanceOf(all)
-        if (all.bad < MIN_BAD_ANSWERS || chance > maxChance) return null
-        val isBroad = holdsWithoutOne(trial) { it.key.trialTarget } && holdsWithoutOne(trial) { it.vm }
+        val isBroad = chance <= maxChance && holdsWithoutOne(bounds) { it.key.trialTarget } &&
+            holdsWithoutOne(bounds) { it.vm }
         if (!isBroad) return null
-        return "${all.bad} of ${all.total}, present version ${present.bad} of ${present.total}, chance $chance"
+        val figures = "${all.bad} of ${all.total}, present version ${present.bad} of ${present.total}"
+        return "$kind on $route: $figures, chance ${"%.1e".format(chance)}"
     }
 
-    private fun holdsWithoutOne(trial: List<Observation>, source: (Observation) -> Any?): Boolean {
-        val groups = trial.groupBy(source).filterValues { tally(it).total > 0 }
+    private fun holdsWithoutOne(bounds: VerdictBounds, groupOf: (Observation) -> Any?): Boolean {
+        val groups = trial.filter { it.tally.total > 0 }.groupBy { groupOf(it.source) }
         // With a single one, there is nothing to compare it with.
         if (groups.size < 2) return true
-        val worst = groups.maxBy { (_, group) -> tally(group).bad }.key
-        return chanceOf(tally(trial.filter { source(it) != worst })) <= MAX_CHANCE_WITHOUT_ONE
-    }
-
-    private fun tally(trial: List<Observation>): Tally = trial.fold(Tally(0, 0)) { sum, next ->
-        sum +
-            tallyOf(next.counts)
+        val (key, worstGroup) = groups.maxBy { (_, group) -> group.sumOf { it.tally.bad } }
+        val worst = worstGroup.map { it.tally }.sum()
+        val rest = groups.filterKeys { it != key }.values.flatten().map { it.tally }.sum()
+        val isOutlier = chanceOfExcess(worst.bad, worst.total, rest.bad, rest.total) <= bounds.outlierChance
+        val maxChance = if (isOutlier) bounds.maxChanceWithoutOutlier else bounds.maxChanceWithoutOne
+        return rest.bad >= MIN_OTHER_BAD_ANSWERS && chanceOf(rest) <= maxChance
     }
 
     private fun chanceOf(trial: Tally): Double = chanceOfExcess(trial.bad, trial.total, present.bad, present.total)
 }
 
-private fun comparisonsOf(present: EvidenceCounts): List<Comparison> = listOfNotNull(
-    Comparison("errors", errorsOf(present), ::errorsOf),
-    Comparison("lost answers", lostOf(present), ::lostOf),
-    lateClassOrNull(present)?.let { late -> Comparison("late answers", lateOf(present, late)) { lateOf(it, late) } },
-)
+private fun comparisonsOf(observations: List<Observation>): List<Comparison> {
+    val onRoutes = observations.groupBy { it.key.route }.flatMap { (route, onRoute) -> comparisonsOn(route, onRoute) }
+    val onAll = onRoutes.groupBy { it.kind }.filterValues { it.size > 1 }.map { (kind, all) ->
+        Comparison(kind, "all routes", all.map { it.present }.sum(), all.flatMap { it.trial })
+    }
+    return onRoutes + onAll
+}
+
+private fun comparisonsOn(route: String, observations: List<Observation>): List<Comparison> {
+    val (trial, presents) = observations.partition { it.key.trialTarget != null }
+    val present = presents.fold(EvidenceCounts()) { sum, next -> sum + next.counts }
+    val lateClass = lateClassOrNull(present)
+    val kinds = listOfNotNull<Pair<String, (EvidenceCounts) -> Tally>>(
+        "errors" to ::errorsOf,
+        "lost answers" to ::lostOf,
+        lateClass?.let { "late answers" to { counts -> lateOf(counts, it) } },
+    )
+    return kinds.map { (kind, tallyOf) ->
+        Comparison(kind, route, tallyOf(present), trial.map { TrialTally(it, tallyOf(it.counts)) })
+    }
+}
 
 private fun errorsOf(counts: EvidenceCounts) = Tally(counts.errors, counts.errors + counts.good)
 
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -8,6 +8,7 @@
 import arrow.core.getOrElse
 import arrow.core.raise.either
 import fulmarshunt.Address
+import fulmarshunt.Clock
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.entry.watch.WatchServiceDependencies
 import fulmarshunt.http.HttpReply
@@ -134,16 +135,7 @@
     directory.start(links) { log.leadership.value.leader != null }
     watches.start(links)
     reconcileMembership(log, directory, control)
-    RolloutOwner(
-        RolloutOwnerDependencies(
-            { machine.snapshots.value },
-            { servingState.isLeader },
-            servingState::submitAsLeader,
-            evidence,
-            clock,
-            wallClock(),
-        ),
-    ).start(control)
+    rolloutOwner(machine, servingState, evidence, clock).start(control)
     shutDownOnTermination(SHUTDOWN_TIMEOUT_MS) {
         logger.info("process stops reason=SIGTERM")
         log.close()
@@ -154,6 +146,22 @@
     log
 }
 
+private fun rolloutOwner(
+    machine: ServingStateMachine,
+    servingState: ServingStateAccess,
+    evidence: EvidenceTable,
+    clock: Clock,
+): RolloutOwner = RolloutOwner(
+    RolloutOwnerDependencies(
+        { machine.snapshots.value },
+        { servingState.isLeader },
+        servingState::submitAsLeader,
+        evidence,
+        clock,
+        wallClock(),
+    ),
+)
+
 /** Listens for calls of operators and targets, and for reads of the metrics. */
 private suspend fun listen(
     settings: FleetControlSettings,
--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -293,27 +293,16 @@
         replaceUse(placement, TargetUse.NONE)
         if (outcome == UseOutcome.REFUSED) brittle.recordRefusal(placement.target)
         placement.hasEnded = true
-        placement.observation?.let { recordEnd(it, outcome) }
+        placement.observation?.let { versions.recordEnd(it, outcome) }
         failures.getOrPut(placement.target.id) { FailureHistory() }.record(outcome, clock.nowMs())
         pauses.recordEnd(placement, outcome, clock.nowMs())
         retryWaiting()
     }
 
-    private fun recordEnd(observation: TrialObservation, outcome: UseOutcome) = when (outcome) {
-        UseOutcome.SUCCEEDED -> versions.recordAnswer(observation)
-        UseOutcome.FAILED_BY_STATUS -> versions.recordError(observation)
-        UseOutcome.FAILED -> versions.recordLost(observation)
-        UseOutcome.ABANDONED -> versions.recordUnanswered(observation)
-        UseOutcome.REFUSED, UseOutcome.UNREACHABLE -> Unit
-    }
-
-    private fun placeNow(request: PlacementRequest): Placement? {
-        // Without room at the version on trial, the present one takes the request; never the other way round.
-        val trial = if (versions.isTrialDue(request.service.id)) placeNow(request, isTrial = true) else null
-        return trial ?: placeNow(request, isTrial = false)
-    }
-
-    private fun placeNow(request: PlacementRequest, isTrial: Boolean): Placement? {
+    private fun placeNow(
+        request: PlacementRequest,
+        isTrial: Boolean = versions.isTrialDue(request.service.id),
+    ): Placement? {
         val tokens = request.promptTokens + request.outputTokens
         val requirements =
             TargetRequirements(
@@ -323,7 +312,9 @@
                 domain,
                 request.isLate(clock.nowMs()),
             )
-        val chosen = chooseOrNull(usableCandidates(request, isTrial), requirements, nextRandom) ?: return null
+        // Without room at the version on trial, the present one takes the request; never the other way round.
+        val chosen = chooseOrNull(usableCandidates(request, isTrial), requirements, nextRandom)
+            ?: return if (isTrial) placeNow(request, isTrial = false) else null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
             pauses.recordPlacement(it)
@@ -353,7 +344,7 @@
 
     /** Admits the waiting requests for which there is capacity; limits of cold targets pass without an event. */
     public fun retryWaiting() {
-        if (!waiting.isEmpty) waiting.admit(::placeNow)
+        if (!waiting.isEmpty) waiting.admit { placeNow(it) }
     }
 
     /**
--- a/src/main/kotlin/fulmarshunt/target/rollout/TrialShare.kt
+++ b/src/main/kotlin/fulmarshunt/target/rollout/TrialShare.kt
@@ -6,12 +6,17 @@
  */
 package fulmarshunt.target.rollout
 
-/** The part of the share and of the slack that is used; what arrives at targets differs a little from what is placed. */
-private const val USED_SHARE = 0.9
-private const val USED_SLACK = 0.3
+/** The part of the share that is used; what arrives at targets differs a little from what is placed. */
+private const val USED_SHARE = 0.95
+
+/** The part of the slack that is used; the rest is for the spread of the random starts, and for restarted VMs. */
+private const val USED_SLACK = 0.5
+
+/** The part of the duration over which the slack is given out, so that enough is left to find a late onset. */
+private const val SLACK_PART = 0.6
 
 /** The most that may be due at once; requests that found no target of the version must not come as a burst later. */
-private const val MAX_CREDIT = 2.0
+private const val MAX_BALANCE = 2.0
 
 /** Limits on the requests for versions on trial, for all entry VMs together. */
 public data class TrialBounds(
@@ -27,19 +32,20 @@
 internal class TrialShare(
     private val bounds: TrialBounds,
     entryVms: Int,
+    private val durationMs: Long,
     /** Whether this VM served before the roll-out began; others would take a part of the slack at each restart. */
     hasSeenStart: Boolean,
     nextRandom: () -> Double,
 ) {
-    private var credit = nextRandom() +
-        if (hasSeenStart) bounds.slackRequests * USED_SLACK / entryVms.coerceAtLeast(1) else 0.0
+    private val slack = if (hasSeenStart) bounds.slackRequests * USED_SLACK / entryVms.coerceAtLeast(1) else 0.0
+    private var balance = nextRandom()
 
-    /** Whether the next request is for the version on trial. */
-    val isDue: Boolean get() = credit >= 1
+    /** Returns whether the next request is for the version on trial, [elapsedMs] after the roll-out began. */
+    fun isDue(elapsedMs: Long): Boolean =
+        balance + slack * (elapsedMs / (durationMs * SLACK_PART)).coerceIn(0.0, 1.0) >= 1
 
     /** Records that a request was placed. */
     fun record(isTrial: Boolean) {
-        val cap = maxOf(MAX_CREDIT, credit)
-        credit = (credit + bounds.share * USED_SHARE).coerceAtMost(cap) - if (isTrial) 1 else 0
+        balance = (balance + bounds.share * USED_SHARE).coerceAtMost(MAX_BALANCE) - if (isTrial) 1 else 0
     }
 }
--- a/src/main/kotlin/fulmarshunt/target/rollout/VersionAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/target/rollout/VersionAdmission.kt
@@ -1,8 +1,7 @@
 /*
- * Decides which versions of a service may get requests, as roll-outs say it. Targets of a new version can be up
- * before the order for them is known here; as long as none has been completed, so that the present version is not known,
- * they wait if another version was there first: an unproved version must not get half of the requests. The decision is
- * pure.
+ * Decides which versions of a service may get requests, as roll-outs say it. Targets of a new version can be up before
+ * the order for them is known here. As long as no roll-out was completed, so that the present version is unknown, they
+ * wait if another version was there first: an unproved version must not get half of the requests. The decision is pure.
  */
 package fulmarshunt.target.rollout
 
--- a/src/main/kotlin/fulmarshunt/target/rollout/VersionTraffic.kt
+++ b/src/main/kotlin/fulmarshunt/target/rollout/VersionTraffic.kt
@@ -8,7 +8,6 @@
 import fulmarshunt.Clock
 import fulmarshunt.LogIndex
 import fulmarshunt.ServiceId
-import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.operator.rollout.Rollout
 import fulmarshunt.operator.rollout.RolloutPhase
@@ -17,6 +16,7 @@
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.TargetPhase
 import fulmarshunt.target.fleet.TargetRecord
+import fulmarshunt.target.fleet.UseOutcome
 import org.apache.logging.log4j.LogManager
 import java.util.UUID
 import kotlin.math.ceil
@@ -30,6 +30,9 @@
 /** The fewest targets on trial that get requests, so that one bad target is not taken for a bad version. */
 private const val MIN_TRIAL_TARGETS = 3
 
+/** The part of the duration of a roll-out for which cold targets on trial are waited for: they show nothing yet. */
+private const val COLD_WAIT_PART = 0.3
+
 /** The answer to one request that was placed while a roll-out of its service ran. */
 internal class TrialObservation(val key: EvidenceKey, val placedAtMs: Long, val isCold: Boolean) {
     var isAnswered = false
@@ -46,13 +49,15 @@
     private val source = UUID.randomUUID().toString()
     private var rollouts = emptyMap<ServiceId, Rollout>()
     private var admission = VersionAdmission(emptyMap(), emptyList())
-    private val shares = mutableMapOf<ServiceId, TrialShare>()
-    private var trialTargets = emptyMap<ServiceId, Set<TargetId>>()
+    private val trials = mutableMapOf<ServiceId, Trial>()
+    private var trialTargets = emptyMap<ServiceId, List<KnownTarget>>()
     private val counts = mutableMapOf<EvidenceKey, EvidenceCounts>()
     private var changes = 0L
     private var hasState = false
     private var contactAtMs = clock.nowMs()
 
+    private class Trial(val share: TrialShare, val beganAtMs: Long)
+
     /** Records a reply of a control VM that is in contact with a leader. */
     public fun recordContact() {
         contactAtMs = clock.nowMs()
@@ -85,20 +90,21 @@
         )
         if (former?.orderIndex == rollout.orderIndex && rollout.isOpen) return
         counts.keys.removeIf { it.service == service }
-        shares.remove(service)
+        trials.remove(service)
         if (rollout.phase == RolloutPhase.RUNNING) {
-            shares[service] = TrialShare(bounds, view.entryVms, hasState, nextRandom)
+            val share = TrialShare(bounds, view.entryVms, rollout.order.durationMs, hasState, nextRandom)
+            trials[service] = Trial(share, clock.nowMs())
         }
     }
 
     /** Returns a few targets on trial, the same at all entry VMs: with more, none would be as loaded as the others. */
-    private fun trialTargetsOf(service: ServiceId, view: FleetView, bounds: TrialBounds): Set<TargetId> {
+    private fun trialTargetsOf(service: ServiceId, view: FleetView, bounds: TrialBounds): List<KnownTarget> {
         val ready = view.targets.values.filter {
             it.record.service == service && it.record.phase == TargetPhase.READY && !it.isSilent
         }
         val (trial, present) = ready.partition { roleOf(it.record) == VersionRole.TRIAL }
         val count = maxOf(MIN_TRIAL_TARGETS, ceil(present.size * bounds.share).toInt())
-        return trial.sortedBy { it.id.value.hashCode() }.take(count).mapTo(mutableSetOf()) { it.id }
+        return trial.sortedBy { it.id.value.hashCode() }.take(count)
     }
 
     /** Returns [record], as leaving if its version may get no requests, so that its streams continue elsewhere. */
@@ -115,15 +121,20 @@
     /** Whether the next request for [service] is for the version on trial. */
     internal fun isTrialDue(service: ServiceId): Boolean {
         val stopMs = (bounds ?: return false).stopMs
-        return shares[service]?.isDue == true && rollouts[service]?.phase == RolloutPhase.RUNNING &&
-            clock.nowMs() - contactAtMs < stopMs * CONTACT_SHARE
+        val rollout = rollouts[service]?.takeIf { it.phase == RolloutPhase.RUNNING } ?: return false
+        val trial = trials[service] ?: return false
+        val nowMs = clock.nowMs()
+        val elapsedMs = nowMs - trial.beganAtMs
+        val isWarm = trialTargets[service].orEmpty().any { !it.isColdAt(nowMs) } ||
+            elapsedMs > rollout.order.durationMs * COLD_WAIT_PART
+        return isWarm && nowMs - contactAtMs < stopMs * CONTACT_SHARE && trial.share.isDue(elapsedMs)
     }
 
     /** Returns whether [target] may get a request that is for the version on trial if [isTrial], or for another. */
     internal fun admits(target: KnownTarget, isTrial: Boolean): Boolean = when (roleOf(target.record)) {
         VersionRole.NONE -> false
         VersionRole.PRESENT -> !isTrial
-        VersionRole.TRIAL -> isTrial && target.id in trialTargets[target.record.service].orEmpty()
+        VersionRole.TRIAL -> isTrial && trialTargets[target.record.service].orEmpty().any { it.id == target.id }
     }
 
     /** Returns whether [target] has the version on trial. */
@@ -134,10 +145,10 @@
         val service = target.record.service
         val rollout = rollouts[service]?.takeIf { it.phase == RolloutPhase.RUNNING } ?: return null
         val isTrial = isOnTrial(target)
-        shares[service]?.record(isTrial)
+        trials[service]?.share?.record(isTrial)
         val key = EvidenceKey(service, rollout.orderIndex, route, target.id.takeIf { isTrial })
         val nowMs = clock.nowMs()
-        return TrialObservation(key, nowMs, isCold = target.coldUntilMs + WARM_AFTER_MS > nowMs)
+        return TrialObservation(key, nowMs, target.isColdAt(nowMs))
     }
 
     /** Records the first event of a stream or the end of a plain answer. */
@@ -155,14 +166,16 @@
         )
     }
 
-    /** Records an answer that says that the target failed. */
-    internal fun recordError(observation: TrialObservation) = count(observation, EvidenceCounts(errors = 1))
-
-    /** Records an answer that broke off or did not come. */
-    internal fun recordLost(observation: TrialObservation) = count(observation, EvidenceCounts(lost = 1))
+    /** Records how a request ended. */
+    internal fun recordEnd(observation: TrialObservation, outcome: UseOutcome) = when (outcome) {
+        UseOutcome.SUCCEEDED -> recordAnswer(observation)
+        UseOutcome.FAILED_BY_STATUS -> count(observation, EvidenceCounts(errors = 1))
+        UseOutcome.FAILED -> count(observation, EvidenceCounts(lost = 1))
+        UseOutcome.ABANDONED -> recordUnanswered(observation)
+        UseOutcome.REFUSED, UseOutcome.UNREACHABLE -> Unit
+    }
 
-    /** Records that a request was given up. */
-    internal fun recordUnanswered(observation: TrialObservation) {
+    private fun recordUnanswered(observation: TrialObservation) {
         if (observation.isAnswered || observation.isCold) return
         val latencyClass = latencyClassOf(clock.nowMs() - observation.placedAtMs)
         count(observation, EvidenceCounts(unanswered = mapOf(latencyClass to 1)))
@@ -182,3 +195,5 @@
         return EvidenceReport(vm, source, changes, counts.map { (key, value) -> EvidenceCell(key, value) })
     }
 }
+
+private fun KnownTarget.isColdAt(nowMs: Long): Boolean = coldUntilMs + WARM_AFTER_MS > nowMs
--- a/src/test/kotlin/fulmarshunt/operator/rollout/RolloutTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/rollout/RolloutTest.kt
@@ -9,6 +9,7 @@
 import fulmarshunt.LogIndex
 import fulmarshunt.ServiceId
 import fulmarshunt.SoftwareVersion
+import fulmarshunt.TargetId
 import fulmarshunt.VmId
 import fulmarshunt.clockOf
 import fulmarshunt.link.linkCbor
@@ -117,7 +118,7 @@
         expectThat(restored.snapshots.value.rollouts).isEqualTo(mapOf(service to current))
     }
 
-    private inner class Owner(var isLeader: Boolean, var canCommit: Boolean = true) {
+    private inner class ControlVm(var isLeader: Boolean, var canCommit: Boolean = true) {
         val table = EvidenceTable()
         private val dependencies = RolloutOwnerDependencies(
             { machine.snapshots.value },
@@ -132,10 +133,10 @@
 
     private var nowMs = 0L
 
-    private fun runUntil(untilMs: Long, vararg owners: Owner) = runBlocking {
+    private fun runUntil(untilMs: Long, vararg vms: ControlVm) = runBlocking {
         while (nowMs < untilMs) {
             nowMs += 200
-            owners.forEach { it.owner.step() }
+            vms.forEach { it.owner.step() }
         }
     }
 
@@ -146,7 +147,7 @@
             VmId("e"),
             "source",
             number,
-            listOf(EvidenceCell(key, present), EvidenceCell(key.copy(trialTarget = fulmarshunt.TargetId("t")), trial)),
+            listOf(EvidenceCell(key, present), EvidenceCell(key.copy(trialTarget = TargetId("t")), trial)),
         )
     }
 
@@ -156,13 +157,13 @@
     /** Guards against a roll-out that nobody ends once the leader that judged it is gone. */
     @Test
     fun `another leader goes on between any two steps`() {
-        for (lostAtMs in listOf(1_000L, 8_000L, 8_600L, 9_400L)) {
+        for (lostAtMs in listOf(1_000L, 8_800L, 9_200L, 10_000L)) {
             nowMs = 0
             index = 0
             machine.asReplicated.restore(LogIndex(0), ServingStateMachine().asReplicated.snapshot().invoke())
             start("v2")
-            val first = Owner(isLeader = true)
-            val second = Owner(isLeader = false)
+            val first = ControlVm(isLeader = true)
+            val second = ControlVm(isLeader = false)
             listOf(first, second).forEach { it.table.receive(report(1, good), isDirect = false) }
             runUntil(lostAtMs, first, second)
             first.canCommit = false
@@ -176,7 +177,7 @@
     @Test
     fun `a bad version is rolled back at the next judgement, and one without evidence at the deadline`() {
         start("v2")
-        val owner = Owner(isLeader = true)
+        val owner = ControlVm(isLeader = true)
         owner.table.receive(report(1, good), isDirect = true)
         runUntil(3_000, owner)
         expectThat(current.phase).isEqualTo(RolloutPhase.RUNNING)
--- a/src/test/kotlin/fulmarshunt/target/rollout/VersionTrafficTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/rollout/VersionTrafficTest.kt
@@ -93,6 +93,9 @@
                     val fleet = fleet()
                     if (sawBefore) fleet.update(view(null, old, entryVms))
                     fleet.update(view(RolloutPhase.RUNNING, old + new, entryVms))
+                    // All of the slack is given out by now.
+                    nowMs += 8_000
+                    fleet.versions.recordContact()
                     fleet.serve(perVm)
                 }
                 val total = served(sawBefore = true) + served(sawBefore = false)
