Let a version wait for its order only if it started later than the first one

Cause: in a deployment whose targets have several versions from the start, and whose settings have roll-outs, all but one version would have got nothing.

Change: a version waits only if its first target started 3 s or more after that of the first version.

--- a/src/main/kotlin/fulmarshunt/target/rollout/VersionAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/target/rollout/VersionAdmission.kt
@@ -11,6 +11,7 @@
 import fulmarshunt.operator.rollout.VersionRole
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.TargetPhase
+import fulmarshunt.target.fleet.TargetRecord
 
 /**
  * The share of the ready targets that must have the first version for others to wait. With fewer, the targets are
@@ -18,22 +19,21 @@
  */
 private const val MIN_FIRST_SHARE = 0.34
 
+/** How much later than the first version another one must have started to wait; others are a mix that is served. */
+private const val MIN_LATER_MS = 3_000L
+
 /** The versions of the services of a deployment that may get requests. */
 internal class VersionAdmission(private val rollouts: Map<ServiceId, Rollout>, targets: Collection<KnownTarget>) {
-    private val firstVersions: Map<ServiceId, SoftwareVersion> =
-        targets.filter {
-            it.record.phase == TargetPhase.READY && !it.isSilent &&
-                orderedRoleOf(it) == VersionRole.PRESENT
-        }
-            .groupBy { it.record.service }
-            .mapNotNull { (service, ready) -> firstVersionOrNull(ready)?.let { service to it } }
-            .toMap()
+    private val waitingVersions: Map<ServiceId, Set<SoftwareVersion>> = targets
+        .filter { it.record.phase == TargetPhase.READY && !it.isSilent && orderedRoleOf(it) == VersionRole.PRESENT }
+        .groupBy { it.record.service }
+        .mapValues { (_, ready) -> waitingVersionsOf(ready.map { it.record }) }
 
     /** Returns what targets of [service] with [version] may get. */
     fun roleOf(service: ServiceId, version: SoftwareVersion?): VersionRole {
         val role = orderedRoleOf(service, version)
-        val first = firstVersions[service] ?: return role
-        return if (role == VersionRole.PRESENT && version != null && version != first) VersionRole.NONE else role
+        val isWaiting = role == VersionRole.PRESENT && version in waitingVersions[service].orEmpty()
+        return if (isWaiting) VersionRole.NONE else role
     }
 
     private fun orderedRoleOf(target: KnownTarget) = orderedRoleOf(target.record.service, target.record.version)
@@ -43,9 +43,11 @@
         rollouts[service]?.roleOf(version) ?: VersionRole.PRESENT
 }
 
-/** Returns the version of the target that started first, unless too few of [ready] have it. */
-private fun firstVersionOrNull(ready: List<KnownTarget>): SoftwareVersion? {
-    if (ready.distinctBy { it.record.version }.size < 2) return null
-    val first = ready.filter { it.record.version != null }.minBy { it.record.startedAtMs }.record.version
-    return first.takeIf { ready.count { it.record.version == first } >= ready.size * MIN_FIRST_SHARE }
+/** Returns the versions that wait: those that started later than the first one, unless too few of [ready] have that. */
+private fun waitingVersionsOf(ready: List<TargetRecord>): Set<SoftwareVersion> {
+    val startedAtMs = ready.mapNotNull { record -> record.version?.let { it to record.startedAtMs } }
+        .groupBy({ it.first }, { it.second }).mapValues { (_, times) -> times.min() }
+    val first = startedAtMs.minByOrNull { it.value } ?: return emptySet()
+    if (ready.count { it.version == first.key } < ready.size * MIN_FIRST_SHARE) return emptySet()
+    return startedAtMs.filterValues { it >= first.value + MIN_LATER_MS }.keys
 }
