--- a/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/Fleet.kt
@@ -332,27 +332,16 @@
         holdingTimes.recordEnd(placement, outcome, clock.nowMs())
         replaceUse(placement, TargetUse.NONE)
         placement.hasEnded = true
-        placement.observation?.let { recordEnd(it, outcome) }
+        placement.observation?.let { versions.recordEnd(it, outcome) }
         evidence.recordEnd(placement, outcome)
         admission.recordEnd(placement, outcome)
         retryWaiting()
     }
 
-    private fun recordEnd(observation: TrialObservation, outcome: UseOutcome) = when (outcome) {
-        UseOutcome.SUCCEEDED -> versions.recordAnswer(observation)
-        UseOutcome.FAILED_BY_STATUS -> versions.recordError(observation)
-        UseOutcome.FAILED -> versions.recordLost(observation)
-        UseOutcome.ABANDONED -> versions.recordUnanswered(observation)
-        UseOutcome.REFUSED, UseOutcome.UNREACHABLE -> Unit
-    }
-
-    private fun placeNow(request: PlacementRequest): Placement? {
-        // Without room at the version on trial, the present one takes the request; never the other way round.
-        val trial = if (versions.isTrialDue(request.service.id)) placeNow(request, isTrial = true) else null
-        return trial ?: placeNow(request, isTrial = false)
-    }
-
-    private fun placeNow(request: PlacementRequest, isTrial: Boolean): Placement? {
+    private fun placeNow(
+        request: PlacementRequest,
+        isTrial: Boolean = versions.isTrialDue(request.service.id),
+    ): Placement? {
         val tokens = request.promptTokens + request.outputTokens
         val requirements =
             TargetRequirements(
@@ -364,7 +353,9 @@
                 view.entryVms,
             )
         val candidates = admission.candidates(request) { versions.admits(it, isTrial) }
-        val chosen = chooseOrNull(candidates, requirements, nextRandom) ?: return null
+        // Without room at the version on trial, the present one takes the request; never the other way round.
+        val chosen = chooseOrNull(candidates, requirements, nextRandom)
+            ?: return if (isTrial) placeNow(request, isTrial = false) else null
         val use = TargetUse(1, requirements.tokens.toLong(), request.promptTokens.toLong())
         return assign(request, chosen.target, use).also {
             it.workAhead = workAhead(requirements, chosen.target.record.slots, chosen.use)
@@ -392,7 +383,7 @@
 
     /** Admits the waiting requests for which there is capacity; limits of cold targets pass without an event. */
     public fun retryWaiting() {
-        if (!waiting.isEmpty) waiting.admit(::placeNow)
+        if (!waiting.isEmpty) waiting.admit { placeNow(it) }
     }
 
     /** Returns which targets the rest of a generation at the target of [placement] may go to: those of its version. */
