--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -18,6 +18,7 @@
 import fulmarshunt.operator.serving.RoutingTable
 import fulmarshunt.operator.serving.ServiceShare
 import fulmarshunt.operator.serving.ServingConfiguration
+import fulmarshunt.platform.parseLoad
 import fulmarshunt.process.startControlThread
 import fulmarshunt.target.fleet.CrashReportTable
 import fulmarshunt.target.fleet.Detour
@@ -225,6 +226,7 @@
                 it.contains("leaving"),
                 it.get("limit")?.toDouble(),
                 it.get("brittle")?.toDouble(),
+                it.get("load")?.let(::parseLoad),
             )
         },
         migrate = { source, run, destination, isLast -> this.migrate(source, run, destination, isLast) },
--- a/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/TargetNoticesTest.kt
@@ -49,6 +49,21 @@
         }
     }
 
+    /** Guards against requests to a target that has just said that others wait, and against figures that end one. */
+    @Test
+    fun `a target that says that requests wait there gets none while another has room`() {
+        ScriptedTarget("a") { respond("200 OK", "a", "load: 8,20,8") }.use { crowded ->
+            ScriptedTarget("b") { respond("200 OK", "b", "load: 8,x") }.use { other ->
+                RelayFixture(crowded, other).use { relay ->
+                    val first = relay.call("/once/x")?.body
+                    relay.awaitIdle()
+                    repeat(6) { expectThat(relay.call("/once/x")?.body).isEqualTo("b") }
+                    expectThat(crowded.requests).hasSize(if (first == "a") 1 else 0)
+                }
+            }
+        }
+    }
+
     /** Guards against requests that are sent to the only target although it is leaving, and against callers held up. */
     @Test
     fun `without another target, callers are refused at once`() {
