--- a/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
@@ -200,7 +200,7 @@
         }
     }
 
-    /** Guards against the return of a failure that was found: the stack that a nested value takes differs by machine. */
+    /** Guards against the return of a stack overflow that was found on one kind of machine only. */
     @Test
     fun `nested settings that once overflowed the stack are refused`() {
         val nested = settings.replace("\"a secret of some length\"", "[".repeat(1_000_000))
