--- a/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetEntry.kt
@@ -116,13 +116,7 @@
     val listener = traffic.listen(validatedAddress(settings.listen.callers), maxHeaderBytes, callers::serve)
         .getOrElse { raise(ProgramOutcome(ExitCode.USAGE, "listen.callers: $it")) }
     listenForReadiness(traffic, validatedAddress(settings.listen.readiness)) {
-        if (plannedStop.hasBegun) {
-            "stopping"
-        } else if (fleet.views.value.table == null) {
-            "no configuration"
-        } else {
-            null
-        }
+        readinessProblemOrNull(plannedStop, fleet)
     }.onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.readiness: $it")) }
     listenForMetrics(traffic, validatedAddress(settings.listen.metrics), meters)
         .onLeft { raise(ProgramOutcome(ExitCode.USAGE, "listen.metrics: $it")) }
@@ -144,6 +138,12 @@
     logger.info("process started vm={} callers={} seeds={}", settings.vm.id, listen.callers, settings.control.seeds)
 }
 
+private fun readinessProblemOrNull(plannedStop: PlannedStop, fleet: Fleet): String? = when {
+    plannedStop.hasBegun -> "stopping"
+    fleet.views.value.table == null -> "no configuration"
+    else -> null
+}
+
 /** Listens at [address] for readiness probes; [problem] returns why this VM is not ready, or null. */
 private suspend fun listenForReadiness(
     traffic: Traffic,
