Count the filled share of an engine's memory again

Cause: the share was divided as integers, so that it was 0 below a full memory and the choice of a target ignored it.

--- a/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/TargetChoice.kt
@@ -165,7 +165,8 @@
             (if (isElsewhere) DOMAIN_COST_REQUESTS else 0.0) +
             failureShare * FAILING_COST_REQUESTS
     }
-    val memoryShare = (use.tokens + requirements.tokens) / requirements.engine.memoryTokens.coerceAtLeast(1)
+    val memoryTokens = requirements.engine.memoryTokens.coerceAtLeast(1).toDouble()
+    val memoryShare = (use.tokens + requirements.tokens) / memoryTokens
     val tokensAhead = use.unreadTokens + MEMORY_COST_TOKENS * memoryShare +
         RUN_COST_TOKENS * (use.running + unknown.requests) + WAITING_COST_TOKENS * unknown.waiting
     return slowness * (requirements.promptTokens + tokensAhead) +
