--- a/src/test/kotlin/fulmarshunt/target/fleet/TargetChoiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/TargetChoiceTest.kt
@@ -20,7 +20,7 @@
     /** Guards against a cost that loses the filled share of the memory, which is less than one. */
     @Test
     fun `an engine with a filled memory costs more`() {
-        expectThat(chosen(engine("filled", TargetUse(1, 7_000, 0)), engine("free", TargetUse(1, 1_000, 0))))
+        expectThat(chosen(engine("free", TargetUse(1, 1_000, 0)), engine("filled", TargetUse(1, 7_000, 0))))
             .isEqualTo("free")
     }
 
