Let the soak judge requests that crash targets, on the settings of both deployments

The soak can now send such requests, of each kind, again and again at any entry VM; targets that run one exit, or break their connections off while their listening socket stays open. It counts arrivals as the rule does: later than 3 s after the third crash, from VMs in touch. site= runs the numbers of VMs and targets, time limits and allowances of both deployments, and series= chooses the faults, so that one cause is seen without the others. Which series a run without series= has is unchanged.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -20,7 +20,8 @@
 private const val TARGET_MB = 75
 private const val ENTRIES_PER_ENGINE = 2
 
-private val argumentNames = setOf("seed", "seeds", "seconds", "entries", "engines", "limits", "memory_mb")
+private val argumentNames =
+    setOf("seed", "seeds", "seconds", "site", "entries", "engines", "limits", "series", "forwarding", "memory_mb")
 
 /** What one seed showed. */
 internal class SoakResult(
@@ -62,13 +63,16 @@
     private val chunkedCount =
         events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name }
 
+    /** The targets that requests have crashed. */
+    private val crashCount = events.count { it.kind == SoakKind.DISTURBED && it["action"] == "CRASH" }
+
     /** The responses that ended early without a fault of target or entry VM. */
     val cutCount: Int = CheckedRecords(events, SoakBounds()).cutResponses()
 
     override fun toString(): String = "seed=$seed faults=$faultCount requests=$requestCount served=$servedCount " +
         "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
         "sigterms=$terminationCount chunked=$chunkedCount cut=$cutCount " +
-        "vms_cut=$cutVmCount unframed=$unframedCount failed_moves=$failedMoveCount " +
+        "vms_cut=$cutVmCount crashes=$crashCount unframed=$unframedCount failed_moves=$failedMoveCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
         if (violations.isEmpty() && cutCount == 0) "" else " folder=$directory"
 }
@@ -77,32 +81,31 @@
 internal fun runSoak(
     seed: Long,
     seconds: Long,
-    entries: Int = 4,
-    engines: Int = 4,
-    namesLimits: Boolean = false,
+    deployment: SoakSite = SoakSite(),
+    series: Set<SoakSeries> = usualSeries,
 ): SoakResult {
     val directory = Files.createTempDirectory("fulmarshunt-soak-$seed-").toFile()
     var faultCount = 0
     SoakRecord(File(directory, "driver.record")).use { record ->
-        SoakDeployment(directory, entries, engines, record).use { site ->
+        SoakDeployment(directory, deployment, record).use { site ->
             site.start()
             val operator = SoakOperator(site, seed)
-            val formationLimitMs = FORMATION_LIMIT_MS + FORMATION_MS_PER_ENTRY * entries
+            val formationLimitMs = FORMATION_LIMIT_MS + FORMATION_MS_PER_ENTRY * deployment.entries
             check(operator.configure(formationLimitMs)) { "no configuration was accepted, see $directory" }
             val limitNs = System.nanoTime() + formationLimitMs * 1_000_000
-            while (!(0 until entries).all(site::isReady)) {
+            while (!(0 until deployment.entries).all(site::isReady)) {
                 check(System.nanoTime() < limitNs) { "an entry VM was not ready, see $directory" }
                 Thread.sleep(200)
             }
             SoakClients(site, seed).use {
                 Thread.sleep(AFTERMATH_MS)
-                faultCount = SoakFaults(site, operator, seed, seconds * 1_000, namesLimits).run()
+                faultCount = SoakFaults(site, operator, seed, seconds * 1_000, series).run()
                 Thread.sleep(AFTERMATH_MS)
             }
         }
     }
     val events = readSoakRecords(directory)
-    val violations = checkSoak(events)
+    val violations = checkSoak(events, SoakBounds(repeatAllowance = deployment.repeatAllowance))
     val result = SoakResult(seed, faultCount, events, violations, directory)
     File(directory, "violations.txt").writeText(violations.joinToString("\n", postfix = "\n"))
     if (violations.isEmpty() && result.cutCount == 0) directory.deleteRecursively()
@@ -119,15 +122,21 @@
 /** Runs the seeds from `seed=` on, `seeds=` of them, and prints one line for each and one for each violation. */
 public fun main(arguments: Array<String>): Unit = runTool("soak", arguments, argumentNames) { values ->
     val filling = values["memory_mb"]?.let { entriesThatFill(it.toInt()) }
+    val site = soakSite(values["site"] ?: "small")
+    val named = values["series"]?.split(',')?.mapTo(mutableSetOf()) { SoakSeries.valueOf(it) }
+    val series = (named ?: usualSeries) + if (values["limits"] == "true") setOf(SoakSeries.LIMITS) else emptySet()
     val first = values["seed"]?.toLong() ?: 1L
     var isSound = true
     for (seed in first until first + (values["seeds"]?.toLong() ?: 1L)) {
         val result = runSoak(
             seed,
             values["seconds"]?.toLong() ?: 60L,
-            values["entries"]?.toInt() ?: filling ?: 4,
-            values["engines"]?.toInt() ?: filling?.div(ENTRIES_PER_ENGINE) ?: 4,
-            values["limits"] == "true",
+            site.copy(
+                entries = values["entries"]?.toInt() ?: filling ?: site.entries,
+                engines = values["engines"]?.toInt() ?: filling?.div(ENTRIES_PER_ENGINE) ?: site.engines,
+                hasForwarding = values["forwarding"] != "false",
+            ),
+            series,
         )
         println(result)
         result.violations.forEach { println("  seed=$seed $it") }
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
@@ -33,7 +33,7 @@
     }
 
     private fun violations(seed: Long): List<SoakViolation> {
-        val result = runSoak(seed, FAULTS_S, namesLimits = true)
+        val result = runSoak(seed, FAULTS_S, series = usualSeries + SoakSeries.LIMITS)
         println(result)
         expectThat(result.servedCount).describedAs("served requests").isGreaterThan(100)
         expectThat(result.evacuationCount).describedAs("acknowledged evacuations").isGreaterThan(1)
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -33,7 +33,7 @@
     val checked = CheckedRecords(events, bounds)
     return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed() +
         checked.unasked() + checked.lost() + checked.lostOnKeptConnections() + checked.brokenPauses() +
-        checked.attemptsOverLimit() + checked.longDeadlines() + checked.limits() +
+        checked.attemptsOverLimit() + checked.longDeadlines() + checked.crashRetries() + checked.limits() +
         checked.wrongOrder() + checked.unservedCuts()
 }
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -282,6 +282,23 @@
         expectThat(rules(repeated(2_000))).isEmpty()
     }
 
+    /** Guards against requests that crash one target after the other without being recognized. */
+    @Test
+    fun `more than three retries of a request that has crashed three targets break BUDGET`() {
+        fun arrivals(count: Int, fromMs: Int) = (1..count).joinToString("\n") {
+            "1000 SEND request=q$it kind=safe service=s entry=entry-1 crashing=c\n" +
+                "${fromMs + it} ARRIVE request=q$it service=s target=d$it"
+        }
+        fun crashes(count: Int) =
+            (1..count).joinToString("\n") { "${1000 + it} KILLED node=d$it request=q$it style=EXIT" }
+        expectThat(rules("${arrivals(4, 4_003)}\n${crashes(3)}")).isEqualTo(listOf(SoakRule.BUDGET))
+        expectThat(rules("${arrivals(3, 4_003)}\n${crashes(3)}")).isEmpty()
+        expectThat(rules("${arrivals(4, 3_999)}\n${crashes(3)}")).isEmpty()
+        expectThat(rules("${arrivals(4, 4_003)}\n${crashes(2)}")).isEmpty()
+        val disturbed = "3500 DISTURBED node=entry-1 action=SIGSTOP"
+        expectThat(rules("${arrivals(4, 4_003)}\n${crashes(3)}\n$disturbed")).isEmpty()
+    }
+
     private fun limited(count: Int, fromMs: Int, entry: String = "entry-1", more: String = "") =
         "1000 INJECTED node=a action=LIMIT:2.0\n1000 SEND request=q kind=safe service=s entry=entry-1\n" +
             "1010 LIMITED request=q target=a limit=2.0\n1020 ANSWER request=q status=200 sound=true\n" +
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -22,9 +22,13 @@
 private const val FIRST_NETWORK = 64
 private const val NETWORKS = 128
 private const val NETWORK_SIZE = 256
-private const val TARGET_SLOTS = 8
 private const val CALL_TIMEOUT_MS = 1_000
 
+/** The exit code of a target that a request has crashed. */
+internal const val CRASH_EXIT_CODE = 70
+
+private const val RESTART_MS = 200L
+
 /** The time between SIGTERM and SIGKILL. */
 internal const val GRACE_MS = 8_000L
 
@@ -34,15 +38,19 @@
 private val networks = AtomicInteger(ProcessHandle.current().pid().toInt() * 4)
 
 /** One target; a restart is a new one at the same address. */
-internal class TargetNode(val id: String, val service: String, val zone: String, val address: SoakAddress)
+internal class TargetNode(
+    val id: String,
+    val service: String,
+    val zone: String,
+    val address: SoakAddress,
+    val crashStyle: SoakCrashStyle,
+)
 
 /** The deployment of one run, with its files in [directory]. */
-internal class SoakDeployment(
-    private val directory: File,
-    val entryCount: Int,
-    private val engineCount: Int,
-    val record: SoakRecord,
-) : AutoCloseable {
+internal class SoakDeployment(private val directory: File, val site: SoakSite, val record: SoakRecord) :
+    AutoCloseable {
+    val entryCount: Int = site.entries
+
     init {
         require(entryCount <= MAX_ENTRIES) { "there are addresses for $MAX_ENTRIES entry VMs" }
     }
@@ -61,6 +69,9 @@
     private val byNode = ConcurrentHashMap<String, Process>()
     private val targetNumbers = AtomicInteger()
 
+    @Volatile
+    private var isClosed = false
+
     /** The targets that run now. */
     val targets: MutableMap<String, TargetNode> = ConcurrentHashMap()
 
@@ -76,7 +87,7 @@
     fun start() {
         (0 until CONTROL_VMS).forEach { startControl(it, bootstrap = true) }
         (0 until entryCount).forEach(::startEntry)
-        repeat(engineCount) { startTarget(ENGINE, soakZones[it % soakZones.size]) }
+        repeat(site.engines) { startTarget(ENGINE, soakZones[it % soakZones.size]) }
         soakZones.forEach { startTarget(PLAIN, it) }
     }
 
@@ -113,12 +124,12 @@
         val settings = """
             [listen]
             callers = "$ip:$callerPort"
-            forwarding = "$ip:$linkPort"
+            ${if (site.hasForwarding) "forwarding = \"$ip:$linkPort\"" else ""}
             readiness = "$ip:$readinessPort"
             metrics = "$ip:$metricsPort"
             [bounds]
             repeat_ratio = 0.2
-            repeat_allowance = 56
+            repeat_allowance = ${site.repeatAllowance}
             repeat_window_s = 10
             [shutdown]
             grace_s = ${GRACE_MS / 1_000.0}
@@ -148,17 +159,31 @@
     fun startTarget(service: String, zone: String, address: SoakAddress? = null): TargetNode {
         val number = targetNumbers.incrementAndGet()
         val id = "i-$service-$number"
-        val node = TargetNode(id, service, zone, address ?: SoakAddress("$network.${100 + number % 150}", targetPort))
+        val crashStyle = SoakCrashStyle.entries[number % SoakCrashStyle.entries.size]
+        val own = address ?: SoakAddress("$network.${100 + number % 150}", targetPort)
+        val node = TargetNode(id, service, zone, own, crashStyle)
         val controls = (0 until CONTROL_VMS).joinToString(",") { "${controlAddress(it)}" }
         byNode[id] = processes.start(
             id, "fulmarshunt.soak.SoakTargetKt", "id=$id", "address=${node.address}", "service=$service", "zone=$zone",
-            "slots=$TARGET_SLOTS", "controls=$controls", "seed=$number", "record=$directory/$id.record",
+            "slots=${if (service == PLAIN) site.plainSlots else site.engineSlots}", "controls=$controls",
+            "seed=$number",
+            "record=$directory/$id.record", "crash=$crashStyle",
             jvmFlags = listOf("-Xmx32m", "-Xss256k") + socketOptionFlags,
         )
         targets[id] = node
+        byNode.getValue(id).onExit().thenAccept { if (it.exitValue() == CRASH_EXIT_CODE) restartCrashed(node) }
         return node
     }
 
+    /** Starts a target that has crashed again, at its address. */
+    private fun restartCrashed(node: TargetNode) {
+        targets -= node.id
+        thread(isDaemon = true) {
+            Thread.sleep(if (node.crashStyle == SoakCrashStyle.EXIT) CRASH_DOWN_MS else RESTART_MS)
+            if (!isClosed) startTarget(node.service, node.zone, node.address)
+        }
+    }
+
     /** Stops a process for [durationMs]. */
     fun pause(node: String, durationMs: Long) {
         stop(node)
@@ -234,5 +259,8 @@
         ProcessBuilder("kill", "-$name", "${byNode.getValue(node).pid()}").start().waitFor()
     }
 
-    override fun close(): Unit = processes.close()
+    override fun close() {
+        isClosed = true
+        processes.close()
+    }
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -42,16 +42,44 @@
 private const val MIN_CUT_MS = 8_000L
 private const val MAX_CUT_MS = 14_000L
 private const val MOST_ENTRIES_SHARE = 0.75
+
+/** So that VMs and targets have settled; each request that crashes targets comes for some 14 s. */
+private const val FIRST_CRASH_MS = 2_000L
+private const val SENDS_OF_CRASHING = 12
 private const val FAILED_MOVES_MS = 8_000L
 private const val FAILED_MOVES_PROBABILITY = 0.7
 
+/** The series of faults, which run side by side. */
+internal enum class SoakSeries {
+    CONTROLS,
+    ENTRIES,
+    TARGETS,
+    OPERATOR,
+    STOPS,
+
+    /** Targets name limits of their requests. */
+    LIMITS,
+    CUTS,
+    MOVES,
+
+    /** Requests crash the plain targets that run them. */
+    PLAIN_CRASHES,
+
+    /** Requests crash the engines that run them. */
+    ENGINE_CRASHES,
+}
+
+/** The series of a soak for which none are named. */
+internal val usualSeries: Set<SoakSeries> =
+    SoakSeries.entries.toSet() - setOf(SoakSeries.LIMITS, SoakSeries.PLAIN_CRASHES, SoakSeries.ENGINE_CRASHES)
+
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
     private val site: SoakDeployment,
     private val operator: SoakOperator,
     private val seed: Long,
     durationMs: Long,
-    private val namesLimits: Boolean,
+    private val series: Set<SoakSeries>,
 ) {
     private val endNs = System.nanoTime() + durationMs * 1_000_000
     private val count = AtomicInteger()
@@ -65,27 +93,32 @@
     /** Held while targets are disturbed. */
     private val targetLock = ReentrantLock(true)
 
+    private val bodies: Map<SoakSeries, (Random) -> Unit> = mapOf(
+        SoakSeries.CONTROLS to ::disturbControls,
+        SoakSeries.ENTRIES to ::disturbEntries,
+        SoakSeries.TARGETS to ::disturbTargets,
+        SoakSeries.OPERATOR to ::operate,
+        SoakSeries.STOPS to ::stopEntries,
+        SoakSeries.LIMITS to ::limitTargets,
+        SoakSeries.CUTS to ::cutEntries,
+        SoakSeries.MOVES to ::failMoves,
+        SoakSeries.PLAIN_CRASHES to ::crashPlainTargets,
+        SoakSeries.ENGINE_CRASHES to ::crashEngines,
+    )
+
     private fun isOver() = System.nanoTime() > endNs
 
     fun run(): Int {
         val failures = ConcurrentLinkedQueue<Throwable>()
-        val bodies = listOf(
-            ::disturbControls,
-            ::disturbEntries,
-            ::disturbTargets,
-            ::operate,
-            ::stopEntries,
-            ::limitTargets,
-            ::cutEntries,
-            ::failMoves,
-        )
-        val series = bodies.mapIndexedNotNull { index, body ->
-            if (body == ::limitTargets && !namesLimits) return@mapIndexedNotNull null
-            thread(isDaemon = true) { runCatching { body(Random(seed * 10 + index)) }.onFailure(failures::add) }
+        val threads = series.map { series ->
+            val body = bodies.getValue(series)
+            thread(isDaemon = true) {
+                runCatching { body(Random(seed * 10 + series.ordinal)) }.onFailure(failures::add)
+            }
         }
-        series.forEach { it.join(maxOf(0, (endNs - System.nanoTime()) / 1_000_000) + SHUTDOWN_OF_SERIES_MS) }
+        threads.forEach { it.join(maxOf(0, (endNs - System.nanoTime()) / 1_000_000) + SHUTDOWN_OF_SERIES_MS) }
         failures.peek()?.let { throw IllegalStateException("a series of faults ended early", it) }
-        check(series.none { it.isAlive }) { "a series of faults did not end" }
+        check(threads.none { it.isAlive }) { "a series of faults did not end" }
         return count.get()
     }
 
@@ -326,6 +359,16 @@
         }
     }
 
+    private fun crashPlainTargets(random: Random) {
+        rest(FIRST_CRASH_MS)
+        site.sendCrashingInTurn(seed, listOf(SAFE, "unsafe"), SENDS_OF_CRASHING, random, ::isOver)
+    }
+
+    private fun crashEngines(random: Random) {
+        rest(FIRST_CRASH_MS)
+        site.sendCrashingInTurn(seed, listOf(STREAM), SENDS_OF_CRASHING, random, ::isOver)
+    }
+
     private fun inject(targets: List<TargetNode>, name: String, probability: Double, durationMs: Long) {
         targets.forEach { site.setInjectedFault(it, name, probability) }
         rest(durationMs)
--- a/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
@@ -10,6 +10,9 @@
 /** The reasons for which targets end runs that their caller has not ended. */
 internal val brokenOffByTarget = setOf("lost", "reset", "exit")
 
+/** The disturbances that end a target. */
+private val endsOfTargets = setOf("SIGKILL", "CRASH")
+
 /** A request that was sent whole and whose connection ended without a complete response. */
 private class LostRequest(
     val send: SoakEvent,
@@ -46,7 +49,7 @@
     val end = lost.lastRunEnd
     if (end != null && end.atNs <= lost.fail.atNs && end["reason"] in brokenOffByTarget) return true
     return events.any {
-        it.kind == SoakKind.DISTURBED && it["action"] == "SIGKILL" && it["node"] == last["target"] &&
+        it.kind == SoakKind.DISTURBED && it["action"] in endsOfTargets && it["node"] == last["target"] &&
             it.atNs in last.atNs..lost.fail.atNs
     }
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakRequest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRequest.kt
@@ -10,10 +10,6 @@
 internal const val SAFE = "safe"
 internal const val SAFE_ATTEMPTS = 3
 internal const val UNSAFE_ATTEMPTS = 2
-internal const val PLAIN_DEADLINE_MS = 2_500
-internal const val STREAM_DEADLINE_MS = 12_000
-private const val SHORT_STREAM_EVENTS = 30
-private const val LONG_STREAM_EVENTS = 150
 private const val LONG_STREAM_ONE_IN = 2
 private const val LARGE_BODY_ONE_IN = 4
 private const val MAX_SHORT_PAUSE_MS = 40L
@@ -34,11 +30,10 @@
     val eventCount: Int,
     val body: String,
     val parts: List<SoakPart>,
+    val deadlineMs: Int,
 ) {
     val isStream: Boolean get() = kind == STREAM
 
-    val deadlineMs: Int get() = if (isStream) STREAM_DEADLINE_MS else PLAIN_DEADLINE_MS
-
     val maxAttempts: Int get() = if (kind == SAFE) SAFE_ATTEMPTS else UNSAFE_ATTEMPTS
 
     val service: String get() = if (isStream) ENGINE else PLAIN
@@ -49,14 +44,14 @@
 }
 
 /** Creates a request of [kind] with a body and pauses drawn from [random]. */
-internal fun soakRequest(id: String, kind: String, random: Random): SoakRequest {
+internal fun soakRequest(id: String, kind: String, random: Random, site: SoakSite = SoakSite()): SoakRequest {
     val isStream = kind == STREAM
     val eventCount = when {
         !isStream -> 0
-        random.nextInt(LONG_STREAM_ONE_IN) == 0 -> LONG_STREAM_EVENTS
-        else -> SHORT_STREAM_EVENTS
+        random.nextInt(LONG_STREAM_ONE_IN) == 0 -> site.longStreamEvents
+        else -> site.shortStreamEvents
     }
-    val deadlineMs = if (isStream) STREAM_DEADLINE_MS else PLAIN_DEADLINE_MS
+    val deadlineMs = if (isStream) site.streamLimitMs else site.plainLimitMs
     val head = "POST /$kind/x HTTP/1.1\r\nHost: site.example\r\nFulmarshunt-Request-Id: $id\r\n" +
         "Fulmarshunt-Deadline-Ms: $deadlineMs\r\n" + if (!isStream) {
             ""
@@ -73,17 +68,18 @@
                 eventCount,
                 "",
                 listOf(SoakPart("${head}Content-Length: 0\r\n\r\n", 0)),
+                deadlineMs,
             )
         }
         2 -> {
             val body = pieces(random).joinToString("")
             val text = "${head}Content-Length: ${body.length}\r\n\r\n$body"
-            SoakRequest(id, kind, SoakFraming.LENGTH, eventCount, body, listOf(SoakPart(text, 0)))
+            SoakRequest(id, kind, SoakFraming.LENGTH, eventCount, body, listOf(SoakPart(text, 0)), deadlineMs)
         }
         else -> {
             val pieces = pieces(random)
             val parts = chunkedParts("${head}Transfer-Encoding: chunked\r\n\r\n", pieces, random)
-            SoakRequest(id, kind, SoakFraming.CHUNKED, eventCount, pieces.joinToString(""), parts)
+            SoakRequest(id, kind, SoakFraming.CHUNKED, eventCount, pieces.joinToString(""), parts, deadlineMs)
         }
     }
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -94,6 +94,7 @@
         controls = values.getValue("controls").split(',').map(::soakAddress),
         random = Random(values.getValue("seed").toLong()),
         record = SoakRecord(File(values.getValue("record"))),
+        crashStyle = SoakCrashStyle.valueOf(values["crash"] ?: "EXIT"),
     ).run()
 }
 
@@ -114,6 +115,7 @@
     private val controls: List<SoakAddress>,
     private val random: Random,
     private val record: SoakRecord,
+    private val crashStyle: SoakCrashStyle,
 ) {
     private val startedAtMs = System.currentTimeMillis()
     private val runs = ConcurrentHashMap<String, Run>()
@@ -129,6 +131,9 @@
     @Volatile
     private var isDraining = false
 
+    @Volatile
+    private var isDown = false
+
     fun run() {
         val serverChannel = ServerSocketChannel.open()
         serverChannel.dropPacketsOfCutVms()
@@ -146,6 +151,7 @@
                 stallEndNs = System.nanoTime()
             }
             val channel = socket.accept()
+            if (isDown) Thread.sleep(Long.MAX_VALUE)
             val stalledMs = if (System.nanoTime() < stallEndNs + STALL_END_MS * NS_PER_MS) stallMs else 0
             channels += channel
             thread(isDaemon = true) {
@@ -164,7 +170,7 @@
         var node = random.nextInt(controls.size)
         var sequence = 0L
         var drainedAtMs: Long? = null
-        while (true) {
+        while (!isDown) {
             val isDrainingNow = isDraining
             val body = """{"service":"$service","address":"$address","zone":"$zone","version":"v1","slots":$slots,""" +
                 """"state":"${if (isDrainingNow) "draining" else "ready"}","cold_remaining_ms":0,""" +
@@ -377,6 +383,23 @@
         return reasonOfEnd == "done" && (isFramed || !path.startsWith("/$STREAM/"))
     }
 
+    /** Ends the process because of [request]; another one follows when the target is back. */
+    private fun crash(request: String) {
+        isDown = true
+        record.add(SoakKind.DISTURBED, "node" to id, "action" to "CRASH")
+        record.add(SoakKind.KILLED, "node" to id, "request" to request, "style" to crashStyle)
+        if (crashStyle == SoakCrashStyle.LISTENING) {
+            channels.forEach {
+                runCatching {
+                    reset(it)
+                    it.close()
+                }
+            }
+        }
+        Thread.sleep(if (crashStyle == SoakCrashStyle.EXIT) 0 else CRASH_DOWN_MS)
+        Runtime.getRuntime().halt(CRASH_EXIT_CODE)
+    }
+
     private fun recordEnd(run: Run, reason: String) = record.add(
         SoakKind.END,
         "request" to run.request,
@@ -416,6 +439,7 @@
     ): String {
         val ignoresClose = run.request.hashCode().mod(IGNORES_CLOSE_ONE_IN) == 0
         val isStream = path.startsWith("/$STREAM/") && fault != InjectedFault.FAIL
+        if (message.body.startsWith(CRASHING)) crash(run.request)
         if (fault == InjectedFault.DELAY) Thread.sleep(ERROR_DELAY_MS)
         return if (isStream) {
             stream(channel, input, message, run, fault, ignoresClose)
--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -56,7 +56,7 @@
 
     override fun close() {
         isOver = true
-        threads.forEach { it.join(STREAM_DEADLINE_MS.toLong()) }
+        threads.forEach { it.join(site.site.streamLimitMs.toLong()) }
         failures.peek()?.let { throw IllegalStateException("a client ended early", it) }
     }
 
@@ -109,7 +109,7 @@
             } catch (e: IOException) {
                 null
             }
-            val request = soakRequest("%d-%06x".format(seed, requests.incrementAndGet()), kind, random)
+            val request = soakRequest("%d-%06x".format(seed, requests.incrementAndGet()), kind, random, site.site)
             val startedNs = System.nanoTime()
             site.record.add(
                 SoakKind.SEND,
@@ -246,7 +246,7 @@
     @Synchronized
     fun configure(limitMs: Long): Boolean {
         version += 1 + random.nextInt(3)
-        val configuration = soakConfiguration(version, 2_500 + random.nextInt(500), hasBackups)
+        val configuration = soakConfiguration(site.site, version, random.nextInt(500), hasBackups)
         return order("/api/config/replace", configuration, null, limitMs)
     }
 
@@ -289,10 +289,14 @@
     }
 }
 
-private fun soakConfiguration(version: Int, plainTimeoutMs: Int, hasBackups: Boolean): String {
-    fun route(kind: String, service: String, timeoutMs: Int, more: String) =
-        """{"name":"r-$kind","host":"site.example","path_prefix":"/$kind/","type":"$kind","timeout_ms":$timeoutMs,""" +
-            """"slo_ms":600,"priority":1,"service":"$service","public":true,$more}"""
+private fun soakConfiguration(site: SoakSite, version: Int, moreTimeMs: Int, hasBackups: Boolean): String {
+    val plainTimeoutMs = site.plainLimitMs + moreTimeMs
+
+    fun route(kind: String, service: String, timeoutMs: Int, more: String): String {
+        val objectiveMs = if (kind == STREAM) site.streamObjectiveMs else site.plainObjectiveMs
+        return """{"name":"r-$kind","host":"site.example","path_prefix":"/$kind/","type":"$kind",""" +
+            """"timeout_ms":$timeoutMs,"slo_ms":$objectiveMs,"priority":1,"service":"$service","public":true,$more}"""
+    }
 
     fun service(name: String, more: String) =
         """{"name":"$name","health_path":"/health","max_conns":110,"protocol":"h1","tls":false,""" +
@@ -303,11 +307,12 @@
         route(
             STREAM,
             ENGINE,
-            STREAM_DEADLINE_MS,
+            site.streamLimitMs,
             """"max_attempts":$UNSAFE_ATTEMPTS,"sticky":true,"resumable":false,"gap_slo_ms":180""",
         ),
     )
-    val engine = ""","engine":{"slots":8,"kv_capacity":34330,"kv_token_bytes":131072,"link_mbps":19000.0,""" +
+    val engine = ""","engine":{"slots":${site.engineSlots},"kv_capacity":34330,""" +
+        """"kv_token_bytes":131072,"link_mbps":19000.0,""" +
         """"moves":true,"backups":$hasBackups,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,""" +
         """"models":[{"name":"m"}]}"""
     return """{"version":$version,"routes":[${routes.joinToString(",")}],"services":[${service(PLAIN, "")},""" +
