--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashCauses.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashCauses.kt
@@ -34,11 +34,6 @@
 
     /** Returns the position of [cause] in the prompt, from 1 on, or 0 for the whole request. */
     fun depthOf(cause: Fingerprint): Int = parts.indexOf(cause) + 1
-
-    companion object {
-        /** A request that cannot crash its target. */
-        val NONE: CrashCauses = CrashCauses(null, emptySet())
-    }
 }
 
 /** Returns the causes in a request with the fingerprint [whole] and [promptParts], of which the last is not shared. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RelayJob.kt
@@ -173,6 +173,11 @@
         if (causes.isNotEmpty()) control.scope.launch { fleet.crashes.recordSound(causes) }
     }
 
+    /** Records that a plain target has served [request], which many callers may send in the same way. */
+    fun recordServed(request: Fingerprint?) {
+        if (request != null) control.scope.launch { fleet.crashes.recordServed(request) }
+    }
+
     /** Releases the placements that are still held, and the repeats that were not sent. */
     fun endAll() {
         control.scope.launch {
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
@@ -12,7 +12,6 @@
 import fulmarshunt.operator.serving.AccountKeys
 import fulmarshunt.operator.serving.Route
 import fulmarshunt.operator.serving.RoutingTable
-import fulmarshunt.operator.serving.ServiceProfile
 import fulmarshunt.operator.serving.serviceFor
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -65,7 +64,7 @@
             service,
             account?.account,
             account?.rank ?: route.rank,
-            crashCausesOf(request, account, service),
+            crashCausesOf(request, account),
             request.arrivedAtMs + callerTimeoutMs,
             request.arrivedAtMs + route.objectiveMs -
                 callerTimeouts.elapsedBeforeMs(route, request.metadata.callerTimeoutMs),
@@ -113,8 +112,7 @@
         return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
     }
 
-    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?, service: ServiceProfile): CrashCauses {
-        if (service.engine == null) return CrashCauses.NONE
+    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?): CrashCauses {
         val whole = if (request.body.isRepeatable) fingerprintOf(request, account) else null
         return crashCausesOf(whole, request.metadata.generation?.promptParts.orEmpty())
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -288,7 +288,10 @@
                 if (job.request.body.isRepeatable && job.service.engine == null) {
                     placements.answered(run.placement, run.response.headAfterMs)
                 }
-                if (!run.response.endsWithConnection) placements.recordSound(job.causes.parts)
+                if (!run.response.endsWithConnection) {
+                    placements.recordSound(job.causes.parts)
+                    if (job.service.engine == null) placements.recordServed(job.causes.whole)
+                }
             }
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED_BY_STATUS else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashKnowledge.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashKnowledge.kt
@@ -18,6 +18,9 @@
     private val reports = linkedMapOf<CrashReport, Long>()
     private val soundCauses = SoundCauses()
 
+    /** Kept apart from the parts of prompts, which plain requests with bodies of their own would displace. */
+    private val servedRequests = SoundCauses()
+
     /**
      * Returns the crashes to be reported to a control VM, one report for each cause that was present, with the time
      * since the crash was noticed.
@@ -40,6 +43,10 @@
     /** Records that a run has shown that [causes] crash no target. */
     public fun recordSound(causes: Set<Fingerprint>): Unit = soundCauses.record(causes, clock.nowMs())
 
+    /** Records that a plain target has served [request]. */
+    public fun recordServed(request: Fingerprint): Unit = servedRequests.record(setOf(request), clock.nowMs())
+
     /** Returns which of [causes] runs of this VM have shown to be sound, with the time since then. */
-    public fun soundAgesMs(causes: Set<Fingerprint>): Map<Fingerprint, Long> = soundCauses.agesMs(causes, clock.nowMs())
+    public fun soundAgesMs(causes: Set<Fingerprint>): Map<Fingerprint, Long> =
+        servedRequests.agesMs(causes, clock.nowMs()) + soundCauses.agesMs(causes, clock.nowMs())
 }
