--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -394,6 +394,7 @@
     private fun exchangeState() {
         val nowMs = clock.nowMs()
         limits.expire(nowMs)
+        if (suspects.expire(nowMs)) lastSuspectChange.value += 1
         entryVmsSeenAtMs.values.removeIf { nowMs - it > ENTRY_VM_RETENTION_MS }
         forwarders.expire(nowMs) { nowMs - (entryVmsSeenAtMs[it] ?: 0) <= FORWARDER_RETENTION_MS }
         sentToEntryVms.keys.removeIf { nowMs - (entryVmsSeenAtMs[it] ?: 0) > SENT_USE_RETENTION_MS }
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashKnowledge.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashKnowledge.kt
@@ -29,7 +29,7 @@
      */
     public fun reportAgesMs(isNewReceiver: Boolean = false): Map<CrashReport, Long> {
         val nowMs = clock.nowMs()
-        reports.values.removeIf { nowMs - it > CRASH_RETENTION_MS }
+        reports.entries.removeIf { (report, atMs) -> nowMs - atMs > report.retentionMs }
         val maxAgeMs = if (isNewReceiver) CRASH_RETENTION_MS else REPORT_CRASHES_MS
         return reports.mapValues { (_, atMs) -> nowMs - atMs }.filterValues { it <= maxAgeMs }
     }
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -33,6 +33,12 @@
 /** How long crash reports are kept, and for how long a cause counts as sound. */
 internal const val CRASH_RETENTION_MS: Long = 600_000
 
+/**
+ * How long a report counts while it is not known whether its target has crashed. Targets are back some seconds after a
+ * crash, and entry VMs then hear of their new start.
+ */
+internal const val UNCONFIRMED_RETENTION_MS: Long = 10_000
+
 /** Beyond this number, the oldest reports are dropped. A report takes about 100 bytes in a message. */
 private const val MAX_REPORTS = 8_192
 
@@ -52,7 +58,15 @@
     public val startedAtMs: Long,
     /** The position of the part in its prompt, from 1 on, or 0 for a whole request. */
     public val depth: Int = 0,
-)
+    /**
+     * Whether the target accepted no connections or has started anew. Otherwise it accepted one and did not respond,
+     * which may have another cause.
+     */
+    public val isConfirmed: Boolean = true,
+) {
+    /** How long this report counts. */
+    internal val retentionMs: Long get() = if (isConfirmed) CRASH_RETENTION_MS else UNCONFIRMED_RETENTION_MS
+}
 
 /** Counts the crashes at which each cause was present since it was last known to be sound. */
 public class CrashReportTable {
@@ -87,7 +101,7 @@
      */
     public fun receive(agesMs: Map<CrashReport, Long>, nowMs: Long): Map<CrashReport, Long> {
         expire(nowMs)
-        val valid = agesMs.filterValues { it <= CRASH_RETENTION_MS }
+        val valid = agesMs.filter { (report, ageMs) -> ageMs <= report.retentionMs }
         val added = valid.filterKeys { it !in crashedAtMs }
         for ((report, ageMs) in valid) {
             // The first VM to report a crash may have been the last to notice it.
@@ -146,10 +160,12 @@
     /** Returns the causes that must not run again. */
     public fun refused(): Set<Fingerprint> = evaluation.refused
 
-    private fun expire(nowMs: Long) {
-        if (!crashedAtMs.values.removeIf { nowMs - it > CRASH_RETENTION_MS }) return
+    /** Drops the reports that count no more, and returns whether there were any. */
+    public fun expire(nowMs: Long): Boolean {
+        if (!crashedAtMs.entries.removeIf { (report, atMs) -> nowMs - atMs > report.retentionMs }) return false
         soundAtMs.keys.retainAll(crashedAtMs.keys.mapTo(mutableSetOf()) { it.request })
         evaluationOrNull = null
+        return true
     }
 
     private fun evaluate(): Evaluation {
--- a/src/test/kotlin/fulmarshunt/caller/relay/CrashingPlainRequestTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/CrashingPlainRequestTest.kt
@@ -4,17 +4,23 @@
 package fulmarshunt.caller.relay
 
 import fulmarshunt.target.fleet.CrashReportTable
+import fulmarshunt.target.fleet.plain
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 private const val WAIT_MS = 5_000L
+
+/** The time after the second probe until a report would have been made. */
+private const val PROBE_MS = 500L
 private const val CRASHING_BODY = "crashing"
 private const val POPULAR_BODY = "popular"
 
@@ -66,6 +72,46 @@
         }
     }
 
+    /** Guards against a crash that is not found because the listening socket of the target outlives it. */
+    @Test
+    fun `a crash is found although the target goes on to accept connections`() {
+        val isDown = AtomicBoolean()
+        val target = ScriptedTarget("a") {
+            if (isDown.get()) Thread.sleep(WAIT_MS)
+            if (request.body == CRASHING_BODY) {
+                isDown.set(true)
+                reset()
+            } else {
+                respond("200 OK", "done")
+            }
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.call("/once/x", CRASHING_BODY)
+                eventually { relay.crashReports().keys.any { !it.isConfirmed } }
+                expectThat(relay.crashReports().keys.any { it.isConfirmed }).isEqualTo(false)
+                relay.restart(target)
+                eventually { relay.crashReports().keys.any { it.isConfirmed } }
+            }
+        }
+    }
+
+    /** Guards against crash reports for requests that a target has lost although it goes on to work. */
+    @Test
+    fun `a target that responds to health requests has not crashed`() {
+        val target = ScriptedTarget("a") {
+            if (request.body == CRASHING_BODY) reset() else respond("200 OK", "done")
+        }
+        target.use {
+            RelayFixture(target).use { relay ->
+                relay.call("/once/x", CRASHING_BODY)
+                eventually { target.requests.any { it.startLine.startsWith("GET ${plain.healthPath} ") } }
+                Thread.sleep(PROBE_MS)
+                expectThat(relay.crashReports()).isEmpty()
+            }
+        }
+    }
+
     /** Guards against the refusal of a request that many callers send, because its targets were lost together. */
     @Test
     fun `a plain request that has been served is not refused when three targets are lost at once`() {
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -20,8 +20,9 @@
 private const val TARGET_MB = 75
 private const val ENTRIES_PER_ENGINE = 2
 
-private val argumentNames =
-    setOf("seed", "seeds", "seconds", "site", "entries", "engines", "limits", "series", "forwarding", "memory_mb")
+private val argumentNames = setOf(
+    "seed", "seeds", "seconds", "site", "entries", "engines", "limits", "series", "crash", "forwarding", "memory_mb",
+)
 
 /** What one seed showed. */
 internal class SoakResult(
@@ -134,6 +135,7 @@
             site.copy(
                 entries = values["entries"]?.toInt() ?: filling ?: site.entries,
                 engines = values["engines"]?.toInt() ?: filling?.div(ENTRIES_PER_ENGINE) ?: site.engines,
+                crashStyle = values["crash"]?.let(SoakCrashStyle::valueOf),
                 hasForwarding = values["forwarding"] != "false",
             ),
             series,
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -159,7 +159,7 @@
     fun startTarget(service: String, zone: String, address: SoakAddress? = null): TargetNode {
         val number = targetNumbers.incrementAndGet()
         val id = "i-$service-$number"
-        val crashStyle = SoakCrashStyle.entries[number % SoakCrashStyle.entries.size]
+        val crashStyle = site.crashStyle ?: SoakCrashStyle.entries[number % SoakCrashStyle.entries.size]
         val own = address ?: SoakAddress("$network.${100 + number % 150}", targetPort)
         val node = TargetNode(id, service, zone, own, crashStyle)
         val controls = (0 until CONTROL_VMS).joinToString(",") { "${controlAddress(it)}" }
--- a/src/test/kotlin/fulmarshunt/soak/SoakSite.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakSite.kt
@@ -18,6 +18,8 @@
     val engineSlots: Int = 8,
     val shortStreamEvents: Int = 30,
     val longStreamEvents: Int = 150,
+    /** How all targets crash, or null if they do so in different ways. */
+    val crashStyle: SoakCrashStyle? = null,
     /** False for entry VMs of an older version, whose settings have no address for tunnels. */
     val hasForwarding: Boolean = true,
 )
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -32,6 +32,23 @@
         expectThat(table.suspected()).isEqualTo(setOf(crashing))
     }
 
+    /** Guards against a request that is refused for long because its targets did not respond for a moment. */
+    @Test
+    fun `reports of targets that may have crashed count for 10 s`() {
+        fun suspicions(isConfirmed: Boolean) = (1..3).associate {
+            CrashReport(crashing, TargetId("t$it"), 1, isConfirmed = isConfirmed) to 0L
+        }
+        table.receive(suspicions(isConfirmed = false), 0)
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
+        expectThat(table.expire(UNCONFIRMED_RETENTION_MS)).isEqualTo(false)
+        expectThat(table.expire(UNCONFIRMED_RETENTION_MS + 1)).isEqualTo(true)
+        expectThat(table.refused()).isEmpty()
+        table.receive(suspicions(isConfirmed = false), 20_000)
+        table.receive(suspicions(isConfirmed = true), 24_000)
+        table.expire(20_000 + CRASH_RETENTION_MS)
+        expectThat(table.refused()).isEqualTo(setOf(crashing))
+    }
+
     /** Guards against a part that all prompts share and that is refused because a failure domain was lost. */
     @Test
     fun `a sound part is not refused for many crashes at one moment`() {
