--- a/src/main/kotlin/fulmarshunt/caller/relay/PlannedStop.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/PlannedStop.kt
@@ -15,6 +15,12 @@
 /** The deviations above the mean that few durations exceed. */
 private const val DEVIATIONS = 4
 
+/** How long a target serves on at least after this VM has heard that it leaves. */
+private const val LEAVING_SERVICE_MS = 1_500L
+
+/** The pause of a run that goes on at another target, until its next event. */
+private const val MOVE_PAUSE_MS = 300L
+
 /** Tells the relay when the process ends. Confined to the traffic thread. */
 public class PlannedStop {
     private val deadline = Job()
@@ -40,6 +46,17 @@
         this.estimatesUntilMs = estimatesUntilMs
     }
 
+    /**
+     * Returns whether a run may be stopped at its target to go on at another one, if the rest of it takes [restMs].
+     *
+     * A run that cannot end before the process would be cut off at its new target, perhaps before it goes on there. One
+     * whose target serves on for as long as the process gains nothing by a move.
+     */
+    internal fun allowsMove(restMs: Long, nowMs: Long): Boolean {
+        val remainingMs = (endsAtMs ?: return true) - nowMs
+        return remainingMs > LEAVING_SERVICE_MS && MOVE_PAUSE_MS + restMs <= remainingMs
+    }
+
     /** Ends requests that have no response yet; their callers are told whether they may have run. */
     public fun giveUpRequests() {
         deadline.complete()
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -240,6 +240,7 @@
             dependencies.meters,
             dependencies.clock,
             dependencies.background,
+            dependencies.plannedStop,
         )
         val stream = CallerStream(job.request, head)
         val relay = StreamRelay(job, streamDependencies, stream, run)
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -65,6 +65,7 @@
     val clock: Clock,
     /** Outlives the stream. */
     val background: CoroutineScope,
+    val plannedStop: PlannedStop,
 )
 
 /** A run at a target, with the placement of the copy of its memory. */
@@ -100,6 +101,7 @@
     private var copyRefusals = 0
     private var copyRefusedAtMs = 0L
     private val migration = RunMigration(job, dependencies) { current }
+    private val startedAtMs = dependencies.clock.nowMs()
     private var lastEventAtMs = 0L
 
     /** How long the run was waited for since its last event or its continuation; other bytes are no progress. */
@@ -238,7 +240,7 @@
         }
         val limitMs = maxOf(MIN_STALL_MS, STALL_GAPS * job.route.gapObjectiveMs)
         while (true) {
-            val waitMs = (limitMs - silentMs).coerceIn(MIN_SILENCE_WAIT_MS, SILENCE_WAIT_MS)
+            val waitMs = silenceWaitMs(limitMs)
             val startedAtMs = dependencies.clock.nowMs()
             var hasReturned = false
             val piece = withTimeoutOrNull(waitMs) {
@@ -251,15 +253,32 @@
             if (hasReturned || current.response.connection.end != null || isInterrupted()) {
                 return nextOf(piece)
             }
-            if (isTimely && silentMs >= limitMs) return Next.Stalled
+            if (isTimely && isStalled(limitMs)) return Next.Stalled
         }
     }
 
+    private fun isStalled(limitMs: Long): Boolean = silentMs >= limitMs && allowsMove()
+
+    /** Returns how long the next wait for a piece takes at most if a run is silent after [limitMs]. */
+    private fun silenceWaitMs(limitMs: Long): Long {
+        val isSilent = silentMs >= limitMs
+        return if (isSilent) SILENCE_WAIT_MS else (limitMs - silentMs).coerceIn(MIN_SILENCE_WAIT_MS, SILENCE_WAIT_MS)
+    }
+
     /** Called for each piece, so that the transfer step is computed only for a leaving target. */
     private fun isTransferDue(): Boolean =
         isLeaving && canBeContinued && !mayRunElsewhere && framer.lastEventId != null && !framer.hasEventWithoutId &&
             current.response.connection.end == null && stop.state !is StopState.Stopped &&
-            transferStep() != TransferStep.NONE
+            allowsMove() && transferStep() != TransferStep.NONE
+
+    /** Whether the planned end of the process leaves time to stop the run and go on with it elsewhere. */
+    private fun allowsMove(): Boolean {
+        val nowMs = dependencies.clock.nowMs()
+        if (!dependencies.plannedStop.hasBegun) return true
+        val expectedEvents = job.expectedOutputTokens / (job.service.engine?.tokensPerEvent ?: 1).coerceAtLeast(1)
+        val eventMs = (nowMs - startedAtMs) / events.coerceAtLeast(1)
+        return dependencies.plannedStop.allowsMove((expectedEvents - events).coerceAtLeast(0) * eventMs, nowMs)
+    }
 
     private fun transferStep(): TransferStep = nextTransferStep(
         TransferState(
