Judge LOST in the soak by the last run that its target has not refused

The soak excuses a request whose target has broken its run off, as the rule does, and took the target of the last arrival for that. A continuation that is refused is an arrival as well. The soak reported LOST. Now the last arrival that was not refused decides. A run that the entry VM has ended still counts.

--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -192,6 +192,16 @@
             .isEqualTo(listOf(SoakRule.LOST))
     }
 
+    /** Guards against a refused continuation that hides how the run at the target before it has ended. */
+    @Test
+    fun `the end of the last run that was not refused decides about LOST`() {
+        val next = "4000 ARRIVE request=q service=s target=b zone=z"
+        val refused = "$next\n4001 REFUSE request=q target=b reason=no_copy"
+        expectThat(rules(cut(5_000, "${run(4_900, "exit")}\n$refused"))).isEmpty()
+        expectThat(rules(cut(5_000, "${run(4_900, "closed")}\n$refused"))).isEqualTo(listOf(SoakRule.LOST))
+        expectThat(rules(cut(5_000, "${run(4_900, "exit")}\n$next"))).isEqualTo(listOf(SoakRule.LOST))
+    }
+
     /** Guards against a wrong bound of the excuse for long requests, and against one for streams that only wait. */
     @Test
     fun `work in the last sixth of the grace period excuses LOST only for requests sent by 3 s`() {
--- a/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
@@ -19,6 +19,8 @@
     val sent: SoakEvent,
     val fail: SoakEvent,
     val arrivals: List<SoakEvent>,
+    /** The last arrival that its target has not refused, and the end of the run there. */
+    val lastTaken: SoakEvent?,
     val lastRunEnd: SoakEvent?,
 ) {
     val entry: String get() = send["entry"]
@@ -30,22 +32,31 @@
     val sentOf = events.filter { it.kind == SoakKind.SENT }.associateBy { it["request"] }
     val arrivalsOf = events.filter { it.kind == SoakKind.ARRIVE }.groupBy { it["request"] }
     val endsOf = events.filter { it.kind == SoakKind.END }.groupBy { it["request"] }
+    val refusalsOf = events.filter { it.kind == SoakKind.REFUSE }.groupBy { it["request"] }
     return events.filter { it.kind == SoakKind.FAIL && it["by"] == "peer" }.mapNotNull { fail ->
         val request = fail["request"]
         val send = sendOf[request]
         val sent = sentOf[request]
         if (send == null || sent == null) return@mapNotNull null
         val arrivals = arrivalsOf[request].orEmpty().filter { it.atNs <= fail.atNs }
-        val last = arrivals.lastOrNull()
+        val last = arrivals.lastOrNull { !wasRefused(it, arrivals, refusalsOf[request].orEmpty()) }
         val end = endsOf[request].orEmpty()
             .firstOrNull { last != null && it["target"] == last["target"] && it.atNs >= last.atNs }
-        LostRequest(send, sent, fail, arrivals, end).takeIf { !it.reachedLimit() && !wasBrokenOff(it) }
+        LostRequest(send, sent, fail, arrivals, last, end).takeIf { !it.reachedLimit() && !wasBrokenOff(it) }
+    }
+}
+
+/** Whether the target of [arrival] refused it, before another one of [arrivals] came there. */
+private fun wasRefused(arrival: SoakEvent, arrivals: List<SoakEvent>, refusals: List<SoakEvent>): Boolean {
+    val nextAtNs = arrivals.firstOrNull { it["target"] == arrival["target"] && it.atNs > arrival.atNs }?.atNs
+    return refusals.any {
+        it["target"] == arrival["target"] && it.atNs >= arrival.atNs && it.atNs < (nextAtNs ?: Long.MAX_VALUE)
     }
 }
 
 /** Whether the last target of [lost] ended its run by itself or was killed during it. */
 private fun CheckedRecords.wasBrokenOff(lost: LostRequest): Boolean {
-    val last = lost.arrivals.lastOrNull() ?: return false
+    val last = lost.lastTaken ?: return false
     val end = lost.lastRunEnd
     if (end != null && end.atNs <= lost.fail.atNs && end["reason"] in brokenOffByTarget) return true
     return events.any {
