--- a/src/test/kotlin/fulmarshunt/platform/HostileCrowdTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/HostileCrowdTest.kt
@@ -24,6 +24,7 @@
 import java.io.File
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.util.concurrent.TimeUnit
 
 private const val ENTRY_IP = "127.0.0.1"
 private const val CONTROL_IP = "127.0.0.2"
@@ -59,6 +60,16 @@
 private const val MAX_CONTROL_BODY_BYTES = 1_000_000
 private const val ANSWER_BYTES = 1_000_000
 private const val DESCRIPTOR_CROWD = 300
+private const val CHUNK_BYTES = 0x2000
+
+/** Six forms make a crowd of 180 connections. */
+private const val MIXED_EACH = 30
+private const val STRANGERS = 60
+private const val STRANGER_BYTES = 16_384
+private const val RELOADS = 3
+
+/** The default grace period is 8 s; a process that has not ended long after it hangs. */
+private const val STOP_LIMIT_S = 60L
 
 /** An ordinary request is repeated as its caller would, because others compete for the same target. */
 private const val ATTEMPTS = 6
@@ -147,6 +158,7 @@
             callers = "$ENTRY_IP:$callerPort"
             readiness = "$ENTRY_IP:$readinessPort"
             metrics = "$ENTRY_IP:$metricsPort"
+            forwarding = "$ENTRY_IP:$linkPort"
         """.trimIndent()
         val entry = start("entry", "fulmarshunt.platform.FleetEntryKt", settings, maxDescriptors)
         announce(1)
@@ -191,6 +203,31 @@
         }
     }
 
+    /** Opens a crowd at [address] that sends each of [contents] on [count] connections. */
+    private fun crowd(address: InetSocketAddress, count: Int, vararg contents: ByteArray) =
+        HostileCrowd(address).also { crowd -> contents.forEach { crowd.open(count, it) } }.send()
+
+    /** Opens crowds at [ports] of [ip] that send heads without end, requests that are no HTTP, and nothing. */
+    private fun crowdsAt(ip: String, ports: List<Int>) = ports.map {
+        crowd(InetSocketAddress(ip, it), STRANGERS, openHead, ByteArray(STRANGER_BYTES) { 0 }, ByteArray(0))
+    }
+
+    /** A crowd of all forms at once, at the callers' address of the entry VM. */
+    private fun mixedCrowd() = crowd(
+        InetSocketAddress(ENTRY_IP, callerPort),
+        MIXED_EACH,
+        openHead,
+        head("/one/x", oddLines).removeSuffix("\r\n").encodeToByteArray(),
+        withLength(MAX_BODY_BYTES.toLong(), MAX_BODY_BYTES - 1),
+        inChunksOfOneByte(SHORT_BODY_BYTES),
+        inChunks(MAX_BODY_BYTES - CHUNK_BYTES),
+        head("/one/big", "").encodeToByteArray(),
+    )
+
+    private fun signal(process: Process, name: String) {
+        ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor()
+    }
+
     /** Sends [bytes] on many connections to a control VM and checks it while they are open. */
     private fun checkControl(bytes: ByteArray) {
         HostileCrowd(InetSocketAddress(CONTROL_IP, requestPort)).open(CROWD, bytes).send().use {
@@ -224,8 +261,8 @@
     private fun inChunks(bytes: Int): ByteArray {
         val body = ByteArrayOutputStream()
         body.write(head("/one/x", "Transfer-Encoding: chunked\r\n").encodeToByteArray())
-        val chunk = "2000\r\n${"x".repeat(0x2000)}\r\n".encodeToByteArray()
-        repeat(bytes / 0x2000) { body.write(chunk) }
+        val chunk = "${CHUNK_BYTES.toString(16)}\r\n${"x".repeat(CHUNK_BYTES)}\r\n".encodeToByteArray()
+        repeat(bytes / CHUNK_BYTES) { body.write(chunk) }
         return body.toByteArray()
     }
 
@@ -280,6 +317,69 @@
     fun `an entry VM bears more connections than it has descriptors`(): Unit =
         checkEntry("POST /one/x HT".encodeToByteArray(), DESCRIPTOR_CROWD, FEW_DESCRIPTORS)
 
+    /** Guards against bodies of legal size that are held between caller and target while their end is missing. */
+    @Test
+    fun `an entry VM bears bodies in large chunks that stop before their end`(): Unit =
+        checkEntry(inChunks(MAX_BODY_BYTES - CHUNK_BYTES), SHORT_BODIES)
+
+    /** Guards against forms that are borne alone and not together. */
+    @Test
+    fun `an entry VM bears all forms at once`() {
+        val entry = startEntry()
+        mixedCrowd().use { check("entry", entry) { request() } }
+    }
+
+    /** Guards against a reload of the settings that fails or hangs beside a crowd. */
+    @Test
+    fun `an entry VM bears all forms at once while it reloads its settings`() {
+        val entry = startEntry()
+        mixedCrowd().use {
+            repeat(RELOADS) {
+                signal(entry, "HUP")
+                Thread.sleep(BETWEEN_ATTEMPTS_MS)
+            }
+            check("entry", entry) { request() }
+        }
+    }
+
+    /** Guards against a process that a crowd keeps from ending, and against one that cannot start beside a crowd. */
+    @Test
+    fun `an entry VM stops and starts again beside a crowd`() {
+        val former = startEntry()
+        mixedCrowd().use {
+            signal(former, "TERM")
+            expectThat(former.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)).describedAs("the process has ended").isTrue()
+            val next = startEntry()
+            mixedCrowd().use { check("entry", next) { request() } }
+        }
+    }
+
+    /** Guards against strangers at the listeners that are not for callers. */
+    @Test
+    fun `an entry VM bears strangers at its other listeners`() {
+        val entry = startEntry()
+        val crowds = crowdsAt(ENTRY_IP, listOf(readinessPort, metricsPort, linkPort))
+        try {
+            check("entry", entry) { request() }
+        } finally {
+            crowds.forEach { it.close() }
+        }
+    }
+
+    @Test
+    fun `a control VM bears strangers at its other listeners`() {
+        val crowds = crowdsAt(CONTROL_IP, listOf(metricsPort, linkPort))
+        try {
+            check("control", control) { askControl("GET", "/api/config/get") }
+        } finally {
+            crowds.forEach { it.close() }
+        }
+    }
+
+    @Test
+    fun `a control VM bears bodies in large chunks that stop before their end`(): Unit =
+        checkControl(inChunks(MAX_CONTROL_BODY_BYTES))
+
     @Test
     fun `a control VM bears incomplete heads of short lines`(): Unit = checkControl(openHead)
 
