Ask only targets that have ended a connection for their health

Cause: a health request followed each lost request, also where this VM had closed the connection because of what the target sent. A target that was sending has not crashed, and such requests wait for a slot like others.

Change: the health request is made only if the target has ended the connection. The probes by connections stay as they were.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
@@ -41,14 +41,18 @@
 internal class CrashDetector(private val dependencies: RelayDependencies) {
     private val log = LogManager.getLogger(CrashDetector::class.java)
 
-    /** Reports [target] if it has crashed, after it lost [job] when [events] events had been forwarded. */
-    fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long) {
+    /**
+     * Reports [target] if it has crashed, after it lost [job] when [events] events had been forwarded.
+     *
+     * @param isEndedByTarget whether the target has ended the connection; one that has not is not asked for its health.
+     */
+    fun reportIfCrashed(job: RelayJob, target: KnownTarget, events: Long, isEndedByTarget: Boolean) {
         val causes = job.causes.afterEvents(events)
         if (causes.isEmpty()) return
         val lostAtMs = dependencies.clock.nowMs()
         val isLeaving = dependencies.views.value.targets[target.id]?.record?.phase != TargetPhase.READY
         dependencies.background.launch {
-            when (val result = probe(target.record.address, job.service.healthPath)) {
+            when (val result = probe(target.record.address, job.service.healthPath.takeIf { isEndedByTarget })) {
                 ProbeResult.Alive ->
                     log.info("request lost, target accepts connections request={} target={}", job.id, target.id)
                 is ProbeResult.Dead -> report(job, target, causes, lostAtMs, result.reason)
@@ -103,7 +107,8 @@
         dependencies.control.run { reports.forEach { dependencies.fleet.crashes.record(it, ageMs) } }
     }
 
-    private suspend fun probe(address: Address, healthPath: String): ProbeResult {
+    /** Probes [address] by two connections, and by a health request on the second one unless [healthPath] is null. */
+    private suspend fun probe(address: Address, healthPath: String?): ProbeResult {
         refusalOrNull(address)?.let { return ProbeResult.Dead(it) }
         delay(SECOND_PROBE_DELAY_MS)
         // A kept connection does not show whether the target has crashed.
@@ -112,8 +117,9 @@
             return if (failure.isOwnCut) ProbeResult.Alive else ProbeResult.Dead(failure.reason)
         }
         return try {
-            val response = connection.callBuffered("GET", healthPath, "$address", ByteArray(0), HEALTH_LIMIT_MS)
-            if (response.isRight()) ProbeResult.Alive else ProbeResult.Unresponsive
+            val isAlive = healthPath == null ||
+                connection.callBuffered("GET", healthPath, "$address", ByteArray(0), HEALTH_LIMIT_MS).isRight()
+            if (isAlive) ProbeResult.Alive else ProbeResult.Unresponsive
         } finally {
             connection.close()
         }
--- a/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/Outcomes.kt
@@ -18,7 +18,11 @@
     data class Refused(val status: Int, val retryAfterMs: Long?) : AttemptFailure
 
     /** The target may have run the request. */
-    data class Lost(val reason: String) : AttemptFailure
+    data class Lost(
+        val reason: String,
+        /** Whether the target has ended the connection without a response. */
+        val isEndedByTarget: Boolean = false,
+    ) : AttemptFailure
 
     /** The target responded with a server error. */
     data class Failed(val status: Int) : AttemptFailure
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -188,7 +188,9 @@
                 job.mayBeAtTarget = failure is AttemptFailure.Lost
                 copy?.let { placements.end(it, UseOutcome.ABANDONED) }
                 placements.end(placement, useOutcomeOf(failure))
-                if (failure is AttemptFailure.Lost) crashes.reportIfCrashed(job, placement.target, events = 0)
+                if (failure is AttemptFailure.Lost) {
+                    crashes.reportIfCrashed(job, placement.target, events = 0, failure.isEndedByTarget)
+                }
                 failure.left()
             },
             { response ->
@@ -245,10 +247,12 @@
         val stream = CallerStream(job.request, head)
         val relay = StreamRelay(job, streamDependencies, stream, run)
         var isComplete = false
+        var isEndedByTarget = false
         try {
             isComplete = relay.forward()
         } finally {
             stream.discard()
+            isEndedByTarget = relay.current.response.connection.isEndedByPeer
             if (!isComplete) relay.current.response.abandon()
         }
         placements.end(relay.current.placement, if (isComplete) UseOutcome.SUCCEEDED else UseOutcome.FAILED)
@@ -259,7 +263,7 @@
         if (isComplete && relay.events > 0 && !relay.current.response.endsWithConnection) {
             placements.recordSound(job.causes.parts)
         } else if (!isComplete || relay.events < SOUND_EVENTS) {
-            crashes.reportIfCrashed(job, relay.current.placement.target, relay.events)
+            crashes.reportIfCrashed(job, relay.current.placement.target, relay.events, isEndedByTarget)
         }
         return when {
             isComplete -> RelayOutcome.Relayed.right()
@@ -297,9 +301,10 @@
             placements.end(run.placement, if (isFailure) UseOutcome.FAILED_BY_STATUS else UseOutcome.SUCCEEDED)
             return RelayOutcome.Relayed.right()
         }
+        val isEndedByTarget = run.response.connection.isEndedByPeer
         run.response.abandon()
         placements.end(run.placement, UseOutcome.FAILED)
-        crashes.reportIfCrashed(job, run.placement.target, events = 0)
+        crashes.reportIfCrashed(job, run.placement.target, events = 0, isEndedByTarget)
         return when (result) {
             ForwardResult.BROKEN_BEFORE -> AttemptFailure.Lost("the response ended early").left()
             else -> RelayOutcome.Broken.right()
--- a/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/TargetCalls.kt
@@ -125,7 +125,9 @@
                 } ?: "timed out".left()
             val headAfterMs = clock.nowMs() - sentAtMs
             head.onRight { onResponse(target, it, sentAtMs) }
-            return head.mapLeft { AttemptFailure.Lost("no response: $it") }.flatMap(::validate).map {
+            return head.mapLeft {
+                AttemptFailure.Lost("no response: $it", connection.end != null)
+            }.flatMap(::validate).map {
                 isOpened = true
                 TargetResponse(target, connection, it, connections, sender, sentAtMs, headAfterMs)
             }
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -86,6 +86,9 @@
     public var isClosed: Boolean = false
         private set
 
+    /** Whether the connection has ended before this side closed it. */
+    public val isEndedByPeer: Boolean get() = end != null && !isClosed
+
     /** Called once when the connection ends. */
     public var onEnd: (() -> Unit)? = null
 
