--- a/src/main/kotlin/fulmarshunt/caller/relay/PlannedStop.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/PlannedStop.kt
@@ -15,7 +15,7 @@
 /** The deviations above the mean that few durations exceed. */
 private const val DEVIATIONS = 4
 
-/** How long a target serves on at least after this VM has heard that it leaves. */
+/** How long most targets serve on after their notice; some are gone after 1.4 s. */
 private const val LEAVING_SERVICE_MS = 1_500L
 
 /** The pause of a run that goes on at another target, until its next event. */
