Read the settings file without direct memory

Cause: the settings file is read every second through a channel, which copies through a direct buffer. Callers that do not read had used up the direct memory, and the error ends the process as a broken invariant.

Change: the file is read as a stream, whose bytes need no direct buffer.

--- a/src/main/kotlin/fulmarshunt/process/ReloadedSettings.kt
+++ b/src/main/kotlin/fulmarshunt/process/ReloadedSettings.kt
@@ -12,7 +12,6 @@
 import org.apache.logging.log4j.LogManager
 import java.io.IOException
 import java.nio.file.Path
-import kotlin.io.path.readText
 
 /** How often the file is read; a change takes effect after at most this time. */
 private const val RELOAD_PERIOD_MS = 1_000L
@@ -34,7 +33,8 @@
     /** Reads the file, and parses it if its text has changed. Must not be called on the control thread. */
     internal fun reload() {
         val newest = try {
-            path.readText()
+            // Channels read through direct buffers, which the connections of a process may have used up.
+            path.toFile().readText()
         } catch (e: IOException) {
             log.warn("settings unreadable path={} problem={}", path, e.message)
             return
