--- a/review/standin-2/LeaversCase.java
+++ b/review/standin-2/LeaversCase.java
@@ -17,6 +17,7 @@
 public final class LeaversCase {
     private static final int BODY_BYTES = Integer.parseInt(System.getProperty("body", "100000"));
     private static final int GRACE_MS = 500;
+    private static final int CONTACT_MS = 3_000;
 
     /** What is known of one request; times are 0 until they are known. */
     private static final class Fate {
@@ -68,6 +69,8 @@
             deployment.awaitReady(1);
             awaitServed("/safe/warm", 2_000);
             awaitServed("/stream/warm", 2_000);
+            // The machines are in touch from contact_ms after their start on.
+            Thread.sleep(CONTACT_MS + 1_000);
             boolean isSafeBroken = safeRequests();
             Thread.sleep(3_500);
             boolean isStreamBroken = streams();
