Close the routes of a configuration whose list of client accounts is empty

Cause: the decoder gave an absent list of client accounts and an empty one the same value, which the routing table took for "no client accounts are used".

Change: the list is null if the field is absent and empty if no key is accepted; only null leaves the routes open. A JSON null stays unreadable.

With the former condition (no list or an empty one opens the routes) it failed at the empty list: "Expect that false: is true, found false"; with the change it passes, with the other tests of the decoder and of configurations.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
@@ -108,7 +108,7 @@
 
     private fun accountOf(table: RoutingTable, route: Route, apiKey: String?): Either<LocalResponse, AccountKeys?> {
         val account = apiKey?.let { table.accountOrNull(it) }
-        if (account != null || route.isPublic || !table.hasAccounts) return account.right()
+        if (account != null || route.isPublic || !table.requiresKeys) return account.right()
         return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
     }
 
--- a/src/main/kotlin/fulmarshunt/operator/serving/RoutingTable.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/RoutingTable.kt
@@ -12,11 +12,11 @@
             .groupBy { it.host.lowercase() }
             .mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
     private val accountsByKey: Map<String, AccountKeys> =
-        configuration.accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
+        configuration.accounts.orEmpty().flatMap { account -> account.keys.map { it to account } }.toMap()
     private val services: Map<ServiceId, ServiceProfile> = configuration.services.associateBy { it.id }
 
-    /** Whether there are client accounts, so that requests on routes that are not public need a key. */
-    public val hasAccounts: Boolean get() = configuration.accounts.isNotEmpty()
+    /** Whether requests on routes that are not public need a key, also if no client account has one. */
+    public val requiresKeys: Boolean get() = configuration.accounts != null
 
     /** Returns the route at [host], without its port, with the longest prefix of [path], without its query. */
     public fun routeOrNull(host: String, path: String): Route? {
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingConfiguration.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingConfiguration.kt
@@ -93,15 +93,16 @@
     public val routes: List<Route>,
     public val services: List<ServiceProfile>,
     public val limits: CallerLimits,
-    public val accounts: List<AccountKeys>,
+    /** Null if the operator names no client accounts, so that requests need no key; empty if no key is accepted. */
+    public val accounts: List<AccountKeys>?,
 )
 
 /** Returns the first problem that makes this configuration unusable, or null if it is valid. */
 public fun ServingConfiguration.problemOrNull(): String? = routes.firstNotNullOfOrNull { routeProblemOrNull(it) }
     ?: duplicateOrNull(routes.map { it.host.lowercase() + it.pathPrefix })?.let { "two routes share $it" }
     ?: duplicateOrNull(services.map { it.id })?.let { "service $it is defined twice" }
-    ?: duplicateOrNull(accounts.map { it.account })?.let { "client account $it is defined twice" }
-    ?: duplicateOrNull(accounts.flatMap { it.keys.distinct() })?.let { "two client accounts share a key" }
+    ?: duplicateOrNull(accounts.orEmpty().map { it.account })?.let { "client account $it is defined twice" }
+    ?: duplicateOrNull(accounts.orEmpty().flatMap { it.keys.distinct() })?.let { "two client accounts share a key" }
 
 private fun ServingConfiguration.routeProblemOrNull(route: Route): String? {
     val known = services.mapTo(mutableSetOf()) { it.id }
--- a/src/main/kotlin/fulmarshunt/platform/ConfigurationJson.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ConfigurationJson.kt
@@ -19,9 +19,14 @@
 import fulmarshunt.operator.serving.ServiceShare
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.operator.serving.problemOrNull
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
 import kotlinx.serialization.json.Json
 
 /** The JSON format of the platform. Unknown fields are ignored, because the platform may add fields. */
@@ -33,7 +38,7 @@
     val routes: List<WireRoute>,
     val services: List<WireService>,
     val limits: WireLimits? = null,
-    val tenants: List<WireTenant> = emptyList(),
+    val tenants: WireTenants = WireTenants(null),
 )
 
 @Serializable
@@ -88,6 +93,22 @@
     @SerialName("idle_timeout_ms") val idleTimeoutMs: Long,
 )
 
+/** The client accounts: [list] is null if the field is absent, which opens all routes. A JSON null is no list. */
+@Serializable(with = WireTenantsSerializer::class)
+private class WireTenants(val list: List<WireTenant>?)
+
+private object WireTenantsSerializer : KSerializer<WireTenants> {
+    private val listSerializer = ListSerializer(WireTenant.serializer())
+
+    override val descriptor: SerialDescriptor get() = listSerializer.descriptor
+
+    override fun deserialize(decoder: Decoder): WireTenants =
+        WireTenants(decoder.decodeSerializableValue(listSerializer))
+
+    override fun serialize(encoder: Encoder, value: WireTenants): Unit =
+        encoder.encodeSerializableValue(listSerializer, checkNotNull(value.list) { "an absent field is not written" })
+}
+
 @Serializable
 private class WireTenant(
     val name: String,
@@ -119,7 +140,7 @@
         wire.services.map(::serviceOf),
         wire.limits?.let { CallerLimits(it.maxHeaderBytes, it.maxBodyBytes, it.headerTimeoutMs, it.idleTimeoutMs) }
             ?: defaultLimits,
-        wire.tenants.map { AccountKeys(ClientAccountId(it.name), it.keys, it.priority) },
+        wire.tenants.list?.map { AccountKeys(ClientAccountId(it.name), it.keys, it.priority) },
     )
     return configuration.problemOrNull()?.left() ?: configuration.right()
 }
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -385,7 +385,7 @@
         ),
         listOf(plain, engines),
         CallerLimits(8_192, 200_000, 3_000, 15_000),
-        emptyList(),
+        null,
     ),
 )
 
--- a/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/PlatformJsonTest.kt
@@ -5,18 +5,27 @@
 
 import arrow.core.right
 import fulmarshunt.ClientAccountId
+import fulmarshunt.ConfigurationVersion
+import fulmarshunt.LogIndex
 import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.caller.relay.Dispatch
 import fulmarshunt.http.Traffic
+import fulmarshunt.link.linkCbor
 import fulmarshunt.monotonicClock
+import fulmarshunt.operator.serving.ConfigurationDocument
 import fulmarshunt.operator.serving.Repeatability
+import fulmarshunt.operator.serving.RoutingTable
+import fulmarshunt.operator.serving.ServingCommand
+import fulmarshunt.operator.serving.ServingSnapshot
+import fulmarshunt.operator.serving.ServingStateMachine
 import fulmarshunt.target.fleet.TargetConnections
 import fulmarshunt.target.fleet.TargetPhase
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 
@@ -49,7 +58,7 @@
             get { shares.single().service }.isEqualTo(ServiceId("s"))
         }
         expectThat(decoded.services.single().engine?.memoryTokens).isEqualTo(34_244)
-        expectThat(decoded.accounts.single().rank).isEqualTo(2)
+        expectThat(decoded.accounts?.single()?.rank).isEqualTo(2)
     }
 
     /** Guards against invalid input that is acknowledged, or that ends the process. */
@@ -65,6 +74,29 @@
         expectThat(configuration(ROUTE.replace("6000", "0")).isLeft()).isTrue()
     }
 
+    /** Guards against routes that open to callers without a key once the last client account is removed. */
+    @Test
+    fun `an empty list of client accounts closes routes, and only an absent one leaves them open`() {
+        fun requiresKeys(tail: String): Boolean {
+            val body = """{"version":7,"routes":[$ROUTE],"services":[$SERVICE]$tail}""".encodeToByteArray()
+            val machine = ServingStateMachine()
+            val command = ServingCommand.Replace(ConfigurationDocument(ConfigurationVersion(7), body))
+            val entry = linkCbor.encodeToByteArray(ServingCommand.serializer(), command)
+            machine.asReplicated.apply(LogIndex(1), entry)
+            val restored = ServingStateMachine()
+            restored.asReplicated.restore(LogIndex(1), machine.asReplicated.snapshot()())
+            val reply = linkCbor.encodeToByteArray(ServingSnapshot.serializer(), restored.snapshots.value)
+            val received = linkCbor.decodeFromByteArray(ServingSnapshot.serializer(), reply)
+            val decoded = received.document?.let(::decodeDocument)?.getOrNull()
+            return RoutingTable(checkNotNull(decoded)).requiresKeys
+        }
+        expectThat(requiresKeys("")).isFalse()
+        expectThat(requiresKeys(""","tenants":[]""")).isTrue()
+        expectThat(requiresKeys(""","tenants":[{"name":"t"}]""")).isTrue()
+        expectThat(requiresKeys(""","tenants":[{"name":"t","api_keys":[]}]""")).isTrue()
+        expectThat(configuration(tail = ""","tenants":null""").isLeft()).isTrue()
+    }
+
     /** Guards against malformed announcements that replace the record of a target. */
     @Test
     fun `announcements are decoded or refused`() {
