--- a/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
+++ b/src/main/kotlin/fulmarshunt/operator/AnswerChecks.kt
@@ -74,13 +74,13 @@
 }
 
 private fun findRuleProblem(field: String, answer: ServiceAnswer): String? {
-    if (answer.kind == ServiceKind.MODEL && answer.nonRepeatable.isNotEmpty()) {
+    if (answer.kind == ServiceKind.MODEL && !answer.nonRepeatable.isNullOrEmpty()) {
         return "$field.non_repeatable: a model has none: remove it, or set kind to \"plain\""
     }
     if (answer.kind == ServiceKind.PLAIN && answer.weightBytes != 0L) {
         return "$field.weight_bytes: a plain service has none: remove it, or set kind to \"model\""
     }
-    answer.nonRepeatable.forEachIndexed { i, rule ->
+    answer.nonRepeatable.orEmpty().forEachIndexed { i, rule ->
         if (rule.method !in httpMethods) {
             val remedy = "use one of ${httpMethods.joinToString()}"
             return "$field.non_repeatable[$i].method: \"${rule.method}\" is not a method: $remedy"
--- a/src/main/kotlin/fulmarshunt/operator/Answers.kt
+++ b/src/main/kotlin/fulmarshunt/operator/Answers.kt
@@ -38,8 +38,9 @@
 public data class ServiceAnswer(
     public val name: ServiceId,
     public val kind: ServiceKind,
+    /** The calls that must run at most once; null keeps those of an existing service. */
     @SerialName("non_repeatable")
-    public val nonRepeatable: List<NonRepeatableAnswer> = emptyList(),
+    public val nonRepeatable: List<NonRepeatableAnswer>? = null,
     @SerialName("short_max_tokens")
     public val shortMaxTokens: Int = 32,
     @SerialName("default_max_tokens")
--- a/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
+++ b/src/main/kotlin/fulmarshunt/operator/ConfigurationPlan.kt
@@ -51,10 +51,13 @@
 }
 
 private fun Configuration.planServiceOrNull(answer: ServiceAnswer): ConfigurationChange? {
-    val rules = answer.nonRepeatable.map { NonRepeatableRule(it.method, it.pathPrefix) }
+    val existing = services[answer.name]
+    // Calls that run at most once must not become repeatable because an answer does not mention them.
+    val kept = existing?.nonRepeatable.orEmpty().filter { answer.kind == ServiceKind.PLAIN }
+    val rules = answer.nonRepeatable?.map { NonRepeatableRule(it.method, it.pathPrefix) } ?: kept
     val desired =
         Service(answer.name, answer.kind, rules, answer.shortMaxTokens, answer.defaultMaxTokens, answer.weightBytes)
-    return if (desired == services[answer.name]) null else PutService(desired)
+    return if (desired == existing) null else PutService(desired)
 }
 
 private fun Configuration.planWeightStoreOrNull(answers: Answers): ConfigurationChange? =
--- a/src/main/kotlin/fulmarshunt/operator/cli/TerminalQuestionnaire.kt
+++ b/src/main/kotlin/fulmarshunt/operator/cli/TerminalQuestionnaire.kt
@@ -67,11 +67,10 @@
             ServiceKind.entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
         }
         return if (kind == ServiceKind.PLAIN) {
-            ServiceAnswer(
-                ServiceId(name),
-                kind,
-                ask("Calls not to be repeated, such as POST /bookings, * /pickups", emptyList(), ::parseRulesOrNull),
-            )
+            val rules = ask("Calls not to be repeated, such as POST /bookings, * /pickups, or none", "") { text ->
+                text.takeIf { parseRulesOrNull(it) != null }
+            }
+            ServiceAnswer(ServiceId(name), kind, if (rules.isEmpty()) null else parseRulesOrNull(rules))
         } else {
             ServiceAnswer(
                 ServiceId(name),
@@ -153,14 +152,15 @@
     }
 }
 
-/** Parses rules such as `POST /bookings, * /pickups`. */
-private fun parseRulesOrNull(text: String): List<NonRepeatableAnswer>? = text
-    .split(',')
-    .map { rule ->
+/** Parses rules such as `POST /bookings, * /pickups`, or `none`. */
+private fun parseRulesOrNull(text: String): List<NonRepeatableAnswer>? {
+    if (text == "none") return emptyList()
+    return text.split(',').map { rule ->
         val parts = rule.trim().split(' ')
         if (parts.size != 2) return null
         NonRepeatableAnswer(parts[0].uppercase(), parts[1])
     }
+}
 
 private fun parsePermissionsOrNull(text: String): Set<Permission>? = text
     .split(',', ' ')
--- a/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/QuestionnaireTest.kt
@@ -93,6 +93,18 @@
         expectThat(recorded.lines.filter { OPERATOR_KEY in it }).isEmpty()
     }
 
+    /** Guards against bookings that are repeated because later answers do not mention that they must not be. */
+    @Test
+    fun `rules that answers do not mention stay, and an empty list removes them`() {
+        fun rules() = control.configuration.services[ServiceId("enrolment")]?.nonRepeatable?.size
+        val rule = """non_repeatable = [{ method = "POST", path_prefix = "/confirmations" }]"""
+        questionnaire(ANSWERS, "--yes")
+        expectThat(questionnaire(ANSWERS.replace(rule, "short_max_tokens = 16"), "--yes")).isEqualTo(0)
+        expectThat(rules()).isEqualTo(1)
+        expectThat(questionnaire(ANSWERS.replace(rule, "non_repeatable = []"), "--yes")).isEqualTo(0)
+        expectThat(rules()).isEqualTo(0)
+    }
+
     /** Guards against a submission without confirmation. */
     @Test
     fun `a dry run and a refused confirmation submit nothing and show no key`() {
