Bound the age of an order by its own connection, not only by pauses of the process

Cause found by reading, the same class: the age of an order was bounded by pauses of the event loop of over 350 ms and for 500 ms after them. In a process that is slow, in turns that are each shorter, a connection waits to be accepted, then to be read and then to be handled; an order that had waited for over a second counted as new if its caller left the connection open. A deregistration without a start time did not ask whether its caller was still connected.

Change: each connection knows the last turn of the event loop that found nothing to read on it. Input is as old as that turn, or as the connection if no turn came between; a request after a response is not older than the response. A deregistration without a start time asks for its caller as well.

--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -53,8 +53,8 @@
 /** A connection to a caller or a target. */
 public class HttpConnection internal constructor(
     public val channel: Channel,
-    /** Returns the earliest time at which input that is read now can have arrived, on the monotonic clock. */
-    internal val unreadSinceMs: () -> Long = monotonicClock()::nowMs,
+    /** Bounds when input has arrived; null if nobody asks for it. */
+    private val arrivals: ArrivalBound? = null,
     /** Whether the connection may be kept for another request. */
     private val isKeepable: Boolean = true,
 ) {
@@ -78,6 +78,9 @@
     /** A write can notice a reset before a read does; the channel then closes without an error. */
     private val writeListener = ChannelFutureListener { if (!it.isSuccess) hasWriteFailed = true }
 
+    /** The earliest time at which the last head that was received, or one before it, can have arrived. */
+    private var headSinceMs: Long? = null
+
     /** How the connection ended, or null while it is open. */
     public var end: ConnectionEnd? = null
         private set
@@ -110,7 +113,7 @@
         while (true) {
             inbox.removeFirstOrNull()?.let { return it.also(::countReceived) }
             if (end != null || isInterrupted()) return null
-            channel.read()
+            read()
             awaitInput()
         }
     }
@@ -138,9 +141,17 @@
 
     /** Requests a read from the socket, so that the end of the connection is noticed while nothing is received. */
     public fun watchForEnd() {
-        if (end == null && inbox.isEmpty()) channel.read()
+        if (end == null && inbox.isEmpty()) read()
+    }
+
+    private fun read() {
+        arrivals?.recordRead()
+        channel.read()
     }
 
+    /** Returns the earliest time at which the last head that was received can have arrived, on the monotonic clock. */
+    internal fun unreadSinceMs(): Long = headSinceMs ?: monotonicClock().nowMs()
+
     /**
      * Ends the connection at its next input until [endIdle], and now if bytes follow the last response: they would be
      * read as the beginning of the next one.
@@ -218,6 +229,7 @@
         headBytes = 0
         share?.updateUnwritten()
         share?.isServed = false
+        arrivals?.recordResponse()
     }
 
     /** Counts what the decoder holds of an incomplete message after a read. */
@@ -266,6 +278,7 @@
             return
         }
         undecodedBytes = 0
+        recordArrival(message)
         if (share == null) {
             inbox.addLast(message)
         } else if (!joinsLast(message)) {
@@ -275,6 +288,13 @@
         wake()
     }
 
+    private fun recordArrival(message: HttpObject) {
+        val sinceMs = arrivals?.recordInput() ?: return
+        if (message !is HttpMessage) return
+        // Of several heads that are unread, the first one has arrived first.
+        headSinceMs = headSinceMs?.takeIf { inbox.any { unread -> unread is HttpMessage } } ?: sinceMs
+    }
+
     internal fun onWritable() {
         writer?.let {
             writer = null
--- a/src/main/kotlin/fulmarshunt/http/Traffic.kt
+++ b/src/main/kotlin/fulmarshunt/http/Traffic.kt
@@ -95,7 +95,7 @@
         maxHeaderBytes: () -> Int,
         serve: suspend (HttpConnection) -> Unit,
     ): Either<String, Channel> = acceptChannels(address) { channel ->
-        val connection = HttpConnection(channel, unreadTime::sinceMs)
+        val connection = HttpConnection(channel, ArrivalBound(unreadTime))
         if (connection.openShare(peers)) {
             val reads = AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
             channel.config().setRecvByteBufAllocator(reads)
@@ -165,7 +165,7 @@
 
     /** Adds the handlers to [channel] that make it a connection on which requests are sent. */
     internal fun responsesOn(channel: Channel, isKeepable: Boolean = true): HttpConnection =
-        HttpConnection(channel, unreadTime::sinceMs, isKeepable).also {
+        HttpConnection(channel, isKeepable = isKeepable).also {
             channel.pipeline().addLast(INPUT_GUARD_NAME, InputGuard(it))
             channel.pipeline().addLast(responseCodec(), ConnectionHandler(it))
         }
--- a/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
+++ b/src/main/kotlin/fulmarshunt/http/UnreadTime.kt
@@ -1,7 +1,7 @@
 /*
  * Bounds how long input can have waited in the sockets of an event loop before it was read. A process that was stopped
- * reads seconds-old input when it continues; only the ticks that did not take place show that. Confined to the event
- * loop.
+ * reads seconds-old input when it continues; only the ticks that did not take place show that. In a process that is
+ * slow, a connection waits to be accepted and then to be read, each for less than a pause. Confined to the event loop.
  */
 package fulmarshunt.http
 
@@ -21,7 +21,17 @@
 
 /** Gives a lower bound for the arrival time of input that is read now. */
 internal class UnreadTime(private val clock: Clock) {
-    private var tickedAtMs = clock.nowMs()
+    /** When the last tick took place. */
+    var tickedAtMs: Long = clock.nowMs()
+        private set
+
+    /** When the tick before the last one took place. */
+    var previousTickAtMs: Long = tickedAtMs
+        private set
+
+    /** The number of ticks. */
+    var ticks: Long = 0
+        private set
     private var pausedSinceMs = tickedAtMs
     private var caughtUpAtMs = Long.MIN_VALUE
 
@@ -32,9 +42,39 @@
             if (tickedAtMs >= caughtUpAtMs) pausedSinceMs = tickedAtMs
             caughtUpAtMs = nowMs + CATCH_UP_MS
         }
+        previousTickAtMs = tickedAtMs
         tickedAtMs = nowMs
+        ticks += 1
     }
 
-    /** Returns the earliest time at which input that is read now can have arrived. */
+    /** Returns the earliest time at which a connection that is accepted now can have been opened. */
     fun sinceMs(): Long = if (clock.nowMs() < caughtUpAtMs || tickedAtMs < caughtUpAtMs) pausedSinceMs else tickedAtMs
 }
+
+/** Gives a lower bound for the arrival time of the input of one connection, which was accepted just now. */
+internal class ArrivalBound(private val unreadTime: UnreadTime) {
+    /** No input that is unread can have arrived before. */
+    private var emptyAtMs = unreadTime.sinceMs()
+
+    /** The number of ticks when a read was requested, or null if none is. */
+    private var requestedAtTick: Long? = null
+
+    /** Records that a read is requested, so that the event loop polls the socket. */
+    fun recordRead() {
+        if (requestedAtTick == null) requestedAtTick = unreadTime.ticks
+    }
+
+    /** Records that input was read, and returns the earliest time at which it can have arrived. */
+    fun recordInput(): Long {
+        val sinceTick = requestedAtTick
+        // The event loop polls the sockets between two ticks.
+        if (sinceTick != null && unreadTime.ticks >= sinceTick + 2) emptyAtMs = unreadTime.previousTickAtMs
+        requestedAtTick = null
+        return emptyAtMs
+    }
+
+    /** Records that a response was sent; the next request follows it. */
+    fun recordResponse() {
+        emptyAtMs = maxOf(emptyAtMs, unreadTime.tickedAtMs)
+    }
+}
--- a/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
+++ b/src/main/kotlin/fulmarshunt/platform/ControlApi.kt
@@ -86,7 +86,7 @@
             { refuseAnnouncement(id, it) },
             {
                 // Without a start time, a late one would end a target that has started again under its id.
-                if (it == null && servingState.isExpired(call.unreadSinceMs)) {
+                if (it == null && (servingState.isExpired(call.unreadSinceMs) || !call.isCallerConnected())) {
                     leaveUnacknowledged(id, "left", "the call may have been given up")
                 } else {
                     acknowledge(id, "left", watches.leave(id, it))
--- a/src/test/kotlin/fulmarshunt/platform/LateOrderTest.kt
+++ b/src/test/kotlin/fulmarshunt/platform/LateOrderTest.kt
@@ -204,5 +204,7 @@
         expectThat(deregister(PAUSE_MS, "")).isEqualTo(UNAVAILABLE)
         expectThat(deregister(PAUSE_MS, """{"born":1}""")).isEqualTo(OK)
         expectThat(deregister(0, "")).isEqualTo(OK)
+        val left = HttpCall("POST", "/api/instances/i/deregister", ByteArray(0), isCallerConnected = { false })
+        expectThat(runBlocking { api.handle(left).status }).isEqualTo(UNAVAILABLE)
     }
 }
