Notice callers that leave after a long body

Cause: a connection is read on demand, and its end comes after all that the caller has sent. The rest of a long body was not read while its request waited, and nothing was read once it had been passed on.

Once it is complete, the connection is watched. A body that turns out to be too long is refused while the request waits. A request of whose rest nothing was sent goes to another target if the first one cannot be reached.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -85,11 +85,26 @@
     private val admission = RequestAdmission(dependencies)
     private val crashes = CrashDetector(dependencies)
 
+    /** Relays [request] and returns how it ended. */
     suspend fun run(request: CallerRequest): RelayOutcome {
         withTimeoutOrNull(bodyTimeoutMs(request)) { request.body.readBeginning() }
             ?: return RelayOutcome.Local(lateBody).also { logUnrouted(request, it) }
-        if (request.body.isComplete) request.connection.watchForEnd()
         bodyProblemOrNull(request)?.let { return it.also { outcome -> logUnrouted(request, outcome) } }
+        if (request.body.isComplete) {
+            request.connection.watchForEnd()
+            return relay(request)
+        }
+        return coroutineScope {
+            val reading = launch { request.body.readRest() }
+            try {
+                relay(request)
+            } finally {
+                reading.cancel()
+            }
+        }
+    }
+
+    private suspend fun relay(request: CallerRequest): RelayOutcome {
         val job = admission.admit(request).getOrElse { response ->
             return RelayOutcome.Local(response).also { logUnrouted(request, it) }
         }
@@ -113,17 +128,26 @@
         return minOf(request.metadata.callerTimeoutMs ?: longestMs, longestMs).coerceAtLeast(LEAST_BODY_TIMEOUT_MS)
     }
 
-    /** Serves [job]; if it has no response when the process ends, its caller is told whether it may have run. */
+    /**
+     * Serves [job]; if it has no response when the process ends, its caller is told whether it may have run. A request
+     * whose body turns out to be unreadable while it waits is refused at once.
+     */
     private suspend fun serveUntilStop(job: RelayJob, placements: JobPlacements): RelayOutcome = coroutineScope {
         val serving = async { serve(job, placements) }
+        val unreadable = if (job.request.body.isComplete) null else launch { job.request.body.awaitProblem() }
         val outcome = select {
             serving.onAwait { it }
             dependencies.plannedStop.givenUp.onJoin { if (job.request.progress.hasBegun) null else stopped(job) }
+            unreadable?.onJoin { if (job.mayBeAtTarget) null else bodyProblemOrNull(job.request) }
         }
+        unreadable?.cancel()
         if (outcome != null) serving.cancel()
         outcome ?: serving.await()
     }
 
+    private fun refused(job: RelayJob, refusal: LocalResponse): RelayOutcome =
+        if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
+
     private suspend fun serve(job: RelayJob, placements: JobPlacements): RelayOutcome {
         while (true) {
             val requestedAtMs = dependencies.clock.nowMs()
@@ -143,7 +167,7 @@
             // What crashes targets may have become known, or the end of the process planned, while the request waited.
             admission.refusalOrNull(job)?.let { refusal ->
                 placements.end(placement, UseOutcome.ABANDONED)
-                return if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
+                return refused(job, refusal)
             }
             recordWait(job, dependencies.clock.nowMs() - requestedAtMs)
             job.trace.append(" ${placement.target.id}")
@@ -162,7 +186,7 @@
             // The rest of a long body is read while the target has the request.
             bodyProblemOrNull(job.request)?.let { return it }
             val route = job.route
-            val canSendAgain = job.request.body.isRepeatable
+            val canSendAgain = job.request.body.canBeSent
             val step = nextStep(failure, route.repeatability, job.attempts, job.unsent, route.maxTargets) {
                 // For a failed response, the repeat was taken before the response was discarded.
                 canSendAgain && (failure is AttemptFailure.Failed || placements.tryRepeat(job))
--- a/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
+++ b/src/main/kotlin/fulmarshunt/http/HttpConnection.kt
@@ -213,6 +213,9 @@
     /** Whether the process has no memory for another request on an accepted connection. */
     internal val isMemoryFull: Boolean get() = share?.isMemoryFull == true
 
+    /** Whether there is memory to read ahead what cannot be sent yet. */
+    internal val hasRoomAhead: Boolean get() = share?.hasRoomAhead != false
+
     /** Counts [bytes] more that are held for the peer, or fewer if it is negative. */
     internal fun hold(bytes: Long) {
         share?.hold(bytes)
--- a/src/main/kotlin/fulmarshunt/http/PeerMemory.kt
+++ b/src/main/kotlin/fulmarshunt/http/PeerMemory.kt
@@ -152,6 +152,9 @@
         if (bytes > 0 && heldBytes > nextSearchBytes) settle()
     }
 
+    /** Whether bodies may be read ahead; the other half of the account is for what must be read. */
+    internal val hasRoomAhead: Boolean get() = heldBytes <= limits.heldBytes / 2
+
     /** Returns whether no more requests can be taken; what has become closable without growing is closed first. */
     internal fun isFullAfterSearch(): Boolean {
         if (isFull && clock.nowMs() - searchedAtMs >= SEARCH_PERIOD_MS) settle()
@@ -224,6 +227,9 @@
         hold(change)
     }
 
+    /** Whether there is memory to read ahead what cannot be sent yet. */
+    val hasRoomAhead: Boolean get() = memory.hasRoomAhead
+
     /** Whether the process can take no more requests. */
     val isMemoryFull: Boolean get() = memory.isFullAfterSearch()
 
