Refuse requests with long bodies that crash targets

Cause: a request had no fingerprint unless its whole body was buffered, so that its crashes had no cause to report.

Change: the hash of a long body is computed as it is read, and a crash is reported with the fingerprint of the whole and that of the beginning. Only the whole is refused; the beginning tells entry VMs which requests they must read whole before they send them, so that sound requests with the same beginning are served. Memory stays bounded by what is read ahead. Short bodies keep their fingerprints, and an older control VM ignores the new field.

--- a/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/CrashDetector.kt
@@ -100,7 +100,8 @@
         isConfirmed: Boolean,
     ) {
         val reports = causes.map {
-            CrashReport(it, target.id, target.record.startedAtMs, job.causes.depthOf(it), isConfirmed)
+            val beginning = if (it == job.causes.whole) job.causes.beginning else null
+            CrashReport(it, target.id, target.record.startedAtMs, job.causes.depthOf(it), isConfirmed, beginning)
         }
         // Targets that crash together are found out at different times.
         val ageMs = dependencies.clock.nowMs() - lostAtMs
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestAdmission.kt
@@ -8,6 +8,7 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import fulmarshunt.Fingerprint
 import fulmarshunt.caller.fingerprintOf
 import fulmarshunt.operator.serving.AccountKeys
 import fulmarshunt.operator.serving.Route
@@ -26,6 +27,9 @@
 private const val CONFIGURATION_WAIT_FRACTION = 0.4
 private const val MAX_CONFIGURATION_WAIT_MS = 3_000L
 
+private val LONG_BODY_TAG = "long-body".encodeToByteArray()
+private val BODY_BEGINNING_TAG = "body-beginning".encodeToByteArray()
+
 /** Admits requests, and learns from those that have ended. Confined to the traffic thread. */
 internal class RequestAdmission(private val dependencies: RelayDependencies) {
     private val log = LogManager.getLogger(RequestAdmission::class.java)
@@ -112,16 +116,36 @@
         return LocalResponse(HttpResponseStatus.UNAUTHORIZED, "the API key is not known").left()
     }
 
-    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?): CrashCauses {
-        val whole = if (request.body.isRepeatable) fingerprintOf(request, account) else null
-        return crashCausesOf(whole, request.metadata.generation?.promptParts.orEmpty())
+    /** Whether [job] can be judged only by its whole body, which has not been read. */
+    fun needsWholeBody(job: RelayJob): Boolean = job.causes.needsWhole(dependencies.views.value.refused)
+
+    private fun crashCausesOf(request: CallerRequest, account: AccountKeys?) = CrashCauses(
+        sharedPartsOf(request.metadata.generation?.promptParts.orEmpty()),
+        beginningOf = { beginningFingerprintOrNull(request, account) },
+        wholeOf = { wholeFingerprintOrNull(request, account) },
+    )
+
+    /** Short bodies count by their content, long ones by its hash, however they were read. */
+    private fun wholeFingerprintOrNull(request: CallerRequest, account: AccountKeys?): Fingerprint? {
+        val body = request.body
+        return when {
+            !body.isComplete -> null
+            body.readBytes <= MAX_BUFFERED_BODY_BYTES -> fingerprintOf(*identityOf(request, account), body.beginning)
+            else -> body.sha256OrNull()?.let { fingerprintOf(LONG_BODY_TAG, *identityOf(request, account), it) }
+        }
+    }
+
+    private fun beginningFingerprintOrNull(request: CallerRequest, account: AccountKeys?): Fingerprint? {
+        val body = request.body
+        if (body.isComplete && body.readBytes <= MAX_BUFFERED_BODY_BYTES) return null
+        val bytes = body.beginning.copyOf(MAX_BUFFERED_BODY_BYTES)
+        return fingerprintOf(BODY_BEGINNING_TAG, *identityOf(request, account), bytes)
     }
 
-    private fun fingerprintOf(request: CallerRequest, account: AccountKeys?) = fingerprintOf(
+    private fun identityOf(request: CallerRequest, account: AccountKeys?): Array<ByteArray> = arrayOf(
         request.head.method().name().encodeToByteArray(),
         request.head.uri().encodeToByteArray(),
         account?.account?.value.orEmpty().encodeToByteArray(),
-        request.body.beginning,
     )
 
     /** Records the duration and the length of a stream that ended with [events], for later requests of its route. */
--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -145,11 +145,20 @@
         outcome ?: serving.await()
     }
 
+    /** Reads the whole body of [job] if only that tells whether it crashes targets; returns the response if it does. */
+    private suspend fun judgeWholeBody(job: RelayJob): RelayOutcome? {
+        if (!admission.needsWholeBody(job)) return null
+        log.info("request read whole request={} readBytes={}", job.id, job.request.body.readBytes)
+        if (!job.request.body.awaitEnd()) return notServed(job, "the body is too long to tell whether it is safe", null)
+        return bodyProblemOrNull(job.request) ?: admission.refusalOrNull(job)?.let { refused(job, it) }
+    }
+
     private fun refused(job: RelayJob, refusal: LocalResponse): RelayOutcome =
         if (job.attempts.runs > 0) notServed(job, refusal.reason, null) else RelayOutcome.Local(refusal)
 
     private suspend fun serve(job: RelayJob, placements: JobPlacements): RelayOutcome {
         while (true) {
+            judgeWholeBody(job)?.let { return it }
             val requestedAtMs = dependencies.clock.nowMs()
             val result = placements.place(job.toPlacementRequest(), placementTimeoutMs(job))
             job.waitedMs += dependencies.clock.nowMs() - requestedAtMs
@@ -169,6 +178,10 @@
                 placements.end(placement, UseOutcome.ABANDONED)
                 return refused(job, refusal)
             }
+            if (admission.needsWholeBody(job)) {
+                placements.end(placement, UseOutcome.ABANDONED)
+                continue
+            }
             recordWait(job, dependencies.clock.nowMs() - requestedAtMs)
             job.trace.append(" ${placement.target.id}")
             job.request.progress.target = placement.target.id
--- a/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/CrashReportTable.kt
@@ -63,6 +63,11 @@
      * which may have another cause.
      */
     public val isConfirmed: Boolean = true,
+    /**
+     * The beginning of [request] if its body is long, by which entry VMs tell that they must know the whole of a
+     * request before they send it; null from older versions.
+     */
+    public val beginning: Fingerprint? = null,
 ) {
     /** How long this report counts. */
     internal val retentionMs: Long get() = if (isConfirmed) CRASH_RETENTION_MS else UNCONFIRMED_RETENTION_MS
@@ -157,7 +162,7 @@
     /** Returns the causes that were present at several crashes and were not cleared since. */
     public fun suspected(): Set<Fingerprint> = evaluation.suspected
 
-    /** Returns the causes that must not run again. */
+    /** Returns the causes that must not run again, and the beginnings of long requests among them. */
     public fun refused(): Set<Fingerprint> = evaluation.refused
 
     /** Drops the reports that count no more, and returns whether there were any. */
@@ -177,7 +182,9 @@
         val mostSuspected = suspected.entries.sortedByDescending { it.value.atMs.size }.take(MAX_LISTED)
         val candidates = mostSuspected.filter { (cause, presence) -> isRefusalDue(cause, presence) }
         val refused = candidates.filter { candidate -> candidates.none { it.value.explains(candidate.value) } }
-        return Evaluation(mostSuspected.mapTo(mutableSetOf()) { it.key }, refused.mapTo(mutableSetOf()) { it.key })
+            .mapTo(mutableSetOf()) { it.key }
+        val beginnings = crashedAtMs.keys.filter { it.request in refused }.mapNotNull { it.beginning }
+        return Evaluation(mostSuspected.mapTo(mutableSetOf()) { it.key }, refused + beginnings)
     }
 
     private fun presenceOf(reports: List<Map.Entry<CrashReport, Long>>): Presence = Presence(
--- a/src/test/kotlin/fulmarshunt/caller/relay/LongBodyTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/LongBodyTest.kt
@@ -5,6 +5,7 @@
 package fulmarshunt.caller.relay
 
 import fulmarshunt.Address
+import fulmarshunt.target.fleet.CrashReportTable
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -19,8 +20,10 @@
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val WAIT_MS = 5_000L
+private const val CRASHING_END = "crash"
 
 /** The time in which a request reaches a target that has room. */
 private const val ARRIVAL_MS = 250L
@@ -67,6 +70,46 @@
         }
     }
 
+    /** Guards against long requests that crash one target after the other, and against refusing all others. */
+    @Test
+    fun `a request of any length that has crashed three targets is refused`() {
+        for (length in LENGTHS) {
+            for (path in listOf("/once/x", "/stream/x")) {
+                val crashes = AtomicInteger()
+                val targets = List(4) {
+                    ScriptedTarget("t$it") {
+                        if (request.body.endsWith(CRASHING_END)) {
+                            crashes.incrementAndGet()
+                            crash()
+                        } else {
+                            respond("200 OK", "id: 0\ndata: x\n\n")
+                        }
+                    }
+                }
+                try {
+                    RelayFixture(*targets.toTypedArray()).use { relay ->
+                        val table = CrashReportTable()
+                        while (crashes.get() < 3) {
+                            relay.exchange(path, bodyOf(length, CRASHING_END), isChunked = crashes.get() % 2 == 1)
+                            eventually { relay.crashReports().size >= crashes.get() }
+                            relay.exchangeCrashReports(table)
+                        }
+                        for (isChunked in listOf(false, true)) {
+                            val refused = relay.exchange(path, bodyOf(length, CRASHING_END), isChunked)
+                            expectThat(refused?.startLine).isNotNull().contains(" 503 ")
+                            expectThat(refused?.body).isEqualTo("the request has crashed several targets")
+                            val sound = relay.exchange(path, bodyOf(length, "sound"), isChunked)
+                            expectThat(sound?.startLine).isNotNull().contains(" 200 ")
+                        }
+                        expectThat(crashes.get()).isEqualTo(3)
+                    }
+                } finally {
+                    targets.forEach { it.close() }
+                }
+            }
+        }
+    }
+
     /** Guards against targets that work on for callers that have left after a long body. */
     @Test
     fun `a target learns that its caller has left`() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/OverloadPolicyTest.kt
@@ -61,7 +61,7 @@
             CallerRequest(head, metadata, RequestBody(connection, 1_000, 0), connection, arrivedAtMs) { false }
         val elapsedMs = CALLER_TIMEOUT_MS - callerTimeoutMs
         return RelayJob(
-            request, RequestId(name), letters, engines, null, 0, CrashCauses(null, emptySet()),
+            request, RequestId(name), letters, engines, null, 0, crashCausesOf(null, emptyList()),
             arrivedAtMs + callerTimeoutMs,
             arrivedAtMs + OBJECTIVE_MS - elapsedMs, 500,
         )
--- a/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
+++ b/src/test/kotlin/fulmarshunt/target/fleet/CrashReportTableTest.kt
@@ -180,6 +180,21 @@
         expectThat(table.refused()).isEmpty()
     }
 
+    /** Guards against long requests that are sent before it is known whether they are the ones that crash targets. */
+    @Test
+    fun `the beginning of a long request is refused with the request, and never for itself`() {
+        val beginning = Fingerprint("beginning")
+        fun report(cause: String, number: Int) =
+            CrashReport(Fingerprint(cause), TargetId("t$number"), number.toLong(), beginning = beginning)
+        // Different requests that begin in the same way have crashed one target each.
+        table.receive((1..6).associate { report("cause-$it", it) to 0L }, 0)
+        expectThat(table.refused()).isEmpty()
+        table.receive((11..13).associate { report("crashing", it) to 0L }, 0)
+        expectThat(table.refused()).isEqualTo(setOf(crashing, beginning))
+        table.clear(mapOf(crashing to 0L), 1)
+        expectThat(table.refused()).isEmpty()
+    }
+
     private fun crashAtDepth(cause: Fingerprint, number: Int, depth: Int) =
         CrashReport(cause, TargetId("t$number"), number.toLong(), depth)
 }
