Leave out events that a run repeats after it has continued, and end one that skips some

Reproduced on processes as one possible way: a target that goes on with a run at an event that its caller has already.

Cause: the entry VM names the last event that it has forwarded, and forwarded whatever the new target sent then.

Change: after a continuation, events up to the last forwarded id are left out, and a stream whose evenly spaced ids skip some is broken off before the gap. The soak gets the series LEAVES, in which engines leave in turn and some continuations begin early.

--- a/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -1,6 +1,7 @@
 /*
  * Splits the bytes of an event stream into events. Only complete events are forwarded, so that a stream whose target is
- * lost in the middle of an event can continue at another target.
+ * lost in the middle of an event can continue at another target. A run that has continued must go on after the last
+ * event that was forwarded: events that it repeats are left out, and one that skips events ends it.
  */
 package fulmarshunt.caller.relay
 
@@ -47,6 +48,31 @@
     var events: Long = 0
         private set
 
+    /** The number of events that were left out because a run that has continued has repeated them. */
+    var repeatedEvents: Long = 0
+        private set
+
+    /** Whether the run has continued and none of its new events has been returned. */
+    private var isResumed = false
+
+    /** Whether a run that has continued has left out events; nothing after them is returned. */
+    var hasGap: Boolean = false
+        private set
+
+    /** The difference between the ids of successive events, or null if it is not known or not constant. */
+    private var idStep: Long? = null
+    private var hasIrregularIds = false
+
+    /** Whether the rest of the stream cannot be forwarded. */
+    val isUnusable: Boolean get() = isEventTooLong || hasGap
+
+    /** Begins with the stream of the same run at another target, which goes on after [lastEventId]. */
+    fun resume() {
+        discardRest()
+        isResumed = lastEventId != null
+        hasGap = false
+    }
+
     /**
      * Appends [bytes], which it releases, and returns what is now complete, or null if nothing is. Comments and blank
      * lines are returned as well, but are no events.
@@ -54,8 +80,9 @@
     fun appendOrNull(bytes: ByteBuf): ByteBuf? {
         val readBytes = rest.readableBytes()
         val all = joinRest(bytes)
+        var begin = all.readerIndex()
         var end = -1
-        var lineStart = all.readerIndex() + restLineStart
+        var lineStart = begin + restLineStart
         var searchFrom = all.readerIndex() + readBytes
         var eventId = restEventId
         var hasField = restHasField
@@ -65,8 +92,9 @@
             val length = newLine - lineStart
             val isBlank = length == 0 || (length == 1 && all.getByte(lineStart) == CARRIAGE_RETURN)
             if (isBlank) {
+                if (hasField && isAfterGap(eventId)) break
                 end = newLine + 1
-                if (hasField) recordEvent(eventId)
+                if (hasField && !recordEvent(eventId)) begin = end
                 eventId = null
                 hasField = false
             } else if (all.getByte(lineStart) != COMMENT) {
@@ -76,11 +104,12 @@
             lineStart = newLine + 1
             searchFrom = lineStart
         }
-        val completeEvents = if (end < 0) null else all.readRetainedSlice(end - all.readerIndex())
+        all.readerIndex(begin)
+        val completeEvents = if (end <= begin) null else all.readRetainedSlice(end - begin)
         restLineStart = lineStart - all.readerIndex()
         restEventId = eventId
         restHasField = hasField
-        if (all !== rest || completeEvents != null) {
+        if (all !== rest || end >= 0) {
             // The rest is copied, so that it does not retain a large buffer.
             rest = if (all.isReadable) Unpooled.copiedBuffer(all) else Unpooled.EMPTY_BUFFER
             all.release()
@@ -105,9 +134,28 @@
         return rest
     }
 
-    private fun recordEvent(id: Long?) {
+    /** Whether events are missing before the one with [id], the first of a run that has continued. */
+    private fun isAfterGap(id: Long?): Boolean {
+        val step = idStep
+        val last = lastEventId
+        if (isResumed && id != null && last != null && step != null) hasGap = id > last + step
+        return hasGap
+    }
+
+    /** Records an event, and returns false if it was returned before. */
+    private fun recordEvent(id: Long?): Boolean {
+        val last = lastEventId
+        if (isResumed && id != null && last != null && id <= last) {
+            repeatedEvents += 1
+            return false
+        }
+        isResumed = false
         events += 1
         if (id == null) hasEventWithoutId = true else lastEventId = id
+        if (id == null || last == null) return true
+        hasIrregularIds = hasIrregularIds || idStep?.let { it != id - last } == true
+        idStep = (id - last).takeIf { !hasIrregularIds }
+        return true
     }
 
     private fun idOrNull(bytes: ByteBuf, from: Int, to: Int): Long? {
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -300,7 +300,17 @@
     private suspend fun forward(content: HttpContent, scope: CoroutineScope): Boolean? {
         val isLast = content is LastHttpContent
         val eventsBefore = framer.events
+        val repeatedBefore = framer.repeatedEvents
         val completeEvents = framer.appendOrNull(content.content())
+        if (framer.repeatedEvents > repeatedBefore) {
+            log.warn(
+                "events repeated request={} target={} lastId={} count={}",
+                job.id,
+                current.placement.target.id,
+                framer.lastEventId,
+                framer.repeatedEvents - repeatedBefore,
+            )
+        }
         if (framer.events > eventsBefore) {
             pace.record(current.placement, framer.events - eventsBefore, silentMs, dependencies.clock.nowMs())
             recordEvents(isFirst = eventsBefore == 0L)
@@ -308,13 +318,14 @@
         if (completeEvents != null) {
             caller.send(DefaultHttpContent(completeEvents), hasEvent = events > 0)
         }
-        if (framer.isEventTooLong || (isLast && framer.hasIncompleteEvent)) {
+        if (framer.isUnusable || (isLast && framer.hasIncompleteEvent)) {
             log.warn(
-                "stream broken off request={} target={} lastId={} ended={}",
+                "stream broken off request={} target={} lastId={} ended={} gap={}",
                 job.id,
                 current.placement.target.id,
                 framer.lastEventId,
                 isLast,
+                framer.hasGap,
             )
             framer.discardRest()
             current.response.abandon()
@@ -462,7 +473,7 @@
     /** Forwards the events that were generated before the run was stopped. */
     private suspend fun forwardRemainingEvents() {
         withTimeoutOrNull(STOPPED_STREAM_LIMIT_MS) {
-            while (!framer.isEventTooLong) {
+            while (!framer.isUnusable) {
                 val piece = current.response.nextPieceOrNull() ?: break
                 framer.appendOrNull(piece.content())?.let { caller.send(DefaultHttpContent(it), hasEvent = events > 0) }
                 if (piece !is LastHttpContent) continue
@@ -539,7 +550,7 @@
         current.response.abandon()
         if (placement !== current.placement) dependencies.placements.end(current.placement, UseOutcome.ABANDONED)
         current.copy?.takeIf { it !== placement }?.let { dependencies.placements.end(it, UseOutcome.ABANDONED) }
-        framer.discardRest()
+        framer.resume()
         if (placement === current.copy) dependencies.placements.promote(placement)
         val isSameTarget = placement.target.instance == current.placement.target.instance
         current = Run(response, placement, copy)
--- a/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/EventFramerTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
@@ -43,6 +44,60 @@
         expectThat(next?.toString(Charsets.UTF_8)).isEqualTo(events[1])
     }
 
+    private fun EventFramer.append(text: String, size: Int = text.length) =
+        text.chunked(size).joinToString("") { piece ->
+            val complete = appendOrNull(Unpooled.copiedBuffer(piece, Charsets.UTF_8))
+            complete?.toString(Charsets.UTF_8).orEmpty().also { complete?.release() }
+        }
+
+    /** Guards against events that a caller gets twice because a run that has continued begins too early. */
+    @Test
+    fun `events that a run has repeated after it has continued are left out`() {
+        val comment = ": comment\n\n"
+        val text = comment + events.joinToString("")
+        val first = events.take(3).joinToString("")
+        for (size in 1..text.length) {
+            val framer = EventFramer()
+            expectThat(framer.append(first + "id: 4\nda")).isEqualTo(first)
+            framer.resume()
+            expectThat(framer.append(text, size).removePrefix(comment)).isEqualTo(events.drop(3).joinToString(""))
+            expectThat(framer.repeatedEvents).isEqualTo(3L)
+            expectThat(framer.events).isEqualTo(5L)
+            expectThat(framer.hasIncompleteEvent).isFalse()
+        }
+    }
+
+    /** Guards against a stream that lacks events because a run that has continued begins too late. */
+    @Test
+    fun `a run that has left out events is noticed before its next event is returned`() {
+        for (size in 1..events[4].length) {
+            val framer = EventFramer()
+            framer.append(events.take(3).joinToString(""))
+            framer.resume()
+            expectThat(framer.append(events[4], size)).isEqualTo("")
+            expectThat(framer.hasGap).isTrue()
+            framer.resume()
+            expectThat(framer.append(events[3] + events[4], size)).isEqualTo(events[3] + events[4])
+            expectThat(framer.hasGap).isFalse()
+        }
+    }
+
+    /** Guards against sound streams that are broken off because their ids do not count events. */
+    @Test
+    fun `ids of any distance are accepted`() {
+        fun event(id: Int) = "id: $id\ndata: x\n\n"
+        val irregular = EventFramer()
+        irregular.append(event(1) + event(2) + event(9))
+        irregular.resume()
+        expectThat(irregular.append(event(20) + event(21))).isEqualTo(event(20) + event(21))
+        val inTokens = EventFramer()
+        inTokens.append(event(4) + event(8))
+        inTokens.resume()
+        expectThat(inTokens.append(event(8) + event(12))).isEqualTo(event(12))
+        // An event is repeated by the same run only on purpose.
+        expectThat(inTokens.append(event(12))).isEqualTo(event(12))
+    }
+
     /** Guards against a memory leak for each stream that ends within an event. */
     @Test
     fun `discarding the rest releases its buffer`() {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -239,6 +239,32 @@
         }
     }
 
+    /** Guards against events that a caller gets twice, or that are missing, after its run has continued elsewhere. */
+    @Test
+    fun `a run that continues at the wrong event neither repeats nor leaves out events`() {
+        for (offset in -3..2) {
+            val serve: ScriptedTarget.RequestScope.() -> Unit = {
+                val resume = request.header("resume")
+                startStream()
+                if (resume == null) {
+                    (1..3).forEach { event(it) }
+                    reset()
+                } else {
+                    (resume.substringAfter('@').toInt() + 1 + offset..6).forEach { event(it) }
+                    endStream()
+                }
+            }
+            ScriptedTarget("a", serve).use { a ->
+                ScriptedTarget("b", serve).use { b ->
+                    RelayFixture(a, b).use { relay ->
+                        val expected = if (offset <= 0) events(1..6) else events(1..3) + TRUNCATED
+                        expectThat(relay.call("/stream/x", "", "tokens: 10")?.body).isEqualTo(expected)
+                    }
+                }
+            }
+        }
+    }
+
     /** Guards against a stream that ends with its target although another target has a copy of its memory. */
     @Test
     fun `a stream continues from its copy when its target is lost`() {
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -60,6 +60,9 @@
     /** The last moves that did not get the proper answer. */
     val failedMoveCount: Int = events.count { it.kind == SoakKind.MOVE && it["answer"] != "PROPER" }
 
+    /** The runs that continued at an event that their callers had already. */
+    private val misplacedCount = events.count { it.kind == SoakKind.MISPLACED }
+
     /** The requests with a body in chunks. */
     private val chunkedCount =
         events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name }
@@ -74,6 +77,7 @@
         "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
         "sigterms=$terminationCount chunked=$chunkedCount cut=$cutCount " +
         "vms_cut=$cutVmCount crashes=$crashCount unframed=$unframedCount failed_moves=$failedMoveCount " +
+        "misplaced=$misplacedCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
         if (violations.isEmpty() && cutCount == 0) "" else " folder=$directory"
 }
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -49,6 +49,12 @@
 private const val FAILED_MOVES_MS = 8_000L
 private const val FAILED_MOVES_PROBABILITY = 0.7
 
+/** A replaced engine leaves after 3 s and ends after another 3 s. */
+private const val MIN_LEAVES_MS = 3_000L
+private const val MAX_LEAVES_MS = 5_000L
+private const val LEAVING_ENGINES_ONE_IN = 3
+private const val MISPLACED_PROBABILITY = 0.5
+
 /** The series of faults, which run side by side. */
 internal enum class SoakSeries {
     CONTROLS,
@@ -62,6 +68,9 @@
     CUTS,
     MOVES,
 
+    /** Engines leave one after another, and some runs continue at an event that their callers have already. */
+    LEAVES,
+
     /** Requests crash the plain targets that run them. */
     PLAIN_CRASHES,
 
@@ -71,7 +80,8 @@
 
 /** The series of a soak for which none are named. */
 internal val usualSeries: Set<SoakSeries> =
-    SoakSeries.entries.toSet() - setOf(SoakSeries.LIMITS, SoakSeries.PLAIN_CRASHES, SoakSeries.ENGINE_CRASHES)
+    SoakSeries.entries.toSet() -
+        setOf(SoakSeries.LIMITS, SoakSeries.LEAVES, SoakSeries.PLAIN_CRASHES, SoakSeries.ENGINE_CRASHES)
 
 /** Runs the faults for [durationMs]; [run] returns the number of faults. */
 internal class SoakFaults(
@@ -102,6 +112,7 @@
         SoakSeries.LIMITS to ::limitTargets,
         SoakSeries.CUTS to ::cutEntries,
         SoakSeries.MOVES to ::failMoves,
+        SoakSeries.LEAVES to ::replaceEngines,
         SoakSeries.PLAIN_CRASHES to ::crashPlainTargets,
         SoakSeries.ENGINE_CRASHES to ::crashEngines,
     )
@@ -359,6 +370,18 @@
         }
     }
 
+    private fun replaceEngines(random: Random) {
+        var isMisplaced = false
+        while (!isOver()) {
+            val engines = site.targets.values.filter { it.service == ENGINE }.sortedBy { it.id }
+            engines.forEach { site.setInjectedFault(it, "MISPLACE", if (isMisplaced) MISPLACED_PROBABILITY else 0.0) }
+            engines.shuffled(random).take(maxOf(1, engines.size / LEAVING_ENGINES_ONE_IN)).forEach(::replaceEngine)
+            count.incrementAndGet()
+            isMisplaced = !isMisplaced
+            rest(random.nextLong(MIN_LEAVES_MS, MAX_LEAVES_MS))
+        }
+    }
+
     private fun crashPlainTargets(random: Random) {
         rest(FIRST_CRASH_MS)
         site.sendCrashingInTurn(seed, listOf(SAFE, "unsafe"), SENDS_OF_CRASHING, random, ::isOver)
--- a/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakLost.kt
@@ -119,6 +119,9 @@
     return found.map { SoakViolation(SoakRule.LOST, it.send["request"], "count=${found.size} ${evidence(it, null)}") }
 }
 
+/** The faults that a run survives, so that its target counts as sound. */
+private val harmlessFaults = setOf("MOVE", "MISPLACE")
+
 private fun CheckedRecords.hadSoundTarget(lost: LostRequest): Boolean {
     val target = lost.arrivals.last()["target"]
     val fromNs = lost.send.atNs - bounds.contactMs * NS_PER_MS
@@ -126,7 +129,7 @@
     // A fault that was withdrawn before the request does not count, so the state at the start of the span does.
     val atStart = injected.filter { it.atNs <= fromNs }.associateBy { it["action"].substringBefore(':') }.values
     val isInjected = (atStart + injected.filter { it.atNs > fromNs })
-        .any { !it["action"].startsWith("MOVE:") && it["action"].substringAfter(':').toDouble() > 0 }
+        .any { it["action"].substringBefore(':') !in harmlessFaults && it["action"].substringAfter(':').toDouble() > 0 }
     return !isInjected && !wasDisturbed(target, lost.send.atNs, lost.fail.atNs)
 }
 
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -48,12 +48,30 @@
 private const val MAX_SUSPENSION_MS = 3_500
 private const val SUSPENSION_STEP_MS = 40
 private const val MAX_LATE_MOVE_MS = 3_000
+private const val MAX_MISPLACED_EVENTS = 4
 
 /** The part of the streams that have neither a length nor chunks, as 1 in this number. */
 private const val UNFRAMED_ONE_IN = 3
 
-/** What a target does to a request besides running it; only streams wait before their first event or are preempted. */
-private enum class InjectedFault { NONE, REFUSE, PAUSE, FAIL, LOSE, DELAY, RESET, WAIT, PREEMPT, ACCEPT, LIMIT, MOVE }
+/**
+ * What a target does to a request besides running it; only streams wait before their first event, are preempted or go
+ * on at an event before the right one.
+ */
+private enum class InjectedFault {
+    NONE,
+    REFUSE,
+    PAUSE,
+    FAIL,
+    LOSE,
+    DELAY,
+    RESET,
+    WAIT,
+    PREEMPT,
+    ACCEPT,
+    LIMIT,
+    MOVE,
+    MISPLACE,
+}
 
 /** Faults of a target that do not act on single requests. */
 private val faultsOfTarget = setOf(InjectedFault.ACCEPT, InjectedFault.LIMIT, InjectedFault.MOVE)
@@ -485,7 +503,7 @@
         val output = channel.getOutputStream()
         val tokens = message.headers.getValue("fulmarshunt-token-counts").substringAfter(',').toInt()
         val count = tokens / TOKENS_PER_EVENT
-        val first = (message.headers["last-event-id"]?.toInt() ?: 0) + 1
+        val first = firstEvent(message, run, fault)
         val isCut = fault == InjectedFault.LOSE || fault == InjectedFault.RESET
         val cutAt = if (isCut) first + nextInt(0, count) else Int.MAX_VALUE
         val preemptedAt = if (fault == InjectedFault.PREEMPT) first + nextInt(0, count) else Int.MAX_VALUE
@@ -512,6 +530,15 @@
         return if (isOpen) "done" else "client_gone"
     }
 
+    /** Returns the event that a run begins with, one that its caller has already if [fault] misplaces it. */
+    private fun firstEvent(message: SoakMessage, run: Run, fault: InjectedFault): Int {
+        val last = message.headers["last-event-id"]?.toInt() ?: 0
+        if (fault != InjectedFault.MISPLACE || last == 0) return last + 1
+        val first = maxOf(1, last + 1 - nextInt(1, MAX_MISPLACED_EVENTS))
+        record.add(SoakKind.MISPLACED, "request" to run.request, "target" to id, "last" to last, "first" to first)
+        return first
+    }
+
     /** Writes unless the channel has ended; a failure ends the run unless [ignoresClose]. */
     private fun send(isOpen: Boolean, ignoresClose: Boolean, write: () -> Unit): Boolean = try {
         if (isOpen) write()
