Forward the response to HEAD on a stream route without a body

Cause: every successful response on a stream route was forwarded as a stream, in chunks.

Change: the response to HEAD is forwarded like that of a plain route.

Evidence: RelayTest, "the response to HEAD on a stream route has no body", is new and was not run on the former code.

--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -256,7 +256,8 @@
             return AttemptFailure.Failed(status).left()
         }
         val head = callerHead(run.response.head, dependencies.adapter, job.request.isHead)
-        return if (job.isStream && status == HttpResponseStatus.OK.code()) {
+        // The response to HEAD has no events, and no body whose end could be marked.
+        return if (job.isStream && status == HttpResponseStatus.OK.code() && !job.request.isHead) {
             relayStream(job, placements, run, head)
         } else {
             relayPlain(job, placements, run, head)
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayFixture.kt
@@ -84,7 +84,7 @@
 
 internal const val TRUNCATED: String = "<truncated>"
 
-private fun InputStream.readLineOrNull(): String? {
+internal fun InputStream.readLineOrNull(): String? {
     val line = StringBuilder()
     while (true) {
         val byte = try {
--- a/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
+++ b/src/test/kotlin/fulmarshunt/caller/relay/RelayTest.kt
@@ -226,6 +226,33 @@
         }
     }
 
+    /** Guards against bytes after the response to HEAD, which the caller reads as the next response. */
+    @Test
+    fun `the response to HEAD on a stream route has no body`() {
+        for (framing in listOf("transfer-encoding: chunked", "content-length: 70", "x: y")) {
+            val target = ScriptedTarget("a") {
+                if (request.startLine.startsWith("HEAD")) {
+                    write("HTTP/1.1 200 OK\r\nid: r1\r\nstamp: 1\r\n$framing\r\n\r\n")
+                } else {
+                    respond("200 OK", "done")
+                }
+            }
+            target.use {
+                RelayFixture(target).use { relay ->
+                    relay.connect().use { socket ->
+                        val input = BufferedInputStream(socket.getInputStream())
+                        val head = "HEAD /stream/x HTTP/1.1\r\nHost: h\r\nid: r1\r\n\r\n"
+                        socket.getOutputStream().write(head.encodeToByteArray())
+                        val lines = generateSequence { input.readLineOrNull() }.takeWhile { it.isNotEmpty() }.toList()
+                        expectThat(lines.first()).isEqualTo("HTTP/1.1 200 OK")
+                        socket.getOutputStream().write(requestText("/once/x", "").encodeToByteArray())
+                        expectThat(input.readMessageOrNull()?.startLine).isEqualTo("HTTP/1.1 200 OK")
+                    }
+                }
+            }
+        }
+    }
+
     /** Guards against a long body that is buffered completely, truncated or mixed with the next request. */
     @Test
     fun `a long body is forwarded in pieces and bounded`() {
