Let calls wait for a reply that is arriving

A call had a fixed time for its whole reply. A reply that took longer to arrive was given up while the rest of it was still sent, and requested again elsewhere, so that a slow link carried more bytes the later it was.

LinksTest, "an extended call waits for a reply that is arriving": a reply of 128 KiB over 64 KiB/s with a time limit of 1 s passes.

--- a/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkConnection.kt
@@ -17,6 +17,8 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
@@ -91,6 +93,9 @@
     private val outgoing = Queue<Frame>(OUTGOING_FRAMES)
     private val jobs = mutableListOf<Job>()
 
+    /** Whether the rest of a frame of several parts is arriving. */
+    private val isFrameArriving = MutableStateFlow(false)
+
     @Volatile
     private var closeReason: String? = null
 
@@ -107,7 +112,8 @@
     internal suspend fun join(): Unit = jobs.first().join()
 
     /**
-     * Sends [request] on [channel] and waits up to [timeoutMs] for the reply.
+     * Sends [request] on [channel] and waits up to [timeoutMs] for the reply; with [isExtended], also for the end of a
+     * large frame that is arriving by then, which may be the reply or be followed by it.
      *
      * @return the reply, or a failure that states whether the peer can have received the request.
      */
@@ -115,6 +121,7 @@
         channel: Channel<Q, R>,
         request: Q,
         timeoutMs: Long,
+        isExtended: Boolean = false,
     ): Either<LinkFailure, R> {
         closeReason?.let { return LinkFailure.NotSent(it).left() }
         val id = nextId.getAndIncrement()
@@ -127,7 +134,8 @@
             }
             // A close between the check above and the entry in `pending` would otherwise leave the call pending.
             closeReason?.let { reply.complete(LinkFailure.Lost(it).left()) }
-            val raw = withTimeoutOrNull(timeoutMs) { reply.await() }
+            val raw =
+                withTimeoutOrNull(timeoutMs) { reply.await() } ?: if (isExtended) reply.awaitArrivingOrNull() else null
             return raw?.flatMap { decode(channel, it) }
                 ?: LinkFailure.Lost("${peer.process} did not reply on ${channel.name} within $timeoutMs ms").left()
         } finally {
@@ -135,6 +143,12 @@
         }
     }
 
+    /** Waits until no large frame is arriving; the connection is closed if its parts cease. */
+    private suspend fun <T> CompletableDeferred<T>.awaitArrivingOrNull(): T? {
+        isFrameArriving.first { !it || isCompleted }
+        return if (isCompleted) await() else null
+    }
+
     /** Closes the connection; pending calls end with [LinkFailure.Lost]. */
     public fun close(reason: String) {
         synchronized(this) {
@@ -175,10 +189,12 @@
                 val frame = socket.readFrame(part = part) { size ->
                     if (!budget.tryHold(size)) throw IOException("no memory for a frame of $size bytes")
                     heldBytes = size.toLong()
+                    isFrameArriving.value = size > PART_BYTES
                 }
                 isCall = frame is Call
                 receive(frame, heldBytes)
             } finally {
+                isFrameArriving.value = false
                 if (!isCall) budget.release(heldBytes)
             }
         }
--- a/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
+++ b/src/main/kotlin/fulmarshunt/link/LinkFrame.kt
@@ -19,7 +19,7 @@
 internal const val MAX_HANDSHAKE_BYTES: Int = 1_024
 
 /** The size of the parts in which a frame is read and written, so that one that is slow to arrive is not silence. */
-private const val PART_BYTES = 16 * 1_024
+internal const val PART_BYTES: Int = 16 * 1_024
 
 /** The version of the frames and of the handshake; peers with a different version are refused. */
 internal const val LINK_VERSION: Int = 1
--- a/src/main/kotlin/fulmarshunt/link/Links.kt
+++ b/src/main/kotlin/fulmarshunt/link/Links.kt
@@ -129,7 +129,8 @@
         channel: Channel<Q, R>,
         request: Q,
         timeoutMs: Long,
-    ): Either<LinkFailure, R> = connect(address).flatMap { it.call(channel, request, timeoutMs) }
+        isExtended: Boolean = false,
+    ): Either<LinkFailure, R> = connect(address).flatMap { it.call(channel, request, timeoutMs, isExtended) }
 
     /** Closes all connections and stops listening; later calls have no effect. */
     override fun close() {
--- a/src/test/kotlin/fulmarshunt/link/LinksTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/LinksTest.kt
@@ -47,6 +47,22 @@
         server.close()
     }
 
+    /** Guards against a reply that is given up while it arrives, and sent again by another peer on the same link. */
+    @Test
+    fun `an extended call waits for a reply that is arriving`(): Unit = runBlocking {
+        val text = "x".repeat(128 * 1_024)
+        val handlers = LinkHandlers().with(echo) { _, _ -> text }
+        val server = linksOf("server", "secret", handlers)
+        val client = linksOf("client", "secret", LinkHandlers())
+        SlowProxy(server.listen(loopback).getOrNull()!!, bytesPerSecond = 64 * 1_024).use { proxy ->
+            withTimeout(30_000) { while (client.connect(proxy.address).isLeft()) delay(20) }
+            val reply = client.call(proxy.address, echo, "call", 1_000, isExtended = true)
+            expectThat(reply.getOrNull()).isEqualTo(text)
+        }
+        client.close()
+        server.close()
+    }
+
     /** Guards against closing a connection as silent while a long frame arrives slowly. */
     @Test
     fun `a call that takes longer to arrive than the silence limit is answered`(): Unit = runBlocking {
