Send a configuration once over the link of an entry VM

Callers got 404 on routes that were acknowledged more than config_apply_ms before (CONFIG, DENIED), and waited longer for answers. A configuration of 700 KB went out with each watch, three times to each entry VM, as often as a watch ended before its reply had arrived, and again with every drain. On 10 Mbit/s such a reply never arrives in time.

A watch now brings the state with a reference: version, digest, size. The entry VM fetches the document from one control VM as changes to the one that it has, compressed, in parts of 16 KiB; another control VM goes on where one stops. A version is decoded once, off the control thread. Entry VMs of the version before still get the document with the state.

--- a/src/main/kotlin/fulmarshunt/Ids.kt
+++ b/src/main/kotlin/fulmarshunt/Ids.kt
@@ -120,6 +120,13 @@
     override fun toString(): String = value
 }
 
+/** The SHA-256 of a document in lower-case hexadecimal digits. */
+@Serializable
+@JvmInline
+public value class ContentDigest(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Identifies a call that must not be repeated; the key is chosen by the client account. */
 @Serializable
 @JvmInline
--- a/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/FleetWatcher.kt
@@ -10,13 +10,11 @@
 import fulmarshunt.Fingerprint
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.entry.document.ConfigurationFetcher
+import fulmarshunt.entry.document.DecodeConfiguration
 import fulmarshunt.entry.forward.Forwarder
 import fulmarshunt.link.LinkFailure
 import fulmarshunt.link.Links
-import fulmarshunt.operator.serving.ConfigurationDocument
-import fulmarshunt.operator.serving.RoutingTable
-import fulmarshunt.operator.serving.ServingConfiguration
-import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.process.ControlThread
 import fulmarshunt.process.LimitedLog
 import fulmarshunt.process.guardRound
@@ -27,7 +25,6 @@
 import fulmarshunt.target.fleet.Refusals
 import fulmarshunt.target.fleet.TargetUse
 import fulmarshunt.target.fleet.problemOrNull
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -38,14 +35,13 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** How many control VMs an entry VM watches: one may be lost and another out of contact at the same time. */
 private const val WATCHED_CONTROL_VMS = 3
 
-/** How long a reply may take beyond the time for which it waits for a change. */
+/** How long the beginning of a reply may take beyond the time for which it waits for a change. */
 private const val WATCH_MARGIN_MS = 700L
 
 /** How long the watch that reports use waits for a change while this VM has none. */
@@ -70,14 +66,11 @@
 /** The maximum number of refused causes that are logged at once. */
 private const val MAX_LOGGED = 16
 
-/** Decodes a document into a configuration, or returns the reason why it cannot be used. */
-public typealias DecodeConfiguration = (ConfigurationDocument) -> Either<String, ServingConfiguration>
-
 /** Watches control VMs and updates the view of [fleet]. */
 public class FleetWatcher internal constructor(
     private val vm: VmId,
     private val seeds: () -> List<Address>,
-    private val decode: DecodeConfiguration,
+    decode: DecodeConfiguration,
     private val fleet: Fleet,
     private val links: Links,
     private val control: ControlThread,
@@ -138,6 +131,9 @@
     private val refusals = Refusals { fleet.crashes.soundAgesMs(it).keys }
     private val entryVmCount = EntryVmCount()
     private val viewState = MutableStateFlow(FleetView())
+    private val configurations = ConfigurationFetcher(links, control, clock, decode, ::documentSources) {
+        publish(viewState.value.copy(table = it))
+    }
 
     private val forwarderState = MutableStateFlow(emptyList<Forwarder>())
 
@@ -155,6 +151,7 @@
     /** Starts watching. */
     public fun start() {
         slots.forEach { slot -> control.scope.launch { watch(slot) } }
+        configurations.start()
     }
 
     private suspend fun watch(slot: Slot) {
@@ -206,6 +203,7 @@
             ownForwarder.takeIf { isForwarderDue },
             slot.forwardersNumber,
             if (isReporting) fleet.versions.reportOrNull(vm, slot.evidenceNumber) else null,
+            fetchesDocuments = true,
         )
         val reply = call(address, request, isEndedByUse = holdMs == IDLE_HOLD_MS)
         if (reply == null) {
@@ -231,9 +229,9 @@
         isEndedByUse: Boolean,
     ): Either<LinkFailure, WatchReply>? {
         val timeoutMs = request.holdMs + WATCH_MARGIN_MS
-        if (!isEndedByUse) return links.call(address, watchChannel, request, timeoutMs)
+        if (!isEndedByUse) return links.call(address, watchChannel, request, timeoutMs, isExtended = true)
         return coroutineScope {
-            val pending = async { links.call(address, watchChannel, request, timeoutMs) }
+            val pending = async { links.call(address, watchChannel, request, timeoutMs, isExtended = true) }
             val used = async { fleet.isInUse.first { it } }
             select<Either<LinkFailure, WatchReply>?> {
                 pending.onAwait { it }
@@ -276,7 +274,7 @@
     private fun reportingSlot(): Slot = slots.firstOrNull { it.source.isNotEmpty() } ?: slots.first()
 
     /** Accepts [reply]; [reported] is the use that it replies to, or null if the watch reported none. */
-    private suspend fun accept(slot: Slot, reply: WatchReply, reported: Map<TargetId, TargetUse>?) {
+    private fun accept(slot: Slot, reply: WatchReply, reported: Map<TargetId, TargetUse>?) {
         if (slot.source != reply.source) {
             log.info("control-vm watched address={} slot={} targets={}", slot.address, slot.number, reply.targets.size)
             slot.targets.clear()
@@ -294,9 +292,10 @@
         slot.controlsNumber = reply.controlsNumber
         receiveForwarders(slot, reply)
         fleet.recordLimits(reply.limits, isDirect = false)
-        val table = reply.state?.let { tableOf(it) }
         var view = viewState.value
-        if (reply.state != null) view = view.withSnapshot(reply.state, table)
+        (reply.summary ?: reply.state?.toSummary())?.let { view = view.withState(it) }
+        reply.state?.document?.let(configurations::receive)
+        reply.summary?.document?.let { configurations.want(it, slot.address) }
         if (reported != null) view = view.copy(othersUse = receiveUse(slot, reply, reported))
         val refused = refusals.decide(slots.flatMapTo(mutableSetOf()) { it.refused }, clock.nowMs())
         logRefusals(view.refused, refused)
@@ -358,21 +357,7 @@
         return (controls - slots.mapNotNull { it.address }.toSet()).any { (failedAtMs[it] ?: 0) < sinceMs }
     }
 
-    private suspend fun tableOf(state: ServingSnapshot): RoutingTable? {
-        val document = state.document ?: return null
-        if (viewState.value.table?.configuration?.version == document.version) return viewState.value.table
-        return withContext(Dispatchers.Default) {
-            decode(document).fold(
-                { problem ->
-                    log.error("configuration unusable version={} problem={}", document.version, problem)
-                    null
-                },
-                { RoutingTable(it) },
-            )
-        }
-    }
-
-    private fun FleetView.withSnapshot(state: ServingSnapshot, table: RoutingTable?): FleetView {
+    private fun FleetView.withState(state: StateSummary): FleetView {
         if (state.revision <= revision) return this
         log.info(
             "state applied revision={} version={} drained={} rollouts={}",
@@ -381,14 +366,13 @@
             state.drained,
             state.rollouts.size,
         )
-        return copy(
-            revision = state.revision,
-            drained = state.drained,
-            table = table ?: this.table,
-            rollouts = state.rollouts,
-        )
+        return copy(revision = state.revision, drained = state.drained, rollouts = state.rollouts)
     }
 
+    /** Returns the control VMs from which documents are fetched: those that reply to watches first. */
+    private fun documentSources(): List<Address> =
+        (slots.filter { it.source.isNotEmpty() }.mapNotNull { it.address } + controls.ifEmpty { seeds() }).distinct()
+
     /** Receives the total use, and returns the part of the other entry VMs. */
     private fun receiveUse(
         slot: Slot,
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchMessages.kt
@@ -6,12 +6,16 @@
 package fulmarshunt.entry.watch
 
 import fulmarshunt.Address
+import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.LogIndex
+import fulmarshunt.ServiceId
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.entry.document.DocumentReference
 import fulmarshunt.entry.forward.Forwarder
 import fulmarshunt.link.Channel
+import fulmarshunt.operator.rollout.Rollout
 import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.target.TargetInstance
 import fulmarshunt.target.fleet.AgedRecord
@@ -54,6 +58,8 @@
     val forwardersNumber: Long = 0,
     /** What the entry VM has observed in running roll-outs; null if nothing, or if the control VM has it. */
     val evidence: EvidenceReport? = null,
+    /** Whether the entry VM fetches documents by their references; older versions do not. */
+    val fetchesDocuments: Boolean = false,
 )
 
 /** The changes since a [Watch]. */
@@ -61,7 +67,7 @@
 internal data class WatchReply(
     /** False if the control VM has no contact with a leader, so that it may lack changes. */
     val isCurrent: Boolean,
-    /** The state, if it is newer than [Watch.revision]. */
+    /** The state with its document, if it is newer than [Watch.revision] and not [Watch.fetchesDocuments]. */
     val state: ServingSnapshot?,
     val source: String,
     val targetChange: Long,
@@ -86,6 +92,25 @@
     /** All forwarders, or none if they have not changed since the last reply. */
     val forwarders: List<Forwarder> = emptyList(),
     val forwardersNumber: Long = 0,
+    /** The state without its document, if it is newer than [Watch.revision] and [Watch.fetchesDocuments]. */
+    val summary: StateSummary? = null,
+)
+
+/** The durable state of a deployment, with a reference in place of the document. */
+@Serializable
+internal data class StateSummary(
+    val revision: LogIndex,
+    val document: DocumentReference?,
+    val drained: Set<FailureDomainId>,
+    val rollouts: Map<ServiceId, Rollout>,
+)
+
+/** Returns this state with a reference in place of its document. */
+internal fun ServingSnapshot.toSummary(): StateSummary = StateSummary(
+    revision,
+    document?.let { DocumentReference(it.version, it.digest, it.bytes.size) },
+    drained,
+    rollouts,
 )
 
 /** The records and reports that one control VM sends to the others. */
--- a/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
+++ b/src/main/kotlin/fulmarshunt/entry/watch/WatchService.kt
@@ -263,6 +263,7 @@
 
     private fun replyNow(watch: Watch, change: Long, isKnown: Boolean): WatchReply {
         val state = dependencies.snapshots.value
+        val isNews = state.revision > watch.revision
         numberControls()
         val useMessage = if (watch.isReporting) {
             sentToEntryVms.getOrPut(watch.vm) { SentUse() }
@@ -272,7 +273,8 @@
         }
         return WatchReply(
             isCurrent = dependencies.isCurrent(),
-            state = state.takeIf { it.revision > watch.revision },
+            state = state.takeIf { isNews && !watch.fetchesDocuments },
+            summary = if (isNews && watch.fetchesDocuments) state.toSummary() else null,
             source = source,
             targetChange = dependencies.directory.lastChange.value,
             targets = dependencies.directory.changedAfter(change),
--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingState.kt
@@ -6,6 +6,7 @@
 package fulmarshunt.operator.serving
 
 import fulmarshunt.ConfigurationVersion
+import fulmarshunt.ContentDigest
 import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
 import fulmarshunt.ServiceId
@@ -17,6 +18,7 @@
 import fulmarshunt.operator.rollout.advancedOrNull
 import fulmarshunt.operator.rollout.after
 import fulmarshunt.operator.rollout.decisionOn
+import fulmarshunt.sha256Hex
 import fulmarshunt.voter.ReplicatedStateMachine
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -28,7 +30,10 @@
 
 /** A serving configuration in the bytes that the operator sent; a read returns the same bytes. */
 @Serializable
-public class ConfigurationDocument(public val version: ConfigurationVersion, @ByteString public val bytes: ByteArray)
+public class ConfigurationDocument(public val version: ConfigurationVersion, @ByteString public val bytes: ByteArray) {
+    /** The digest of [bytes], computed at the first call. */
+    public val digest: ContentDigest by lazy { ContentDigest(sha256Hex(bytes)) }
+}
 
 /** A change of the durable state. */
 @Serializable
--- a/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
+++ b/src/main/kotlin/fulmarshunt/platform/FleetControl.kt
@@ -9,6 +9,7 @@
 import arrow.core.raise.either
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.entry.document.documentServiceOf
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.entry.watch.WatchServiceDependencies
 import fulmarshunt.http.HttpReply
@@ -122,7 +123,8 @@
         control,
         clock,
     )
-    val handlers = watches.handlers(servingState.handlers(directory.handlers(log.handlers(LinkHandlers()))))
+    val base = servingState.handlers(directory.handlers(log.handlers(LinkHandlers())))
+    val handlers = documentServiceOf(machine.snapshots, control).handlers(watches.handlers(base))
     val links = linksOf(settings.vm.id.value, settings.link.secret.value, handlers)
     links.listen(own).onLeft { raise(ProgramOutcome(ExitCode.USAGE, "link.port: $it")) }
     val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
--- a/src/test/kotlin/fulmarshunt/entry/ControlVmFixture.kt
+++ b/src/test/kotlin/fulmarshunt/entry/ControlVmFixture.kt
@@ -5,6 +5,7 @@
 
 import fulmarshunt.Address
 import fulmarshunt.VmId
+import fulmarshunt.entry.document.documentServiceOf
 import fulmarshunt.entry.watch.WatchService
 import fulmarshunt.entry.watch.WatchServiceDependencies
 import fulmarshunt.link.LinkHandlers
@@ -17,13 +18,20 @@
 import kotlinx.coroutines.runBlocking
 
 /** A control VM that listens at [own]; it is in contact with a leader while [isCurrent]. */
-internal class ControlVm(name: String, own: Address, all: List<Address>, isCurrent: () -> Boolean) : AutoCloseable {
+internal class ControlVm(
+    name: String,
+    own: Address,
+    all: List<Address>,
+    val snapshots: MutableStateFlow<ServingSnapshot> = MutableStateFlow(ServingSnapshot()),
+    isCurrent: () -> Boolean,
+) : AutoCloseable {
     private val control = startControlThread()
     private val directory = TargetDirectory(1_000)
+    private val documents = documentServiceOf(snapshots, control)
     val service = WatchService(
         WatchServiceDependencies(
             VmId(name),
-            MutableStateFlow(ServingSnapshot()),
+            snapshots,
             { all },
             own,
             isCurrent,
@@ -32,7 +40,7 @@
         control,
         monotonicClock(),
     )
-    val links = linksOf(name, "secret-of-the-test", service.handlers(LinkHandlers()))
+    val links = linksOf(name, "secret-of-the-test", documents.handlers(service.handlers(LinkHandlers())))
 
     init {
         runBlocking { links.listen(own).onLeft { error(it) } }
--- a/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
+++ b/src/test/kotlin/fulmarshunt/entry/WatchServiceTest.kt
@@ -4,10 +4,12 @@
 package fulmarshunt.entry
 
 import fulmarshunt.Address
+import fulmarshunt.ConfigurationVersion
 import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.VmId
+import fulmarshunt.entry.document.DocumentReference
 import fulmarshunt.entry.forward.Forwarder
 import fulmarshunt.entry.watch.StateExchange
 import fulmarshunt.entry.watch.Watch
@@ -15,6 +17,8 @@
 import fulmarshunt.entry.watch.exchangeChannel
 import fulmarshunt.entry.watch.watchChannel
 import fulmarshunt.entry.watch.withChanges
+import fulmarshunt.operator.serving.ConfigurationDocument
+import fulmarshunt.operator.serving.ServingSnapshot
 import fulmarshunt.target.fleet.AgedRecord
 import fulmarshunt.target.fleet.LimitStatement
 import fulmarshunt.target.fleet.TargetPhase
@@ -22,6 +26,7 @@
 import fulmarshunt.target.fleet.record
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Test
@@ -268,6 +273,22 @@
         }
     }
 
+    /** Guards against entry VMs of the version before, which would never get a configuration. */
+    @Test
+    fun `the document is sent only to entry VMs that do not fetch it`(): Unit = runBlocking {
+        val document = ConfigurationDocument(ConfigurationVersion(7), ByteArray(500))
+        val state = MutableStateFlow(ServingSnapshot(LogIndex(3), document))
+        ControlVm("a", addresses[0], addresses.take(1), state) { true }.use { vm ->
+            val watch = Watch(VmId("one"), false, emptyMap(), emptyList(), LogIndex(0), "", 0, holdMs = 50)
+            val former = vm.links.call(addresses[0], watchChannel, watch, TIMEOUT_MS).fold({ error(it) }, { it })
+            expectThat(former.state?.document?.bytes?.size).isEqualTo(500)
+            val next = watch.copy(fetchesDocuments = true)
+            val reply = vm.links.call(addresses[0], watchChannel, next, TIMEOUT_MS).fold({ error(it) }, { it })
+            expectThat(reply.state).isEqualTo(null)
+            expectThat(reply.summary?.document).isEqualTo(DocumentReference(document.version, document.digest, 500))
+        }
+    }
+
     /** Guards against entry VMs that go on watching a control VM that has lost its leader until the watch ends. */
     @Test
     fun `a watch ends when the control VM loses its leader`(): Unit = runBlocking {
--- a/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
+++ b/src/test/kotlin/fulmarshunt/link/DecoderFuzzTest.kt
@@ -7,12 +7,18 @@
 import com.sun.management.ThreadMXBean
 import fulmarshunt.Address
 import fulmarshunt.ClusterId
+import fulmarshunt.ContentDigest
 import fulmarshunt.Fingerprint
 import fulmarshunt.LogIndex
 import fulmarshunt.TargetId
 import fulmarshunt.Term
 import fulmarshunt.VmId
 import fulmarshunt.caller.relay.EventFramer
+import fulmarshunt.entry.document.DocumentPart
+import fulmarshunt.entry.document.DocumentReply
+import fulmarshunt.entry.document.DocumentRequest
+import fulmarshunt.entry.document.decodeChanges
+import fulmarshunt.entry.document.encodeChanges
 import fulmarshunt.entry.watch.StateExchange
 import fulmarshunt.entry.watch.Watch
 import fulmarshunt.entry.watch.WatchReply
@@ -49,6 +55,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isFailure
 import strikt.assertions.isLessThan
+import java.io.IOException
 import java.lang.management.ManagementFactory
 import java.time.Instant
 import kotlin.random.Random
@@ -122,6 +129,21 @@
         VoterCall.serializer(),
         Envelope(ClusterId("c"), peerB.id, peerB.address, self.id, Term(2), Appended(LogIndex(3), Stamp(1, 2), true)),
     ),
+    cbor(
+        "document request",
+        DocumentRequest.serializer(),
+        DocumentRequest(ContentDigest("w"), ContentDigest("b"), ContentDigest("e"), 5),
+    ),
+    cbor(
+        "document part",
+        DocumentReply.serializer(),
+        DocumentPart(ContentDigest("e"), null, 40, 0, ByteArray(40) { it.toByte() }),
+    ),
+    Decoder(
+        "document changes",
+        encodeChanges(CONFIGURATION.encodeToByteArray(), settings.encodeToByteArray()),
+        mayThrow = { it is IOException },
+    ) { decodeChanges(it, CONFIGURATION.length, settings.encodeToByteArray()) },
     Decoder("announcement", ANNOUNCEMENT.encodeToByteArray()) { decodeAnnouncement(TargetId("t"), it, 1_000) },
     Decoder("deregistration", """{"born":17}""".encodeToByteArray()) { decodeDeregistration(it, 1_000) },
     Decoder("configuration", CONFIGURATION.encodeToByteArray()) { decodeConfiguration(it) },
