Read the state without its document for drains and roll-outs

A drain, a roll-out and a read of the configuration each brought the document from the leader to the control VM that was called, although a drain does not need it and the control VM mostly has it.

A read now says whether it needs the document and which one it has. ServingUpgradeTest: calls of the version before are understood, and theirs are by it.

--- a/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
+++ b/src/main/kotlin/fulmarshunt/operator/serving/ServingStateAccess.kt
@@ -12,6 +12,7 @@
 import arrow.core.right
 import fulmarshunt.Address
 import fulmarshunt.Clock
+import fulmarshunt.ContentDigest
 import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
 import fulmarshunt.link.Channel
@@ -39,9 +40,14 @@
     @SerialName("p")
     class Propose(val command: ServingCommand) : LeaderCall
 
+    /** Reads the state; leaders of older versions ignore the fields and reply with the document. */
     @Serializable
     @SerialName("r")
-    data object Read : LeaderCall
+    data class Read(
+        /** Whether the reply is to have the document, unless it is the [known] one. */
+        val isDocumentNeeded: Boolean = true,
+        val known: ContentDigest? = null,
+    ) : LeaderCall
 }
 
 @Serializable
@@ -52,7 +58,11 @@
 
     @Serializable
     @SerialName("s")
-    data class State(val snapshot: ServingSnapshot) : LeaderReply
+    data class State(
+        val snapshot: ServingSnapshot,
+        /** Whether the document of [snapshot] is left out because it is [LeaderCall.Read.known]. */
+        val isDocumentKnown: Boolean = false,
+    ) : LeaderReply
 
     @Serializable
     @SerialName("n")
@@ -143,7 +153,7 @@
         links: Links,
     ): DrainOutcome {
         val deadlineAtMs = caller.sentNotBeforeMs + COMMAND_TIMEOUT_MS
-        val state = callLeader(LeaderCall.Read, links, deadlineAtMs).map { (it as LeaderReply.State).snapshot }
+        val state = readSummary(links, deadlineAtMs)
         val isConnected = caller.isConnected()
         val result = state.flatMap {
             when {
@@ -169,8 +179,7 @@
         links: Links,
     ): StartResult {
         val deadlineAtMs = caller.sentNotBeforeMs + COMMAND_TIMEOUT_MS
-        val state = callLeader(LeaderCall.Read, links, deadlineAtMs)
-            .getOrElse { return StartResult.Unclear(it) }.let { (it as LeaderReply.State).snapshot }
+        val state = readSummary(links, deadlineAtMs).getOrElse { return StartResult.Unclear(it) }
         val current = state.rollouts[order.service]
         val basedOn = current?.orderIndex ?: LogIndex(0)
         when (current.decisionOn(order, basedOn)) {
@@ -198,8 +207,18 @@
         }
 
     /** Returns the latest state; on the left is why it cannot be confirmed. */
-    public suspend fun read(links: Links): Either<String, ServingSnapshot> =
-        callLeader(LeaderCall.Read, links, clock.nowMs() + COMMAND_TIMEOUT_MS).map {
+    public suspend fun read(links: Links): Either<String, ServingSnapshot> {
+        val known = machine.snapshots.value.document
+        val call = LeaderCall.Read(known = known?.digest)
+        return callLeader(call, links, clock.nowMs() + COMMAND_TIMEOUT_MS).map {
+            val state = it as LeaderReply.State
+            if (state.isDocumentKnown) state.snapshot.copy(document = known) else state.snapshot
+        }
+    }
+
+    /** Returns the latest state, possibly without its document. */
+    private suspend fun readSummary(links: Links, deadlineAtMs: Long): Either<String, ServingSnapshot> =
+        callLeader(LeaderCall.Read(isDocumentNeeded = false), links, deadlineAtMs).map {
             (it as LeaderReply.State).snapshot
         }
 
@@ -231,14 +250,20 @@
 
     private suspend fun handle(call: LeaderCall): LeaderReply = when (call) {
         is LeaderCall.Propose -> propose(call.command)
-        LeaderCall.Read ->
+        is LeaderCall.Read ->
             if (access.confirmLeadership(READ_CONFIRMATION_TIMEOUT_MS)) {
-                LeaderReply.State(machine.snapshots.value)
+                stateFor(call, machine.snapshots.value)
             } else {
                 LeaderReply.NotLeader(access.leadership.value.leader)
             }
     }
 
+    private fun stateFor(call: LeaderCall.Read, snapshot: ServingSnapshot): LeaderReply.State {
+        val isKnown = call.known != null && call.known == snapshot.document?.digest
+        val isSent = call.isDocumentNeeded && !isKnown
+        return LeaderReply.State(if (isSent) snapshot else snapshot.copy(document = null), isDocumentKnown = isKnown)
+    }
+
     private suspend fun propose(command: ServingCommand): LeaderReply {
         val bytes = linkCbor.encodeToByteArray(ServingCommand.serializer(), command)
         return access.propose(bytes, COMMAND_TIMEOUT_MS).fold(
--- a/src/test/kotlin/fulmarshunt/operator/serving/ServingUpgradeTest.kt
+++ b/src/test/kotlin/fulmarshunt/operator/serving/ServingUpgradeTest.kt
@@ -3,8 +3,10 @@
  */
 package fulmarshunt.operator.serving
 
+import fulmarshunt.ContentDigest
 import fulmarshunt.FailureDomainId
 import fulmarshunt.LogIndex
+import fulmarshunt.link.decodeFromPeer
 import fulmarshunt.link.linkCbor
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -75,4 +77,21 @@
         expectThat(result.size).isEqualTo(1)
         expectThat(restarted.snapshots.value).isEqualTo(machine.snapshots.value)
     }
+
+    @Serializable
+    private sealed interface FormerCall {
+        @Serializable
+        @SerialName("r")
+        data object Read : FormerCall
+    }
+
+    /** Guards against orders that fail while control VMs of two versions run side by side. */
+    @Test
+    fun `leaders and followers of the version before understand each other`() {
+        val read = LeaderCall.Read(isDocumentNeeded = false, known = ContentDigest("d"))
+        val sent = linkCbor.encodeToByteArray(LeaderCall.serializer(), read)
+        expectThat(decodeFromPeer(FormerCall.serializer(), sent)).isEqualTo(FormerCall.Read)
+        val former = linkCbor.encodeToByteArray(FormerCall.serializer(), FormerCall.Read)
+        expectThat(decodeFromPeer(LeaderCall.serializer(), former)).isEqualTo(LeaderCall.Read())
+    }
 }
