Leave out events that a target repeats within a response

Only runs that had continued were compared with the ids before. The protocol says that the ids of a response increase, so that an event whose id does not is none of it; it is left out, wherever it comes.

--- a/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/EventFramer.kt
@@ -1,7 +1,7 @@
 /*
  * Splits the bytes of an event stream into events. Only complete events are forwarded, so that a stream whose target is
- * lost in the middle of an event can continue at another target. A run that has continued must go on after the last
- * event that was forwarded: events that it repeats are left out, and one that skips events ends it.
+ * lost in the middle of an event can continue at another target. The ids of events increase: events that a target
+ * repeats are left out, and a run that has continued and skips events is ended.
  */
 package fulmarshunt.caller.relay
 
@@ -47,7 +47,7 @@
     var events: Long = 0
         private set
 
-    /** The number of events that were left out because a run that has continued has repeated them. */
+    /** The number of events that were left out because the target has repeated them. */
     var repeatedEvents: Long = 0
         private set
 
@@ -76,6 +76,7 @@
         val all = joinRest(bytes)
         var begin = all.readerIndex()
         var end = -1
+        val pieces = mutableListOf<ByteBuf>()
         var lineStart = begin + restLineStart
         var searchFrom = all.readerIndex() + readBytes
         var eventId = restEventId
@@ -87,9 +88,11 @@
                 val place = if (hasField) order.placeOf(eventId) else EventPlace.NEXT
                 hasGap = place == EventPlace.AFTER_GAP
                 if (hasGap) break
+                val eventStart = maxOf(begin, end)
                 end = newLine + 1
                 if (place == EventPlace.REPEATED) {
                     repeatedEvents += 1
+                    pieces.addSlice(all, begin, eventStart)
                     begin = end
                 } else if (hasField) {
                     recordEvent(eventId)
@@ -103,8 +106,9 @@
             lineStart = newLine + 1
             searchFrom = lineStart
         }
-        all.readerIndex(begin)
-        val completeEvents = if (end <= begin) null else all.readRetainedSlice(end - begin)
+        pieces.addSlice(all, begin, end)
+        all.readerIndex(maxOf(begin, end))
+        val completeEvents = if (pieces.isEmpty()) null else Unpooled.wrappedBuffer(*pieces.toTypedArray())
         restLineStart = lineStart - all.readerIndex()
         restEventId = eventId
         restHasField = hasField
@@ -149,10 +153,14 @@
     }
 }
 
-/** Where an event of a run that has continued belongs. */
+private fun MutableList<ByteBuf>.addSlice(bytes: ByteBuf, from: Int, to: Int) {
+    if (to > from) add(bytes.retainedSlice(from, to - from))
+}
+
+/** Where an event belongs. */
 private enum class EventPlace { REPEATED, NEXT, AFTER_GAP }
 
-/** Compares the ids of a run that has continued with those of the events before. */
+/** Compares the ids of events with those of the events before. */
 private class EventOrder {
     /** The id of the last event that has a numeric one, or null if none has. */
     var lastId: Long? = null
@@ -171,11 +179,11 @@
 
     fun placeOf(id: Long?): EventPlace {
         val last = lastId
-        if (!isResumed || id == null || last == null) return EventPlace.NEXT
+        if (id == null || last == null) return EventPlace.NEXT
         val expected = step?.let { last + it }
         return when {
             id <= last -> EventPlace.REPEATED
-            expected != null && id > expected -> EventPlace.AFTER_GAP
+            isResumed && expected != null && id > expected -> EventPlace.AFTER_GAP
             else -> EventPlace.NEXT
         }
     }
--- a/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/StreamRelay.kt
@@ -8,6 +8,7 @@
 package fulmarshunt.caller.relay
 
 import fulmarshunt.Clock
+import fulmarshunt.process.LimitedLog
 import fulmarshunt.target.fleet.FleetView
 import fulmarshunt.target.fleet.KnownTarget
 import fulmarshunt.target.fleet.Placement
@@ -25,6 +26,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** The silence after which a run continues from its copy, as a multiple of the gap objective. */
@@ -85,6 +87,7 @@
         private set
 
     private val framer = EventFramer()
+    private val repeatLog = LimitedLog(log)
 
     /** The number of events that were forwarded. */
     val events: Long get() = framer.events
@@ -303,12 +306,11 @@
         val repeatedBefore = framer.repeatedEvents
         val completeEvents = framer.appendOrNull(content.content())
         if (framer.repeatedEvents > repeatedBefore) {
-            log.warn(
-                "events repeated request={} target={} lastId={} count={}",
-                job.id,
-                current.placement.target.id,
-                framer.lastEventId,
-                framer.repeatedEvents - repeatedBefore,
+            val count = framer.repeatedEvents - repeatedBefore
+            repeatLog.log(
+                Level.WARN,
+                "events repeated request=${job.id} target=${current.placement.target.id} " +
+                    "lastId=${framer.lastEventId} count=$count",
             )
         }
         if (framer.events > eventsBefore) {
