Give the soak an axis for large configurations and slow links

The soak had configurations of some KB and links without a limit, so that it could not show a configuration that takes effect late.

routes=N adds routes that nobody uses, link_kbps=N limits what a control VM sends on each connection that it accepts, and CONFIG asks every entry VM in touch for the route of a configuration 2.5 s after its acknowledgement.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -22,6 +22,8 @@
 
 private val argumentNames = setOf(
     "seed", "seeds", "seconds", "site", "entries", "engines", "limits", "series", "crash", "forwarding", "memory_mb",
+    "routes",
+    "link_kbps",
 )
 
 /** What one seed showed. */
@@ -67,6 +69,9 @@
     private val chunkedCount =
         events.count { it.kind == SoakKind.SEND && it["framing"] == SoakFraming.CHUNKED.name }
 
+    /** The requests for the routes of new configurations at entry VMs that answered. */
+    private val probeCount = events.count { it.kind == SoakKind.PROBE && it["status"] != "0" }
+
     /** The targets that requests have crashed. */
     private val crashCount = events.count { it.kind == SoakKind.DISTURBED && it["action"] == "CRASH" }
 
@@ -77,7 +82,7 @@
         "evacuations=$evacuationCount repeats=$repeatCount continuations=$continuationCount " +
         "sigterms=$terminationCount chunked=$chunkedCount cut=$cutCount " +
         "vms_cut=$cutVmCount crashes=$crashCount unframed=$unframedCount failed_moves=$failedMoveCount " +
-        "misplaced=$misplacedCount " +
+        "misplaced=$misplacedCount probes=$probeCount " +
         SoakRule.entries.joinToString(" ") { rule -> "$rule=${violations.count { it.rule == rule }}" } +
         if (violations.isEmpty() && cutCount == 0) "" else " folder=$directory"
 }
@@ -141,6 +146,8 @@
                 engines = values["engines"]?.toInt() ?: filling?.div(ENTRIES_PER_ENGINE) ?: site.engines,
                 crashStyle = values["crash"]?.let(SoakCrashStyle::valueOf),
                 hasForwarding = values["forwarding"] != "false",
+                moreRoutes = values["routes"]?.toInt() ?: 0,
+                linkKbps = values["link_kbps"]?.toInt() ?: 0,
             ),
             series,
         )
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheck.kt
@@ -7,7 +7,7 @@
 internal const val NS_PER_MS = 1_000_000L
 
 /** The rules that the soak checks. */
-internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED, UNASKED, LOST, LIMIT, ORDER, RECOVER }
+internal enum class SoakRule { TWICE, BUDGET, EVAC, REFUSED, MIXED, UNASKED, LOST, LIMIT, ORDER, RECOVER, CONFIG }
 
 /** A broken rule with its evidence. */
 internal data class SoakViolation(val rule: SoakRule, val request: String, val evidence: String) {
@@ -34,7 +34,7 @@
     return checked.twice() + checked.budget() + checked.evacuations() + checked.refused() + checked.mixed() +
         checked.unasked() + checked.lost() + checked.lostOnKeptConnections() + checked.brokenPauses() +
         checked.attemptsOverLimit() + checked.longDeadlines() + checked.crashRetries() + checked.limits() +
-        checked.wrongOrder() + checked.unservedCuts()
+        checked.wrongOrder() + checked.unservedCuts() + checked.lateConfigurations()
 }
 
 /** A span of time; an end that was not recorded is the greatest value. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCheckTest.kt
@@ -489,6 +489,20 @@
         expectThat(rules(runs + cut("entry-2", 8_000))).isEqualTo(listOf(SoakRule.TWICE))
     }
 
+    /** Guards against a late configuration that is not found, and against findings that a disturbance excuses. */
+    @Test
+    fun `a route that is not there in time breaks CONFIG`() {
+        fun probe(status: Int) = "10010 PROBE version=4 node=entry-1 sent=10000000000 status=$status"
+        expectThat(rules(probe(503))).isEmpty()
+        expectThat(rules(probe(0))).isEmpty()
+        expectThat(rules(probe(404))).isEqualTo(listOf(SoakRule.CONFIG))
+        for (node in listOf("entry-1", "control-1")) {
+            fun disturbed(endMs: Int) = "1000 DISTURBED node=$node action=SIGSTOP\n$endMs RECOVERED node=$node"
+            expectThat(rules("${disturbed(4_501)}\n${probe(404)}")).isEmpty()
+            expectThat(rules("${disturbed(4_499)}\n${probe(404)}")).isEqualTo(listOf(SoakRule.CONFIG))
+        }
+    }
+
     /** Guards against a soak that takes more than half of the machine's memory. */
     @Test
     fun `a soak fills the memory that it may take and no more`() {
--- a/src/test/kotlin/fulmarshunt/soak/SoakCut.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakCut.kt
@@ -63,13 +63,16 @@
     setIpOption(IP_TTL, TARGET_TTL)
 }
 
-private fun Channel.setIpOption(option: Int, value: Int) {
+private fun Channel.setIpOption(option: Int, value: Int) = setIntOption(IPPROTO_IP, option, value)
+
+/** Sets an option that the Java API does not have. */
+internal fun Channel.setIntOption(level: Int, option: Int, value: Int) {
     val descriptor = javaClass.getMethod("getFD").apply { isAccessible = true }(this) as FileDescriptor
     val boolean = Boolean::class.java
     val int = Int::class.java
     Class.forName("sun.nio.ch.Net")
         .getDeclaredMethod("setIntOption0", FileDescriptor::class.java, boolean, int, int, int, boolean)
-        .apply { isAccessible = true }(null, descriptor, false, IPPROTO_IP, option, value, false)
+        .apply { isAccessible = true }(null, descriptor, false, level, option, value, false)
 }
 
 /** The sockets of an entry VM: bound to its address, so that targets know it, and cut as the file of the VM says. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakDeployment.kt
@@ -116,7 +116,8 @@
             [targets]
             period_ms = 1000
         """.trimIndent()
-        startProgram("control-$number", "fulmarshunt.platform.FleetControlKt", ip, number, settings)
+        val flags = slowLinkFlags(site.linkKbps)
+        startProgram("control-$number", "fulmarshunt.platform.FleetControlKt", ip, number, settings, flags)
     }
 
     fun startEntry(number: Int) {
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -71,6 +71,9 @@
 
     /** An order was acknowledged. */
     ACKNOWLEDGED,
+
+    /** An entry VM was asked for the route of a configuration that has to be in effect. */
+    PROBE,
 }
 
 /** One recorded event. Values hold no spaces. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakSite.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakSite.kt
@@ -22,6 +22,10 @@
     val crashStyle: SoakCrashStyle? = null,
     /** False for entry VMs of an older version, whose settings have no address for tunnels. */
     val hasForwarding: Boolean = true,
+    /** The routes of each configuration that nobody uses; 2,800 make a document of 0.6 MB. */
+    val moreRoutes: Int = 0,
+    /** The rate in kbit/s of each connection on which a control VM sends to another VM, or 0 for no limit. */
+    val linkKbps: Int = 0,
 )
 
 /** Returns the deployment called [name]. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTraffic.kt
@@ -247,7 +247,7 @@
     fun configure(limitMs: Long): Boolean {
         version += 1 + random.nextInt(3)
         val configuration = soakConfiguration(site.site, version, random.nextInt(500), hasBackups)
-        return order("/api/config/replace", configuration, null, limitMs)
+        return order("/api/config/replace", configuration, null, limitMs).also { if (it) site.startProbes(version) }
     }
 
     @Synchronized
@@ -315,7 +315,9 @@
         """"kv_token_bytes":131072,"link_mbps":19000.0,""" +
         """"moves":true,"backups":$hasBackups,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,""" +
         """"models":[{"name":"m"}]}"""
-    return """{"version":$version,"routes":[${routes.joinToString(",")}],"services":[${service(PLAIN, "")},""" +
+    val others = moreRoutes(version, site.moreRoutes)
+    return """{"version":$version,"routes":[$others${routes.joinToString(",")}],"services":[$serviceWithoutTargets,""" +
+        """${service(PLAIN, "")},""" +
         """${service(ENGINE, engine)}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,""" +
         """"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
 }
