--- a/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
+++ b/src/main/kotlin/fulmarshunt/caller/relay/RequestRelay.kt
@@ -430,12 +430,13 @@
         val response = (outcome as? RelayOutcome.Local)?.response
         response?.let { dependencies.meters.refused(it) }
         log.info(
-            "request ended id={} outcome=unrouted status={} reason={} path={} revision={}",
+            "request ended id={} outcome=unrouted status={} reason={} path={} revision={} version={}",
             request.metadata.id,
             response?.status?.code(),
             response?.reason ?: "the caller left",
             request.path,
             dependencies.views.value.revision,
+            dependencies.views.value.version,
         )
     }
 
@@ -451,10 +452,12 @@
         dependencies.meters.ended(label, job.service.id.value, elapsedMs)
         log.info(
             "request ended id={} outcome={} status={} reason={} route={} service={} account={} targets=[{}] " +
-                "runs={} waitedMs={} firstMs={} events={} gapMs={} tookMs={} retryAfterMs={} revision={}",
+                "runs={} waitedMs={} firstMs={} events={} gapMs={} tookMs={} retryAfterMs={} " +
+                "revision={} version={}",
             job.id, label, response?.status?.code(), response?.reason, job.route.name, job.service.id, job.account,
             job.trace.trim(), job.attempts.runs, job.waitedMs, job.firstEventAfterMs, job.request.progress.events,
             job.longestGapMs, elapsedMs, response?.retryAfterMs, dependencies.views.value.revision,
+            dependencies.views.value.version,
         )
     }
 
--- a/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
+++ b/src/main/kotlin/fulmarshunt/target/fleet/FleetView.kt
@@ -3,6 +3,7 @@
  */
 package fulmarshunt.target.fleet
 
+import fulmarshunt.ConfigurationVersion
 import fulmarshunt.FailureDomainId
 import fulmarshunt.Fingerprint
 import fulmarshunt.LogIndex
@@ -50,6 +51,9 @@
     /** Whether a control VM replies, so that [othersUse] is recent. */
     public val isInContact: Boolean = true,
 ) {
+    /** The version of the configuration, or null before the first one. */
+    internal val version: ConfigurationVersion? get() = table?.configuration?.version
+
     /** Returns the targets that accept requests for [service], with or without free capacity. */
     internal fun acceptingTargets(service: ServiceId): List<KnownTarget> = targets.values.filter {
         it.record.service == service && it.record.phase == TargetPhase.READY && it.record.domain !in drained
