Let targets of the soak repeat and split events

LEAVES misplaced only the beginning of continued runs. Engines with that fault now also send one event in ten twice, and all engines write one in eight in two pieces.

--- a/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoak.kt
@@ -62,7 +62,7 @@
     /** The last moves that did not get the proper answer. */
     val failedMoveCount: Int = events.count { it.kind == SoakKind.MOVE && it["answer"] != "PROPER" }
 
-    /** The runs that continued at an event that their callers had already. */
+    /** The events that their callers had already, and the continuations that began with one. */
     private val misplacedCount = events.count { it.kind == SoakKind.MISPLACED }
 
     /** The requests with a body in chunks. */
--- a/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
+++ b/src/test/kotlin/fulmarshunt/soak/FaultSoakTest.kt
@@ -16,6 +16,10 @@
 private const val CUT_SEED = 35L
 private const val FAULTS_S = 55L
 
+/** The routes of a configuration of 0.3 MB, and the rate of three connections that share 10 Mbit/s. */
+private const val MORE_ROUTES = 1_400
+private const val LINK_KBPS = 3_333
+
 @Timeout(140)
 class FaultSoakTest {
     /** Guards against rules of the platform that are broken while processes are stopped, killed and restarted. */
@@ -25,15 +29,19 @@
         expectThat(violations(SEED)).describedAs("violations of seed $SEED").isEmpty()
     }
 
-    /** The same for the rules without a known fault, in a run in which streams are stopped and entry VMs are cut. */
+    /**
+     * The same for the rules without a known fault, with large configurations on slow links, in a run in which streams
+     * are stopped and entry VMs are cut.
+     */
     @Test
     fun `no rule other than LOST is broken under faults`() {
-        val violations = violations(CUT_SEED).filter { it.rule != SoakRule.LOST }
+        val site = SoakSite(moreRoutes = MORE_ROUTES, linkKbps = LINK_KBPS)
+        val violations = violations(CUT_SEED, site).filter { it.rule != SoakRule.LOST }
         expectThat(violations).describedAs("violations of seed $CUT_SEED").isEmpty()
     }
 
-    private fun violations(seed: Long): List<SoakViolation> {
-        val result = runSoak(seed, FAULTS_S, series = usualSeries + SoakSeries.LIMITS)
+    private fun violations(seed: Long, site: SoakSite = SoakSite()): List<SoakViolation> {
+        val result = runSoak(seed, FAULTS_S, site, series = usualSeries + SoakSeries.LIMITS)
         println(result)
         expectThat(result.servedCount).describedAs("served requests").isGreaterThan(100)
         expectThat(result.evacuationCount).describedAs("acknowledged evacuations").isGreaterThan(1)
--- a/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakFaults.kt
@@ -68,7 +68,7 @@
     CUTS,
     MOVES,
 
-    /** Engines leave one after another, and some runs continue at an event that their callers have already. */
+    /** Engines leave one after another, and some send events that their callers have already. */
     LEAVES,
 
     /** Requests crash the plain targets that run them. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakRecord.kt
@@ -63,7 +63,7 @@
     /** A target was told to mishandle a part of its requests; it runs and is reached all the same. */
     INJECTED,
 
-    /** A target goes on with a run at an event that its caller has already. */
+    /** A target sends an event that its caller has already. */
     MISPLACED,
 
     /** The operator sends an order. */
--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -9,6 +9,7 @@
 import java.io.File
 import java.io.IOException
 import java.io.InputStream
+import java.io.OutputStream
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketTimeoutException
@@ -50,12 +51,17 @@
 private const val MAX_LATE_MOVE_MS = 3_000
 private const val MAX_MISPLACED_EVENTS = 4
 
+/** The part of the events that a target with this fault sends twice, and of those that it sends in two pieces. */
+private const val REPEATED_ONE_IN = 10
+private const val SPLIT_ONE_IN = 8
+private const val MAX_SPLIT_PAUSE_MS = 10
+
 /** The part of the streams that have neither a length nor chunks, as 1 in this number. */
 private const val UNFRAMED_ONE_IN = 3
 
 /**
- * What a target does to a request besides running it; only streams wait before their first event, are preempted or go
- * on at an event before the right one.
+ * What a target does to a request besides running it; only streams wait before their first event, are preempted, go
+ * on at an event before the right one or repeat events.
  */
 private enum class InjectedFault {
     NONE,
@@ -520,9 +526,13 @@
             if (number == preemptedAt) suspendOrNull(channel, input, run, ignoresClose)?.let { return it }
             val event = "id: $number\ndata: ${run.request}\n\n"
             run.made.set(number)
-            isOpen = send(isOpen, ignoresClose) {
-                val text = if (run.isFramed) "${event.length.toString(16)}\r\n$event\r\n" else event
-                output.write(text.encodeToByteArray())
+            val isRepeated = fault == InjectedFault.MISPLACE && nextInt(0, REPEATED_ONE_IN) == 0
+            if (isRepeated) recordMisplaced(run, number, number)
+            repeat(if (isRepeated) 2 else 1) {
+                isOpen = send(isOpen, ignoresClose) {
+                    val text = if (run.isFramed) "${event.length.toString(16)}\r\n$event\r\n" else event
+                    output.writeInPieces(text.encodeToByteArray())
+                }
             }
             if (!pause(channel, input, nextInt(MIN_PAUSE_MS, MAX_PAUSE_MS), ignoresClose)) return "closed"
         }
@@ -535,10 +545,21 @@
         val last = message.headers["last-event-id"]?.toInt() ?: 0
         if (fault != InjectedFault.MISPLACE || last == 0) return last + 1
         val first = maxOf(1, last + 1 - nextInt(1, MAX_MISPLACED_EVENTS))
-        record.add(SoakKind.MISPLACED, "request" to run.request, "target" to id, "last" to last, "first" to first)
+        recordMisplaced(run, last, first)
         return first
     }
 
+    private fun recordMisplaced(run: Run, last: Int, first: Int) =
+        record.add(SoakKind.MISPLACED, "request" to run.request, "target" to id, "last" to last, "first" to first)
+
+    /** Writes [bytes], some of them so that they arrive in two reads. */
+    private fun OutputStream.writeInPieces(bytes: ByteArray) {
+        val split = if (nextInt(0, SPLIT_ONE_IN) == 0) nextInt(1, bytes.size) else 0
+        write(bytes, 0, split)
+        if (split > 0) Thread.sleep(nextInt(1, MAX_SPLIT_PAUSE_MS).toLong())
+        write(bytes, split, bytes.size - split)
+    }
+
     /** Writes unless the channel has ended; a failure ends the run unless [ignoresClose]. */
     private fun send(isOpen: Boolean, ignoresClose: Boolean, write: () -> Unit): Boolean = try {
         if (isOpen) write()
