--- a/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
+++ b/src/test/kotlin/fulmarshunt/soak/SoakTarget.kt
@@ -524,22 +524,23 @@
                 isOpen = false
             }
             if (number == preemptedAt) suspendOrNull(channel, input, run, ignoresClose)?.let { return it }
-            val event = "id: $number\ndata: ${run.request}\n\n"
             run.made.set(number)
-            val isRepeated = fault == InjectedFault.MISPLACE && nextInt(0, REPEATED_ONE_IN) == 0
-            if (isRepeated) recordMisplaced(run, number, number)
-            repeat(if (isRepeated) 2 else 1) {
-                isOpen = send(isOpen, ignoresClose) {
-                    val text = if (run.isFramed) "${event.length.toString(16)}\r\n$event\r\n" else event
-                    output.writeInPieces(text.encodeToByteArray())
-                }
-            }
+            isOpen = send(isOpen, ignoresClose) { output.writeEvent(run, number, fault) }
             if (!pause(channel, input, nextInt(MIN_PAUSE_MS, MAX_PAUSE_MS), ignoresClose)) return "closed"
         }
         send(isOpen && run.isFramed, ignoresClose) { output.write("0\r\n\r\n".encodeToByteArray()) }
         return if (isOpen) "done" else "client_gone"
     }
 
+    /** Writes event [number], twice for some events if [fault] misplaces them. */
+    private fun OutputStream.writeEvent(run: Run, number: Int, fault: InjectedFault) {
+        val event = "id: $number\ndata: ${run.request}\n\n"
+        val bytes = (if (run.isFramed) "${event.length.toString(16)}\r\n$event\r\n" else event).encodeToByteArray()
+        val isRepeated = fault == InjectedFault.MISPLACE && nextInt(0, REPEATED_ONE_IN) == 0
+        if (isRepeated) recordMisplaced(run, number, number)
+        repeat(if (isRepeated) 2 else 1) { writeInPieces(bytes) }
+    }
+
     /** Returns the event that a run begins with, one that its caller has already if [fault] misplaces it. */
     private fun firstEvent(message: SoakMessage, run: Run, fault: InjectedFault): Int {
         val last = message.headers["last-event-id"]?.toInt() ?: 0
