Join the parts of a document off the control thread

The last part was inflated and hashed on the control thread, the inflater was left to the garbage collector, and a VM without contact in the middle of a transfer logged 20 lines a second.

--- a/src/main/kotlin/fulmarshunt/entry/document/ConfigurationFetcher.kt
+++ b/src/main/kotlin/fulmarshunt/entry/document/ConfigurationFetcher.kt
@@ -1,6 +1,6 @@
 /*
  * The entry VM's side of fetching. It fetches the newest configuration that a watch has named, from one control VM at a
- * time, and decodes each version once. Confined to the control thread; decoding runs on other threads.
+ * time, and decodes each version once. Confined to the control thread; parts are joined and decoded on other threads.
  */
 package fulmarshunt.entry.document
 
@@ -14,6 +14,7 @@
 import fulmarshunt.operator.serving.RoutingTable
 import fulmarshunt.operator.serving.ServingConfiguration
 import fulmarshunt.process.ControlThread
+import fulmarshunt.process.LimitedLog
 import fulmarshunt.process.guardRound
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
@@ -22,6 +23,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** How long a control VM may take for one part before another one is asked for it. */
@@ -47,6 +49,7 @@
     private val onApplied: (RoutingTable) -> Unit,
 ) {
     private val log = LogManager.getLogger(ConfigurationFetcher::class.java)
+    private val failureLog = LimitedLog(log)
 
     private class Wanted(
         val version: ConfigurationVersion,
@@ -142,7 +145,7 @@
             val request = transfer.nextRequest()
             val reply = address?.let { links.call(it, documentChannel, request, timeoutMs, isExtended = true) }
             when (val part = reply?.getOrNull()) {
-                is DocumentPart -> when (val result = transfer.receive(part)) {
+                is DocumentPart -> when (val result = withContext(Dispatchers.Default) { transfer.receive(part) }) {
                     TransferResult.Incomplete -> Unit
                     is TransferResult.Complete -> return result.document
                     is TransferResult.Damaged ->
@@ -170,7 +173,7 @@
 
     /** Turns from the control VM at [address] to the next one, after a pause. */
     private suspend fun turnAway(address: Address?, reason: String) {
-        log.info("configuration not fetched source={} reason={}", address, reason)
+        failureLog.log(Level.INFO, "configuration not fetched source=$address reason=$reason")
         source = selectSource(address)
         delay(RETRY_PAUSE_MS)
     }
--- a/src/main/kotlin/fulmarshunt/entry/document/DocumentEncoding.kt
+++ b/src/main/kotlin/fulmarshunt/entry/document/DocumentEncoding.kt
@@ -36,17 +36,19 @@
  *
  * @throws IOException if the bytes hold no such document.
  */
-internal fun decodeChanges(encoded: ByteArray, sizeBytes: Int, base: ByteArray = ByteArray(0)): ByteArray {
-    val input = InflaterInputStream(ByteArrayInputStream(encoded)).buffered()
+internal fun decodeChanges(encoded: ByteArray, sizeBytes: Int, base: ByteArray = ByteArray(0)): ByteArray =
+    InflaterInputStream(ByteArrayInputStream(encoded)).buffered().use { it.readChanges(sizeBytes, base) }
+
+private fun InputStream.readChanges(sizeBytes: Int, base: ByteArray): ByteArray {
     val document = ByteArray(sizeBytes)
     var size = 0
     while (size < sizeBytes) {
-        val literalBytes = input.readNumber(sizeBytes - size)
-        if (input.readNBytes(document, size, literalBytes) < literalBytes) throw IOException("a literal is cut off")
+        val literalBytes = readNumber(sizeBytes - size)
+        if (readNBytes(document, size, literalBytes) < literalBytes) throw IOException("a literal is cut off")
         size += literalBytes
         if (size == sizeBytes) break
-        val copiedBytes = input.readNumber(sizeBytes - size)
-        val from = input.readNumber(base.size - copiedBytes)
+        val copiedBytes = readNumber(sizeBytes - size)
+        val from = readNumber(base.size - copiedBytes)
         if (literalBytes + copiedBytes == 0) throw IOException("a change is empty")
         base.copyInto(document, size, from, from + copiedBytes)
         size += copiedBytes
